--- a/bench/bench_configuration.cpp
+++ b/bench/bench_configuration.cpp
@@ -45,7 +45,7 @@
 static void oneChange(benchmark::State &State) {
   const Clock Time = systemClock();
   standin::MemoryPlatform Platform(Time);
-  platform::KeyValueStore Store = Platform.store();
+  store::KeyValueStore Store = Platform.store();
   uint64_t Bytes = 0;
   const auto Get = Store.Get;
   bool IsCounting = false;
@@ -55,7 +55,7 @@
       Bytes += Read.value().Value.size();
     return Read;
   };
-  platform::RecordClient Records(Store, 100000000, Time, seededRandom(1));
+  store::RecordClient Records(Store, 100000000, Time, seededRandom(1));
   ChangeClient Changes(Records, Time);
   declaration::Declaration Declared = makeDeclaration(State.range(0));
   uint64_t Operation = 0;
--- a/src/libs/commands/commanddemo.cpp
+++ b/src/libs/commands/commanddemo.cpp
@@ -165,7 +165,7 @@
   return this->waitUntil(
       [&] {
         std::map<PoolName, int64_t> Up;
-        for (const platform::VmInfo &Vm :
+        for (const store::VmInfo &Vm :
              this->Fleet.platform().machines().now())
           ++Up[Vm.Pool];
         for (const auto &[Pool, Count] : Ordinary->Vms)
@@ -239,9 +239,9 @@
   const bool HasFollowed = this->waitUntil(
       [&] {
         std::map<PoolName, int64_t> Up;
-        for (const platform::VmInfo &Vm :
+        for (const store::VmInfo &Vm :
              this->Fleet.platform().machines().now())
-          if (Vm.State == platform::VmState::Live)
+          if (Vm.State == store::VmState::Live)
             ++Up[Vm.Pool];
         for (const auto &[Pool, Count] : Wanted->Vms)
           if (Up[Pool] < Count)
--- a/src/libs/configuration/changeclient.cpp
+++ b/src/libs/configuration/changeclient.cpp
@@ -2,13 +2,13 @@
 
 namespace whintack::configuration {
 
-using platform::StoreErrorCode;
-using platform::UpdateOutcome;
+using store::StoreErrorCode;
+using store::UpdateOutcome;
 
-ChangeClient::ChangeClient(platform::RecordClient &Records, Clock Time)
+ChangeClient::ChangeClient(store::RecordClient &Records, Clock Time)
     : Records(Records), Time(std::move(Time)) {}
 
-platform::StoreResult<Head> ChangeClient::readHead() {
+store::StoreResult<Head> ChangeClient::readHead() {
   auto Read = this->Records.read(HeadKey);
   if (!Read)
     return failure(std::move(Read).error());
@@ -16,7 +16,7 @@
     return Head();
   std::optional<Head> Decoded = headFromJson(Read.value().Body);
   if (!Decoded)
-    return failure(platform::StoreError{StoreErrorCode::BadAnswer,
+    return failure(store::StoreError{StoreErrorCode::BadAnswer,
                                         "the head cannot be understood"});
   return std::move(*Decoded);
 }
@@ -32,7 +32,7 @@
   };
 }
 
-static ChangeReport reportOf(const platform::StoreError &Error) {
+static ChangeReport reportOf(const store::StoreError &Error) {
   ChangeReport Report;
   Report.Outcome = Error.Code == StoreErrorCode::Ambiguous
                        ? ChangeOutcome::Unknown
@@ -53,7 +53,7 @@
                    const std::function<Head(const Head &)> &Change) {
   const auto Apply =
       [&Request, &Change, this](
-          const platform::Record &Before) -> std::optional<web::json::value> {
+          const store::Record &Before) -> std::optional<web::json::value> {
     Head Known;
     if (Before.exists())
       Known = headFromJson(Before.Body).value_or(Head());
@@ -85,7 +85,7 @@
   return Report;
 }
 
-platform::StoreResult<Bucket>
+store::StoreResult<Bucket>
 ChangeClient::readBucket(const std::string &Digest) {
   if (Digest.empty())
     return Bucket();
@@ -95,7 +95,7 @@
   return decodeBucket(Read.value().Value).value_or(Bucket());
 }
 
-platform::StoreResult<void>
+store::StoreResult<void>
 ChangeClient::writeBuckets(const declaration::ItemTexts &Items, Head &Target,
                            const Head &Known) {
   std::array<Bucket, BucketCount> Buckets;
--- a/src/libs/configuration/include/whintack/configuration/changeclient.h
+++ b/src/libs/configuration/include/whintack/configuration/changeclient.h
@@ -2,7 +2,7 @@
 #define WHINTACK_CONFIGURATION_CHANGECLIENT_H
 
 #include "whintack/configuration/configurationkeeper.h"
-#include "whintack/platform/recordclient.h"
+#include "whintack/store/recordclient.h"
 
 namespace whintack::configuration {
 
@@ -53,7 +53,7 @@
 /// Changes the configuration in the platform's store.
 class ChangeClient {
 public:
-  ChangeClient(platform::RecordClient &Records, Clock Time);
+  ChangeClient(store::RecordClient &Records, Clock Time);
 
   /// Puts the declaration \p Items in force. \p Preset is used when there is
   /// none in force yet.
@@ -65,7 +65,7 @@
                              const ChangeRequest &Request);
 
   /// Reads the head; revision 0 if there is none.
-  platform::StoreResult<Head> readHead();
+  store::StoreResult<Head> readHead();
 
   /// Reads contents from the platform's store.
   ContentSource contentSource();
@@ -73,11 +73,11 @@
 private:
   ChangeReport move(const ChangeRequest &Request,
                     const std::function<Head(const Head &)> &Change);
-  platform::StoreResult<Bucket> readBucket(const std::string &Digest);
-  platform::StoreResult<void> writeBuckets(const declaration::ItemTexts &Items,
+  store::StoreResult<Bucket> readBucket(const std::string &Digest);
+  store::StoreResult<void> writeBuckets(const declaration::ItemTexts &Items,
                                            Head &Target, const Head &Known);
 
-  platform::RecordClient &Records;
+  store::RecordClient &Records;
   Clock Time;
 };
 
--- a/src/libs/entry/directorywatcher.cpp
+++ b/src/libs/entry/directorywatcher.cpp
@@ -2,7 +2,7 @@
 
 namespace whintack::entry::Internal {
 
-DirectoryWatcher::DirectoryWatcher(platform::VmDirectory Directory,
+DirectoryWatcher::DirectoryWatcher(store::VmDirectory Directory,
                                    Duration Interval, ListHook OnList)
     : Directory(std::move(Directory)), Interval(Interval),
       OnList(std::move(OnList)) {}
@@ -21,9 +21,9 @@
   }
 }
 
-std::vector<platform::VmInfo> DirectoryWatcher::vms() const {
+std::vector<store::VmInfo> DirectoryWatcher::vms() const {
   const std::lock_guard<std::mutex> Lock(this->Mutex);
-  return this->Last.value_or(std::vector<platform::VmInfo>());
+  return this->Last.value_or(std::vector<store::VmInfo>());
 }
 
 bool DirectoryWatcher::hasList() const {
--- a/src/libs/entry/directorywatcher.h
+++ b/src/libs/entry/directorywatcher.h
@@ -2,7 +2,7 @@
 #define WHINTACK_ENTRY_DIRECTORYWATCHER_H
 
 #include "whintack/base/supervisor.h"
-#include "whintack/platform/vmdirectory.h"
+#include "whintack/store/vmdirectory.h"
 
 #include <functional>
 #include <mutex>
@@ -14,23 +14,23 @@
 /// While the platform does not answer the last list stands.
 class DirectoryWatcher {
 public:
-  using ListHook = std::function<void(const std::vector<platform::VmInfo> &)>;
+  using ListHook = std::function<void(const std::vector<store::VmInfo> &)>;
 
-  DirectoryWatcher(platform::VmDirectory Directory, Duration Interval,
+  DirectoryWatcher(store::VmDirectory Directory, Duration Interval,
                    ListHook OnList);
 
   void run(const StopSignal &Stop);
 
   /// The last list; empty before the first.
-  std::vector<platform::VmInfo> vms() const;
+  std::vector<store::VmInfo> vms() const;
   bool hasList() const;
 
 private:
-  platform::VmDirectory Directory;
+  store::VmDirectory Directory;
   Duration Interval;
   ListHook OnList;
   mutable std::mutex Mutex;
-  std::optional<std::vector<platform::VmInfo>> Last;
+  std::optional<std::vector<store::VmInfo>> Last;
 };
 
 } // namespace whintack::entry::Internal
--- a/src/libs/entry/entrynode.cpp
+++ b/src/libs/entry/entrynode.cpp
@@ -15,7 +15,7 @@
 #include "whintack/base/supervisor.h"
 #include "whintack/entry/callerfront.h"
 #include "whintack/peers/peernetwork.h"
-#include "whintack/platform/httpplatform.h"
+#include "whintack/store/httpplatform.h"
 
 #include <algorithm>
 #include <atomic>
@@ -46,12 +46,12 @@
   peers::PeerHooks peerHooks();
   void takeMessage(const EntryName &Peer, const peers::Message &Received);
   void takePeers();
-  void takeVms(const std::vector<platform::VmInfo> &Vms);
+  void takeVms(const std::vector<store::VmInfo> &Vms);
   void takeConfiguration(const configuration::Configuration &InForce);
   bool isFrequentWatcher() const;
   std::vector<EntryName> workingEntries() const;
   std::optional<std::vector<EntryName>> listedEntries() const;
-  bool probe(const platform::VmInfo &Vm);
+  bool probe(const store::VmInfo &Vm);
   EntryStatus status() const;
   std::string metrics();
   void startParts();
@@ -66,8 +66,8 @@
   HybridClock Stamps;
   EventJournal Journal;
   std::atomic<bool> IsStopping{false};
-  platform::HttpPlatform Platform;
-  platform::RecordClient Records;
+  store::HttpPlatform Platform;
+  store::RecordClient Records;
   configuration::ConfigurationKeeper Keeper;
   configuration::ChangeClient Changes;
   std::unique_ptr<peers::PeerNetwork> Network;
@@ -172,7 +172,7 @@
       this->Settings.PollInterval, this->Time, this->Journal);
   this->Directory = std::make_unique<DirectoryWatcher>(
       this->Platform.directory(), this->Settings.PollInterval,
-      [this](const std::vector<platform::VmInfo> &Vms) { this->takeVms(Vms); });
+      [this](const std::vector<store::VmInfo> &Vms) { this->takeVms(Vms); });
   this->Shares = std::make_unique<ShareKeeper>(
       Identity, this->Records, *this->Forwarding,
       [this] { return this->listedEntries(); }, this->Time, this->Source,
@@ -198,7 +198,7 @@
       StewardHooks{
           [this] { return this->Keeper.current(); },
           [this] { return this->Directory->vms(); },
-          [this](const platform::VmInfo &Vm) { return this->probe(Vm); }},
+          [this](const store::VmInfo &Vm) { return this->probe(Vm); }},
       this->Time, this->Source, this->Journal);
   this->Operators = std::make_unique<OperatorFront>(
       this->Settings.OperatorListener,
@@ -266,7 +266,7 @@
   this->Forwarding->setPeers(Usable);
 }
 
-void EntryNode::Private::takeVms(const std::vector<platform::VmInfo> &Vms) {
+void EntryNode::Private::takeVms(const std::vector<store::VmInfo> &Vms) {
   const auto InForce = this->Keeper.current();
   std::map<PoolName, ServiceName> ServiceOfPool;
   if (InForce)
@@ -315,14 +315,14 @@
   if (!this->Directory->hasList())
     return std::nullopt;
   std::vector<EntryName> Entries;
-  for (const platform::VmInfo &Vm : this->Directory->vms())
-    if (Vm.Role == platform::VmRole::Entry &&
-        Vm.State != platform::VmState::Gone)
+  for (const store::VmInfo &Vm : this->Directory->vms())
+    if (Vm.Role == store::VmRole::Entry &&
+        Vm.State != store::VmState::Gone)
       Entries.emplace_back(Vm.Name.text());
   return Entries;
 }
 
-bool EntryNode::Private::probe(const platform::VmInfo &Vm) {
+bool EntryNode::Private::probe(const store::VmInfo &Vm) {
   http::HttpRequest Request;
   Request.Method = "GET";
   Request.Target = "/healthz";
--- a/src/libs/entry/forwarder.cpp
+++ b/src/libs/entry/forwarder.cpp
@@ -306,20 +306,20 @@
   });
 }
 
-void Forwarder::setVms(const std::vector<platform::VmInfo> &Vms,
+void Forwarder::setVms(const std::vector<store::VmInfo> &Vms,
                        const std::map<PoolName, ServiceName> &ServiceOfPool) {
   std::vector<routing::ExecutorInfo> Executors;
-  for (const platform::VmInfo &Vm : Vms) {
+  for (const store::VmInfo &Vm : Vms) {
     const auto Service = ServiceOfPool.find(Vm.Pool);
-    const bool IsExecutor = Vm.Role == platform::VmRole::Worker &&
-                            Vm.State != platform::VmState::Gone &&
+    const bool IsExecutor = Vm.Role == store::VmRole::Worker &&
+                            Vm.State != store::VmState::Gone &&
                             Service != ServiceOfPool.end();
     if (!IsExecutor)
       continue;
     this->D->Connections.setAddress(Vm.Name, Vm.Server);
     Executors.push_back({Vm.Name, Service->second, Vm.DataCentre,
                          Vm.Incarnation,
-                         Vm.State == platform::VmState::Leaving});
+                         Vm.State == store::VmState::Leaving});
   }
   this->D->decide([&Executors](Router &Decisions, TimePoint Now) {
     return Decisions.setExecutors(Executors, Now);
--- a/src/libs/entry/include/whintack/entry/forwarder.h
+++ b/src/libs/entry/include/whintack/entry/forwarder.h
@@ -5,7 +5,7 @@
 #include "whintack/base/timerqueue.h"
 #include "whintack/http/httpclient.h"
 #include "whintack/peers/message.h"
-#include "whintack/platform/vmdirectory.h"
+#include "whintack/store/vmdirectory.h"
 #include "whintack/routing/router.h"
 
 #include <functional>
@@ -77,7 +77,7 @@
 
   void setServices(const std::vector<routing::ServiceLimits> &Services);
   /// Takes in the platform's list; \p ServiceOfPool tells what VMs run.
-  void setVms(const std::vector<platform::VmInfo> &Vms,
+  void setVms(const std::vector<store::VmInfo> &Vms,
               const std::map<PoolName, ServiceName> &ServiceOfPool);
   void setSharePlan(const routing::SharePlan &Plan);
   void setPeers(const std::vector<routing::PeerInfo> &Peers);
--- a/src/libs/entry/metrics.cpp
+++ b/src/libs/entry/metrics.cpp
@@ -70,13 +70,13 @@
                  Input.Traffic.BytesSent);
   Out.setCounter("whintack_peer_received_bytes_total",
                  "Bytes received from peers.", {}, Input.Traffic.BytesReceived);
-  Out.setCounter("whintack_platform_calls_total", "Calls to the platform.", {},
+  Out.setCounter("whintack_store_calls_total", "Calls to the platform.", {},
                  Input.PlatformCalls);
   Out.setGauge("whintack_requests_pending", "Requests held.", {},
                static_cast<double>(Input.Pending));
   Out.setGauge("whintack_revision", "Revision in force.", {},
                static_cast<double>(Input.Revision));
-  Out.setGauge("whintack_platform_reachable",
+  Out.setGauge("whintack_store_reachable",
                "Whether the platform answers, 0 or 1.", {},
                Input.IsPlatformReachable ? 1 : 0);
   double Usable = 0;
--- a/src/libs/entry/operatoranswer.cpp
+++ b/src/libs/entry/operatoranswer.cpp
@@ -17,8 +17,8 @@
   return respond(Status, Object);
 }
 
-HttpResponse storeRefusal(const platform::StoreError &Error) {
-  const bool IsUnknown = Error.Code == platform::StoreErrorCode::Ambiguous;
+HttpResponse storeRefusal(const store::StoreError &Error) {
+  const bool IsUnknown = Error.Code == store::StoreErrorCode::Ambiguous;
   return refuse(IsUnknown ? http::status::GatewayTimeout
                           : http::status::ServiceUnavailable,
                 Error.Message, "send it again with the same Operation-Id");
--- a/src/libs/entry/operatoranswer.h
+++ b/src/libs/entry/operatoranswer.h
@@ -2,7 +2,7 @@
 #define WHINTACK_ENTRY_OPERATORANSWER_H
 
 #include "whintack/http/httpmessage.h"
-#include "whintack/platform/keyvaluestore.h"
+#include "whintack/store/keyvaluestore.h"
 
 #include <cpprest/json.h>
 #include <string>
@@ -18,7 +18,7 @@
 
 /// An answer to a change that the platform's store did not take, or may not
 /// have taken.
-http::HttpResponse storeRefusal(const platform::StoreError &Error);
+http::HttpResponse storeRefusal(const store::StoreError &Error);
 
 } // namespace whintack::entry::Internal
 
--- a/src/libs/entry/operatorcodec.cpp
+++ b/src/libs/entry/operatorcodec.cpp
@@ -212,9 +212,9 @@
 }
 
 value vmsToJson(const FleetSnapshot &Fleet,
-                const std::vector<platform::VmInfo> &Listed) {
-  std::map<VmName, const platform::VmInfo *> Index;
-  for (const platform::VmInfo &Vm : Listed)
+                const std::vector<store::VmInfo> &Listed) {
+  std::map<VmName, const store::VmInfo *> Index;
+  for (const store::VmInfo &Vm : Listed)
     Index.emplace(Vm.Name, &Vm);
   std::vector<value> Rows;
   for (const fleet::RackRecord &Rack : Fleet.Racks)
@@ -232,7 +232,7 @@
       Row["listed"] =
           fromText(Found == Index.end()
                        ? std::string_view("no")
-                       : nameOf(platform::VmStateNames, Found->second->State));
+                       : nameOf(store::VmStateNames, Found->second->State));
       Rows.push_back(Row);
     }
   return value::array(Rows);
--- a/src/libs/entry/operatorcodec.h
+++ b/src/libs/entry/operatorcodec.h
@@ -30,7 +30,7 @@
   routing::RouterCounts Counts;
   std::vector<routing::ExecutorReport> Executors;
   std::optional<FleetSnapshot> Fleet;
-  std::vector<platform::VmInfo> Listed;
+  std::vector<store::VmInfo> Listed;
   WallTime Now;
 };
 
@@ -42,7 +42,7 @@
 
 /// One VM with its record and what the platform lists.
 web::json::value vmsToJson(const FleetSnapshot &Fleet,
-                           const std::vector<platform::VmInfo> &Listed);
+                           const std::vector<store::VmInfo> &Listed);
 
 /// Parameters of a query such as "vm=a&limit=10", decoded.
 std::map<std::string, std::string> parseQuery(const std::string &Target);
--- a/src/libs/entry/operatorfront.cpp
+++ b/src/libs/entry/operatorfront.cpp
@@ -23,7 +23,7 @@
                              OperatorAuth Auth, OperatorHooks Hooks,
                              FleetReader &Reader,
                              configuration::ChangeClient &Changes,
-                             platform::RecordClient &Records, Clock Time,
+                             store::RecordClient &Records, Clock Time,
                              Random Source, TimerQueue &Timers,
                              EventJournal &Journal)
     : Auth(std::move(Auth)), Hooks(std::move(Hooks)), Reader(Reader),
--- a/src/libs/entry/operatorfront.h
+++ b/src/libs/entry/operatorfront.h
@@ -36,7 +36,7 @@
   OperatorFront(Address Local, http::ServerTls Tls, OperatorAuth Auth,
                 OperatorHooks Hooks, FleetReader &Reader,
                 configuration::ChangeClient &Changes,
-                platform::RecordClient &Records, Clock Time, Random Source,
+                store::RecordClient &Records, Clock Time, Random Source,
                 TimerQueue &Timers, EventJournal &Journal);
 
   Result<void, http::ListenError> open();
--- a/src/libs/entry/operatorwork.cpp
+++ b/src/libs/entry/operatorwork.cpp
@@ -13,7 +13,7 @@
 using web::json::value;
 
 OperatorWork::OperatorWork(ConfigurationSource InForce,
-                           platform::RecordClient &Records, Clock Time,
+                           store::RecordClient &Records, Clock Time,
                            EventJournal &Journal)
     : InForce(std::move(InForce)), Records(Records), Time(std::move(Time)),
       Journal(Journal) {}
@@ -43,7 +43,7 @@
     Left -= static_cast<int64_t>(Run.Tasks.size());
     auto Written = this->Records.update(
         fleet::runKey(Run.Pool, Run.Id), Operation,
-        [&Run](const platform::Record &Before) -> std::optional<value> {
+        [&Run](const store::Record &Before) -> std::optional<value> {
           if (Before.exists())
             return std::nullopt;
           return fleet::toJson(Run);
@@ -65,7 +65,7 @@
   const std::string Id = Body.at("run").as_string();
   auto Written = this->Records.update(
       fleet::runKey(Pool, Id), Operation,
-      [](const platform::Record &Before) -> std::optional<value> {
+      [](const store::Record &Before) -> std::optional<value> {
         auto Run = fleet::runFromJson(Before.Body);
         if (!Run || Run->isEnded())
           return std::nullopt;
@@ -74,7 +74,7 @@
       });
   if (!Written)
     return storeRefusal(Written.error());
-  if (Written.value().Outcome == platform::UpdateOutcome::Declined)
+  if (Written.value().Outcome == store::UpdateOutcome::Declined)
     return refuse(http::status::Conflict,
                   "no run '" + Id + "' is open in pool " + Pool.text(),
                   "see 'whintack job list'");
@@ -107,7 +107,7 @@
   if (!Listed)
     return storeRefusal(Listed.error());
   std::vector<value> Rows;
-  for (const platform::KeyedRecord &Item : Listed.value()) {
+  for (const store::KeyedRecord &Item : Listed.value()) {
     const auto Run = fleet::runFromJson(Item.Stored.Body);
     if (!Run)
       continue;
@@ -169,7 +169,7 @@
                   "name one of the pools in the status");
   auto Updated = this->Records.update(
       fleet::waveKey(Pool), Operation,
-      [&](const platform::Record &Before) -> std::optional<value> {
+      [&](const store::Record &Before) -> std::optional<value> {
         const auto Known = fleet::waveFromJson(Before.Body);
         const auto Next = changedWave(Known, Pool, Action, Operator, Operation,
                                       this->Time.WallNow());
@@ -179,7 +179,7 @@
       });
   if (!Updated)
     return storeRefusal(Updated.error());
-  if (Updated.value().Outcome == platform::UpdateOutcome::Declined)
+  if (Updated.value().Outcome == store::UpdateOutcome::Declined)
     return refuse(http::status::Conflict,
                   "'" + Action + "' does not apply to the wave as it stands",
                   "look at the wave's state; actions are start, pause, resume "
--- a/src/libs/entry/operatorwork.h
+++ b/src/libs/entry/operatorwork.h
@@ -4,7 +4,7 @@
 #include "whintack/base/eventjournal.h"
 #include "whintack/configuration/configurationkeeper.h"
 #include "whintack/http/httpmessage.h"
-#include "whintack/platform/recordclient.h"
+#include "whintack/store/recordclient.h"
 
 #include <functional>
 #include <memory>
@@ -19,7 +19,7 @@
   using ConfigurationSource =
       std::function<std::shared_ptr<const configuration::Configuration>()>;
 
-  OperatorWork(ConfigurationSource InForce, platform::RecordClient &Records,
+  OperatorWork(ConfigurationSource InForce, store::RecordClient &Records,
                Clock Time, EventJournal &Journal);
 
   /// Submits a job or cancels a run, as \p Text says.
@@ -41,7 +41,7 @@
                                const OperationId &Operation);
 
   ConfigurationSource InForce;
-  platform::RecordClient &Records;
+  store::RecordClient &Records;
   Clock Time;
   EventJournal &Journal;
 };
--- a/src/libs/entry/sharekeeper.cpp
+++ b/src/libs/entry/sharekeeper.cpp
@@ -42,7 +42,7 @@
   return Object;
 }
 
-static SharePlan planFromRecord(const platform::Record &Read) {
+static SharePlan planFromRecord(const store::Record &Read) {
   SharePlan Plan;
   if (!Read.exists())
     return Plan;
@@ -59,7 +59,7 @@
 }
 
 ShareKeeper::ShareKeeper(routing::RouterIdentity Identity,
-                         platform::RecordClient &Records, Forwarder &Forwarding,
+                         store::RecordClient &Records, Forwarder &Forwarding,
                          ListedEntries Listed, Clock Time, Random Source,
                          EventJournal &Journal)
     : Identity(std::move(Identity)), Records(Records), Forwarding(Forwarding),
@@ -97,7 +97,7 @@
 bool ShareKeeper::take(const Step &Next) {
   SharePlan After;
   const auto Change =
-      [&](const platform::Record &Read) -> std::optional<value> {
+      [&](const store::Record &Read) -> std::optional<value> {
     const SharePlan Before = planFromRecord(Read);
     After = Next(Before);
     if (After == Before)
--- a/src/libs/entry/sharekeeper.h
+++ b/src/libs/entry/sharekeeper.h
@@ -4,7 +4,7 @@
 #include "whintack/base/eventjournal.h"
 #include "whintack/base/supervisor.h"
 #include "whintack/entry/forwarder.h"
-#include "whintack/platform/recordclient.h"
+#include "whintack/store/recordclient.h"
 #include "whintack/routing/shareplan.h"
 
 #include <map>
@@ -19,7 +19,7 @@
   /// nothing if it has not said.
   using ListedEntries = std::function<std::optional<std::vector<EntryName>>()>;
 
-  ShareKeeper(routing::RouterIdentity Identity, platform::RecordClient &Records,
+  ShareKeeper(routing::RouterIdentity Identity, store::RecordClient &Records,
               Forwarder &Forwarding, ListedEntries Listed, Clock Time,
               Random Source, EventJournal &Journal);
 
@@ -44,7 +44,7 @@
   std::string key() const;
 
   routing::RouterIdentity Identity;
-  platform::RecordClient &Records;
+  store::RecordClient &Records;
   Forwarder &Forwarding;
   ListedEntries Listed;
   Clock Time;
--- a/src/libs/local/availabilitywatch.cpp
+++ b/src/libs/local/availabilitywatch.cpp
@@ -16,8 +16,8 @@
 
 void AvailabilityWatch::look() {
   std::map<PoolName, int64_t> Up;
-  for (const platform::VmInfo &Vm : this->Machines.now())
-    if (Vm.State == platform::VmState::Live)
+  for (const store::VmInfo &Vm : this->Machines.now())
+    if (Vm.State == store::VmState::Live)
       ++Up[Vm.Pool];
   for (auto &[Pool, Low] : this->Lows)
     Low.Lowest = std::min(Low.Lowest, Up[Pool]);
--- a/src/libs/local/include/whintack/local/localfleet.h
+++ b/src/libs/local/include/whintack/local/localfleet.h
@@ -37,9 +37,9 @@
   const LocalSettings &local() const { return this->Local; }
 
 private:
-  void startServer(const platform::VmInfo &Vm);
-  void stopServer(const platform::VmInfo &Vm);
-  void setLeaving(const platform::VmInfo &Vm);
+  void startServer(const store::VmInfo &Vm);
+  void stopServer(const store::VmInfo &Vm);
+  void setLeaving(const store::VmInfo &Vm);
 
   LocalSettings Local;
   std::map<PoolName, ServiceName> ServiceOfPool;
--- a/src/libs/local/include/whintack/local/localsettings.h
+++ b/src/libs/local/include/whintack/local/localsettings.h
@@ -3,7 +3,7 @@
 
 #include "whintack/declaration/resources.h"
 #include "whintack/document/document.h"
-#include "whintack/platform/vmdirectory.h"
+#include "whintack/store/vmdirectory.h"
 #include "whintack/settings/settings.h"
 
 #include <vector>
@@ -46,9 +46,9 @@
 /// The settings file of one entry VM, as 'whintack entry' reads it.
 std::string settingsText(const settings::EntrySettings &Entry);
 /// All backend server VMs, without a pool.
-std::vector<platform::VmInfo> workerVms(const LocalSettings &Local);
+std::vector<store::VmInfo> workerVms(const LocalSettings &Local);
 /// How the platform lists the entry VMs.
-std::vector<platform::VmInfo> entryVms(const LocalSettings &Local);
+std::vector<store::VmInfo> entryVms(const LocalSettings &Local);
 
 } // namespace whintack::local
 
--- a/src/libs/local/localfleet.cpp
+++ b/src/libs/local/localfleet.cpp
@@ -27,9 +27,9 @@
     : Local(std::move(Given)), ServiceOfPool(std::move(ServiceOfPool)),
       Time(std::move(GivenTime)), Timers(Timers), Store(Time),
       Machines(workerVms(Local), behaviourOf(Local),
-               {[this](const platform::VmInfo &Vm) { this->startServer(Vm); },
-                [this](const platform::VmInfo &Vm) { this->stopServer(Vm); },
-                [this](const platform::VmInfo &Vm) { this->setLeaving(Vm); }},
+               {[this](const store::VmInfo &Vm) { this->startServer(Vm); },
+                [this](const store::VmInfo &Vm) { this->stopServer(Vm); },
+                [this](const store::VmInfo &Vm) { this->setLeaving(Vm); }},
                Time,
                [&Timers](TimePoint Deadline, std::function<void()> Call) {
                  Timers.schedule(Deadline, std::move(Call));
@@ -41,14 +41,14 @@
 
 Result<void, LocalError> LocalPlatform::start() {
   this->Machines.start();
-  for (const platform::VmInfo &Entry : entryVms(this->Local))
+  for (const store::VmInfo &Entry : entryVms(this->Local))
     this->Machines.addListed(Entry);
   if (auto Opened = this->Server.open(); !Opened)
     return failure(LocalError{Opened.error().Message});
   return success();
 }
 
-void LocalPlatform::startServer(const platform::VmInfo &Vm) {
+void LocalPlatform::startServer(const store::VmInfo &Vm) {
   const auto Service = this->ServiceOfPool.find(Vm.Pool);
   if (Service == this->ServiceOfPool.end())
     return;
@@ -67,7 +67,7 @@
   this->Servers[Vm.Name] = std::move(Started);
 }
 
-void LocalPlatform::stopServer(const platform::VmInfo &Vm) {
+void LocalPlatform::stopServer(const store::VmInfo &Vm) {
   std::unique_ptr<standin::BackendServer> Stopped;
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   const auto Found = this->Servers.find(Vm.Name);
@@ -77,7 +77,7 @@
   this->Servers.erase(Found);
 }
 
-void LocalPlatform::setLeaving(const platform::VmInfo &Vm) {
+void LocalPlatform::setLeaving(const store::VmInfo &Vm) {
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   const auto Found = this->Servers.find(Vm.Name);
   if (Found != this->Servers.end())
--- a/src/libs/local/localsettings.cpp
+++ b/src/libs/local/localsettings.cpp
@@ -158,13 +158,13 @@
   return std::string(Out.c_str()) + "\n";
 }
 
-std::vector<platform::VmInfo> workerVms(const LocalSettings &Local) {
-  std::vector<platform::VmInfo> Vms;
+std::vector<store::VmInfo> workerVms(const LocalSettings &Local) {
+  std::vector<store::VmInfo> Vms;
   for (const LocalDataCentre &DataCentre : Local.DataCentres)
     for (int64_t Rack = 1; Rack <= DataCentre.Racks; ++Rack)
       for (int64_t Place = 1; Place <= DataCentre.VmsPerRack; ++Place) {
         const auto Number = static_cast<int64_t>(Vms.size());
-        platform::VmInfo Vm;
+        store::VmInfo Vm;
         Vm.DataCentre = DataCentre.Name;
         Vm.Rack =
             RackName(DataCentre.Name.text() + "-rack-" + std::to_string(Rack));
@@ -179,12 +179,12 @@
   return Vms;
 }
 
-std::vector<platform::VmInfo> entryVms(const LocalSettings &Local) {
-  std::vector<platform::VmInfo> Vms;
+std::vector<store::VmInfo> entryVms(const LocalSettings &Local) {
+  std::vector<store::VmInfo> Vms;
   for (const settings::EntrySettings &Entry : entrySettings(Local)) {
-    platform::VmInfo Vm;
+    store::VmInfo Vm;
     Vm.Name = VmName(Entry.Name.text());
-    Vm.Role = platform::VmRole::Entry;
+    Vm.Role = store::VmRole::Entry;
     Vm.DataCentre = Entry.DataCentre;
     Vm.Rack = RackName(Entry.DataCentre.text() + "-entries");
     Vm.Server = Entry.CallerListener;
--- a/src/libs/replay/include/whintack/replay/trace.h
+++ b/src/libs/replay/include/whintack/replay/trace.h
@@ -3,7 +3,7 @@
 
 #include "whintack/declaration/declaration.h"
 #include "whintack/document/document.h"
-#include "whintack/platform/vmdirectory.h"
+#include "whintack/store/vmdirectory.h"
 
 #include <string>
 #include <vector>
@@ -95,7 +95,7 @@
   std::string Name;
   declaration::Declaration Declared;
   std::string FirstPreset;
-  std::vector<platform::VmInfo> Vms;
+  std::vector<store::VmInfo> Vms;
   RecordedTimes Times;
   Duration Length = std::chrono::hours(1);
   std::vector<TraceEvent> Events;
--- a/src/libs/replay/replayworld.cpp
+++ b/src/libs/replay/replayworld.cpp
@@ -13,8 +13,8 @@
 
 namespace whintack::replay {
 
-using platform::VmInfo;
-using platform::VmState;
+using store::VmInfo;
+using store::VmState;
 
 namespace {
 
@@ -41,7 +41,7 @@
   EntryName Name;
   bool IsStopped = false;
   TimePoint NextPass;
-  std::unique_ptr<platform::RecordClient> Records;
+  std::unique_ptr<store::RecordClient> Records;
   std::unique_ptr<configuration::ChangeClient> Changes;
   configuration::ConfigurationKeeper Keeper;
   std::unique_ptr<steward::FleetReader> Reader;
@@ -58,8 +58,8 @@
 
 private:
   void addHolder(const std::string &Name, uint64_t Seed);
-  platform::KeyValueStore storeFor(Holder &Owner);
-  platform::WorkerControl watchedWorkers();
+  store::KeyValueStore storeFor(Holder &Owner);
+  store::WorkerControl watchedWorkers();
   steward::DrainHooks drainHooks();
   steward::StewardHooks stewardHooks(Holder &Owner);
   void schedule(TimePoint Deadline, std::function<void()> Call);
@@ -95,7 +95,7 @@
   standin::MemoryPlatform Store;
   std::multimap<TimePoint, std::function<void()>> Later;
   standin::VmMachines Machines;
-  platform::RecordClient Operators;
+  store::RecordClient Operators;
   configuration::ChangeClient OperatorChanges;
   std::vector<std::unique_ptr<Holder>> Holders;
   std::map<VmName, TimePoint> DrainAskedAt;
@@ -145,10 +145,10 @@
   this->Later.emplace(Deadline, std::move(Call));
 }
 
-platform::KeyValueStore World::storeFor(Holder &Owner) {
-  platform::KeyValueStore Hooked = this->Store.store();
+store::KeyValueStore World::storeFor(Holder &Owner) {
+  store::KeyValueStore Hooked = this->Store.store();
   const auto Put = Hooked.Put;
-  Hooked.Put = [this, &Owner, Put](const platform::ConditionalPut &Given) {
+  Hooked.Put = [this, &Owner, Put](const store::ConditionalPut &Given) {
     if (this->FreezeName == Owner.Name.text()) {
       // The holder stands still between deciding and writing; the rest of the
       // world goes on.
@@ -162,8 +162,8 @@
   return Hooked;
 }
 
-platform::WorkerControl World::watchedWorkers() {
-  platform::WorkerControl Watched = this->Machines.workers();
+store::WorkerControl World::watchedWorkers() {
+  store::WorkerControl Watched = this->Machines.workers();
   const auto Drain = Watched.Drain;
   Watched.Drain = [this, Drain](const VmName &Vm, uint64_t Epoch) {
     const uint64_t Before = this->Machines.counts().Drains;
@@ -173,7 +173,7 @@
     return Done;
   };
   const auto Start = Watched.StartTask;
-  Watched.StartTask = [this, Start](const platform::TaskStart &Given) {
+  Watched.StartTask = [this, Start](const store::TaskStart &Given) {
     const uint64_t Before = this->Machines.counts().TaskStarts;
     auto Done = Start(Given);
     if (this->Machines.counts().TaskStarts == Before)
@@ -223,7 +223,7 @@
   Holder &Owner = *Added;
   Owner.Name = EntryName(Name);
   Owner.NextPass = this->Time.Now;
-  Owner.Records = std::make_unique<platform::RecordClient>(
+  Owner.Records = std::make_unique<store::RecordClient>(
       this->storeFor(Owner), CallsPerSecond, this->Time.clock(),
       seededRandom(Seed));
   Owner.Changes = std::make_unique<configuration::ChangeClient>(
@@ -390,7 +390,7 @@
   auto Changed = this->Operators.update(
       fleet::waveKey(PoolName(Event.Subject)),
       OperationId(randomIdentifier(this->Source)),
-      [&](const platform::Record &Before) -> std::optional<web::json::value> {
+      [&](const store::Record &Before) -> std::optional<web::json::value> {
         fleet::WaveRecord Wave =
             fleet::waveFromJson(Before.Body).value_or(fleet::WaveRecord());
         Wave.Pool = PoolName(Event.Subject);
@@ -416,7 +416,7 @@
   this->Runs.push_back(fleet::runKey(Run.Pool, Run.Id));
   this->RunJobs[this->Runs.back()] = Job;
   auto Written = this->Operators.update(
-      this->Runs.back(), OperationId(Run.Id), [&Run](const platform::Record &) {
+      this->Runs.back(), OperationId(Run.Id), [&Run](const store::Record &) {
         return std::optional<web::json::value>(fleet::toJson(Run));
       });
   if (!Written)
@@ -429,7 +429,7 @@
       continue;
     auto Written = this->Operators.update(
         Key, OperationId(randomIdentifier(this->Source)),
-        [](const platform::Record &Before) -> std::optional<web::json::value> {
+        [](const store::Record &Before) -> std::optional<web::json::value> {
           auto Run = fleet::runFromJson(Before.Body);
           if (!Run)
             return std::nullopt;
@@ -569,8 +569,8 @@
 void World::judgeTasks(ReplayReport &Report) {
   // Counted at the workers; records of runs that ended are not kept for long.
   std::map<std::string, int64_t> Done;
-  for (const platform::TaskReport &Task : this->Machines.tasks())
-    if (Task.State == platform::TaskState::Finished)
+  for (const store::TaskReport &Task : this->Machines.tasks())
+    if (Task.State == store::TaskState::Finished)
       ++Done[Task.Job.text()];
   for (const auto &[Job, Count] : this->Recorded.Outcomes.TasksDone)
     this->addVerdict(Report,
--- a/src/libs/replay/trace.cpp
+++ b/src/libs/replay/trace.cpp
@@ -18,7 +18,7 @@
       Reader.number("memory-gb", 256, 1, 65536) * MegabytesPerGigabyte;
   for (int64_t Rack = 1; Rack <= Racks; ++Rack)
     for (int64_t Place = 1; Place <= PerRack; ++Place) {
-      platform::VmInfo Vm;
+      store::VmInfo Vm;
       Vm.DataCentre = DataCentreName(DataCentre);
       Vm.Rack = RackName(DataCentre + "-rack-" + std::to_string(Rack));
       Vm.Name = VmName(Vm.Rack.text() + "-vm-" + std::to_string(Place));
--- a/src/libs/standin/include/whintack/standin/memoryplatform.h
+++ b/src/libs/standin/include/whintack/standin/memoryplatform.h
@@ -2,7 +2,7 @@
 #define WHINTACK_STANDIN_MEMORYPLATFORM_H
 
 #include "whintack/base/time.h"
-#include "whintack/platform/keyvaluestore.h"
+#include "whintack/store/keyvaluestore.h"
 
 #include <map>
 #include <mutex>
@@ -34,35 +34,35 @@
   explicit MemoryPlatform(Clock Time);
 
   /// The service; the result refers to this object.
-  platform::KeyValueStore store();
+  store::KeyValueStore store();
 
   void setFaults(const StoreFaults &Faults);
   StoreCalls calls() const;
 
 private:
   struct Stored {
-    platform::VersionedValue Value;
-    platform::LeaseId Lease = 0;
+    store::VersionedValue Value;
+    store::LeaseId Lease = 0;
   };
   struct Lease {
     Duration Length;
     TimePoint Deadline;
   };
 
-  platform::StoreResult<void> checkUp();
+  store::StoreResult<void> checkUp();
   bool loseAnswer();
   void dropLapsed();
-  platform::StoreResult<uint64_t> put(const platform::ConditionalPut &Put);
-  platform::StoreResult<void> remove(const std::string &Key, uint64_t Version);
+  store::StoreResult<uint64_t> put(const store::ConditionalPut &Put);
+  store::StoreResult<void> remove(const std::string &Key, uint64_t Version);
 
   Clock Time;
   mutable std::mutex Mutex;
   StoreFaults Faults;
   StoreCalls Calls;
   uint64_t Revision = 0;
-  platform::LeaseId LastLease = 0;
+  store::LeaseId LastLease = 0;
   std::map<std::string, Stored> Values;
-  std::map<platform::LeaseId, Lease> Leases;
+  std::map<store::LeaseId, Lease> Leases;
 };
 
 } // namespace whintack::standin
--- a/src/libs/standin/include/whintack/standin/platformserver.h
+++ b/src/libs/standin/include/whintack/standin/platformserver.h
@@ -2,7 +2,7 @@
 #define WHINTACK_STANDIN_PLATFORMSERVER_H
 
 #include "whintack/http/httpserver.h"
-#include "whintack/platform/vmdirectory.h"
+#include "whintack/store/vmdirectory.h"
 
 #include <memory>
 
@@ -12,9 +12,9 @@
 /// does.
 class PlatformServer {
 public:
-  PlatformServer(Address Local, platform::KeyValueStore Store,
-                 platform::VmDirectory Directory,
-                 platform::WorkerControl Workers, Clock Time,
+  PlatformServer(Address Local, store::KeyValueStore Store,
+                 store::VmDirectory Directory,
+                 store::WorkerControl Workers, Clock Time,
                  TimerQueue &Timers);
 
   Result<void, http::ListenError> open();
@@ -25,9 +25,9 @@
   http::HttpResponse answerStore(const http::HttpRequest &Request);
   http::HttpResponse answerOrder(const std::string &Body);
 
-  platform::KeyValueStore Store;
-  platform::VmDirectory Directory;
-  platform::WorkerControl Workers;
+  store::KeyValueStore Store;
+  store::VmDirectory Directory;
+  store::WorkerControl Workers;
   http::HttpServer Server;
 };
 
--- a/src/libs/standin/include/whintack/standin/vmmachines.h
+++ b/src/libs/standin/include/whintack/standin/vmmachines.h
@@ -2,7 +2,7 @@
 #define WHINTACK_STANDIN_VMMACHINES_H
 
 #include "whintack/base/time.h"
-#include "whintack/platform/vmdirectory.h"
+#include "whintack/store/vmdirectory.h"
 
 #include <deque>
 #include <functional>
@@ -15,9 +15,9 @@
 /// Called when a VM starts or stops, to start and stop its backend server.
 /// Must not call back.
 struct VmHooks {
-  std::function<void(const platform::VmInfo &Vm)> OnStart;
-  std::function<void(const platform::VmInfo &Vm)> OnStop;
-  std::function<void(const platform::VmInfo &Vm)> OnLeaving;
+  std::function<void(const store::VmInfo &Vm)> OnStart;
+  std::function<void(const store::VmInfo &Vm)> OnStop;
+  std::function<void(const store::VmInfo &Vm)> OnLeaving;
 };
 
 /// Calls a function once a deadline has passed.
@@ -45,59 +45,59 @@
 /// them, and lists them late. Safe for several threads.
 class VmMachines {
 public:
-  VmMachines(std::vector<platform::VmInfo> Vms, VmBehaviour Behaviour,
+  VmMachines(std::vector<store::VmInfo> Vms, VmBehaviour Behaviour,
              VmHooks Hooks, Clock Time, Scheduler Later);
 
   /// Starts all VMs.
   void start();
 
-  platform::VmDirectory directory();
-  platform::WorkerControl workers();
+  store::VmDirectory directory();
+  store::WorkerControl workers();
 
   /// The state without lag.
-  std::vector<platform::VmInfo> now() const;
+  std::vector<store::VmInfo> now() const;
   VmCounts counts() const;
 
   /// Takes a VM down without warning; it stays down until revived.
   void kill(const VmName &Name);
   void revive(const VmName &Name);
   /// All tasks with their true states.
-  std::vector<platform::TaskReport> tasks();
+  std::vector<store::TaskReport> tasks();
   /// Tasks of any job fail on this VM from now on.
   void setFailing(const VmName &Name);
   /// VMs that do not come back from their next reboot.
   void setStuck(const VmName &Name);
   /// Lists another VM, such as an entry VM, or stops listing it.
-  void addListed(const platform::VmInfo &Vm);
+  void addListed(const store::VmInfo &Vm);
   void removeListed(const VmName &Name);
 
 private:
   struct Change {
     TimePoint At;
-    platform::VmInfo Vm;
+    store::VmInfo Vm;
     bool IsListed = true;
   };
   struct Machine {
-    platform::VmInfo Vm;
+    store::VmInfo Vm;
     bool IsUp = false;
     PoolName NextPool;
     std::deque<Change> History;
   };
   struct Task {
-    platform::TaskReport Report;
+    store::TaskReport Report;
     TimePoint EndsAt;
     Duration Left = Duration::zero();
   };
 
   void note(Machine &Changed, bool IsListed);
-  platform::StoreResult<void> drain(const VmName &Name);
-  platform::StoreResult<void> reboot(const VmName &Name, uint64_t Incarnation);
-  platform::StoreResult<void> assign(const VmName &Name, const PoolName &Pool);
-  platform::StoreResult<void> startTask(const platform::TaskStart &Start);
-  platform::StoreResult<void> endTask(const TaskId &Id,
-                                      platform::TaskState State);
-  std::vector<platform::TaskReport> reportTasks();
-  std::vector<platform::VmInfo> listed() const;
+  store::StoreResult<void> drain(const VmName &Name);
+  store::StoreResult<void> reboot(const VmName &Name, uint64_t Incarnation);
+  store::StoreResult<void> assign(const VmName &Name, const PoolName &Pool);
+  store::StoreResult<void> startTask(const store::TaskStart &Start);
+  store::StoreResult<void> endTask(const TaskId &Id,
+                                      store::TaskState State);
+  std::vector<store::TaskReport> reportTasks();
+  std::vector<store::VmInfo> listed() const;
   void bringUp(const VmName &Name);
   void stopMachine(Machine &Stopped);
   bool refusesEpoch(const std::string &Subject, uint64_t Epoch);
--- a/src/libs/standin/memoryplatform.cpp
+++ b/src/libs/standin/memoryplatform.cpp
@@ -2,9 +2,9 @@
 
 namespace whintack::standin {
 
-using platform::StoreError;
-using platform::StoreErrorCode;
-using platform::StoreResult;
+using store::StoreError;
+using store::StoreErrorCode;
+using store::StoreResult;
 
 MemoryPlatform::MemoryPlatform(Clock Time) : Time(std::move(Time)) {}
 
@@ -46,7 +46,7 @@
   return {StoreErrorCode::Ambiguous, "the answer was lost"};
 }
 
-StoreResult<uint64_t> MemoryPlatform::put(const platform::ConditionalPut &Put) {
+StoreResult<uint64_t> MemoryPlatform::put(const store::ConditionalPut &Put) {
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   ++this->Calls.Writes;
   if (auto Up = this->checkUp(); !Up)
@@ -62,7 +62,7 @@
     return failure(StoreError{StoreErrorCode::Conflict, "it has changed"});
   if (Put.Lease != 0 && !this->Leases.contains(Put.Lease))
     return failure(StoreError{StoreErrorCode::LeaseLapsed, "no such lease"});
-  if (Put.Value.size() > platform::MaxValueBytes)
+  if (Put.Value.size() > store::MaxValueBytes)
     return failure(StoreError{StoreErrorCode::TooLarge, "too large"});
   ++this->Revision;
   this->Values[Put.Key] = {{Put.Value, this->Revision}, Put.Lease};
@@ -87,47 +87,47 @@
   return success();
 }
 
-platform::KeyValueStore MemoryPlatform::store() {
-  platform::KeyValueStore Store;
+store::KeyValueStore MemoryPlatform::store() {
+  store::KeyValueStore Store;
   Store.Get =
-      [this](const std::string &Key) -> StoreResult<platform::VersionedValue> {
+      [this](const std::string &Key) -> StoreResult<store::VersionedValue> {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     ++this->Calls.Reads;
     if (auto Up = this->checkUp(); !Up)
       return failure(std::move(Up).error());
     const auto Found = this->Values.find(Key);
     if (Found == this->Values.end())
-      return platform::VersionedValue();
+      return store::VersionedValue();
     return Found->second.Value;
   };
   Store.List = [this](const std::string &Prefix)
-      -> StoreResult<std::vector<platform::KeyedValue>> {
+      -> StoreResult<std::vector<store::KeyedValue>> {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     ++this->Calls.Reads;
     if (auto Up = this->checkUp(); !Up)
       return failure(std::move(Up).error());
-    std::vector<platform::KeyedValue> Found;
+    std::vector<store::KeyedValue> Found;
     for (auto It = this->Values.lower_bound(Prefix);
          It != this->Values.end() && It->first.starts_with(Prefix); ++It)
       Found.push_back({It->first, It->second.Value});
     return Found;
   };
-  Store.Put = [this](const platform::ConditionalPut &Put) {
+  Store.Put = [this](const store::ConditionalPut &Put) {
     return this->put(Put);
   };
   Store.Remove = [this](const std::string &Key, uint64_t Version) {
     return this->remove(Key, Version);
   };
-  Store.GrantLease = [this](Duration Length) -> StoreResult<platform::LeaseId> {
+  Store.GrantLease = [this](Duration Length) -> StoreResult<store::LeaseId> {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     ++this->Calls.LeaseCalls;
     if (auto Up = this->checkUp(); !Up)
       return failure(std::move(Up).error());
-    const platform::LeaseId Id = ++this->LastLease;
+    const store::LeaseId Id = ++this->LastLease;
     this->Leases[Id] = {Length, this->Time.Now() + Length};
     return Id;
   };
-  Store.KeepAlive = [this](platform::LeaseId Id) -> StoreResult<void> {
+  Store.KeepAlive = [this](store::LeaseId Id) -> StoreResult<void> {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     ++this->Calls.LeaseCalls;
     if (auto Up = this->checkUp(); !Up)
@@ -138,7 +138,7 @@
     Found->second.Deadline = this->Time.Now() + Found->second.Length;
     return success();
   };
-  Store.Revoke = [this](platform::LeaseId Id) -> StoreResult<void> {
+  Store.Revoke = [this](store::LeaseId Id) -> StoreResult<void> {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     ++this->Calls.LeaseCalls;
     if (auto Up = this->checkUp(); !Up)
--- a/src/libs/standin/platformserver.cpp
+++ b/src/libs/standin/platformserver.cpp
@@ -1,19 +1,19 @@
 #include "whintack/standin/platformserver.h"
 
-#include "whintack/platform/keyvaluecodec.h"
-#include "whintack/platform/vmcodec.h"
+#include "whintack/store/keyvaluecodec.h"
+#include "whintack/store/vmcodec.h"
 
 namespace whintack::standin {
 
-namespace codec = platform::codec;
+namespace codec = store::codec;
 using http::HttpResponse;
 using http::jsonResponse;
-using platform::StoreError;
-using platform::StoreErrorCode;
+using store::StoreError;
+using store::StoreErrorCode;
 
-PlatformServer::PlatformServer(Address Local, platform::KeyValueStore Store,
-                               platform::VmDirectory Directory,
-                               platform::WorkerControl Workers, Clock Time,
+PlatformServer::PlatformServer(Address Local, store::KeyValueStore Store,
+                               store::VmDirectory Directory,
+                               store::WorkerControl Workers, Clock Time,
                                TimerQueue &Timers)
     : Store(std::move(Store)), Directory(std::move(Directory)),
       Workers(std::move(Workers)),
@@ -53,7 +53,7 @@
     auto Found = this->Store.Get(Wanted.Key);
     if (!Found)
       return errorResponse(Found.error());
-    std::vector<platform::KeyedValue> Items;
+    std::vector<store::KeyedValue> Items;
     if (Found.value().exists())
       Items.push_back({Wanted.Key, Found.value()});
     return jsonResponse(http::status::Ok, codec::encodeRangeAnswer(Items));
@@ -96,7 +96,7 @@
 
 HttpResponse PlatformServer::answerOrder(const std::string &Body) {
   const codec::Order Given = codec::decodeOrder(Body);
-  platform::StoreResult<void> Done = success();
+  store::StoreResult<void> Done = success();
   switch (Given.Kind) {
   case codec::OrderKind::Drain:
     Done = this->Workers.Drain(Given.Vm, Given.Epoch);
--- a/src/libs/standin/vmmachines.cpp
+++ b/src/libs/standin/vmmachines.cpp
@@ -4,12 +4,12 @@
 
 namespace whintack::standin {
 
-using platform::StoreError;
-using platform::StoreErrorCode;
-using platform::StoreResult;
-using platform::TaskState;
-using platform::VmInfo;
-using platform::VmState;
+using store::StoreError;
+using store::StoreErrorCode;
+using store::StoreResult;
+using store::TaskState;
+using store::VmInfo;
+using store::VmState;
 
 VmMachines::VmMachines(std::vector<VmInfo> Vms, VmBehaviour Behaviour,
                        VmHooks Hooks, Clock Time, Scheduler Later)
@@ -154,7 +154,7 @@
   return false;
 }
 
-StoreResult<void> VmMachines::startTask(const platform::TaskStart &Start) {
+StoreResult<void> VmMachines::startTask(const store::TaskStart &Start) {
   const auto Worker = this->Machines.find(Start.Worker);
   if (Worker == this->Machines.end() || !Worker->second.IsUp)
     return failure(
@@ -187,9 +187,9 @@
   return success();
 }
 
-std::vector<platform::TaskReport> VmMachines::reportTasks() {
+std::vector<store::TaskReport> VmMachines::reportTasks() {
   const TimePoint Now = this->Time.Now();
-  std::vector<platform::TaskReport> Reports;
+  std::vector<store::TaskReport> Reports;
   for (auto &[Id, Known] : this->Tasks) {
     if (Known.Report.State == TaskState::Running && Known.EndsAt <= Now)
       Known.Report.State = TaskState::Finished;
@@ -198,8 +198,8 @@
   return Reports;
 }
 
-platform::VmDirectory VmMachines::directory() {
-  platform::VmDirectory Directory;
+store::VmDirectory VmMachines::directory() {
+  store::VmDirectory Directory;
   Directory.List = [this]() -> StoreResult<std::vector<VmInfo>> {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     return this->listed();
@@ -207,8 +207,8 @@
   return Directory;
 }
 
-platform::WorkerControl VmMachines::workers() {
-  platform::WorkerControl Control;
+store::WorkerControl VmMachines::workers() {
+  store::WorkerControl Control;
   const auto WithEpoch =
       [this](
           const std::string &Subject, uint64_t Epoch,
@@ -231,7 +231,7 @@
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     return this->assign(Vm, Pool);
   };
-  Control.StartTask = [this, WithEpoch](const platform::TaskStart &Start) {
+  Control.StartTask = [this, WithEpoch](const store::TaskStart &Start) {
     return WithEpoch("job " + Start.Job.text(), Start.Epoch,
                      [this, &Start] { return this->startTask(Start); });
   };
@@ -243,7 +243,7 @@
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     return this->endTask(Id, TaskState::Failed);
   };
-  Control.Report = [this]() -> StoreResult<std::vector<platform::TaskReport>> {
+  Control.Report = [this]() -> StoreResult<std::vector<store::TaskReport>> {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     return this->reportTasks();
   };
@@ -259,7 +259,7 @@
 
 void VmMachines::revive(const VmName &Name) { this->bringUp(Name); }
 
-std::vector<platform::TaskReport> VmMachines::tasks() {
+std::vector<store::TaskReport> VmMachines::tasks() {
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   return this->reportTasks();
 }
--- a/src/libs/steward/fleetreader.cpp
+++ b/src/libs/steward/fleetreader.cpp
@@ -9,10 +9,10 @@
 namespace whintack::steward {
 
 using fleet::VmView;
-using platform::VmInfo;
-using platform::VmState;
+using store::VmInfo;
+using store::VmState;
 
-FleetReader::FleetReader(platform::RecordClient &Records, Clock Time)
+FleetReader::FleetReader(store::RecordClient &Records, Clock Time)
     : Records(Records), Time(std::move(Time)) {}
 
 std::optional<FleetSnapshot> FleetReader::last() const {
@@ -20,7 +20,7 @@
   return this->Last;
 }
 
-platform::StoreResult<FleetSnapshot> FleetReader::read() {
+store::StoreResult<FleetSnapshot> FleetReader::read() {
   auto Racks = this->Records.list(fleet::RackPrefix);
   if (!Racks)
     return failure(std::move(Racks).error());
@@ -32,15 +32,15 @@
     return failure(std::move(Waves).error());
   FleetSnapshot Snapshot;
   Snapshot.ReadAt = this->Time.WallNow();
-  for (const platform::KeyedRecord &Item : Racks.value()) {
+  for (const store::KeyedRecord &Item : Racks.value()) {
     Snapshot.Version = std::max(Snapshot.Version, Item.Stored.Version);
     if (auto Rack = fleet::rackFromJson(Item.Stored.Body))
       Snapshot.Racks.push_back(std::move(*Rack));
   }
-  for (const platform::KeyedRecord &Item : Budgets.value())
+  for (const store::KeyedRecord &Item : Budgets.value())
     if (auto Budget = fleet::budgetFromJson(Item.Stored.Body))
       Snapshot.Budgets.emplace(Budget->Service, std::move(*Budget));
-  for (const platform::KeyedRecord &Item : Waves.value())
+  for (const store::KeyedRecord &Item : Waves.value())
     if (auto Wave = fleet::waveFromJson(Item.Stored.Body))
       Snapshot.Waves.emplace(Wave->Pool, std::move(*Wave));
   const std::lock_guard<std::mutex> Lock(this->Mutex);
--- a/src/libs/steward/include/whintack/steward/fleetreader.h
+++ b/src/libs/steward/include/whintack/steward/fleetreader.h
@@ -4,8 +4,8 @@
 #include "whintack/configuration/configurationkeeper.h"
 #include "whintack/fleet/moveplanner.h"
 #include "whintack/fleet/view.h"
-#include "whintack/platform/recordclient.h"
-#include "whintack/platform/vmdirectory.h"
+#include "whintack/store/recordclient.h"
+#include "whintack/store/vmdirectory.h"
 
 #include <functional>
 #include <map>
@@ -37,16 +37,16 @@
 /// and the declaration. Safe for several threads.
 class FleetReader {
 public:
-  FleetReader(platform::RecordClient &Records, Clock Time);
+  FleetReader(store::RecordClient &Records, Clock Time);
 
-  platform::StoreResult<FleetSnapshot> read();
+  store::StoreResult<FleetSnapshot> read();
   /// Reads if the platform answers; else what was read before stands.
   void refresh();
   /// What was read last; nothing before the first time.
   std::optional<FleetSnapshot> last() const;
 
 private:
-  platform::RecordClient &Records;
+  store::RecordClient &Records;
   Clock Time;
   mutable std::mutex Mutex;
   std::optional<FleetSnapshot> Last;
@@ -56,14 +56,14 @@
 fleet::PoolView poolView(const declaration::Pool &Pool,
                          const FleetSnapshot &Snapshot,
                          const configuration::Configuration &InForce,
-                         const std::vector<platform::VmInfo> &Listed,
+                         const std::vector<store::VmInfo> &Listed,
                          const VmFactsSource &Facts);
 
 /// The view of all VMs with the numbers that \p Preset asks for.
 fleet::FleetView fleetView(const declaration::Preset &Preset,
                            const FleetSnapshot &Snapshot,
                            const configuration::Configuration &InForce,
-                           const std::vector<platform::VmInfo> &Listed,
+                           const std::vector<store::VmInfo> &Listed,
                            const VmFactsSource &Facts);
 
 } // namespace whintack::steward
--- a/src/libs/steward/include/whintack/steward/jobsteward.h
+++ b/src/libs/steward/include/whintack/steward/jobsteward.h
@@ -4,8 +4,8 @@
 #include "whintack/base/eventjournal.h"
 #include "whintack/configuration/configurationkeeper.h"
 #include "whintack/fleet/taskplanner.h"
-#include "whintack/platform/recordclient.h"
-#include "whintack/platform/vmdirectory.h"
+#include "whintack/store/recordclient.h"
+#include "whintack/store/vmdirectory.h"
 
 namespace whintack::steward {
 
@@ -18,14 +18,14 @@
   using EpochSource = std::function<uint64_t()>;
 
   JobSteward(PoolName Pool, const declaration::Weights &Cost,
-             platform::RecordClient &Records, platform::WorkerControl Workers,
+             store::RecordClient &Records, store::WorkerControl Workers,
              EpochSource Epoch, Clock Time, Random Source,
              EventJournal &Journal);
 
   /// Does what is due. Returns whether anything is under way.
   bool pass(const fleet::PoolView &View,
             const configuration::Configuration &InForce,
-            const std::vector<platform::VmInfo> &Listed);
+            const std::vector<store::VmInfo> &Listed);
   /// Tasks that run or may run on \p Vm, as of the last pass.
   int64_t tasksOn(const VmName &Vm) const;
 
@@ -49,8 +49,8 @@
             const std::string &Text, const VmName &Vm = VmName());
 
   PoolName Pool;
-  platform::RecordClient &Records;
-  platform::WorkerControl Workers;
+  store::RecordClient &Records;
+  store::WorkerControl Workers;
   EpochSource Epoch;
   Clock Time;
   Random Source;
--- a/src/libs/steward/include/whintack/steward/movesteward.h
+++ b/src/libs/steward/include/whintack/steward/movesteward.h
@@ -16,25 +16,25 @@
 public:
   using EpochSource = std::function<uint64_t()>;
 
-  MoveSteward(platform::RecordClient &Records, platform::WorkerControl Workers,
+  MoveSteward(store::RecordClient &Records, store::WorkerControl Workers,
               EpochSource Epoch, Clock Time, Random Source,
               EventJournal &Journal);
 
   void pass(const FleetSnapshot &Snapshot, const fleet::FleetView &View,
-            const std::vector<platform::VmInfo> &Listed);
+            const std::vector<store::VmInfo> &Listed);
 
 private:
   using RackChange = std::function<bool(fleet::RackRecord &)>;
 
   void addNew(const FleetSnapshot &Snapshot,
-              const std::vector<platform::VmInfo> &Listed);
+              const std::vector<store::VmInfo> &Listed);
   void forgetGone(const fleet::FleetView &View);
   void cancelMoves(const fleet::FleetView &View);
   void orderMove(const fleet::VmMove &Move);
   uint64_t change(const RackName &Rack, const RackChange &Apply);
 
-  platform::RecordClient &Records;
-  platform::WorkerControl Workers;
+  store::RecordClient &Records;
+  store::WorkerControl Workers;
   EpochSource Epoch;
   Clock Time;
   Random Source;
--- a/src/libs/steward/include/whintack/steward/poolsteward.h
+++ b/src/libs/steward/include/whintack/steward/poolsteward.h
@@ -30,7 +30,7 @@
   /// not held any more.
   using EpochSource = std::function<uint64_t()>;
 
-  PoolSteward(platform::RecordClient &Records, platform::WorkerControl Workers,
+  PoolSteward(store::RecordClient &Records, store::WorkerControl Workers,
               DrainHooks Drains, EpochSource Epoch, Clock Time, Random Source,
               EventJournal &Journal);
 
@@ -58,8 +58,8 @@
   uint64_t change(const fleet::VmView &Vm, const VmChange &Apply);
   void note(EventKind Kind, const fleet::VmView &Vm, const std::string &Text);
 
-  platform::RecordClient &Records;
-  platform::WorkerControl Workers;
+  store::RecordClient &Records;
+  store::WorkerControl Workers;
   DrainHooks Drains;
   EpochSource Epoch;
   Clock Time;
--- a/src/libs/steward/include/whintack/steward/shardclaims.h
+++ b/src/libs/steward/include/whintack/steward/shardclaims.h
@@ -3,7 +3,7 @@
 
 #include "whintack/base/eventjournal.h"
 #include "whintack/fleet/records.h"
-#include "whintack/platform/recordclient.h"
+#include "whintack/store/recordclient.h"
 
 #include <functional>
 #include <map>
@@ -21,7 +21,7 @@
   using Candidates = std::function<std::vector<EntryName>()>;
 
   ShardClaims(EntryName Self, uint64_t Incarnation,
-              platform::RecordClient &Records, Candidates Working, Clock Time,
+              store::RecordClient &Records, Candidates Working, Clock Time,
               Random Source, EventJournal &Journal);
 
   /// Keeps the lease alive, claims shards of \p Wanted that fall to this
@@ -50,12 +50,12 @@
 
   EntryName Self;
   uint64_t Incarnation;
-  platform::RecordClient &Records;
+  store::RecordClient &Records;
   Candidates Working;
   Clock Time;
   Random Source;
   EventJournal &Journal;
-  platform::LeaseId Lease = 0;
+  store::LeaseId Lease = 0;
   TimePoint LeaseUntil = TimePoint::min();
   TimePoint NextKeepAlive = TimePoint::min();
   TimePoint NextLook = TimePoint::min();
--- a/src/libs/steward/include/whintack/steward/steward.h
+++ b/src/libs/steward/include/whintack/steward/steward.h
@@ -15,16 +15,16 @@
 /// What the steward needs besides the platform.
 struct StewardHooks {
   std::function<std::shared_ptr<const configuration::Configuration>()> InForce;
-  std::function<std::vector<platform::VmInfo>()> Listed;
+  std::function<std::vector<store::VmInfo>()> Listed;
   /// Tries the backend server of a VM.
-  std::function<bool(const platform::VmInfo &Vm)> Probe;
+  std::function<bool(const store::VmInfo &Vm)> Probe;
 };
 
 /// Does this process's part of the control work: claims shards and looks
 /// after the pools behind them.
 class Steward {
 public:
-  Steward(platform::RecordClient &Records, platform::WorkerControl Workers,
+  Steward(store::RecordClient &Records, store::WorkerControl Workers,
           FleetReader &Reader, ShardClaims &Claims, DrainHooks Drains,
           StewardHooks Hooks, Clock Time, Random Source, EventJournal &Journal);
 
@@ -38,14 +38,14 @@
   bool work();
   bool lookAfterPools(const FleetSnapshot &Snapshot,
                       const configuration::Configuration &InForce,
-                      const std::vector<platform::VmInfo> &Listed);
+                      const std::vector<store::VmInfo> &Listed);
   JobSteward &jobsOf(const PoolName &Pool,
                      const configuration::Configuration &InForce);
   VmFacts factsOf(const VmName &Vm, const FleetSnapshot &Snapshot,
-                  const std::vector<platform::VmInfo> &Listed) const;
+                  const std::vector<store::VmInfo> &Listed) const;
 
-  platform::RecordClient &Records;
-  platform::WorkerControl Workers;
+  store::RecordClient &Records;
+  store::WorkerControl Workers;
   FleetReader &Reader;
   ShardClaims &Claims;
   DrainHooks Drains;
--- a/src/libs/steward/jobsteward.cpp
+++ b/src/libs/steward/jobsteward.cpp
@@ -19,8 +19,8 @@
 static constexpr Duration EndedKeptFor = std::chrono::hours(1);
 
 JobSteward::JobSteward(PoolName Pool, const declaration::Weights &Cost,
-                       platform::RecordClient &Records,
-                       platform::WorkerControl Workers, EpochSource Epoch,
+                       store::RecordClient &Records,
+                       store::WorkerControl Workers, EpochSource Epoch,
                        Clock Time, Random Source, EventJournal &Journal)
     : Pool(std::move(Pool)), Records(Records), Workers(std::move(Workers)),
       Epoch(std::move(Epoch)), Time(std::move(Time)), Source(std::move(Source)),
@@ -44,7 +44,7 @@
   if (!Listed)
     return false;
   this->Runs.clear();
-  for (const platform::KeyedRecord &Item : Listed.value()) {
+  for (const store::KeyedRecord &Item : Listed.value()) {
     this->Version = std::max(this->Version, Item.Stored.Version);
     if (auto Run = fleet::runFromJson(Item.Stored.Body))
       this->Runs.push_back(std::move(*Run));
@@ -52,17 +52,17 @@
   return true;
 }
 
-static ReportedState stateOf(platform::TaskState State) {
+static ReportedState stateOf(store::TaskState State) {
   switch (State) {
-  case platform::TaskState::Running:
+  case store::TaskState::Running:
     return ReportedState::Running;
-  case platform::TaskState::Checkpointed:
+  case store::TaskState::Checkpointed:
     return ReportedState::Checkpointed;
-  case platform::TaskState::Finished:
+  case store::TaskState::Finished:
     return ReportedState::Finished;
-  case platform::TaskState::Failed:
+  case store::TaskState::Failed:
     return ReportedState::Failed;
-  case platform::TaskState::Lost:
+  case store::TaskState::Lost:
     return ReportedState::Lost;
   }
   return ReportedState::Lost;
@@ -74,7 +74,7 @@
   auto Listed = this->Workers.Report();
   if (!Listed)
     return Reported;
-  for (const platform::TaskReport &Task : Listed.value())
+  for (const store::TaskReport &Task : Listed.value())
     Reported[Task.Task] = {Task.Task, stateOf(Task.State), Task.Used};
   // What ran on a VM that is gone is lost, though nobody reports it.
   for (const RunRecord &Run : this->Runs)
@@ -97,14 +97,14 @@
   auto Updated = this->Records.update(
       fleet::runKey(this->Pool, Run.Id),
       OperationId(randomIdentifier(this->Source)),
-      [&Apply](const platform::Record &Before) -> std::optional<value> {
+      [&Apply](const store::Record &Before) -> std::optional<value> {
         auto Known = fleet::runFromJson(Before.Body);
         if (!Known || !Apply(*Known))
           return std::nullopt;
         return fleet::toJson(*Known);
       });
   const bool IsWritten =
-      Updated && Updated.value().Outcome != platform::UpdateOutcome::Declined;
+      Updated && Updated.value().Outcome != store::UpdateOutcome::Declined;
   if (!IsWritten)
     return 0;
   this->Version = std::max(this->Version, Updated.value().After.Version);
@@ -145,7 +145,7 @@
 void JobSteward::order(const RunRecord &Run, size_t Index,
                        const Resources &Size, bool Resumes,
                        uint64_t OrderEpoch) {
-  platform::TaskStart Start;
+  store::TaskStart Start;
   Start.Task = fleet::taskIdOf(Run, Index);
   Start.Job = Run.Job;
   Start.Worker = Run.Tasks[Index].Worker;
@@ -247,7 +247,7 @@
 
 bool JobSteward::pass(const fleet::PoolView &View,
                       const configuration::Configuration &InForce,
-                      const std::vector<platform::VmInfo> &Listed) {
+                      const std::vector<store::VmInfo> &Listed) {
   if (this->Epoch() == 0 || !this->readRuns())
     return false;
   this->removeEnded();
@@ -260,7 +260,7 @@
   Input.Jobs = InForce.Declared.Jobs;
   Input.Teams = InForce.Declared.Teams;
   Input.DrainTimeout = View.Pool.DrainTimeout;
-  for (const platform::VmInfo &Vm : Listed)
+  for (const store::VmInfo &Vm : Listed)
     Input.Capacities[Vm.Name] = Vm.Capacity;
   const fleet::TaskPlan Plan =
       fleet::planTasks(Input, this->Judge, this->Sizes, this->Time.WallNow());
--- a/src/libs/steward/movesteward.cpp
+++ b/src/libs/steward/movesteward.cpp
@@ -10,13 +10,13 @@
 using fleet::RackRecord;
 using fleet::VmPhase;
 using fleet::VmRecord;
-using platform::VmInfo;
+using store::VmInfo;
 
 /// A VM not listed for this long has been replaced.
 static constexpr Duration ForgetAfter = std::chrono::minutes(10);
 
-MoveSteward::MoveSteward(platform::RecordClient &Records,
-                         platform::WorkerControl Workers, EpochSource Epoch,
+MoveSteward::MoveSteward(store::RecordClient &Records,
+                         store::WorkerControl Workers, EpochSource Epoch,
                          Clock Time, Random Source, EventJournal &Journal)
     : Records(Records), Workers(std::move(Workers)), Epoch(std::move(Epoch)),
       Time(std::move(Time)), Source(std::move(Source)), Journal(Journal) {}
@@ -26,7 +26,7 @@
     return 0;
   auto Updated = this->Records.update(
       fleet::rackKey(Rack), OperationId(randomIdentifier(this->Source)),
-      [&](const platform::Record &Before) -> std::optional<web::json::value> {
+      [&](const store::Record &Before) -> std::optional<web::json::value> {
         RackRecord Known;
         if (Before.exists())
           Known = fleet::rackFromJson(Before.Body).value_or(RackRecord());
@@ -36,7 +36,7 @@
         return fleet::toJson(Known);
       });
   const bool IsWritten =
-      Updated && Updated.value().Outcome != platform::UpdateOutcome::Declined;
+      Updated && Updated.value().Outcome != store::UpdateOutcome::Declined;
   return IsWritten ? Updated.value().After.Version : 0;
 }
 
@@ -48,8 +48,8 @@
       Known.insert(Vm.Name);
   std::map<RackName, std::vector<const VmInfo *>> NewByRack;
   for (const VmInfo &Vm : Listed)
-    if (Vm.Role == platform::VmRole::Worker &&
-        Vm.State == platform::VmState::Live && !Known.contains(Vm.Name))
+    if (Vm.Role == store::VmRole::Worker &&
+        Vm.State == store::VmState::Live && !Known.contains(Vm.Name))
       NewByRack[Vm.Rack].push_back(&Vm);
   const WallTime Now = this->Time.WallNow();
   for (const auto &[Rack, Vms] : NewByRack)
--- a/src/libs/steward/orderlog.cpp
+++ b/src/libs/steward/orderlog.cpp
@@ -5,13 +5,13 @@
 namespace whintack::steward {
 
 void logIfFailed(std::string_view Order, const VmName &Vm,
-                 const platform::StoreResult<void> &Given) {
+                 const store::StoreResult<void> &Given) {
   if (Given)
     return;
   logEvent(LogLevel::Warning, "order-failed",
            {{"order", Order},
             {"vm", Vm},
-            {"code", nameOf(platform::StoreErrorNames, Given.error().Code)},
+            {"code", nameOf(store::StoreErrorNames, Given.error().Code)},
             {"text", Given.error().Message}});
 }
 
--- a/src/libs/steward/poolsteward.cpp
+++ b/src/libs/steward/poolsteward.cpp
@@ -12,11 +12,11 @@
 using fleet::VmRecord;
 using fleet::VmStepKind;
 using fleet::VmView;
-using platform::UpdateOutcome;
+using store::UpdateOutcome;
 using web::json::value;
 
-PoolSteward::PoolSteward(platform::RecordClient &Records,
-                         platform::WorkerControl Workers, DrainHooks Drains,
+PoolSteward::PoolSteward(store::RecordClient &Records,
+                         store::WorkerControl Workers, DrainHooks Drains,
                          EpochSource Epoch, Clock Time, Random Source,
                          EventJournal &Journal)
     : Records(Records), Workers(std::move(Workers)), Drains(std::move(Drains)),
@@ -37,7 +37,7 @@
   if (Own == 0)
     return 0;
   const auto Change =
-      [&](const platform::Record &Before) -> std::optional<value> {
+      [&](const store::Record &Before) -> std::optional<value> {
     auto Rack = fleet::rackFromJson(Before.Body);
     VmRecord *Changed = Rack ? Rack->find(Vm.Record.Name) : nullptr;
     const bool IsOurs =
@@ -63,7 +63,7 @@
     auto Updated = this->Records.update(
         fleet::budgetKey(Service.Name),
         OperationId(randomIdentifier(this->Source)),
-        [&](const platform::Record &Before) -> std::optional<value> {
+        [&](const store::Record &Before) -> std::optional<value> {
           fleet::BudgetRecord Known;
           if (Before.exists())
             Known = fleet::budgetFromJson(Before.Body)
@@ -87,7 +87,7 @@
     const auto Updated = this->Records.update(
         fleet::budgetKey(Service.Name),
         OperationId(randomIdentifier(this->Source)),
-        [&](const platform::Record &Before) -> std::optional<value> {
+        [&](const store::Record &Before) -> std::optional<value> {
           const auto Known = fleet::budgetFromJson(Before.Body);
           if (!Known || !Known->holds(Vm))
             return std::nullopt;
@@ -272,7 +272,7 @@
   auto Updated = this->Records.update(
       fleet::waveKey(View.Pool.Name),
       OperationId(randomIdentifier(this->Source)),
-      [&](const platform::Record &Before) -> std::optional<value> {
+      [&](const store::Record &Before) -> std::optional<value> {
         const auto Known = fleet::waveFromJson(Before.Body);
         const auto &Seen = View.Wave;
         const bool HasChanged =
--- a/src/libs/steward/shardclaims.cpp
+++ b/src/libs/steward/shardclaims.cpp
@@ -12,7 +12,7 @@
 static constexpr Duration LookInterval = std::chrono::seconds(1);
 
 ShardClaims::ShardClaims(EntryName Self, uint64_t Incarnation,
-                         platform::RecordClient &Records, Candidates Working,
+                         store::RecordClient &Records, Candidates Working,
                          Clock Time, Random Source, EventJournal &Journal)
     : Self(std::move(Self)), Incarnation(Incarnation), Records(Records),
       Working(std::move(Working)), Time(std::move(Time)),
@@ -64,7 +64,7 @@
   if (Now < this->NextKeepAlive)
     return true;
   auto Kept = this->Records.keepAlive(this->Lease);
-  if (!Kept && Kept.error().Code == platform::StoreErrorCode::LeaseLapsed) {
+  if (!Kept && Kept.error().Code == store::StoreErrorCode::LeaseLapsed) {
     this->loseAll("lease lapsed");
     return false;
   }
@@ -90,18 +90,18 @@
   const auto Holder = this->Records.update(
       fleet::holderKey(Shard), Operation,
       [this](
-          const platform::Record &Before) -> std::optional<web::json::value> {
+          const store::Record &Before) -> std::optional<web::json::value> {
         if (Before.exists())
           return std::nullopt;
         return web::json::value(this->Self.text());
       },
       this->Lease);
-  if (!Holder || Holder.value().Outcome != platform::UpdateOutcome::Written)
+  if (!Holder || Holder.value().Outcome != store::UpdateOutcome::Written)
     return;
   const auto Claimed = this->Records.update(
       fleet::shardKey(Shard), Operation,
       [this](
-          const platform::Record &Before) -> std::optional<web::json::value> {
+          const store::Record &Before) -> std::optional<web::json::value> {
         fleet::ShardRecord Next;
         if (Before.exists())
           Next =
@@ -144,7 +144,7 @@
   if (!Listed)
     return;
   std::set<std::string> Taken;
-  for (const platform::KeyedRecord &Item : Listed.value())
+  for (const store::KeyedRecord &Item : Listed.value())
     Taken.insert(Item.Key);
   const std::vector<EntryName> Candidates = this->Working();
   for (const std::string &Shard : Wanted) {
--- a/src/libs/steward/steward.cpp
+++ b/src/libs/steward/steward.cpp
@@ -14,8 +14,8 @@
 /// The shard that decides on moves between pools.
 static constexpr const char *MoveShard = "moves";
 
-Steward::Steward(platform::RecordClient &Records,
-                 platform::WorkerControl Workers, FleetReader &Reader,
+Steward::Steward(store::RecordClient &Records,
+                 store::WorkerControl Workers, FleetReader &Reader,
                  ShardClaims &Claims, DrainHooks Drains, StewardHooks Hooks,
                  Clock Time, Random Source, EventJournal &Journal)
     : Records(Records), Workers(std::move(Workers)), Reader(Reader),
@@ -37,7 +37,7 @@
 }
 
 VmFacts Steward::factsOf(const VmName &Vm, const FleetSnapshot &Snapshot,
-                         const std::vector<platform::VmInfo> &Listed) const {
+                         const std::vector<store::VmInfo> &Listed) const {
   VmFacts Facts;
   const fleet::VmRecord *Record = findRecord(Snapshot, Vm);
   if (!Record || Record->Phase == fleet::VmPhase::InService)
@@ -46,9 +46,9 @@
   const bool IsTried = Record->Phase == fleet::VmPhase::Verifying ||
                        Record->Phase == fleet::VmPhase::Quarantined;
   const auto Found = std::find_if(
-      Listed.begin(), Listed.end(), [&Vm](const platform::VmInfo &Candidate) {
+      Listed.begin(), Listed.end(), [&Vm](const store::VmInfo &Candidate) {
         return Candidate.Name == Vm &&
-               Candidate.State == platform::VmState::Live;
+               Candidate.State == store::VmState::Live;
       });
   if (IsTried && Found != Listed.end())
     Facts.IsAnswering = this->Hooks.Probe(*Found);
@@ -68,7 +68,7 @@
 
 bool Steward::lookAfterPools(const FleetSnapshot &Snapshot,
                              const configuration::Configuration &InForce,
-                             const std::vector<platform::VmInfo> &Listed) {
+                             const std::vector<store::VmInfo> &Listed) {
   fleet::WaveLimits Limits;
   Limits.LongestRequest = Duration::zero();
   for (const auto &[Name, Service] : InForce.Declared.Services)
@@ -106,7 +106,7 @@
   this->Claims.pass(Wanted);
   if (this->Claims.held().empty())
     return false;
-  const std::vector<platform::VmInfo> Listed = this->Hooks.Listed();
+  const std::vector<store::VmInfo> Listed = this->Hooks.Listed();
   auto Snapshot = this->Reader.read();
   if (!Snapshot || Listed.empty())
     return false;
--- a/src/libs/platform/callbudget.cpp
+++ b/src/libs/store/callbudget.cpp
@@ -1,8 +1,8 @@
-#include "whintack/platform/callbudget.h"
+#include "whintack/store/callbudget.h"
 
 #include <algorithm>
 
-namespace whintack::platform {
+namespace whintack::store {
 
 static constexpr Duration BudgetWindow = std::chrono::seconds(1);
 static constexpr unsigned FailuresToOpen = 3;
@@ -53,4 +53,4 @@
   return this->Failures >= FailuresToOpen;
 }
 
-} // namespace whintack::platform
+} // namespace whintack::store
--- a/src/libs/platform/httpplatform.cpp
+++ b/src/libs/store/httpplatform.cpp
@@ -1,9 +1,9 @@
-#include "whintack/platform/httpplatform.h"
+#include "whintack/store/httpplatform.h"
 
-#include "whintack/platform/keyvaluecodec.h"
-#include "whintack/platform/vmcodec.h"
+#include "whintack/store/keyvaluecodec.h"
+#include "whintack/store/vmcodec.h"
 
-namespace whintack::platform {
+namespace whintack::store {
 
 /// Largest answer that is taken in, in bytes.
 static constexpr size_t MaxAnswerBytes = 64U << 20U;
@@ -243,4 +243,4 @@
   return Control;
 }
 
-} // namespace whintack::platform
+} // namespace whintack::store
--- a/src/libs/platform/include/whintack/platform/callbudget.h
+++ b/src/libs/store/include/whintack/store/callbudget.h
@@ -1,12 +1,12 @@
-#ifndef WHINTACK_PLATFORM_CALLBUDGET_H
-#define WHINTACK_PLATFORM_CALLBUDGET_H
+#ifndef WHINTACK_STORE_CALLBUDGET_H
+#define WHINTACK_STORE_CALLBUDGET_H
 
 #include "whintack/base/backoff.h"
 #include "whintack/base/time.h"
 
 #include <mutex>
 
-namespace whintack::platform {
+namespace whintack::store {
 
 /// Bounds the calls a second that this process makes to the platform.
 class CallBudget {
@@ -43,6 +43,6 @@
   TimePoint NextProbe;
 };
 
-} // namespace whintack::platform
+} // namespace whintack::store
 
-#endif // WHINTACK_PLATFORM_CALLBUDGET_H
+#endif // WHINTACK_STORE_CALLBUDGET_H
--- a/src/libs/platform/include/whintack/platform/httpplatform.h
+++ b/src/libs/store/include/whintack/store/httpplatform.h
@@ -1,14 +1,14 @@
-#ifndef WHINTACK_PLATFORM_HTTPPLATFORM_H
-#define WHINTACK_PLATFORM_HTTPPLATFORM_H
+#ifndef WHINTACK_STORE_HTTPPLATFORM_H
+#define WHINTACK_STORE_HTTPPLATFORM_H
 
 #include "whintack/http/httpclient.h"
-#include "whintack/platform/vmdirectory.h"
+#include "whintack/store/vmdirectory.h"
 
 #include <memory>
 #include <mutex>
 #include <vector>
 
-namespace whintack::platform {
+namespace whintack::store {
 
 /// Reaches the platform over HTTP. Each write travels on a connection of its
 /// own, because the HTTP library would silently repeat one that shares a
@@ -42,6 +42,6 @@
   std::vector<std::shared_ptr<http::HttpConnection>> Idle;
 };
 
-} // namespace whintack::platform
+} // namespace whintack::store
 
-#endif // WHINTACK_PLATFORM_HTTPPLATFORM_H
+#endif // WHINTACK_STORE_HTTPPLATFORM_H
--- a/src/libs/platform/include/whintack/platform/keyvaluecodec.h
+++ b/src/libs/store/include/whintack/store/keyvaluecodec.h
@@ -1,13 +1,13 @@
-#ifndef WHINTACK_PLATFORM_KEYVALUECODEC_H
-#define WHINTACK_PLATFORM_KEYVALUECODEC_H
+#ifndef WHINTACK_STORE_KEYVALUECODEC_H
+#define WHINTACK_STORE_KEYVALUECODEC_H
 
-#include "whintack/platform/keyvaluestore.h"
+#include "whintack/store/keyvaluestore.h"
 
 #include <string>
 
 /// The subset of the etcd v3 JSON interface that the store's adapter and its
 /// stand-in speak. Keys and values travel in Base64, numbers as texts.
-namespace whintack::platform::codec {
+namespace whintack::store::codec {
 
 inline constexpr const char *RangePath = "/v3/kv/range";
 inline constexpr const char *TransactionPath = "/v3/kv/txn";
@@ -55,6 +55,6 @@
 std::string encodeLease(const LeaseMessage &Message);
 LeaseMessage decodeLease(const std::string &Text);
 
-} // namespace whintack::platform::codec
+} // namespace whintack::store::codec
 
-#endif // WHINTACK_PLATFORM_KEYVALUECODEC_H
+#endif // WHINTACK_STORE_KEYVALUECODEC_H
--- a/src/libs/platform/include/whintack/platform/keyvaluestore.h
+++ b/src/libs/store/include/whintack/store/keyvaluestore.h
@@ -1,5 +1,5 @@
-#ifndef WHINTACK_PLATFORM_KEYVALUESTORE_H
-#define WHINTACK_PLATFORM_KEYVALUESTORE_H
+#ifndef WHINTACK_STORE_KEYVALUESTORE_H
+#define WHINTACK_STORE_KEYVALUESTORE_H
 
 #include "whintack/base/enumnames.h"
 #include "whintack/base/result.h"
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace whintack::platform {
+namespace whintack::store {
 
 /// How a call to the platform failed.
 enum class StoreErrorCode {
@@ -92,6 +92,6 @@
   std::function<StoreResult<void>(LeaseId Lease)> Revoke;
 };
 
-} // namespace whintack::platform
+} // namespace whintack::store
 
-#endif // WHINTACK_PLATFORM_KEYVALUESTORE_H
+#endif // WHINTACK_STORE_KEYVALUESTORE_H
--- a/src/libs/platform/include/whintack/platform/recordclient.h
+++ b/src/libs/store/include/whintack/store/recordclient.h
@@ -1,9 +1,9 @@
-#ifndef WHINTACK_PLATFORM_RECORDCLIENT_H
-#define WHINTACK_PLATFORM_RECORDCLIENT_H
+#ifndef WHINTACK_STORE_RECORDCLIENT_H
+#define WHINTACK_STORE_RECORDCLIENT_H
 
 #include "whintack/base/identifier.h"
-#include "whintack/platform/callbudget.h"
-#include "whintack/platform/keyvaluestore.h"
+#include "whintack/store/callbudget.h"
+#include "whintack/store/keyvaluestore.h"
 
 #include <atomic>
 #include <cpprest/json.h>
@@ -11,7 +11,7 @@
 #include <optional>
 #include <vector>
 
-namespace whintack::platform {
+namespace whintack::store {
 
 /// A JSON record with its version and the operations that last wrote it.
 struct Record {
@@ -101,6 +101,6 @@
   std::atomic<uint64_t> Calls{0};
 };
 
-} // namespace whintack::platform
+} // namespace whintack::store
 
-#endif // WHINTACK_PLATFORM_RECORDCLIENT_H
+#endif // WHINTACK_STORE_RECORDCLIENT_H
--- a/src/libs/platform/include/whintack/platform/vmcodec.h
+++ b/src/libs/store/include/whintack/store/vmcodec.h
@@ -1,14 +1,14 @@
-#ifndef WHINTACK_PLATFORM_VMCODEC_H
-#define WHINTACK_PLATFORM_VMCODEC_H
+#ifndef WHINTACK_STORE_VMCODEC_H
+#define WHINTACK_STORE_VMCODEC_H
 
-#include "whintack/platform/vmdirectory.h"
+#include "whintack/store/vmdirectory.h"
 
 #include <cpprest/json.h>
 #include <string>
 
 /// JSON forms of the VM list and of the orders to workers. Functions named
 /// decode throw what the JSON library throws.
-namespace whintack::platform::codec {
+namespace whintack::store::codec {
 
 inline constexpr const char *VmListPath = "/platform/v1/vms";
 inline constexpr const char *OrderPath = "/platform/v1/order";
@@ -48,6 +48,6 @@
 std::string encodeTasks(const std::vector<TaskReport> &Tasks);
 std::vector<TaskReport> decodeTasks(const std::string &Text);
 
-} // namespace whintack::platform::codec
+} // namespace whintack::store::codec
 
-#endif // WHINTACK_PLATFORM_VMCODEC_H
+#endif // WHINTACK_STORE_VMCODEC_H
--- a/src/libs/platform/include/whintack/platform/vmdirectory.h
+++ b/src/libs/store/include/whintack/store/vmdirectory.h
@@ -1,16 +1,16 @@
-#ifndef WHINTACK_PLATFORM_VMDIRECTORY_H
-#define WHINTACK_PLATFORM_VMDIRECTORY_H
+#ifndef WHINTACK_STORE_VMDIRECTORY_H
+#define WHINTACK_STORE_VMDIRECTORY_H
 
 #include "whintack/base/address.h"
 #include "whintack/base/enumnames.h"
 #include "whintack/base/identifier.h"
 #include "whintack/declaration/resources.h"
-#include "whintack/platform/keyvaluestore.h"
+#include "whintack/store/keyvaluestore.h"
 
 #include <functional>
 #include <vector>
 
-namespace whintack::platform {
+namespace whintack::store {
 
 /// What the platform says about a VM.
 enum class VmState { Live, Leaving, Gone };
@@ -101,6 +101,6 @@
   std::function<StoreResult<std::vector<TaskReport>>()> Report;
 };
 
-} // namespace whintack::platform
+} // namespace whintack::store
 
-#endif // WHINTACK_PLATFORM_VMDIRECTORY_H
+#endif // WHINTACK_STORE_VMDIRECTORY_H
--- a/src/libs/platform/keyvaluecodec.cpp
+++ b/src/libs/store/keyvaluecodec.cpp
@@ -1,11 +1,11 @@
-#include "whintack/platform/keyvaluecodec.h"
+#include "whintack/store/keyvaluecodec.h"
 
 #include <cpprest/asyncrt_utils.h>
 #include <cpprest/json.h>
 
 // Functions named decode throw what the JSON library throws; callers turn
 // that into their own error.
-namespace whintack::platform::codec {
+namespace whintack::store::codec {
 
 using web::json::value;
 
@@ -148,4 +148,4 @@
   return Message;
 }
 
-} // namespace whintack::platform::codec
+} // namespace whintack::store::codec
--- a/src/libs/platform/recordclient.cpp
+++ b/src/libs/store/recordclient.cpp
@@ -1,8 +1,8 @@
-#include "whintack/platform/recordclient.h"
+#include "whintack/store/recordclient.h"
 
 #include <algorithm>
 
-namespace whintack::platform {
+namespace whintack::store {
 
 /// How many writers a record remembers; a lost answer is told apart as long
 /// as fewer others have written since.
@@ -212,4 +212,4 @@
       [this, Lease] { return this->Store.Revoke(Lease); });
 }
 
-} // namespace whintack::platform
+} // namespace whintack::store
--- a/src/libs/platform/vmcodec.cpp
+++ b/src/libs/store/vmcodec.cpp
@@ -1,8 +1,8 @@
-#include "whintack/platform/vmcodec.h"
+#include "whintack/store/vmcodec.h"
 
 #include <stdexcept>
 
-namespace whintack::platform::codec {
+namespace whintack::store::codec {
 
 using web::json::value;
 
@@ -150,4 +150,4 @@
   return Tasks;
 }
 
-} // namespace whintack::platform::codec
+} // namespace whintack::store::codec
--- a/tests/auto/configuration/tst_configuration.cpp
+++ b/tests/auto/configuration/tst_configuration.cpp
@@ -21,7 +21,7 @@
 struct Fixture {
   tests::ManualClock Time;
   standin::MemoryPlatform Platform{Time.clock()};
-  platform::RecordClient Records{Platform.store(), 10000, Time.clock(),
+  store::RecordClient Records{Platform.store(), 10000, Time.clock(),
                                  seededRandom(1)};
   ChangeClient Changes{Records, Time.clock()};
   ConfigurationKeeper Keeper;
--- a/tests/auto/entry/forwarderfixture.h
+++ b/tests/auto/entry/forwarderfixture.h
@@ -44,9 +44,9 @@
     this->Forwarding->setServices({Service});
     this->Forwarding->setSharePlan(
         routing::withAcknowledgement(routing::withMember({}, Self), Self));
-    std::vector<platform::VmInfo> Vms;
+    std::vector<store::VmInfo> Vms;
     for (const Address &Server : Servers) {
-      platform::VmInfo Vm;
+      store::VmInfo Vm;
       Vm.Name = VmName("vm" + std::to_string(Vms.size() + 1));
       Vm.DataCentre = DataCentreName("dc");
       Vm.Server = Server;
--- a/tests/auto/steward/tst_poolsteward.cpp
+++ b/tests/auto/steward/tst_poolsteward.cpp
@@ -31,7 +31,7 @@
   void write(const std::string &Key, const web::json::value &Body) {
     REQUIRE(this->Records.update(
         Key, OperationId(randomIdentifier(this->Source)),
-        [&Body](const platform::Record &) { return std::optional(Body); }));
+        [&Body](const store::Record &) { return std::optional(Body); }));
   }
 
   PoolView view() {
@@ -73,14 +73,14 @@
 
   /// A steward whose epoch is read from \p Epoch; \p BeforePut is called
   /// before each of its writes.
-  PoolSteward steward(platform::RecordClient &Client, const uint64_t &Epoch) {
-    platform::WorkerControl Workers;
+  PoolSteward steward(store::RecordClient &Client, const uint64_t &Epoch) {
+    store::WorkerControl Workers;
     Workers.Drain = [this](const VmName &Vm, uint64_t) {
       this->Drained.push_back(Vm);
-      return platform::StoreResult<void>(success());
+      return store::StoreResult<void>(success());
     };
     Workers.Reboot = [](const VmName &, uint64_t, uint64_t) {
-      return platform::StoreResult<void>(success());
+      return store::StoreResult<void>(success());
     };
     DrainHooks Drains;
     Drains.Ask = [](const VmName &, uint64_t) {};
@@ -95,11 +95,11 @@
             this->Journal};
   }
 
-  platform::RecordClient
+  store::RecordClient
   clientWith(const std::function<void(const std::string &Key)> &BeforePut) {
-    platform::KeyValueStore Hooked = this->Store.store();
+    store::KeyValueStore Hooked = this->Store.store();
     const auto Put = Hooked.Put;
-    Hooked.Put = [Put, BeforePut](const platform::ConditionalPut &Given) {
+    Hooked.Put = [Put, BeforePut](const store::ConditionalPut &Given) {
       BeforePut(Given.Key);
       return Put(Given);
     };
@@ -111,7 +111,7 @@
   HybridClock Stamps{Time.clock().WallNow};
   EventJournal Journal{EntryName("e"), Stamps, 1000};
   standin::MemoryPlatform Store{Time.clock()};
-  platform::RecordClient Records{Store.store(), ManyCalls, Time.clock(),
+  store::RecordClient Records{Store.store(), ManyCalls, Time.clock(),
                                  Source};
   std::vector<VmName> Drained;
 };
@@ -141,10 +141,10 @@
   Fixture Test;
   const uint64_t OldEpoch = 1;
   const uint64_t NewEpoch = 2;
-  platform::RecordClient Later = Test.clientWith([](const std::string &) {});
+  store::RecordClient Later = Test.clientWith([](const std::string &) {});
   PoolSteward New = Test.steward(Later, NewEpoch);
   bool HasStoodStill = false;
-  platform::RecordClient Slow = Test.clientWith([&](const std::string &Key) {
+  store::RecordClient Slow = Test.clientWith([&](const std::string &Key) {
     if (Key != "whintack/vm/rack" || HasStoodStill)
       return;
     // The old holder has its ticket and is about to write the VM down as
@@ -177,9 +177,9 @@
   Fixture Test;
   const uint64_t Epoch = 1;
   bool HasRaced = false;
-  platform::RecordClient Other = Test.clientWith([](const std::string &) {});
+  store::RecordClient Other = Test.clientWith([](const std::string &) {});
   PoolSteward Second = Test.steward(Other, Epoch);
-  platform::RecordClient Raced = Test.clientWith([&](const std::string &Key) {
+  store::RecordClient Raced = Test.clientWith([&](const std::string &Key) {
     if (Key != "whintack/budget/shop" || HasRaced)
       return;
     HasRaced = true;
--- a/tests/auto/platform/tst_codec.cpp
+++ b/tests/auto/store/tst_codec.cpp
@@ -1,10 +1,10 @@
-#include "whintack/platform/keyvaluecodec.h"
-#include "whintack/platform/vmcodec.h"
+#include "whintack/store/keyvaluecodec.h"
+#include "whintack/store/vmcodec.h"
 
 #include <catch2/catch.hpp>
 
 using namespace whintack;
-using namespace whintack::platform;
+using namespace whintack::store;
 
 TEST_CASE("transactions read back") {
   codec::Transaction Put;
--- a/tests/auto/platform/tst_recordclient.cpp
+++ b/tests/auto/store/tst_recordclient.cpp
@@ -1,11 +1,11 @@
 #include "manualclock.h"
-#include "whintack/platform/recordclient.h"
+#include "whintack/store/recordclient.h"
 #include "whintack/standin/memoryplatform.h"
 
 #include <catch2/catch.hpp>
 
 using namespace whintack;
-using namespace whintack::platform;
+using namespace whintack::store;
 using web::json::value;
 
 namespace {
