--- a/src/libs/base/include/whintack/base/timerqueue.h
+++ b/src/libs/base/include/whintack/base/timerqueue.h
@@ -22,6 +22,11 @@
   /// Calls \p Call once \p Deadline has passed.
   TimerId schedule(TimePoint Deadline, std::function<void()> Call);
 
+  /// Calls \p Call as soon as possible, after the calls posted before.
+  void post(std::function<void()> Call) {
+    this->schedule(TimePoint::min(), std::move(Call));
+  }
+
   /// Forgets a call that has not started.
   void cancel(TimerId Id);
 
--- a/src/libs/base/time.cpp
+++ b/src/libs/base/time.cpp
@@ -8,9 +8,14 @@
 
 Clock systemClock() {
   Clock Source;
+  // Unlike the steady clock this one counts time in which the machine was
+  // suspended, so deadlines that passed meanwhile are seen to have passed.
   Source.Now = [] {
-    return std::chrono::time_point_cast<Duration>(
-        std::chrono::steady_clock::now());
+    timespec Read{};
+    clock_gettime(CLOCK_BOOTTIME, &Read);
+    return TimePoint(std::chrono::seconds(Read.tv_sec) +
+                     std::chrono::duration_cast<Duration>(
+                         std::chrono::nanoseconds(Read.tv_nsec)));
   };
   Source.WallNow = [] {
     return std::chrono::time_point_cast<Duration>(
--- a/src/libs/commands/commandentry.cpp
+++ b/src/libs/commands/commandentry.cpp
@@ -3,13 +3,50 @@
 #include "exitcode.h"
 #include "stoprequest.h"
 
+#include "whintack/dispatch/fleetnode.h"
 #include "whintack/entry/entrynode.h"
 #include "whintack/http/httpclient.h"
+#include "whintack/platform/platform.h"
 
 #include <cstdio>
+#include <cstdlib>
 
 namespace whintack::commands::Internal {
 
+/// Largest answer that the platform's services are read of, in bytes.
+static constexpr size_t MostAnswerBytes = 16U << 20U;
+
+/// Runs the entry VM on the users' own platform until it is asked to stop.
+static ExitCode runOnPlatform(const settings::EntrySettings &Settings,
+                              const StopRequest &Stop) {
+  const Clock Time = systemClock();
+  TimerQueue Timers(Time);
+  TimerQueue Loop(Time);
+  http::CallClient Calls(Time, Timers, MostAnswerBytes);
+  dispatch::NodeConnections Connections;
+  Connections.Store = platform::makeStore(Settings.Platform, Calls, Time);
+  Connections.Executors = platform::makeExecutorGateway(Calls);
+  Connections.Machines =
+      platform::makeMachineGateway(Settings.Fleet.Machines, Calls);
+  Connections.Advice = platform::makeAdviceGateway(Settings.Fleet.Advice, Calls);
+  Connections.Words = platform::makeWords();
+  dispatch::FleetNode Node(Settings, std::move(Connections), Time,
+                           systemRandom(), Loop, Timers);
+  if (const auto Started = Node.start(); !Started) {
+    std::fprintf(stderr, "%s\n", Started.error().Message.c_str());
+    return ExitCode::Unknown;
+  }
+  logEvent(LogLevel::Info, "node-started",
+           {{"node", Settings.Name}, {"data-centre", Settings.DataCentre}});
+  Stop.wait();
+  logEvent(LogLevel::Info, "node-stopping", {{"node", Settings.Name}});
+  const size_t CutOff = Node.stop();
+  logEvent(LogLevel::Info, "node-stopped", {{"cut-off", CutOff}});
+  // Calls that are still on their way refer to objects of this function.
+  std::_Exit(static_cast<int>(CutOff == 0 ? ExitCode::Done
+                                          : ExitCode::Refused));
+}
+
 int runEntry(const std::vector<std::string> &Words) {
   int Exit = 0;
   const auto Given = Arguments::parse(
@@ -34,6 +71,8 @@
   setLogLevel(Settings.value().LowestLogged);
   http::initializeHttpThreads(
       static_cast<unsigned>(Settings.value().HttpThreads));
+  if (Settings.value().Fleet.IsEnabled)
+    return static_cast<int>(runOnPlatform(Settings.value(), Stop));
   const Clock Time = systemClock();
   TimerQueue Timers(Time);
   entry::EntryNode Node(Settings.value(), Time, systemRandom(), Timers);
--- /dev/null
+++ b/src/libs/dispatch/membership.cpp
@@ -0,0 +1,130 @@
+#include "membership.h"
+
+#include "storekeys.h"
+
+#include <cpprest/json.h>
+
+namespace whintack::dispatch::Internal {
+
+using web::json::value;
+
+/// Time between two looks at the list; stale reads cost a tenth, and the peer
+/// links notice sooner who is lost.
+static constexpr Duration LookInterval = std::chrono::seconds(1);
+static constexpr Duration EnrollRetry = std::chrono::milliseconds(400);
+
+static std::string encodeMember(const peers::PeerEndpoint &Member) {
+  value Body = value::object();
+  Body["data-centre"] = value::string(Member.DataCentre.text());
+  Body["link"] = value::string(Member.Link.text());
+  return Body.serialize();
+}
+
+static std::optional<peers::PeerEndpoint>
+decodeMember(const store::StoreItem &Item) {
+  try {
+    const value Body = value::parse(Item.Value);
+    const auto Link = parseAddress(Body.at("link").as_string());
+    if (!Link)
+      throw std::runtime_error("the link is not an address");
+    return peers::PeerEndpoint{EntryName(Item.Key.substr(keys::Members.size())),
+                               DataCentreName(
+                                   Body.at("data-centre").as_string()),
+                               *Link};
+  } catch (const std::exception &Error) {
+    logEvent(LogLevel::Error, "member-unreadable",
+             {{"key", Item.Key}, {"cause", Error.what()}});
+    return std::nullopt;
+  }
+}
+
+Membership::Membership(Context Shared, peers::PeerEndpoint Self,
+                       std::shared_ptr<NodeLease> Lease,
+                       std::function<void()> OnChange)
+    : Shared(std::move(Shared)), Self(std::move(Self)),
+      Lease(std::move(Lease)), OnChange(std::move(OnChange)) {}
+
+void Membership::start() {
+  this->Lease->onGranted([Weak = this->weak_from_this()] {
+    if (const auto Alive = Weak.lock())
+      Alive->enroll();
+  });
+  this->look();
+}
+
+void Membership::enroll() {
+  if (this->IsStopped || !this->Lease->isValid())
+    return;
+  store::StoreTransaction Change;
+  Change.Puts = {{keys::Members + this->Self.Name.text(),
+                  encodeMember(this->Self), this->Lease->id()}};
+  this->Shared.Store.Commit(
+      Change, onLoop<Membership, store::StoreResult<store::CommitAnswer>>(
+                  this->Shared.Loop, this->shared_from_this(),
+                  [](Membership &Self,
+                     const store::StoreResult<store::CommitAnswer> &Answer) {
+                    if (Answer) {
+                      Self.look();
+                      return;
+                    }
+                    scheduleFor(Self.Shared.Loop, Self.shared_from_this(),
+                                Self.Shared.now() +
+                                    Self.Shared.jittered(EnrollRetry),
+                                [](Membership &Again) { Again.enroll(); });
+                  }));
+}
+
+void Membership::look() {
+  if (this->IsStopped)
+    return;
+  this->Shared.Store.Range(
+      keys::Members, "", store::ReadKind::Stale,
+      onLoop<Membership, store::StoreResult<store::StorePage>>(
+          this->Shared.Loop, this->shared_from_this(),
+          [](Membership &Self, store::StoreResult<store::StorePage> Answer) {
+            Self.take(std::move(Answer));
+          }));
+}
+
+void Membership::take(store::StoreResult<store::StorePage> Answer) {
+  if (Answer) {
+    std::map<EntryName, peers::PeerEndpoint> Read;
+    for (const store::StoreItem &Item : Answer.value().Items)
+      if (std::optional<peers::PeerEndpoint> Member = decodeMember(Item))
+        if (Member->Name != this->Self.Name)
+          Read.emplace(Member->Name, std::move(*Member));
+    const bool IsChanged =
+        !this->IsKnown || Read.size() != this->Known.size() ||
+        !std::equal(Read.begin(), Read.end(), this->Known.begin(),
+                    [](const auto &First, const auto &Second) {
+                      return First.first == Second.first &&
+                             First.second.Link == Second.second.Link;
+                    });
+    this->IsKnown = true;
+    if (IsChanged) {
+      this->Known = std::move(Read);
+      logEvent(LogLevel::Info, "members-changed",
+               {{"others", this->Known.size()}});
+      this->OnChange();
+    }
+  }
+  scheduleFor(this->Shared.Loop, this->shared_from_this(),
+              this->Shared.now() + this->Shared.jittered(LookInterval),
+              [](Membership &Self) { Self.look(); });
+}
+
+std::vector<peers::PeerEndpoint> Membership::others() const {
+  std::vector<peers::PeerEndpoint> Others;
+  for (const auto &[Name, Member] : this->Known)
+    Others.push_back(Member);
+  return Others;
+}
+
+std::vector<EntryName> Membership::names() const {
+  std::vector<EntryName> Names = {this->Self.Name};
+  for (const auto &[Name, Member] : this->Known)
+    Names.push_back(Name);
+  return Names;
+}
+
+} // namespace whintack::dispatch::Internal
--- /dev/null
+++ b/src/libs/dispatch/prefixwatch.cpp
@@ -0,0 +1,130 @@
+#include "prefixwatch.h"
+
+namespace whintack::dispatch::Internal {
+
+/// How long one call waits for a change; bounds how long a connection that
+/// went silent stays unnoticed, against the 2 s in which a configuration has
+/// to be in force.
+static constexpr Duration WatchLength = std::chrono::seconds(2);
+/// Longest pause before a call that failed is made again.
+static constexpr Duration RetryPause = std::chrono::milliseconds(400);
+
+PrefixWatch::PrefixWatch(Context Shared, std::string Prefix, ItemHook OnChange)
+    : Shared(std::move(Shared)), Prefix(std::move(Prefix)),
+      OnChange(std::move(OnChange)) {}
+
+void PrefixWatch::start() {
+  this->Reading.clear();
+  this->ReadingAsOf = 0;
+  this->readPage("");
+}
+
+void PrefixWatch::readPage(const std::string &After) {
+  this->Shared.Store.Range(
+      this->Prefix, After, store::ReadKind::Current,
+      onLoop<PrefixWatch, store::StoreResult<store::StorePage>>(
+          this->Shared.Loop, this->shared_from_this(),
+          [](PrefixWatch &Self, store::StoreResult<store::StorePage> Answer) {
+            Self.takePage(std::move(Answer));
+          }));
+}
+
+void PrefixWatch::takePage(store::StoreResult<store::StorePage> Answer) {
+  if (this->IsStopped)
+    return;
+  if (!Answer) {
+    this->retry(Answer.error(), true);
+    return;
+  }
+  store::StorePage &Page = Answer.value();
+  // Pages are not a snapshot: what changed since the first is watched for.
+  if (this->ReadingAsOf == 0)
+    this->ReadingAsOf = Page.AsOf;
+  std::string Last;
+  for (store::StoreItem &Item : Page.Items) {
+    Last = Item.Key;
+    this->Reading[Item.Key] = std::move(Item);
+  }
+  if (Page.HasMore && !Last.empty()) {
+    this->readPage(Last);
+    return;
+  }
+  this->replaceAll();
+  this->watch();
+}
+
+void PrefixWatch::replaceAll() {
+  std::set<std::string> Changed;
+  for (const auto &[Key, Item] : this->Items)
+    if (!this->Reading.contains(Key))
+      Changed.insert(Key);
+  for (const auto &[Key, Item] : this->Reading) {
+    const auto Known = this->Items.find(Key);
+    if (Known == this->Items.end() || Known->second.Revision != Item.Revision)
+      Changed.insert(Key);
+  }
+  this->Items = std::move(this->Reading);
+  this->AsOf = this->ReadingAsOf;
+  this->IsCurrent = true;
+  this->OnChange(this->Items, Changed);
+}
+
+void PrefixWatch::watch() {
+  this->Shared.Store.Watch(
+      this->Prefix, this->AsOf, WatchLength,
+      onLoop<PrefixWatch, store::StoreResult<store::WatchAnswer>>(
+          this->Shared.Loop, this->shared_from_this(),
+          [](PrefixWatch &Self, store::StoreResult<store::WatchAnswer> Answer) {
+            Self.takeChanges(std::move(Answer));
+          }));
+}
+
+void PrefixWatch::takeChanges(store::StoreResult<store::WatchAnswer> Answer) {
+  if (this->IsStopped)
+    return;
+  if (!Answer) {
+    this->retry(Answer.error(),
+                Answer.error().Code == store::StoreErrorCode::HistoryLost);
+    return;
+  }
+  std::set<std::string> Changed;
+  for (store::StoreChange &Change : Answer.value().Changes) {
+    const auto Known = this->Items.find(Change.Key);
+    if (Known != this->Items.end() &&
+        Known->second.Revision >= Change.Revision)
+      continue;
+    if (Change.Item)
+      this->Items[Change.Key] = std::move(*Change.Item);
+    else if (Known != this->Items.end())
+      this->Items.erase(Known);
+    Changed.insert(Change.Key);
+  }
+  this->AsOf = std::max(this->AsOf, Answer.value().AsOf);
+  this->IsCurrent = true;
+  if (!Changed.empty())
+    this->OnChange(this->Items, Changed);
+  if (!this->IsStopped)
+    this->watch();
+}
+
+void PrefixWatch::retry(const store::StoreError &Cause, bool FromStart) {
+  if (this->IsCurrent)
+    logEvent(LogLevel::Warning, "watch-broken",
+             {{"prefix", this->Prefix},
+              {"code", nameOf(store::StoreErrorNames, Cause.Code)},
+              {"cause", Cause.Message},
+              {"as-of", this->AsOf}});
+  this->IsCurrent = false;
+  scheduleFor(this->Shared.Loop, this->shared_from_this(),
+              this->Shared.now() + this->Shared.jittered(RetryPause),
+              [FromStart](PrefixWatch &Self) {
+                if (Self.IsStopped)
+                  return;
+                if (FromStart)
+                  Self.start();
+                else
+                  Self.watch();
+              });
+}
+
+} // namespace whintack::dispatch::Internal
--- /dev/null
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -0,0 +1,505 @@
+#include "serviceshard.h"
+
+#include "storekeys.h"
+
+namespace whintack::dispatch::Internal {
+
+/// Progress that no client waits for is stored this often at most; executors
+/// keep their ends until then.
+static constexpr Duration FlushInterval = std::chrono::milliseconds(500);
+/// Ends that clients wait for are gathered for this long.
+static constexpr Duration UrgentFlushInterval = std::chrono::milliseconds(15);
+/// Slowest rate of an executor's clock.
+static constexpr double SlowestRate = 0.98;
+/// How long the advice service may take beyond what the queue's policy says;
+/// calls wait for each other there.
+static constexpr Duration AdviceSlack = std::chrono::milliseconds(1500);
+/// Kept of a ticket's validity for the order's way.
+static constexpr Duration TicketMargin = std::chrono::milliseconds(100);
+
+ServiceShard::ServiceShard(Context Shared, ShardEnvironment Environment,
+                           WonClaim Won)
+    : Shared(std::move(Shared)), Environment(std::move(Environment)),
+      Won(std::move(Won)), Service(this->Won.Shard),
+      Planner({this->Service, this->Won.Generation,
+               [Service = this->Service](std::string_view Event,
+                                         std::initializer_list<LogField>
+                                             Fields) {
+                 logEvent(LogLevel::Info, Event, Fields);
+               }}) {}
+
+void ServiceShard::start() {
+  this->ClaimedAt = this->Shared.now();
+  // An earlier planner may have sent leases until its own claim ran out, each
+  // at most as long as executors grant.
+  if (this->Won.Generation > 1)
+    this->EarlierLeasesOver =
+        this->ClaimedAt + NodeLease::Length +
+        Duration(static_cast<int64_t>(
+            static_cast<double>(this->Environment.LongestLease.count()) /
+            SlowestRate));
+  this->Records = std::make_shared<ShardStore>(this->Shared, this->Service,
+                                               this->Won.Token);
+  this->Records->load([Weak = this->weak_from_this()](
+                          const ShardStore::Contents &Loaded) {
+    if (const auto Self = Weak.lock())
+      Self->takeContents(Loaded);
+  });
+}
+
+void ServiceShard::stop() {
+  this->IsStopped = true;
+  this->Records->stop();
+  if (this->Notices)
+    this->Notices->stop();
+  for (const auto &[Id, Link] : this->Links)
+    Link->close();
+  this->Links.clear();
+}
+
+bool ServiceShard::addStored(const jobs::JobId &Id, const std::string &Text,
+                             const jobs::JobProgress *Earlier) {
+  const auto Stored = decodeStoredJob(Text);
+  if (!Stored) {
+    logEvent(LogLevel::Error, "job-unreadable",
+             {{"job", Id}, {"cause", Stored.error().Message}});
+    return false;
+  }
+  this->QueueNames[Id] = Stored.value().QueueName;
+  if (Stored.value().End) {
+    this->Planner.restoreFinalJob(Id, *Stored.value().End);
+    return true;
+  }
+  const auto Spec = this->Environment.DecodeJob(Id, Stored.value().Body);
+  const auto Queues = this->Environment.Queues();
+  if (!Spec) {
+    logEvent(LogLevel::Error, "job-unreadable",
+             {{"job", Id}, {"cause", Spec.error().Message}});
+    return false;
+  }
+  jobs::AcceptedJob Job;
+  Job.Spec = Spec.value();
+  if (const jobs::Queue *Policy = Queues->named(Stored.value().QueueName))
+    Job.Policy = *Policy;
+  else
+    Job.Policy.Name = Stored.value().QueueName;
+  const Duration Age =
+      this->Shared.Time.WallNow() - Stored.value().Accepted;
+  Job.Accepted =
+      this->Shared.now() - std::max(Age, Duration::zero());
+  Job.MayHaveRun = Earlier != nullptr;
+  if (Earlier)
+    this->Planner.restoreJob(std::move(Job), *Earlier);
+  else
+    this->Planner.addJob(std::move(Job));
+  return true;
+}
+
+void ServiceShard::restore(
+    const store::StoreItem &Item,
+    const std::unordered_map<std::string, std::string> &Progress) {
+  const std::string Id =
+      Item.Key.substr(keys::jobs(this->Service).size());
+  jobs::JobProgress Known;
+  if (const auto Found = Progress.find(Id); Found != Progress.end()) {
+    auto Read = jobs::decodeProgress(jobs::JobId(Id), Found->second);
+    if (!Read) {
+      logEvent(LogLevel::Error, "progress-unreadable",
+               {{"job", Id}, {"cause", Read.error().Message}});
+      return;
+    }
+    Known = std::move(Read).value();
+  }
+  this->addStored(jobs::JobId(Id), Item.Value, &Known);
+}
+
+void ServiceShard::takeContents(const ShardStore::Contents &Loaded) {
+  if (this->IsStopped)
+    return;
+  std::unordered_map<std::string, std::string> Progress;
+  for (const store::StoreItem &Item : Loaded.Progress)
+    Progress[Item.Key.substr(keys::progress(this->Service).size())] =
+        Item.Value;
+  for (const store::StoreItem &Item : Loaded.Jobs)
+    this->restore(Item, Progress);
+  this->IsLoaded = true;
+  logEvent(LogLevel::Info, "shard-loaded",
+           {{"shard", this->Won.Shard},
+            {"generation", this->Won.Generation},
+            {"jobs", Loaded.Jobs.size()},
+            {"progress", Loaded.Progress.size()},
+            {"took-ms", toMilliseconds(this->Shared.now() - this->ClaimedAt)}});
+  this->setQueues(*this->Environment.Queues());
+  this->Notices = std::make_shared<PrefixWatch>(
+      this->Shared, keys::notices(this->Service),
+      [Weak = this->weak_from_this()](const ItemMap &Items,
+                                      const std::set<std::string> &) {
+        if (const auto Self = Weak.lock())
+          Self->takeNotices(Items);
+      });
+  this->Notices->start();
+  if (this->HasExecutors)
+    this->setExecutors(std::exchange(this->Listed, {}));
+  this->flush();
+}
+
+/// Takes in what doors could only leave in the store. The notices are removed
+/// once their effect is stored.
+void ServiceShard::takeNotices(const ItemMap &Items) {
+  if (this->IsStopped || Items.empty())
+    return;
+  const std::string Jobs = keys::newJobs(this->Service);
+  const std::string Cancels = keys::cancellations(this->Service);
+  auto Taken = std::make_shared<store::StoreTransaction>();
+  Taken->Expect = {{keys::Claims + this->Won.Shard, this->Won.Token}};
+  uint64_t Through = 0;
+  const auto IsFull = [&Taken] {
+    return Taken->Removals.size() + 2 > store::MostTransactionEntries;
+  };
+  for (const auto &[Key, Item] : Items)
+    if (Key.starts_with(Jobs) && !IsFull()) {
+      this->addStored(jobs::JobId(Key.substr(Jobs.size())), Item.Value,
+                      nullptr);
+      Taken->Removals.push_back(Key);
+    }
+  for (const auto &[Key, Item] : Items) {
+    if (!Key.starts_with(Cancels) || IsFull())
+      continue;
+    const auto Change =
+        this->Planner.cancel(jobs::JobId(Key.substr(Cancels.size())));
+    // The job itself may be told of later; its cancellation waits.
+    if (!Change)
+      continue;
+    Through = std::max(Through, *Change);
+    Taken->Removals.push_back(Key);
+  }
+  if (Taken->Removals.empty())
+    return;
+  this->AwaitingStore.emplace(Through, [Weak = this->weak_from_this(), Taken] {
+    if (const auto Self = Weak.lock())
+      Self->Shared.Store.Commit(
+          *Taken, [](const store::StoreResult<store::CommitAnswer> &) {
+            // A notice that stays is taken in again, which changes nothing.
+          });
+  });
+  this->flush();
+  this->requestPlan();
+}
+
+void ServiceShard::setQueues(const jobs::QueueTable &Queues) {
+  this->Planner.setQueues(Queues);
+  this->requestPlan();
+}
+
+void ServiceShard::setExecutors(const std::vector<jobs::ExecutorInfo> &Now) {
+  if (this->IsStopped)
+    return;
+  const bool IsFirst = !this->HasExecutors || !this->IsLoaded;
+  this->HasExecutors = true;
+  if (!this->IsLoaded) {
+    this->Listed = Now;
+    return;
+  }
+  this->Planner.setExecutors(Now, this->Shared.now());
+  std::set<jobs::ExecutorId> Seen;
+  for (const jobs::ExecutorInfo &Info : Now) {
+    if (Info.Service != this->Service)
+      continue;
+    Seen.insert(Info.Id);
+    const auto Known = this->Links.find(Info.Id);
+    if (Known == this->Links.end())
+      this->openLink(Info);
+    else
+      Known->second->setAddress(Info.Server);
+  }
+  if (this->Won.Generation > 1 && (IsFirst || this->Links.empty()))
+    this->Planner.awaitReports({Seen.begin(), Seen.end()});
+  std::erase_if(this->Links, [&](const auto &Entry) {
+    // A link stays until nothing can run there: the list may be wrong.
+    const bool IsOver = !Seen.contains(Entry.first) &&
+                        !this->Planner.isKnownExecutor(Entry.first);
+    if (IsOver)
+      Entry.second->close();
+    return IsOver;
+  });
+  this->requestPlan();
+}
+
+LinkHooks ServiceShard::linkHooks() {
+  // Links run on the loop, as this object does, and are closed with it.
+  LinkHooks Hooks;
+  Hooks.MayOrder = [this] {
+    return !this->IsStopped &&
+           this->Shared.now() < this->Environment.ClaimValidUntil();
+  };
+  Hooks.ForgettableEnd = [this](const jobs::ExecutorId &Id) {
+    return this->Planner.forgettableEnd(Id);
+  };
+  Hooks.OnReport = [this](const jobs::ExecutorId &Id,
+                          const jobs::ExecutorReport &Report) {
+    this->Planner.noteReport(Id, Report, this->Shared.now());
+    this->flush();
+    this->requestPlan();
+  };
+  Hooks.OnStart = [this](const jobs::StartOrder &Order,
+                         jobs::StartOutcome Outcome, jobs::ExecutorTime At) {
+    this->Planner.noteStart(Order, Outcome, At, this->Shared.now());
+    if (Outcome != jobs::StartOutcome::Started)
+      this->requestPlan();
+  };
+  Hooks.OnStop = [this](const jobs::StopOrder &Order,
+                        std::optional<jobs::ExecutorTime> At) {
+    this->Planner.noteStop(Order, At, this->Shared.now());
+  };
+  Hooks.OnReachable = [this](const jobs::ExecutorId &Id, bool IsReachable) {
+    this->Planner.setReachable(Id, IsReachable, this->Shared.now());
+    this->requestPlan();
+  };
+  Hooks.OnEmpty = [this](const jobs::ExecutorId &Id, std::string_view Cause) {
+    this->Planner.noteEmpty(Id, Cause, this->Shared.now());
+    this->requestPlan();
+  };
+  Hooks.OnFenced = [this] { this->lose("fenced by a later planner"); };
+  return Hooks;
+}
+
+void ServiceShard::openLink(const jobs::ExecutorInfo &Info) {
+  LinkSetup Setup;
+  Setup.To = {Info.Id, Info.Server};
+  Setup.Token = this->Won.Token;
+  Setup.LongestLease = this->Environment.LongestLease;
+  Setup.EarlierLeasesOver = this->EarlierLeasesOver;
+  auto Link = std::make_shared<ExecutorLink>(
+      this->Shared, this->Environment.Executors, Setup, this->linkHooks());
+  this->Links[Info.Id] = Link;
+  Link->open();
+}
+
+void ServiceShard::requestPlan() {
+  if (this->IsPlanRequested || this->IsStopped)
+    return;
+  this->IsPlanRequested = true;
+  // Events that are already waiting are taken in first.
+  this->Shared.Loop.post([Weak = this->weak_from_this()] {
+    if (const auto Self = Weak.lock())
+      Self->plan();
+  });
+}
+
+void ServiceShard::plan() {
+  this->IsPlanRequested = false;
+  const TimePoint Now = this->Shared.now();
+  if (this->IsStopped || !this->IsLoaded)
+    return;
+  if (Now < this->Environment.ClaimValidUntil())
+    this->Planner.plan(Now, this->Shared.Time.WallNow());
+  for (const jobs::Order &Given : this->Planner.takeOrders())
+    this->carryOut(Given);
+  this->flush();
+  scheduleFor(this->Shared.Loop, this->shared_from_this(),
+              this->Planner.nextPlan(Now, this->Shared.Time.WallNow()),
+              [Now](ServiceShard &Self) {
+                if (Self.LastPlan <= Now)
+                  Self.requestPlan();
+              });
+  this->LastPlan = Now;
+}
+
+void ServiceShard::carryOut(const jobs::Order &Given) {
+  const auto LinkTo = [this](const jobs::ExecutorId &Id) {
+    const auto Found = this->Links.find(Id);
+    return Found == this->Links.end() ? nullptr : Found->second;
+  };
+  if (const auto *Start = std::get_if<jobs::StartOrder>(&Given)) {
+    if (const auto Link = LinkTo(Start->On))
+      Link->start(*Start);
+    else
+      this->Planner.noteStart(*Start, jobs::StartOutcome::Unhealthy, 0,
+                              this->Shared.now());
+  } else if (const auto *Stop = std::get_if<jobs::StopOrder>(&Given)) {
+    if (const auto Link = LinkTo(Stop->On))
+      Link->stop(*Stop);
+    else
+      this->Planner.noteStop(*Stop, std::nullopt, this->Shared.now());
+  } else if (const auto *Pace = std::get_if<jobs::PaceOrder>(&Given)) {
+    if (const auto Link = LinkTo(Pace->On))
+      Link->pace(*Pace);
+  } else if (const auto *Question = std::get_if<jobs::AdviceOrder>(&Given)) {
+    this->ask(*Question);
+  }
+}
+
+void ServiceShard::ask(const jobs::AdviceOrder &Question) {
+  const TimePoint Sent = this->Shared.now();
+  this->Environment.Advice.Ask(
+      Question, Sent + AdviceSlack,
+      onLoop<ServiceShard, jobs::GatewayResult<jobs::AdviceAnswer>>(
+          this->Shared.Loop, this->shared_from_this(),
+          [Question](ServiceShard &Self,
+                     const jobs::GatewayResult<jobs::AdviceAnswer> &Answer) {
+            const TimePoint Now = Self.Shared.now();
+            if (Answer)
+              Self.Planner.noteAdvice(Question, Answer.value().Good,
+                                      Now + Answer.value().Validity -
+                                          TicketMargin);
+            else
+              Self.Planner.noteAdviceFailed(Question, Now);
+            Self.requestPlan();
+          }));
+}
+
+std::string ServiceShard::queueOf(const jobs::JobId &Job) const {
+  const auto Found = this->QueueNames.find(Job);
+  return Found == this->QueueNames.end() ? std::string() : Found->second;
+}
+
+void ServiceShard::flush() {
+  if (this->IsWriting || this->IsStopped)
+    return;
+  const TimePoint Now = this->Shared.now();
+  if (Now < this->NextFlush && !this->Planner.hasUrgentWrites())
+    return;
+  const std::vector<jobs::JobWrite> Writes =
+      this->Planner.takeWrites(MostWritesAtOnce);
+  if (Writes.empty()) {
+    this->answerStored();
+    return;
+  }
+  this->NextFlush = Now + FlushInterval;
+  this->IsWriting = true;
+  this->Records->write(
+      Writes, [this](const jobs::JobId &Job) { return this->queueOf(Job); },
+      [Weak = this->weak_from_this(),
+       Writes](ShardStore::WriteOutcome Outcome) {
+        if (const auto Self = Weak.lock())
+          Self->takeWritten(Writes, Outcome);
+      });
+}
+
+void ServiceShard::takeWritten(const std::vector<jobs::JobWrite> &Writes,
+                               ShardStore::WriteOutcome Outcome) {
+  this->IsWriting = false;
+  switch (Outcome) {
+  case ShardStore::WriteOutcome::Superseded:
+    this->lose("another planner holds the claim");
+    return;
+  case ShardStore::WriteOutcome::Failed:
+    this->Planner.noteWriteFailed(Writes);
+    break;
+  case ShardStore::WriteOutcome::Written:
+    this->Planner.noteWritten(Writes);
+    this->answerStored();
+    break;
+  }
+  scheduleFor(this->Shared.Loop, this->shared_from_this(),
+              this->Shared.now() + UrgentFlushInterval,
+              [](ServiceShard &Self) { Self.flush(); });
+}
+
+void ServiceShard::answerStored() {
+  const uint64_t Through = this->Planner.storedThrough();
+  while (!this->AwaitingStore.empty() &&
+         this->AwaitingStore.begin()->first <= Through) {
+    const std::function<void()> Answer =
+        std::move(this->AwaitingStore.begin()->second);
+    this->AwaitingStore.erase(this->AwaitingStore.begin());
+    Answer();
+  }
+  if (this->OnDrained && Through == this->Planner.changes()) {
+    const std::function<void()> Done = std::exchange(this->OnDrained, nullptr);
+    Done();
+  }
+}
+
+void ServiceShard::drain(std::function<void()> Done) {
+  this->OnDrained = std::move(Done);
+  this->NextFlush = TimePoint::min();
+  this->flush();
+}
+
+void ServiceShard::lose(const std::string &Cause) {
+  if (this->IsStopped)
+    return;
+  logEvent(LogLevel::Warning, "shard-lost",
+           {{"shard", this->Won.Shard},
+            {"token", this->Won.Token},
+            {"cause", Cause}});
+  // The owner may destroy this object, which is in use further up the stack.
+  this->Shared.Loop.post([Environment = this->Environment,
+                          Shard = this->Won.Shard, Cause] {
+    Environment.OnLost(Shard, Cause);
+  });
+}
+
+void ServiceShard::answerCancel(const peers::ServiceCall &Asked,
+                                AnswerBack Back) {
+  const std::optional<uint64_t> Change =
+      this->Planner.cancel(jobs::JobId(Asked.Subject));
+  if (!Change) {
+    Back({Asked.Id, peers::ServiceOutcome::Unknown, ""});
+    return;
+  }
+  this->AwaitingStore.emplace(*Change, [Id = Asked.Id, Back] {
+    Back({Id, peers::ServiceOutcome::Done, ""});
+  });
+  this->flush();
+  this->answerStored();
+  this->requestPlan();
+}
+
+void ServiceShard::answer(const peers::ServiceCall &Asked, AnswerBack Back) {
+  using peers::ServiceOutcome;
+  if (this->IsStopped || !this->IsLoaded ||
+      this->Shared.now() >= this->Environment.ClaimValidUntil()) {
+    Back({Asked.Id, ServiceOutcome::NotPlanner, ""});
+    return;
+  }
+  switch (Asked.Kind) {
+  case peers::ServiceCallKind::SubmitJob: {
+    const bool IsTaken =
+        this->addStored(jobs::JobId(Asked.Subject), Asked.Content, nullptr);
+    Back({Asked.Id, IsTaken ? ServiceOutcome::Done : ServiceOutcome::Failed,
+          ""});
+    this->requestPlan();
+    return;
+  }
+  case peers::ServiceCallKind::CancelJob:
+    this->answerCancel(Asked, std::move(Back));
+    return;
+  case peers::ServiceCallKind::JobState: {
+    const auto State = this->Planner.shownState(jobs::JobId(Asked.Subject));
+    if (State)
+      Back({Asked.Id, ServiceOutcome::Done,
+            std::string(nameOf(jobs::JobStateNames, *State))});
+    else
+      Back({Asked.Id, ServiceOutcome::Unknown, ""});
+    return;
+  }
+  case peers::ServiceCallKind::WaitingJobs:
+    Back({Asked.Id, ServiceOutcome::Done,
+          std::to_string(this->Planner.waitingJobs(Asked.Subject))});
+    return;
+  case peers::ServiceCallKind::EvacuateExecutor: {
+    const jobs::ExecutorId Id(Asked.Subject);
+    this->Planner.evacuate(Id, this->Shared.now());
+    Back({Asked.Id, ServiceOutcome::Done,
+          std::string(nameOf(jobs::OccupancyNames,
+                             this->Planner.occupancy(Id)))});
+    this->requestPlan();
+    return;
+  }
+  case peers::ServiceCallKind::ExecutorEmptied:
+    this->Planner.noteEmpty(jobs::ExecutorId(Asked.Subject),
+                            "machine maintained", this->Shared.now());
+    Back({Asked.Id, ServiceOutcome::Done, ""});
+    this->requestPlan();
+    return;
+  case peers::ServiceCallKind::ReleaseExecutor:
+    this->Planner.endEvacuation(jobs::ExecutorId(Asked.Subject));
+    Back({Asked.Id, ServiceOutcome::Done, ""});
+    this->requestPlan();
+    return;
+  }
+}
+
+} // namespace whintack::dispatch::Internal
--- /dev/null
+++ b/src/libs/dispatch/storekeys.h
@@ -0,0 +1,39 @@
+#ifndef WHINTACK_DISPATCH_STOREKEYS_H
+#define WHINTACK_DISPATCH_STOREKEYS_H
+
+#include "whintack/base/identifier.h"
+#include "whintack/jobs/taskkey.h"
+
+#include <string>
+
+/// Keys of this product's records in the platform's store.
+namespace whintack::dispatch::Internal::keys {
+
+inline const std::string Claims = "whintack/claim/";
+inline const std::string Generations = "whintack/generation/";
+inline const std::string Members = "whintack/member/";
+inline const std::string Waves = "whintack/wave/";
+
+/// The shard that maintains and moves machines.
+inline const std::string FleetShard = "fleet";
+
+inline std::string jobs(const ServiceName &Service) {
+  return "whintack/job/" + Service.text() + "/";
+}
+inline std::string progress(const ServiceName &Service) {
+  return "whintack/progress/" + Service.text() + "/";
+}
+/// Jobs and cancellations whose planner could not be told.
+inline std::string notices(const ServiceName &Service) {
+  return "whintack/notice/" + Service.text() + "/";
+}
+inline std::string newJobs(const ServiceName &Service) {
+  return notices(Service) + "job/";
+}
+inline std::string cancellations(const ServiceName &Service) {
+  return notices(Service) + "cancel/";
+}
+
+} // namespace whintack::dispatch::Internal::keys
+
+#endif // WHINTACK_DISPATCH_STOREKEYS_H
--- /dev/null
+++ b/src/libs/dispatch/wavekeeper.h
@@ -0,0 +1,77 @@
+#ifndef WHINTACK_DISPATCH_WAVEKEEPER_H
+#define WHINTACK_DISPATCH_WAVEKEEPER_H
+
+#include "claimseeker.h"
+#include "servicecalls.h"
+
+#include "whintack/jobs/wavecourse.h"
+
+namespace whintack::dispatch::Internal {
+
+/// What the keeper of waves needs of its process.
+struct WaveEnvironment {
+  jobs::MachineGateway Machines;
+  jobs::PlatformWords Words;
+  std::shared_ptr<ServiceCalls> Calls;
+  std::function<std::shared_ptr<const jobs::QueueTable>()> Queues;
+  std::function<TimePoint()> ClaimValidUntil;
+  std::function<void(const std::string &Shard, const std::string &Cause)>
+      OnLost;
+};
+
+/// Maintains the machines that the operator's waves name, under a claim. What
+/// has begun is stored before the next machine follows.
+class WaveKeeper : public std::enable_shared_from_this<WaveKeeper> {
+public:
+  WaveKeeper(Context Shared, WaveEnvironment Environment, EntryName Self,
+             WonClaim Won);
+
+  void start();
+  void stop() { this->IsStopped = true; }
+  /// Adopts the waves that the operator asks for.
+  void setWaves(const std::vector<jobs::WaveRequest> &Requests);
+
+private:
+  struct Wave {
+    std::unique_ptr<jobs::WaveCourse> Course;
+    WallTime Begun;
+    size_t StoredBegun = 0;
+    bool IsStored = false;
+    bool IsWriting = false;
+    bool IsReported = false;
+  };
+
+  void load();
+  void takeRecords(store::StoreResult<store::StorePage> Answer);
+  void openWave(const jobs::WaveRequest &Request);
+  void tick();
+  void step(Wave &Of);
+  void takeMachines(jobs::GatewayResult<std::vector<jobs::MachineInfo>> Found);
+  void vacate(uint64_t Number, const jobs::MachineInfo &Machine);
+  void order(uint64_t Number, const jobs::MachineInfo &Machine);
+  void takeOrdered(uint64_t Number, const jobs::MachineInfo &Machine,
+                   const jobs::GatewayResult<void> &Answer);
+  void tellPlanner(const jobs::MachineInfo &Machine,
+                   peers::ServiceCallKind Kind);
+  void record(Wave &Of);
+  bool mayOrder() const;
+
+  Context Shared;
+  WaveEnvironment Environment;
+  EntryName Self;
+  WonClaim Won;
+  /// Orders of an earlier holder and of this one keep their distance.
+  TimePoint OrdersFrom;
+  std::map<uint64_t, Wave> Waves;
+  std::map<uint64_t, std::string> Records;
+  std::vector<jobs::WaveRequest> Requests;
+  /// Machines about which a call is on its way.
+  std::set<jobs::MachineName> Busy;
+  bool IsLoaded = false;
+  bool IsListing = false;
+  bool IsStopped = false;
+};
+
+} // namespace whintack::dispatch::Internal
+
+#endif // WHINTACK_DISPATCH_WAVEKEEPER_H
--- /dev/null
+++ b/src/libs/jobs/include/whintack/jobs/jobqueue.h
@@ -0,0 +1,32 @@
+#ifndef WHINTACK_JOBS_JOBQUEUE_H
+#define WHINTACK_JOBS_JOBQUEUE_H
+
+#include "whintack/base/time.h"
+
+#include <cstdint>
+
+namespace whintack::jobs {
+
+/// What decides a job's place among those that wait.
+struct JobStanding {
+  /// 0 goes first.
+  int64_t Priority = 0;
+  TimePoint Accepted;
+  /// Until when a job that ends still earns in full.
+  TimePoint Objective;
+  /// Estimated work that is left, in core-seconds.
+  double WorkLeft = 0;
+  /// Estimated time that the rest takes with no waiting.
+  Duration ChainLeft = Duration::zero();
+};
+
+/// Decides which of two jobs gets room first, for the load "each queue in its
+/// turn asks several times what its pool holds": jobs that can still be on
+/// time go before those that cannot, and among them the one with the least
+/// work, so that most jobs are on time; late ones go by age.
+bool goesBefore(const JobStanding &First, const JobStanding &Second,
+                TimePoint Now);
+
+} // namespace whintack::jobs
+
+#endif // WHINTACK_JOBS_JOBQUEUE_H
--- /dev/null
+++ b/src/libs/jobs/planner.cpp
@@ -0,0 +1,318 @@
+#include "planner_p.h"
+
+#include <algorithm>
+
+namespace whintack::jobs {
+
+using namespace Internal;
+
+/// Numbers of runs that each planner of a service may use; a successor starts
+/// above all that its predecessors can have used.
+static constexpr uint64_t RunsPerGeneration = 10000;
+
+bool OccurrenceRecord::isDone() const {
+  return std::all_of(this->Steps.begin(), this->Steps.end(),
+                     [](const StepRecord &Step) { return Step.isDone(); });
+}
+
+Room WorkerRecord::free() const {
+  Room Left = this->Info.Capacity;
+  Left -= this->Booked;
+  return Left;
+}
+
+JobRecord *Planner::Private::job(const JobId &Id) {
+  const auto Found = this->Jobs.find(Id);
+  return Found == this->Jobs.end() ? nullptr : &Found->second;
+}
+
+TaskRecord *Planner::Private::task(const TaskKey &Key) {
+  JobRecord *Job = this->job(Key.Of.Job);
+  if (!Job || Key.Of.Occurrence < 0 ||
+      static_cast<size_t>(Key.Of.Occurrence) >= Job->Occurrences.size())
+    return nullptr;
+  auto &Steps =
+      Job->Occurrences[static_cast<size_t>(Key.Of.Occurrence)].Steps;
+  if (Key.Of.Step >= Steps.size() ||
+      Key.Index >= Steps[Key.Of.Step].Tasks.size())
+    return nullptr;
+  return &Steps[Key.Of.Step].Tasks[Key.Index];
+}
+
+const StepSpec &Planner::Private::spec(const JobRecord &Job,
+                                       const StepKey &Step) {
+  return Job.Spec.Steps[Step.Step];
+}
+
+/// A gang's failures and checkpoint are kept with its first task.
+TaskRecord &Planner::Private::gangLeader(const StepKey &Step) {
+  return *this->task({Step, 0});
+}
+
+JobRecord &Planner::Private::insertJob(AcceptedJob Given) {
+  JobRecord Job;
+  Job.Spec = std::move(Given.Spec);
+  Job.Policy = std::move(Given.Policy);
+  Job.Accepted = Given.Accepted;
+  Job.MayHaveRun = Given.MayHaveRun;
+  Job.Occurrences.resize(static_cast<size_t>(Job.Spec.occurrences()));
+  for (OccurrenceRecord &Occurrence : Job.Occurrences) {
+    Occurrence.Steps.resize(Job.Spec.Steps.size());
+    for (size_t Step = 0; Step < Occurrence.Steps.size(); ++Step)
+      Occurrence.Steps[Step].Tasks.resize(Job.Spec.Steps[Step].Count);
+  }
+  const JobId Id = Job.Spec.Id;
+  return this->Jobs.insert_or_assign(Id, std::move(Job)).first->second;
+}
+
+uint64_t Planner::Private::noteChange(JobRecord &Job) {
+  ++this->Changes;
+  Job.LastChange = this->Changes;
+  if (Job.FirstUnstored == 0)
+    Job.FirstUnstored = this->Changes;
+  return this->Changes;
+}
+
+void Planner::Private::setState(JobRecord &Job, JobState State) {
+  Job.State = State;
+  this->noteChange(Job);
+  this->HasUrgentWrites = true;
+  this->log("job-ended", {{"job", Job.Spec.Id},
+                          {"state", nameOf(JobStateNames, State)},
+                          {"queue", Job.Policy.Name}});
+  this->stopAll(Job);
+}
+
+void Planner::Private::finishIfDone(JobRecord &Job) {
+  const bool IsDone = std::all_of(
+      Job.Occurrences.begin(), Job.Occurrences.end(),
+      [](const OccurrenceRecord &Occurrence) { return Occurrence.isDone(); });
+  if (IsDone && !isFinal(Job.State))
+    this->setState(Job, JobState::Completed);
+}
+
+/// Forgets the tasks of a job that has ended, is stored and runs nowhere.
+void Planner::Private::dropIfOver(const JobId &Id) {
+  JobRecord *Job = this->job(Id);
+  if (!Job || !isFinal(Job->Shown) || Job->OpenRuns > 0 ||
+      Job->FirstUnstored != 0 || Job->IsBeingWritten)
+    return;
+  this->FinalJobs[Id] = Job->Shown;
+  this->Advice.erase(this->Advice.lower_bound(StepKey{Id, 0, 0}),
+                     this->Advice.upper_bound(StepKey{Id, INT64_MAX, 0}));
+  this->Jobs.erase(Id);
+}
+
+void Planner::Private::stopAll(JobRecord &Job) {
+  for (size_t K = 0; K < Job.Occurrences.size(); ++K)
+    for (size_t Step = 0; Step < Job.Occurrences[K].Steps.size(); ++Step) {
+      auto &Tasks = Job.Occurrences[K].Steps[Step].Tasks;
+      for (size_t Index = 0; Index < Tasks.size(); ++Index)
+        if (Tasks[Index].Current)
+          this->orderStop(
+              {{Job.Spec.Id, static_cast<int64_t>(K), Step}, Index},
+              Tasks[Index]);
+    }
+}
+
+uint64_t Planner::Private::nextRun(const StepKey &Step, size_t Index) {
+  const uint64_t Floor = (this->Setup.Generation - 1) * RunsPerGeneration;
+  const JobRecord &Job = *this->job(Step.Job);
+  uint64_t Last = Floor;
+  if (!this->spec(Job, Step).IsGang)
+    return std::max(Last, this->task({Step, Index})->LastRun) + 1;
+  for (size_t Member = 0; Member < this->spec(Job, Step).Count; ++Member)
+    Last = std::max(Last, this->task({Step, Member})->LastRun);
+  return Last + 1;
+}
+
+Planner::Planner(PlannerSetup Setup)
+    : D(std::make_unique<Private>(std::move(Setup))) {}
+
+Planner::~Planner() = default;
+
+void Planner::addJob(AcceptedJob Job) {
+  const JobId Id = Job.Spec.Id;
+  if (this->D->Jobs.contains(Id) || this->D->FinalJobs.contains(Id))
+    return;
+  this->D->log("job-taken", {{"job", Id}, {"queue", Job.Policy.Name}});
+  this->D->insertJob(std::move(Job));
+}
+
+void Planner::restoreJob(AcceptedJob Job, const JobProgress &Progress) {
+  const JobId Id = Job.Spec.Id;
+  if (this->D->Jobs.contains(Id) || this->D->FinalJobs.contains(Id))
+    return;
+  JobRecord &Record = this->D->insertJob(std::move(Job));
+  Record.State = Record.Shown = Progress.State;
+  for (const auto &[Key, Stored] : Progress.Tasks) {
+    TaskRecord *Task = this->D->task(Key);
+    if (!Task)
+      continue;
+    Task->Stored = Stored;
+    if (Stored.IsDone)
+      ++Record.Occurrences[static_cast<size_t>(Key.Of.Occurrence)]
+            .Steps[Key.Of.Step]
+            .Done;
+    Record.HasStarted = true;
+  }
+  this->D->log("job-restored",
+               {{"job", Id},
+                {"state", nameOf(JobStateNames, Record.State)},
+                {"tasks", Progress.Tasks.size()}});
+  this->D->finishIfDone(Record);
+}
+
+void Planner::restoreFinalJob(const JobId &Job, JobState State) {
+  this->D->FinalJobs[Job] = State;
+}
+
+std::optional<uint64_t> Planner::cancel(const JobId &Job) {
+  if (this->D->FinalJobs.contains(Job))
+    return 0;
+  JobRecord *Record = this->D->job(Job);
+  if (!Record)
+    return std::nullopt;
+  if (!isFinal(Record->State))
+    this->D->setState(*Record, JobState::Cancelled);
+  return Record->LastChange;
+}
+
+std::optional<JobState> Planner::shownState(const JobId &Job) const {
+  const auto Over = this->D->FinalJobs.find(Job);
+  if (Over != this->D->FinalJobs.end())
+    return Over->second;
+  const JobRecord *Record = this->D->job(Job);
+  if (!Record)
+    return std::nullopt;
+  if (isFinal(Record->Shown))
+    return Record->Shown;
+  return Record->HasStarted ? JobState::Running : JobState::Queued;
+}
+
+size_t Planner::waitingJobs(std::string_view QueueName) const {
+  return static_cast<size_t>(
+      std::count_if(this->D->Jobs.begin(), this->D->Jobs.end(),
+                    [QueueName](const auto &Entry) {
+                      const JobRecord &Job = Entry.second;
+                      return !Job.HasStarted && !isFinal(Job.State) &&
+                             Job.Policy.Name == QueueName;
+                    }));
+}
+
+void Planner::setQueues(const QueueTable &Queues) {
+  this->D->Services.clear();
+  for (const ServicePolicy &Service : Queues.configuration().Services)
+    this->D->Services[Service.Name] = Service;
+  for (auto &[Id, Job] : this->D->Jobs)
+    if (const Queue *Newest = Queues.named(Job.Policy.Name))
+      Job.Policy = *Newest;
+}
+
+bool Planner::hasUrgentWrites() const { return this->D->HasUrgentWrites; }
+
+std::vector<JobWrite> Planner::takeWrites(size_t Most) {
+  std::vector<JobWrite> Writes;
+  bool IsAnyEndLeft = false;
+  const auto Take = [&](bool TakesEnds) {
+    for (auto &[Id, Job] : this->D->Jobs) {
+      if (Job.FirstUnstored == 0 || Job.IsBeingWritten ||
+          isFinal(Job.State) != TakesEnds)
+        continue;
+      if (Writes.size() >= Most) {
+        IsAnyEndLeft = IsAnyEndLeft || TakesEnds;
+        return;
+      }
+      JobWrite Write;
+      Write.Job = Id;
+      Write.Progress.State = Job.State;
+      Write.Through = this->D->Changes;
+      for (size_t K = 0; K < Job.Occurrences.size(); ++K)
+        for (size_t S = 0; S < Job.Occurrences[K].Steps.size(); ++S)
+          for (size_t I = 0; I < Job.Occurrences[K].Steps[S].Tasks.size();
+               ++I) {
+            const TaskProgress &Stored =
+                Job.Occurrences[K].Steps[S].Tasks[I].Stored;
+            if (Stored.IsDone || !Stored.FailedRuns.empty() ||
+                !Stored.Checkpoint.empty())
+              Write.Progress.Tasks.emplace(
+                  TaskKey{{Id, static_cast<int64_t>(K), S}, I}, Stored);
+          }
+      Job.IsBeingWritten = true;
+      Writes.push_back(std::move(Write));
+    }
+  };
+  // Clients wait for ends, so these go first.
+  Take(true);
+  Take(false);
+  this->D->HasUrgentWrites = IsAnyEndLeft;
+  return Writes;
+}
+
+void Planner::noteWritten(const std::vector<JobWrite> &Writes) {
+  for (const JobWrite &Write : Writes) {
+    JobRecord *Job = this->D->job(Write.Job);
+    if (!Job)
+      continue;
+    Job->IsBeingWritten = false;
+    Job->Shown = Write.Progress.State;
+    const bool IsCurrent = Job->LastChange <= Write.Through;
+    Job->FirstUnstored = IsCurrent ? 0 : Write.Through + 1;
+    this->D->dropIfOver(Write.Job);
+  }
+}
+
+void Planner::noteWriteFailed(const std::vector<JobWrite> &Writes) {
+  for (const JobWrite &Write : Writes)
+    if (JobRecord *Job = this->D->job(Write.Job)) {
+      Job->IsBeingWritten = false;
+      this->D->HasUrgentWrites =
+          this->D->HasUrgentWrites || isFinal(Job->State);
+    }
+}
+
+uint64_t Planner::storedThrough() const {
+  uint64_t Through = this->D->Changes;
+  for (const auto &[Id, Job] : this->D->Jobs)
+    if (Job.FirstUnstored != 0)
+      Through = std::min(Through, Job.FirstUnstored - 1);
+  return Through;
+}
+
+uint64_t Planner::changes() const { return this->D->Changes; }
+
+bool Planner::isKnownExecutor(const ExecutorId &Of) const {
+  return this->D->Workers.contains(Of);
+}
+
+uint64_t Planner::forgettableEnd(const ExecutorId &Of) const {
+  const auto Found = this->D->Workers.find(Of);
+  if (Found == this->D->Workers.end())
+    return 0;
+  WorkerRecord &Worker = Found->second;
+  const uint64_t Through = this->storedThrough();
+  while (!Worker.UnforgottenEnds.empty() &&
+         Worker.UnforgottenEnds.front().second <= Through) {
+    Worker.ForgettableEnd = Worker.UnforgottenEnds.front().first;
+    Worker.UnforgottenEnds.pop_front();
+  }
+  return Worker.ForgettableEnd;
+}
+
+PlannerCounts Planner::counts() const {
+  PlannerCounts Counts;
+  Counts.Jobs = this->D->Jobs.size();
+  for (const auto &[Id, Job] : this->D->Jobs) {
+    Counts.RunningTasks += Job.OpenRuns;
+    if (!Job.HasStarted && !isFinal(Job.State))
+      ++Counts.WaitingJobs;
+  }
+  Counts.Executors = this->D->Workers.size();
+  for (const auto &[Id, Worker] : this->D->Workers)
+    if (Worker.IsListed && Worker.IsReachable && Worker.HasReported &&
+        !Worker.Info.IsDraining)
+      ++Counts.UsableExecutors;
+  return Counts;
+}
+
+} // namespace whintack::jobs
--- /dev/null
+++ b/src/libs/jobs/stepplacement.cpp
@@ -0,0 +1,75 @@
+#include "stepplacement.h"
+
+#include <algorithm>
+#include <map>
+
+namespace whintack::jobs::Internal {
+
+std::string rackOf(const ExecutorInfo &Executor) {
+  constexpr size_t RackPosition = 1;
+  if (Executor.Labels.size() <= RackPosition)
+    return {};
+  return Executor.Labels[RackPosition];
+}
+
+PlacementScore scorePlacement(const StepSpec &Spec,
+                              const ExecutorInfo &Executor, const Room &Free,
+                              const std::string &Rack) {
+  (void)Executor;
+  PlacementScore Score;
+  Score.IsFarFromData = !Spec.DataRack.empty() && Rack != Spec.DataRack;
+  const int64_t Left = Free.MilliCores - Spec.bookedRoom().MilliCores;
+  Score.LeftOver = Spec.IsLongRunning ? -Left : Left;
+  return Score;
+}
+
+static size_t tasksThatFit(const StepSpec &Spec, const Room &Free) {
+  const Room Need = Spec.bookedRoom();
+  int64_t Fit = static_cast<int64_t>(Spec.Count);
+  if (Need.MilliCores > 0)
+    Fit = std::min(Fit, Free.MilliCores / Need.MilliCores);
+  if (Need.MemoryMb > 0)
+    Fit = std::min(Fit, Free.MemoryMb / Need.MemoryMb);
+  if (Need.Gpus > 0)
+    Fit = std::min(Fit, Free.Gpus / Need.Gpus);
+  if (Spec.MostPerExecutor > 0)
+    Fit = std::min(Fit, static_cast<int64_t>(Spec.MostPerExecutor));
+  return static_cast<size_t>(std::max<int64_t>(Fit, 0));
+}
+
+std::string roomiestRack(const StepSpec &Spec,
+                         const std::vector<RackRoom> &Rooms) {
+  std::map<std::string, size_t> Fit;
+  for (const RackRoom &Each : Rooms)
+    Fit[Each.Rack] += tasksThatFit(Spec, Each.Free);
+  std::string Best;
+  size_t Most = 0;
+  for (const auto &[Rack, Count] : Fit)
+    if (Count > Most) {
+      Best = Rack;
+      Most = Count;
+    }
+  return Best;
+}
+
+JobEffort estimateEffort(const JobSpec &Spec) {
+  constexpr double MillisPerSecond = 1000;
+  JobEffort Effort;
+  std::vector<Duration> Ends(Spec.Steps.size(), Duration::zero());
+  for (size_t Index = 0; Index < Spec.Steps.size(); ++Index) {
+    const StepSpec &Step = Spec.Steps[Index];
+    Duration Begin = Duration::zero();
+    for (const size_t Earlier : Step.After)
+      Begin = std::max(Begin, Ends[Earlier]);
+    Ends[Index] = Begin + Step.Estimate;
+    Effort.Chain = std::max(Effort.Chain, Ends[Index]);
+    Effort.Work += static_cast<double>(Step.Count) *
+                   (static_cast<double>(Step.Need.MilliCores) /
+                    MillisPerSecond) *
+                   (static_cast<double>(toMilliseconds(Step.Estimate)) /
+                    MillisPerSecond);
+  }
+  return Effort;
+}
+
+} // namespace whintack::jobs::Internal
--- a/src/libs/peers/include/whintack/peers/message.h
+++ b/src/libs/peers/include/whintack/peers/message.h
@@ -1,6 +1,7 @@
 #ifndef WHINTACK_PEERS_MESSAGE_H
 #define WHINTACK_PEERS_MESSAGE_H
 
+#include "whintack/base/enumnames.h"
 #include "whintack/base/event.h"
 #include "whintack/base/eventjournal.h"
 #include "whintack/routing/claimtable.h"
@@ -108,13 +109,74 @@
   std::vector<Event> Events;
 };
 
+/// What an entry VM asks the one that plans a service.
+enum class ServiceCallKind {
+  /// Plan the job that is enclosed.
+  SubmitJob,
+  CancelJob,
+  JobState,
+  WaitingJobs,
+  /// Keep new work from the executor and move away what lasts.
+  EvacuateExecutor,
+  /// The executor may be used again.
+  ReleaseExecutor,
+  /// Everything on the executor has been ended with its machine.
+  ExecutorEmptied,
+};
+
+inline constexpr EnumNames<ServiceCallKind, 7> ServiceCallNames = {{
+    {ServiceCallKind::SubmitJob, "submit-job"},
+    {ServiceCallKind::CancelJob, "cancel-job"},
+    {ServiceCallKind::JobState, "job-state"},
+    {ServiceCallKind::WaitingJobs, "waiting-jobs"},
+    {ServiceCallKind::EvacuateExecutor, "evacuate-executor"},
+    {ServiceCallKind::ReleaseExecutor, "release-executor"},
+    {ServiceCallKind::ExecutorEmptied, "executor-emptied"},
+}};
+
+/// Asks the planner of a service about a job, a queue or an executor.
+struct ServiceCall {
+  CallId Id = 0;
+  ServiceName Service;
+  ServiceCallKind Kind = ServiceCallKind::JobState;
+  /// Names the job, queue or executor.
+  std::string Subject;
+  std::string Content;
+};
+
+/// How a ServiceCall ended.
+enum class ServiceOutcome {
+  Done,
+  /// The planner does not know the subject.
+  Unknown,
+  /// The receiver does not plan the service.
+  NotPlanner,
+  /// The planner could not do it now.
+  Failed,
+};
+
+inline constexpr EnumNames<ServiceOutcome, 4> ServiceOutcomeNames = {{
+    {ServiceOutcome::Done, "done"},
+    {ServiceOutcome::Unknown, "unknown"},
+    {ServiceOutcome::NotPlanner, "not-planner"},
+    {ServiceOutcome::Failed, "failed"},
+}};
+
+/// Answers a ServiceCall.
+struct ServiceAnswer {
+  CallId Id = 0;
+  ServiceOutcome Outcome = ServiceOutcome::Failed;
+  std::string Content;
+};
+
 /// Any message between entry VMs.
 using Message =
     std::variant<Hello, Heartbeat, HeadNotice, ContentRequest, ContentAnswer,
                  routing::LoanRequest, routing::LoanGrant, routing::LoanReturn,
                  routing::LeavingNotice, ClaimRequest, ClaimAnswer, ClaimSettle,
                  ClaimForget, ClaimTableRequest, ClaimTablePart, RunningRequest,
-                 RunningAnswer, TimelineRequest, TimelineAnswer>;
+                 RunningAnswer, TimelineRequest, TimelineAnswer, ServiceCall,
+                 ServiceAnswer>;
 
 } // namespace whintack::peers
 
--- a/src/libs/peers/include/whintack/peers/peernetwork.h
+++ b/src/libs/peers/include/whintack/peers/peernetwork.h
@@ -36,6 +36,9 @@
   Address Listener;
   std::vector<PeerEndpoint> Peers;
   PeerTlsFiles Tls;
+  /// Whether peers that are not listed yet may connect; their messages count
+  /// from the start, and setPeers() makes the link back.
+  bool AcceptsNewcomers = false;
 };
 
 /// What is known of a peer.
@@ -85,6 +88,10 @@
   /// Closes all links.
   void close();
 
+  /// Replaces the list of peers: opens links to new ones and to those whose
+  /// address has changed, and closes links to those that are gone.
+  void setPeers(const std::vector<PeerEndpoint> &Peers);
+
   /// Sends if there is a link. Returns false if there is none.
   bool send(const EntryName &Peer, const Message &Sent);
   /// Sends to all peers that have a link.
--- a/src/libs/peers/messagecodec.cpp
+++ b/src/libs/peers/messagecodec.cpp
@@ -220,6 +220,22 @@
       Out.events.push_back(toWire(One));
     this->Body.Set(std::move(Out));
   }
+  void operator()(const ServiceCall &Sent) const {
+    wire::ServiceCallT Out;
+    Out.id = Sent.Id;
+    Out.service = Sent.Service.text();
+    Out.kind = static_cast<uint8_t>(Sent.Kind);
+    Out.subject = Sent.Subject;
+    Out.content = Sent.Content;
+    this->Body.Set(std::move(Out));
+  }
+  void operator()(const ServiceAnswer &Sent) const {
+    wire::ServiceAnswerT Out;
+    Out.id = Sent.Id;
+    Out.outcome = static_cast<uint8_t>(Sent.Outcome);
+    Out.content = Sent.Content;
+    this->Body.Set(std::move(Out));
+  }
 };
 
 } // namespace
@@ -314,6 +330,23 @@
   }
 }
 
+static std::optional<Message> readServiceBody(wire::BodyUnion &In) {
+  if (const auto *Read = In.AsServiceCall()) {
+    if (Read->kind >= ServiceCallNames.size())
+      return std::nullopt;
+    return ServiceCall{Read->id, ServiceName(Read->service),
+                       static_cast<ServiceCallKind>(Read->kind), Read->subject,
+                       Read->content};
+  }
+  if (const auto *Read = In.AsServiceAnswer()) {
+    if (Read->outcome >= ServiceOutcomeNames.size())
+      return std::nullopt;
+    return ServiceAnswer{Read->id, static_cast<ServiceOutcome>(Read->outcome),
+                         Read->content};
+  }
+  return std::nullopt;
+}
+
 static std::optional<Message> readBody(wire::BodyUnion &In) {
   switch (In.type) {
   case wire::Body::Hello: {
@@ -345,6 +378,8 @@
   }
   if (std::optional<Message> Read = readRoutingBody(In))
     return Read;
+  if (std::optional<Message> Read = readServiceBody(In))
+    return Read;
   return readClaimBody(In);
 }
 
--- a/src/libs/peers/peernetwork.cpp
+++ b/src/libs/peers/peernetwork.cpp
@@ -77,7 +77,15 @@
   asio::io_context Context;
   asio::ip::tcp::acceptor Acceptor{Context};
   asio::steady_timer BeatTimer{Context};
-  std::map<EntryName, std::shared_ptr<Internal::OutgoingLink>> Links;
+  using LinkMap = std::map<EntryName, std::shared_ptr<Internal::OutgoingLink>>;
+  LinkMap links() const;
+  std::shared_ptr<Internal::OutgoingLink> link(const EntryName &Peer) const;
+  void openLink(const PeerEndpoint &Peer);
+  void setPeers(const std::vector<PeerEndpoint> &Peers);
+
+  std::string Greeting;
+  mutable std::mutex LinksMutex;
+  LinkMap Links;
   std::vector<std::weak_ptr<Internal::IncomingLink>> Incoming;
   mutable std::mutex Mutex;
   std::map<EntryName, Internal::PeerState> States;
@@ -124,13 +132,57 @@
   this->Thread = std::thread([this] { this->Context.run(); });
 }
 
+PeerNetwork::Private::LinkMap PeerNetwork::Private::links() const {
+  const std::lock_guard<std::mutex> Lock(this->LinksMutex);
+  return this->Links;
+}
+
+std::shared_ptr<Internal::OutgoingLink>
+PeerNetwork::Private::link(const EntryName &Peer) const {
+  const std::lock_guard<std::mutex> Lock(this->LinksMutex);
+  const auto Found = this->Links.find(Peer);
+  return Found == this->Links.end() ? nullptr : Found->second;
+}
+
+void PeerNetwork::Private::openLink(const PeerEndpoint &Peer) {
+  auto Link = std::make_shared<Internal::OutgoingLink>(
+      this->Context, Peer, this->Tls, this->Greeting, this->Source);
+  {
+    const std::lock_guard<std::mutex> Lock(this->LinksMutex);
+    this->Links[Peer.Name] = Link;
+  }
+  Link->start();
+  this->sendHeartbeat(*Link);
+}
+
 void PeerNetwork::Private::startLinks() {
-  const std::string Greeting = *this->encode(this->Setup.Self);
-  for (const PeerEndpoint &Peer : this->Setup.Peers) {
-    auto Link = std::make_shared<Internal::OutgoingLink>(
-        this->Context, Peer, this->Tls, Greeting, this->Source);
-    this->Links.emplace(Peer.Name, Link);
-    Link->start();
+  this->Greeting = *this->encode(this->Setup.Self);
+  for (const PeerEndpoint &Peer : this->Setup.Peers)
+    this->openLink(Peer);
+}
+
+/// Runs on the network's thread.
+void PeerNetwork::Private::setPeers(const std::vector<PeerEndpoint> &Peers) {
+  std::map<EntryName, PeerEndpoint> Wanted;
+  for (const PeerEndpoint &Peer : Peers)
+    Wanted.emplace(Peer.Name, Peer);
+  for (const auto &[Name, Link] : this->links()) {
+    const auto Kept = Wanted.find(Name);
+    if (Kept != Wanted.end() && Kept->second.Link == Link->peer().Link) {
+      Wanted.erase(Kept);
+      continue;
+    }
+    Link->stop();
+    const std::lock_guard<std::mutex> Lock(this->LinksMutex);
+    this->Links.erase(Name);
+  }
+  this->Setup.Peers = Peers;
+  for (const auto &[Name, Peer] : Wanted) {
+    {
+      const std::lock_guard<std::mutex> Lock(this->Mutex);
+      this->States[Name].DataCentre = Peer.DataCentre;
+    }
+    this->openLink(Peer);
   }
 }
 
@@ -141,7 +193,7 @@
     error_code Ignored;
     this->Acceptor.close(Ignored);
     this->BeatTimer.cancel();
-    for (const auto &[Name, Link] : this->Links)
+    for (const auto &[Name, Link] : this->links())
       Link->stop();
     for (const auto &Weak : this->Incoming)
       if (const auto Link = Weak.lock())
@@ -186,7 +238,7 @@
 }
 
 void PeerNetwork::Private::beat() {
-  for (const auto &[Name, Link] : this->Links)
+  for (const auto &[Name, Link] : this->links())
     this->sendHeartbeat(*Link);
   this->checkPeers();
   this->BeatTimer.expires_after(this->heartbeatInterval());
@@ -210,9 +262,9 @@
       Change.Kind = IsUsable ? EventKind::PeerFound : EventKind::PeerLost;
       Change.Text = "peer " + Name.text();
       Changes.push_back(std::move(Change));
-      const auto Link = this->Links.find(Name);
-      if (!IsUsable && Link != this->Links.end())
-        Link->second->restart();
+      const auto Link = this->link(Name);
+      if (!IsUsable && Link)
+        Link->restart();
     }
   }
   for (Event &Change : Changes)
@@ -242,9 +294,9 @@
     State.HeadRevision = Received.HeadRevision;
     State.IsReady = Received.IsReady;
   }
-  const auto Link = this->Links.find(Sender);
-  if (IsNewlyHeard && Link != this->Links.end())
-    this->sendHeartbeat(*Link->second);
+  const auto Link = this->link(Sender);
+  if (IsNewlyHeard && Link)
+    this->sendHeartbeat(*Link);
   this->checkPeers();
 }
 
@@ -258,7 +310,7 @@
   this->Stamps.observe(Received->Stamp);
   if (const auto *Greeting = std::get_if<Hello>(&Received->Body)) {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
-    if (!this->States.contains(Greeting->Name))
+    if (!this->States.contains(Greeting->Name) && !this->Setup.AcceptsNewcomers)
       return false;
     *Sender = Greeting->Name;
   }
@@ -294,20 +346,25 @@
 
 void PeerNetwork::close() { this->D->close(); }
 
+void PeerNetwork::setPeers(const std::vector<PeerEndpoint> &Peers) {
+  asio::post(this->D->Context,
+             [D = this->D, Peers] { D->setPeers(Peers); });
+}
+
 bool PeerNetwork::send(const EntryName &Peer, const Message &Sent) {
-  const auto Link = this->D->Links.find(Peer);
-  if (Link == this->D->Links.end())
+  const auto Link = this->D->link(Peer);
+  if (!Link)
     return false;
   const auto Framed = this->D->encode(Sent);
   ++this->D->Traffic.MessagesSent;
   this->D->Traffic.BytesSent += Framed->size();
   asio::post(this->D->Context,
-             [Target = Link->second, Framed] { Target->send(Framed); });
+             [Link, Framed] { Link->send(Framed); });
   return this->isUsable(Peer);
 }
 
 void PeerNetwork::broadcast(const Message &Sent) {
-  for (const auto &[Name, Link] : this->D->Links)
+  for (const auto &[Name, Link] : this->D->links())
     this->send(Name, Sent);
 }
 
--- a/src/libs/settings/include/whintack/settings/settings.h
+++ b/src/libs/settings/include/whintack/settings/settings.h
@@ -38,6 +38,20 @@
   Address Link;
 };
 
+/// What an entry VM needs on the users' own platform.
+struct FleetSettings {
+  /// Whether the VM takes jobs in and plans them there.
+  bool IsEnabled = false;
+  /// Where the platform asks whether the VM takes connections.
+  Address ReadyListener;
+  /// Lists, maintains and moves machines.
+  Address Machines;
+  /// Advises which executors may run a step; port 0 for none.
+  Address Advice;
+  /// Longest time for which executors let tasks run without word from us.
+  Duration LongestLease = std::chrono::seconds(6);
+};
+
 /// Settings of one entry VM.
 struct EntrySettings {
   EntryName Name;
@@ -69,6 +83,7 @@
   /// How long a graceful stop waits for requests in flight.
   Duration StopTimeout = std::chrono::seconds(60);
   LogLevel LowestLogged = LogLevel::Info;
+  FleetSettings Fleet;
 };
 
 /// Parses and checks the settings of an entry VM. \p File is named in errors.
--- a/src/libs/settings/settings.cpp
+++ b/src/libs/settings/settings.cpp
@@ -74,6 +74,24 @@
     Root.error("listen", "'listen' needs callers, operators and peers");
 }
 
+static void readFleet(document::FieldReader &Root, EntrySettings &Read) {
+  Root.mapping("fleet", [&Read](document::FieldReader &Reader) {
+    FleetSettings &Fleet = Read.Fleet;
+    Fleet.IsEnabled = true;
+    Fleet.ReadyListener = readAddress(Reader, "ready");
+    Fleet.Machines = readAddress(Reader, "machines");
+    if (const std::string Advice = Reader.text("advice", ""); !Advice.empty()) {
+      if (const std::optional<Address> Parsed = parseAddress(Advice))
+        Fleet.Advice = *Parsed;
+      else
+        Reader.error("advice", "'" + Advice + "' is not an address");
+    }
+    Fleet.LongestLease =
+        Reader.duration("longest-lease", Fleet.LongestLease,
+                        std::chrono::milliseconds(100), std::chrono::hours(1));
+  });
+}
+
 static void readTlsFiles(document::FieldReader &Root, EntrySettings &Read) {
   Root.mapping("tls", [&Read](document::FieldReader &Reader) {
     Read.CallerTls = readTls(Reader, "callers");
@@ -121,6 +139,7 @@
     Read.Operators.push_back(readOperator(Reader));
   });
   readTlsFiles(Root, Read);
+  readFleet(Root, Read);
   readLimits(Root, Read);
   Read.PollInterval =
       Root.duration("poll-interval", Read.PollInterval,
@@ -169,6 +188,11 @@
       {"poll-interval", "time between looks at the platform",
        "20ms to 10s, 500ms"},
       {"stop-timeout", "longest wait of a graceful stop", "1s to 1d, 60s"},
+      {"fleet.ready", "where the users' platform asks for readiness",
+       "ip:port; a section 'fleet' turns jobs on"},
+      {"fleet.machines", "the platform's list of machines", "ip:port"},
+      {"fleet.advice", "the platform's advice on executors", "ip:port"},
+      {"fleet.longest-lease", "longest lease of tasks", "100ms to 1h, 6s"},
       {"log-level", "lowest level logged", "info, warning, error; info"},
   };
 }
--- a/src/libs/store/include/whintack/store/keyvaluestore.h
+++ b/src/libs/store/include/whintack/store/keyvaluestore.h
@@ -28,9 +28,11 @@
   OverBudget,
   /// The answer cannot be understood.
   BadAnswer,
+  /// The changes asked for have been dropped.
+  HistoryLost,
 };
 
-inline constexpr EnumNames<StoreErrorCode, 7> StoreErrorNames = {{
+inline constexpr EnumNames<StoreErrorCode, 8> StoreErrorNames = {{
     {StoreErrorCode::Unreachable, "unreachable"},
     {StoreErrorCode::Ambiguous, "ambiguous"},
     {StoreErrorCode::Conflict, "conflict"},
@@ -38,6 +40,7 @@
     {StoreErrorCode::TooLarge, "too-large"},
     {StoreErrorCode::OverBudget, "over-budget"},
     {StoreErrorCode::BadAnswer, "bad-answer"},
+    {StoreErrorCode::HistoryLost, "history-lost"},
 }};
 
 /// Error of the platform layer.
