--- a/cmake/whintack.cmake
+++ b/cmake/whintack.cmake
@@ -1,3 +1,10 @@
+# Headers that take long to read and that most sources include, read once.
+add_library(whintack_pch OBJECT ${CMAKE_CURRENT_LIST_DIR}/pch.cpp)
+target_link_libraries(whintack_pch PRIVATE cpprestsdk::cpprest)
+target_precompile_headers(whintack_pch PRIVATE
+  <boost/outcome/result.hpp> <cpprest/json.h> <functional> <map> <memory>
+  <mutex> <sstream> <string> <vector>)
+
 # Declares the static library whintack_NAME in the current folder.
 #   whintack_add_library(NAME SOURCES a.cpp ... [DEPENDS ...] [PRIVATE_DEPENDS ...])
 function(whintack_add_library name)
@@ -9,6 +16,10 @@
   target_link_libraries(whintack_${name}
     PUBLIC ${ARG_DEPENDS}
     PRIVATE ${ARG_PRIVATE_DEPENDS})
+  if("cpprestsdk::cpprest" IN_LIST ARG_DEPENDS OR
+     "cpprestsdk::cpprest" IN_LIST ARG_PRIVATE_DEPENDS)
+    target_precompile_headers(whintack_${name} REUSE_FROM whintack_pch)
+  endif()
 endfunction()
 
 # Declares the test program tst_NAME and registers it with CTest.
--- a/src/libs/commands/commandentry.cpp
+++ b/src/libs/commands/commandentry.cpp
@@ -16,8 +16,29 @@
 /// Largest answer that the platform's services are read of, in bytes.
 static constexpr size_t MostAnswerBytes = 16U << 20U;
 
+/// Reads the settings again after SIGHUP. The log level is taken over at once;
+/// everything else holds from the next start. Settings with errors change
+/// nothing.
+static void reloadSettings(const std::string &File) {
+  const auto Content = document::readFile(File);
+  if (!Content) {
+    logEvent(LogLevel::Error, "reload-failed",
+             {{"file", File}, {"cause", Content.error().text()}});
+    return;
+  }
+  const auto Read = settings::parseEntrySettings(File, Content.value());
+  if (!Read) {
+    logEvent(LogLevel::Error, "reload-failed",
+             {{"file", File}, {"cause", Read.error().text()}});
+    return;
+  }
+  setLogLevel(Read.value().LowestLogged);
+  logEvent(LogLevel::Info, "settings-reloaded", {{"file", File}});
+}
+
 /// Runs the entry VM on the users' own platform until it is asked to stop.
 static ExitCode runOnPlatform(const settings::EntrySettings &Settings,
+                              const std::string &File,
                               const StopRequest &Stop) {
   const Clock Time = systemClock();
   TimerQueue Timers(Time);
@@ -38,7 +59,8 @@
   }
   logEvent(LogLevel::Info, "node-started",
            {{"node", Settings.Name}, {"data-centre", Settings.DataCentre}});
-  Stop.wait();
+  while (Stop.next() == ProcessRequest::Reload)
+    reloadSettings(File);
   logEvent(LogLevel::Info, "node-stopping", {{"node", Settings.Name}});
   const size_t CutOff = Node.stop();
   logEvent(LogLevel::Info, "node-stopped", {{"cut-off", CutOff}});
@@ -72,7 +94,7 @@
   http::initializeHttpThreads(
       static_cast<unsigned>(Settings.value().HttpThreads));
   if (Settings.value().Fleet.IsEnabled)
-    return static_cast<int>(runOnPlatform(Settings.value(), Stop));
+    return static_cast<int>(runOnPlatform(Settings.value(), File, Stop));
   const Clock Time = systemClock();
   TimerQueue Timers(Time);
   entry::EntryNode Node(Settings.value(), Time, systemRandom(), Timers);
--- a/src/libs/commands/stoprequest.cpp
+++ b/src/libs/commands/stoprequest.cpp
@@ -13,15 +13,27 @@
   return Signals;
 }
 
+static sigset_t allSignals() {
+  sigset_t Signals = stopSignals();
+  sigaddset(&Signals, SIGHUP);
+  return Signals;
+}
+
 StopRequest::StopRequest() {
-  const sigset_t Signals = stopSignals();
+  const sigset_t Signals = allSignals();
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
 }
 
-void StopRequest::wait() const {
-  const sigset_t Signals = stopSignals();
+ProcessRequest StopRequest::next() const {
+  const sigset_t Signals = allSignals();
   int Taken = 0;
   sigwait(&Signals, &Taken);
+  return Taken == SIGHUP ? ProcessRequest::Reload : ProcessRequest::Stop;
+}
+
+void StopRequest::wait() const {
+  while (this->next() != ProcessRequest::Stop)
+    continue;
 }
 
 bool StopRequest::waitFor(Duration Length) const {
--- a/src/libs/dispatch/executorboard.cpp
+++ b/src/libs/dispatch/executorboard.cpp
@@ -17,8 +17,13 @@
 void ExecutorBoard::start() { this->later(); }
 
 void ExecutorBoard::lookNow() {
-  if (this->IsLooking || this->IsStopped)
+  if (this->IsStopped)
     return;
+  if (this->IsLooking) {
+    // The list being read may be older than what the caller asks for.
+    this->LooksAgain = true;
+    return;
+  }
   this->IsLooking = true;
   this->Reading.clear();
   this->look("");
@@ -67,6 +72,10 @@
     return;
   }
   this->IsLooking = false;
+  if (std::exchange(this->LooksAgain, false)) {
+    this->lookNow();
+    return;
+  }
   this->OnList(this->Reading);
 }
 
--- a/src/libs/dispatch/executorboard.h
+++ b/src/libs/dispatch/executorboard.h
@@ -38,6 +38,7 @@
   /// Keys whose unreadable entry has been logged.
   std::set<std::string> Unreadable;
   bool IsLooking = false;
+  bool LooksAgain = false;
   bool IsStopped = false;
 };
 
--- a/src/libs/dispatch/fleetnode.cpp
+++ b/src/libs/dispatch/fleetnode.cpp
@@ -327,12 +327,15 @@
   Environment.DecodeJob = this->Connections.Words.DecodeJob;
   Environment.Queues = Table;
   Environment.ClaimValidUntil = ValidUntil;
+  Environment.ListMachines = this->Connections.Machines.List;
+  Environment.LookForExecutors = [Executors = this->Executors] {
+    Executors->lookNow();
+  };
   Environment.LongestLease = this->Settings.Fleet.LongestLease;
   Environment.OnLost = Lost;
   auto Shard = std::make_shared<ServiceShard>(this->Shared, Environment, Given);
   this->Shards[Given.Shard] = Shard;
   Shard->start();
-  this->Executors->lookNow();
 }
 
 void FleetNode::Private::loseShard(const std::string &Shard,
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -14,6 +14,8 @@
 /// How long the advice service may take beyond what the queue's policy says;
 /// calls wait for each other there.
 static constexpr Duration AdviceSlack = std::chrono::milliseconds(1500);
+static constexpr Duration CensusTimeout = std::chrono::milliseconds(1000);
+static constexpr Duration CensusRetry = std::chrono::milliseconds(200);
 /// Kept of a ticket's validity for the order's way.
 static constexpr Duration TicketMargin = std::chrono::milliseconds(100);
 
@@ -38,6 +40,10 @@
         Duration(static_cast<int64_t>(
             static_cast<double>(this->Environment.LongestLease.count()) /
             SlowestRate));
+  if (this->Won.Generation > 1) {
+    this->Census = CensusState::Needed;
+    this->Planner.beginCensus();
+  }
   this->Records = std::make_shared<ShardStore>(this->Shared, this->Service,
                                                this->Won.Token);
   this->Records->load([Weak = this->weak_from_this()](
@@ -138,8 +144,8 @@
           Self->takeNotices(Items);
       });
   this->Notices->start();
-  if (this->HasExecutors)
-    this->setExecutors(std::exchange(this->Listed, {}));
+  // The list may be older than the claim; another is on its way.
+  this->Environment.LookForExecutors();
   this->flush();
 }
 
@@ -194,12 +200,8 @@
 void ServiceShard::setExecutors(const std::vector<jobs::ExecutorInfo> &Now) {
   if (this->IsStopped)
     return;
-  const bool IsFirst = !this->HasExecutors || !this->IsLoaded;
-  this->HasExecutors = true;
-  if (!this->IsLoaded) {
-    this->Listed = Now;
+  if (!this->IsLoaded)
     return;
-  }
   this->Planner.setExecutors(Now, this->Shared.now());
   std::set<jobs::ExecutorId> Seen;
   for (const jobs::ExecutorInfo &Info : Now) {
@@ -212,8 +214,10 @@
     else
       Known->second->setAddress(Info.Server);
   }
-  if (this->Won.Generation > 1 && (IsFirst || this->Links.empty()))
+  if (this->Census == CensusState::Needed) {
     this->Planner.awaitReports({Seen.begin(), Seen.end()});
+    this->takeCensus();
+  }
   std::erase_if(this->Links, [&](const auto &Entry) {
     // A link stays until nothing can run there: the list may be wrong.
     const bool IsOver = !Seen.contains(Entry.first) &&
@@ -225,6 +229,56 @@
   this->requestPlan();
 }
 
+/// Learns of executors that the list of the store lacks, because their entries
+/// lapsed: an earlier planner's tasks may run on them.
+void ServiceShard::takeCensus() {
+  this->Census = CensusState::Taking;
+  this->Environment.ListMachines(
+      this->Shared.now() + CensusTimeout,
+      onLoop<ServiceShard,
+             jobs::GatewayResult<std::vector<jobs::MachineInfo>>>(
+          this->Shared.Loop, this->shared_from_this(),
+          [](ServiceShard &Self,
+             const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found) {
+            Self.takeMachines(Found);
+          }));
+}
+
+void ServiceShard::takeMachines(
+    const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found) {
+  if (this->IsStopped)
+    return;
+  const TimePoint Now = this->Shared.now();
+  if (!Found && Now < this->EarlierLeasesOver) {
+    scheduleFor(this->Shared.Loop, this->shared_from_this(),
+                Now + CensusRetry,
+                [](ServiceShard &Self) { Self.takeCensus(); });
+    return;
+  }
+  std::vector<jobs::ExecutorId> Hidden;
+  if (Found)
+    for (const jobs::MachineInfo &Machine : Found.value())
+      if (Machine.Pool == this->Service && !Machine.Executor.isEmpty() &&
+          !this->Links.contains(Machine.Executor))
+        Hidden.push_back(Machine.Executor);
+  logEvent(LogLevel::Info, "census-taken",
+           {{"shard", this->Won.Shard},
+            {"machines", Found ? Found.value().size() : 0},
+            {"hidden", Hidden.size()}});
+  this->Planner.awaitReports(Hidden);
+  this->Planner.endCensus();
+  this->Census = CensusState::Done;
+  scheduleFor(this->Shared.Loop, this->shared_from_this(),
+              this->EarlierLeasesOver, [Hidden](ServiceShard &Self) {
+                for (const jobs::ExecutorId &Id : Hidden)
+                  if (!Self.Links.contains(Id))
+                    Self.Planner.noteEmpty(Id, "leases lapsed",
+                                           Self.Shared.now());
+                Self.requestPlan();
+              });
+  this->requestPlan();
+}
+
 LinkHooks ServiceShard::linkHooks() {
   // Links run on the loop, as this object does, and are closed with it.
   LinkHooks Hooks;
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -20,6 +20,9 @@
   std::function<std::shared_ptr<const jobs::QueueTable>()> Queues;
   /// Until when the claim certainly holds.
   std::function<TimePoint()> ClaimValidUntil;
+  decltype(jobs::MachineGateway::List) ListMachines;
+  /// Asks for a fresh list of executors.
+  std::function<void()> LookForExecutors;
   Duration LongestLease = Duration::zero();
   /// The claim is lost; the shard is to be dropped.
   std::function<void(const std::string &Shard, const std::string &Cause)>
@@ -48,6 +51,12 @@
   bool isLoaded() const { return this->IsLoaded; }
 
 private:
+  /// Whether it is known on which executors an earlier planner's tasks may run.
+  enum class CensusState { NotNeeded, Needed, Taking, Done };
+
+  void takeCensus();
+  void takeMachines(
+      const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found);
   void takeContents(const ShardStore::Contents &Loaded);
   void restore(const store::StoreItem &Item,
                const std::unordered_map<std::string, std::string> &Progress);
@@ -78,7 +87,6 @@
   std::shared_ptr<ShardStore> Records;
   std::shared_ptr<PrefixWatch> Notices;
   std::map<jobs::ExecutorId, std::shared_ptr<ExecutorLink>> Links;
-  std::vector<jobs::ExecutorInfo> Listed;
   std::unordered_map<jobs::JobId, std::string> QueueNames;
   /// Answers that wait until a change is stored.
   std::multimap<uint64_t, std::function<void()>> AwaitingStore;
@@ -87,8 +95,8 @@
   TimePoint ClaimedAt;
   TimePoint LastPlan = TimePoint::min();
   TimePoint NextFlush = TimePoint::min();
+  CensusState Census = CensusState::NotNeeded;
   bool IsLoaded = false;
-  bool HasExecutors = false;
   bool IsPlanRequested = false;
   bool IsWriting = false;
   bool IsStopped = false;
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -89,6 +89,10 @@
   void setQueues(const QueueTable &Queues);
   /// Adopts the list of the service's executors.
   void setExecutors(const std::vector<ExecutorInfo> &Listed, TimePoint Now);
+  /// From now on until endCensus() tasks that an earlier planner may have
+  /// started are not started anew.
+  void beginCensus();
+  void endCensus();
   /// Tasks that may run on one of \p Executors are not started elsewhere
   /// until each has reported or its leases have lapsed.
   void awaitReports(const std::vector<ExecutorId> &Executors);
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -204,6 +204,7 @@
   std::map<ServiceName, ServicePolicy> Services;
   std::map<StepKey, Internal::AdviceRecord> Advice;
   std::set<ExecutorId> Awaited;
+  bool IsInCensus = false;
   ExecutorJudge Judge;
   std::vector<Order> Orders;
   uint64_t Changes = 0;
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -94,7 +94,13 @@
   this->D->Awaited.insert(Executors.begin(), Executors.end());
 }
 
-bool Planner::isRecovering() const { return !this->D->Awaited.empty(); }
+void Planner::beginCensus() { this->D->IsInCensus = true; }
+
+void Planner::endCensus() { this->D->IsInCensus = false; }
+
+bool Planner::isRecovering() const {
+  return this->D->IsInCensus || !this->D->Awaited.empty();
+}
 
 void Planner::Private::takeDone(JobRecord &Job, const TaskKey &Key) {
   const bool IsGang = this->spec(Job, Key.Of).IsGang;
