--- a/src/libs/dispatch/executorlink.cpp
+++ b/src/libs/dispatch/executorlink.cpp
@@ -9,6 +9,9 @@
 static constexpr Duration ReportSlack = std::chrono::milliseconds(700);
 /// Ends that come within this time are taken in one report.
 static constexpr Duration CoalesceTime = std::chrono::milliseconds(10);
+/// How long a report waits until what the last one said is stored.
+static constexpr Duration LongestAcknowledgement =
+    std::chrono::milliseconds(150);
 /// Time in which an executor answers an order; orders take it milliseconds.
 static constexpr Duration OrderTimeout = std::chrono::milliseconds(800);
 static constexpr Duration FirstRetry = std::chrono::milliseconds(100);
@@ -48,13 +51,19 @@
     this->again(FirstRetry);
     return;
   }
+  if (!this->canAcknowledge()) {
+    this->again(CoalesceTime);
+    return;
+  }
   jobs::ReportRequest Wanted;
   Wanted.Token = this->Setup.Token;
   Wanted.ForgetThrough = this->Hooks.ForgettableEnd(this->Setup.To.Id);
   // The first call tells the executor's clock, and all that runs there.
-  if (this->Clocks.isKnown()) {
+  // One that does not answer is lent no more time: what it runs has to be over
+  // before it is started elsewhere.
+  if (this->Clocks.isKnown() && this->IsReachable) {
     Wanted.LeaseUntil = this->nextLease();
-    Wanted.Wait = this->IsReachable ? ReportWait : Duration::zero();
+    Wanted.Wait = ReportWait;
   }
   this->Gateway.Report(
       this->Setup.To, Wanted, this->Shared.now() + Wanted.Wait + ReportSlack,
@@ -82,9 +91,23 @@
     this->IsReachable = true;
     this->Hooks.OnReachable(this->Setup.To.Id, true);
   }
-  const bool HasEnds = !Answer.value().Ended.empty();
+  this->LastEnd = Answer.value().Ended.empty()
+                      ? 0
+                      : Answer.value().Ended.back().Number;
   this->Hooks.OnReport(this->Setup.To.Id, Answer.value());
-  this->again(HasEnds ? CoalesceTime : Duration::zero());
+  if (this->LastEnd == 0) {
+    this->again(Duration::zero());
+    return;
+  }
+  this->AcknowledgeBy = this->Shared.now() + LongestAcknowledgement;
+  this->again(CoalesceTime);
+}
+
+/// Whether the ends of the last report can be acknowledged. Until then the
+/// executor would answer at once, with the same ends.
+bool ExecutorLink::canAcknowledge() const {
+  return this->LastEnd == 0 || this->Shared.now() >= this->AcknowledgeBy ||
+         this->Hooks.ForgettableEnd(this->Setup.To.Id) >= this->LastEnd;
 }
 
 void ExecutorLink::noteFailure(const jobs::GatewayError &Cause) {
--- a/src/libs/dispatch/executorlink.h
+++ b/src/libs/dispatch/executorlink.h
@@ -59,6 +59,7 @@
   void report();
   void takeReport(jobs::GatewayResult<jobs::ExecutorReport> Answer);
   void noteFailure(const jobs::GatewayError &Cause);
+  bool canAcknowledge() const;
   void sendStarts();
   void takeStart(const jobs::StartOrder &Order,
                  const jobs::StartAnswer &Answer);
@@ -73,6 +74,9 @@
   jobs::ClockMap Clocks;
   std::deque<jobs::StartOrder> Waiting;
   size_t OpenStarts = 0;
+  /// Last end of the last report; 0 if it had none.
+  uint64_t LastEnd = 0;
+  TimePoint AcknowledgeBy = TimePoint::min();
   bool HasReported = false;
   bool IsReachable = true;
   bool IsEmptyTold = false;
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -4,17 +4,22 @@
 
 namespace whintack::dispatch::Internal {
 
-/// Progress that no client waits for is stored this often at most; executors
-/// keep their ends until then.
-static constexpr Duration FlushInterval = std::chrono::milliseconds(500);
-/// Ends that clients wait for are gathered for this long.
-static constexpr Duration UrgentFlushInterval = std::chrono::milliseconds(15);
+/// Changes are gathered for this long before they are stored: links wait for
+/// it before they listen for the next end.
+static constexpr Duration FlushInterval = std::chrono::milliseconds(15);
+/// When what could not be stored is tried again.
+static constexpr Duration FlushRetry = std::chrono::milliseconds(100);
 /// Slowest rate of an executor's clock.
 static constexpr double SlowestRate = 0.98;
 /// How long the advice service may take beyond what the queue's policy says;
 /// calls wait for each other there.
 static constexpr Duration AdviceSlack = std::chrono::milliseconds(1500);
 static constexpr Duration CensusTimeout = std::chrono::milliseconds(1000);
+/// Time between two looks at the machines while executors are silent.
+static constexpr Duration SilentLookInterval = std::chrono::milliseconds(600);
+/// When an earlier planner's claim has certainly run out.
+static constexpr Duration RescanDelay =
+    NodeLease::Length + std::chrono::seconds(1);
 static constexpr Duration CensusRetry = std::chrono::milliseconds(200);
 /// Kept of a ticket's validity for the order's way.
 static constexpr Duration TicketMargin = std::chrono::milliseconds(100);
@@ -144,6 +149,10 @@
           Self->takeNotices(Items);
       });
   this->Notices->start();
+  if (this->Won.Generation > 1)
+    scheduleFor(this->Shared.Loop, this->shared_from_this(),
+                this->ClaimedAt + RescanDelay,
+                [](ServiceShard &Self) { Self.rescan(); });
   // The list may be older than the claim; another is on its way.
   this->Environment.LookForExecutors();
   this->flush();
@@ -292,7 +301,7 @@
   Hooks.OnReport = [this](const jobs::ExecutorId &Id,
                           const jobs::ExecutorReport &Report) {
     this->Planner.noteReport(Id, Report, this->Shared.now());
-    this->flush();
+    this->requestFlush();
     this->requestPlan();
   };
   Hooks.OnStart = [this](const jobs::StartOrder &Order,
@@ -307,6 +316,11 @@
   };
   Hooks.OnReachable = [this](const jobs::ExecutorId &Id, bool IsReachable) {
     this->Planner.setReachable(Id, IsReachable, this->Shared.now());
+    if (!IsReachable && this->Silent.insert(Id).second &&
+        this->Silent.size() == 1)
+      this->lookAtSilent();
+    if (IsReachable)
+      this->Silent.erase(Id);
     this->requestPlan();
   };
   Hooks.OnEmpty = [this](const jobs::ExecutorId &Id, std::string_view Cause) {
@@ -317,6 +331,69 @@
   return Hooks;
 }
 
+/// Asks the platform about executors that do not answer: one whose machine is
+/// down, or runs another executor, runs nothing any more.
+void ServiceShard::lookAtSilent() {
+  this->Environment.ListMachines(
+      this->Shared.now() + CensusTimeout,
+      onLoop<ServiceShard,
+             jobs::GatewayResult<std::vector<jobs::MachineInfo>>>(
+          this->Shared.Loop, this->shared_from_this(),
+          [](ServiceShard &Self,
+             const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found) {
+            Self.judgeSilent(Found);
+          }));
+}
+
+void ServiceShard::judgeSilent(
+    const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found) {
+  if (this->IsStopped)
+    return;
+  if (Found && !Found.value().empty()) {
+    std::set<jobs::ExecutorId> Up;
+    for (const jobs::MachineInfo &Machine : Found.value())
+      if (Machine.State == jobs::MachineState::Up)
+        Up.insert(Machine.Executor);
+    std::erase_if(this->Silent, [&](const jobs::ExecutorId &Id) {
+      if (Up.contains(Id))
+        return false;
+      this->Planner.noteEmpty(Id, "its machine is down or has been replaced",
+                              this->Shared.now());
+      return true;
+    });
+    this->requestPlan();
+  }
+  if (this->Silent.empty())
+    return;
+  scheduleFor(this->Shared.Loop, this->shared_from_this(),
+              this->Shared.now() + SilentLookInterval,
+              [](ServiceShard &Self) {
+                std::erase_if(Self.Silent, [&Self](const auto &Id) {
+                  return Self.Planner.occupancy(Id) == jobs::Occupancy::Vacant;
+                });
+                if (!Self.IsStopped && !Self.Silent.empty())
+                  Self.lookAtSilent();
+              });
+}
+
+/// Looks for jobs that doors told an earlier planner of while this one read
+/// the records.
+void ServiceShard::rescan() {
+  this->Records->load([Weak = this->weak_from_this()](
+                          const ShardStore::Contents &Loaded) {
+    const auto Self = Weak.lock();
+    if (!Self || Self->IsStopped)
+      return;
+    const size_t Prefix = keys::jobs(Self->Service).size();
+    for (const store::StoreItem &Item : Loaded.Jobs) {
+      const jobs::JobId Id(Item.Key.substr(Prefix));
+      if (!Self->Planner.shownState(Id))
+        Self->restore(Item, {});
+    }
+    Self->requestPlan();
+  });
+}
+
 void ServiceShard::openLink(const jobs::ExecutorInfo &Info) {
   LinkSetup Setup;
   Setup.To = {Info.Id, Info.Server};
@@ -349,7 +426,7 @@
     this->Planner.plan(Now, this->Shared.Time.WallNow());
   for (const jobs::Order &Given : this->Planner.takeOrders())
     this->carryOut(Given);
-  this->flush();
+  this->requestFlush();
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
               this->Planner.nextPlan(Now, this->Shared.Time.WallNow()),
               [Now](ServiceShard &Self) {
@@ -407,19 +484,28 @@
   return Found == this->QueueNames.end() ? std::string() : Found->second;
 }
 
+void ServiceShard::requestFlush() {
+  if (this->IsFlushRequested || this->IsWriting || this->IsStopped)
+    return;
+  this->IsFlushRequested = true;
+  scheduleFor(this->Shared.Loop, this->shared_from_this(),
+              std::max(this->NextFlush, this->Shared.now()),
+              [](ServiceShard &Self) {
+                Self.IsFlushRequested = false;
+                Self.flush();
+              });
+}
+
 void ServiceShard::flush() {
   if (this->IsWriting || this->IsStopped)
     return;
-  const TimePoint Now = this->Shared.now();
-  if (Now < this->NextFlush && !this->Planner.hasUrgentWrites())
-    return;
   const std::vector<jobs::JobWrite> Writes =
       this->Planner.takeWrites(MostWritesAtOnce);
   if (Writes.empty()) {
     this->answerStored();
     return;
   }
-  this->NextFlush = Now + FlushInterval;
+  this->NextFlush = this->Shared.now() + FlushInterval;
   this->IsWriting = true;
   this->Records->write(
       Writes, [this](const jobs::JobId &Job) { return this->queueOf(Job); },
@@ -439,15 +525,14 @@
     return;
   case ShardStore::WriteOutcome::Failed:
     this->Planner.noteWriteFailed(Writes);
+    this->NextFlush = this->Shared.now() + FlushRetry;
     break;
   case ShardStore::WriteOutcome::Written:
     this->Planner.noteWritten(Writes);
     this->answerStored();
     break;
   }
-  scheduleFor(this->Shared.Loop, this->shared_from_this(),
-              this->Shared.now() + UrgentFlushInterval,
-              [](ServiceShard &Self) { Self.flush(); });
+  this->requestFlush();
 }
 
 void ServiceShard::answerStored() {
@@ -467,7 +552,6 @@
 
 void ServiceShard::drain(std::function<void()> Done) {
   this->OnDrained = std::move(Done);
-  this->NextFlush = TimePoint::min();
   this->flush();
 }
 
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -71,6 +71,11 @@
   void plan();
   void carryOut(const jobs::Order &Given);
   void ask(const jobs::AdviceOrder &Question);
+  void lookAtSilent();
+  void judgeSilent(
+      const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found);
+  void rescan();
+  void requestFlush();
   void flush();
   void takeWritten(const std::vector<jobs::JobWrite> &Writes,
                    ShardStore::WriteOutcome Outcome);
@@ -88,6 +93,8 @@
   std::shared_ptr<PrefixWatch> Notices;
   std::map<jobs::ExecutorId, std::shared_ptr<ExecutorLink>> Links;
   std::unordered_map<jobs::JobId, std::string> QueueNames;
+  /// Executors that do not answer.
+  std::set<jobs::ExecutorId> Silent;
   /// Answers that wait until a change is stored.
   std::multimap<uint64_t, std::function<void()>> AwaitingStore;
   std::function<void()> OnDrained;
@@ -98,6 +105,7 @@
   CensusState Census = CensusState::NotNeeded;
   bool IsLoaded = false;
   bool IsPlanRequested = false;
+  bool IsFlushRequested = false;
   bool IsWriting = false;
   bool IsStopped = false;
 };
--- a/src/libs/jobs/include/whintack/jobs/jobqueue.h
+++ b/src/libs/jobs/include/whintack/jobs/jobqueue.h
@@ -22,8 +22,10 @@
 
 /// Decides which of two jobs gets room first, for the load "each queue in its
 /// turn asks several times what its pool holds": jobs that can still be on
-/// time go before those that cannot, and among them the one with the least
-/// work, so that most jobs are on time; late ones go by age.
+/// time go first, the one with the least work before others, so that most are
+/// on time; then those that can still earn as late, the one that has to end
+/// first before others, so that large ones do not starve; then the rest by
+/// age.
 bool goesBefore(const JobStanding &First, const JobStanding &Second,
                 TimePoint Now);
 
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -473,7 +473,8 @@
     const TaskRecord &Task = *this->task({Step, Index});
     const bool IsAtWork = Task.Current &&
                           Task.Current->Phase == RunPhase::Running &&
-                          Task.Current->Percent >= 100;
+                          Task.Current->Percent >= 100 &&
+                          this->Workers[Task.Current->On].IsReachable;
     if (!IsAtWork)
       ++Away;
   }
@@ -514,6 +515,9 @@
 }
 
 Occupancy Planner::occupancy(const ExecutorId &Of) const {
+  // What an earlier planner started there is not known yet.
+  if (this->D->Awaited.contains(Of))
+    return Occupancy::Protected;
   const auto Found = this->D->Workers.find(Of);
   if (Found == this->D->Workers.end() || Found->second.Runs.empty())
     return Occupancy::Vacant;
