--- a/src/libs/jobs/include/whintack/jobs/jobqueue.h
+++ b/src/libs/jobs/include/whintack/jobs/jobqueue.h
@@ -11,6 +11,9 @@
 struct JobStanding {
   /// 0 goes first.
   int64_t Priority = 0;
+  /// Its tasks run until it is cancelled. It needs little room and earns all
+  /// the time, so it goes before jobs that end.
+  bool Lasts = false;
   TimePoint Accepted;
   /// Until when a job that ends still earns in full.
   TimePoint Objective;
--- a/src/libs/jobs/jobqueue.cpp
+++ b/src/libs/jobs/jobqueue.cpp
@@ -29,6 +29,8 @@
                 TimePoint Now) {
   if (First.Priority != Second.Priority)
     return First.Priority < Second.Priority;
+  if (First.Lasts != Second.Lasts)
+    return First.Lasts;
   const Prospect OfFirst = prospectOf(First, Now);
   const Prospect OfSecond = prospectOf(Second, Now);
   if (OfFirst != OfSecond)
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -61,6 +61,10 @@
     for (size_t Step = 0; Step < Occurrence.Steps.size(); ++Step)
       Occurrence.Steps[Step].Tasks.resize(Job.Spec.Steps[Step].Count);
   }
+  Job.Effort = estimateEffort(Job.Spec);
+  auto &[Mean, Count] = this->WorkOfQueues[Job.Policy.Name];
+  ++Count;
+  Mean += (Job.Effort.Work - Mean) / static_cast<double>(Count);
   const JobId Id = Job.Spec.Id;
   return this->Jobs.insert_or_assign(Id, std::move(Job)).first->second;
 }
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -4,6 +4,7 @@
 #include "whintack/jobs/executorjudge.h"
 #include "whintack/jobs/fillpace.h"
 #include "whintack/jobs/jobqueue.h"
+#include "stepplacement.h"
 #include "whintack/jobs/planner.h"
 
 #include <deque>
@@ -33,6 +34,9 @@
   std::optional<ExecutorTime> ConfirmedAt;
   /// When the executor confirmed a stop, by its clock.
   std::optional<ExecutorTime> StopConfirmedAt;
+  /// From when on a start that was not answered is given up, unless a report
+  /// lists it; never while it is answered or on its way.
+  TimePoint DoubtedFrom = TimePoint::max();
   /// When a stop that was not confirmed is sent again.
   TimePoint NextStop = TimePoint::max();
   TimePoint Since;
@@ -85,6 +89,8 @@
   bool IsBeingWritten = false;
   /// Runs not known to be over.
   size_t OpenRuns = 0;
+  /// Estimated once; the steps do not change.
+  JobEffort Effort;
 };
 
 /// Tickets of one step.
@@ -160,6 +166,7 @@
                    TimePoint Now);
   void setPace(Internal::WorkerRecord &Worker, const ExecutorReport &Report,
                TimePoint Now);
+  void leave(Internal::WorkerRecord &Worker);
   void stopGang(const StepKey &Step);
   void resendStops(TimePoint Now);
 
@@ -189,6 +196,9 @@
                   TimePoint Now);
   size_t tasksOn(const StepKey &Step, const ExecutorId &On);
   size_t awayTasks(const Internal::JobRecord &Job, const StepKey &Step);
+  /// Keeps room on one executor free for a task that lasts and fits nowhere.
+  void reserveFor(const Internal::JobRecord &Job, const TaskKey &Key,
+                  std::vector<Internal::Candidate> &Candidates, TimePoint Now);
   JobStanding standing(const Internal::JobRecord &Job) const;
 
   void log(std::string_view Event, std::initializer_list<LogField> Fields) {
@@ -206,6 +216,8 @@
   std::set<ExecutorId> Awaited;
   bool IsInCensus = false;
   ExecutorJudge Judge;
+  /// Mean work of the jobs taken in, by queue, in core-seconds.
+  std::map<std::string, std::pair<double, size_t>> WorkOfQueues;
   std::vector<Order> Orders;
   uint64_t Changes = 0;
   bool HasUrgentWrites = false;
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -11,6 +11,9 @@
 static constexpr Duration NoRoomPause = std::chrono::milliseconds(100);
 /// Time after which a stop without an answer is sent again.
 static constexpr Duration StopRetry = std::chrono::milliseconds(500);
+/// How long the reports of an executor are watched for a start that it did not
+/// answer; a start takes effect within milliseconds, or seconds late.
+static constexpr Duration DoubtTime = std::chrono::milliseconds(300);
 /// Pause before a malformed order is tried again; only a newer configuration
 /// or program can change the answer.
 static constexpr Duration MalformedPause = std::chrono::seconds(1);
@@ -69,6 +72,8 @@
                   {"address", Info.Server.text()}});
     Worker.Info = Info;
     Worker.IsListed = true;
+    if (Info.IsDraining)
+      this->D->leave(Worker);
   }
   for (auto Entry = this->D->Workers.begin();
        Entry != this->D->Workers.end();) {
@@ -90,6 +95,19 @@
   (void)Now;
 }
 
+/// Moves what would be lost away from an executor that drains: it ends
+/// everything when it leaves.
+void Planner::Private::leave(WorkerRecord &Worker) {
+  for (const auto &[Key, Number] : Worker.Runs) {
+    const JobRecord &Job = *this->job(Key.Of.Job);
+    const StepSpec &Spec = this->spec(Job, Key.Of);
+    TaskRecord &Task = *this->task(Key);
+    if (Task.Current->Phase == RunPhase::Running && !Spec.IsGang &&
+        (Spec.IsLongRunning || Spec.IsCheckpointing))
+      this->orderStop(Key, Task);
+  }
+}
+
 void Planner::awaitReports(const std::vector<ExecutorId> &Executors) {
   this->D->Awaited.insert(Executors.begin(), Executors.end());
 }
@@ -224,6 +242,7 @@
     return;
   }
   RunRecord &Run = *Task->Current;
+  Run.DoubtedFrom = TimePoint::max();
   if (Run.Phase == RunPhase::Starting)
     Run.Phase = RunPhase::Running;
   if (!Run.ConfirmedAt)
@@ -250,6 +269,8 @@
     if (Running.contains(Key))
       continue;
     const RunRecord &Run = *Task.Current;
+    if (Now >= Run.DoubtedFrom)
+      this->orderStop(Key, Task);
     const bool WasThere = Run.ConfirmedAt && *Run.ConfirmedAt < Report.At;
     const bool IsBarred =
         Run.StopConfirmedAt && *Run.StopConfirmedAt < Report.At;
@@ -265,7 +286,6 @@
       this->stopGang(Key.Of);
     this->dropIfOver(Key.Of.Job);
   }
-  (void)Now;
 }
 
 void Planner::Private::setPace(WorkerRecord &Worker,
@@ -357,8 +377,9 @@
                                           Worker.Pace.percent()});
     return;
   case StartOutcome::Unknown:
+    // It may well run: a report tells, before it is stopped in vain.
     this->D->Judge.noteUnwell(Order.On, Now);
-    this->D->orderStop(Order.Task, *Task);
+    Task->Current->DoubtedFrom = Now + DoubtTime;
     return;
   case StartOutcome::OtherIncarnation:
     this->noteEmpty(Order.On, "other incarnation", Now);
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -32,14 +32,26 @@
   return Sound.empty() ? Suspect : Sound;
 }
 
+/// Every second job ranks as if it were no larger than its queue's mean, so
+/// that large jobs are served at least half as often as others.
+static bool isProtected(const JobId &Id) {
+  return std::hash<std::string>()(Id.text()) % 2 == 0;
+}
+
 JobStanding Planner::Private::standing(const JobRecord &Job) const {
   JobStanding Standing;
   Standing.Priority = Job.Policy.Priority;
   Standing.Accepted = Job.Accepted;
-  const JobEffort Whole = estimateEffort(Job.Spec);
-  Standing.WorkLeft = Whole.Work;
-  Standing.ChainLeft = Duration::zero();
-  const auto Chain = static_cast<double>(Whole.Chain.count());
+  Standing.Lasts = std::any_of(
+      Job.Spec.Steps.begin(), Job.Spec.Steps.end(),
+      [](const StepSpec &Step) { return Step.IsLongRunning; });
+  Standing.WorkLeft = Job.Effort.Work;
+  if (isProtected(Job.Spec.Id)) {
+    const auto Queue = this->WorkOfQueues.find(Job.Policy.Name);
+    if (Queue != this->WorkOfQueues.end())
+      Standing.WorkLeft = std::min(Standing.WorkLeft, Queue->second.first);
+  }
+  const auto Chain = static_cast<double>(Job.Effort.Chain.count());
   Standing.Objective =
       Job.Accepted + Job.Policy.Objective +
       Duration(static_cast<int64_t>(Job.Policy.Stretch * Chain));
@@ -239,6 +251,10 @@
       continue;
     const TaskKey Key{Step, Index};
     Candidate *Place = this->choose(Job, Key, Candidates, Now);
+    if (!Place && Spec.IsLongRunning) {
+      this->reserveFor(Job, Key, Candidates, Now);
+      return;
+    }
     if (!Place) {
       const bool IsUnbound = Spec.RequiredLabel.empty() &&
                              !Spec.IsOnOneRack && Spec.MostPerExecutor == 0 &&
@@ -251,6 +267,21 @@
   }
 }
 
+void Planner::Private::reserveFor(const JobRecord &Job, const TaskKey &Key,
+                                  std::vector<Candidate> &Candidates,
+                                  TimePoint Now) {
+  Candidate *Best = nullptr;
+  for (Candidate &Each : Candidates) {
+    Candidate Emptied = Each;
+    Emptied.Free = Each.Worker->Info.Capacity;
+    if (this->mayRunOn(Job, Key, Emptied, Now) &&
+        (!Best || Each.Free.MilliCores > Best->Free.MilliCores))
+      Best = &Each;
+  }
+  if (Best)
+    Best->Free = {};
+}
+
 void Planner::Private::planJob(JobRecord &Job,
                                std::vector<Candidate> &Candidates,
                                TimePoint Now, WallTime WallNow) {
