--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -626,17 +626,6 @@
     this->requestPlan();
     return;
   }
-  case peers::ServiceCallKind::ExecutorEmptied:
-    this->Planner.noteEmpty(jobs::ExecutorId(Asked.Subject),
-                            "machine maintained", this->Shared.now());
-    Back({Asked.Id, ServiceOutcome::Done, ""});
-    this->requestPlan();
-    return;
-  case peers::ServiceCallKind::ReleaseExecutor:
-    this->Planner.endEvacuation(jobs::ExecutorId(Asked.Subject));
-    Back({Asked.Id, ServiceOutcome::Done, ""});
-    this->requestPlan();
-    return;
   }
 }
 
--- a/src/libs/dispatch/wavekeeper.cpp
+++ b/src/libs/dispatch/wavekeeper.cpp
@@ -188,7 +188,7 @@
   }
   for (auto &[Number, Of] : this->Waves)
     if (!Of.IsReported) {
-      Of.Course->noteMachines(Found.value());
+      Of.Course->noteMachines(Found.value(), this->Shared.now());
       this->step(Of);
     }
 }
@@ -254,27 +254,14 @@
           }));
 }
 
-void WaveKeeper::tellPlanner(const jobs::MachineInfo &Machine,
-                             peers::ServiceCallKind Kind) {
-  if (Machine.Executor.isEmpty())
-    return;
-  this->Environment.Calls->call(
-      {0, Machine.Pool, Kind, Machine.Executor.text(), ""}, PlannerTimeout,
-      [Machine](const CallResult &Answer) {
-        if (Answer.Outcome != CallOutcome::Done)
-          logEvent(LogLevel::Warning, "planner-not-told",
-                   {{"machine", Machine.Name},
-                    {"outcome", nameOf(CallOutcomeNames, Answer.Outcome)}});
-      });
-}
-
 void WaveKeeper::takeOrdered(uint64_t Number, const jobs::MachineInfo &Machine,
                              const jobs::GatewayResult<void> &Answer) {
   this->Busy.erase(Machine.Name);
   Wave &Of = this->Waves[Number];
   if (Answer) {
-    Of.Course->noteBegun(Machine.Name);
-    this->tellPlanner(Machine, peers::ServiceCallKind::ExecutorEmptied);
+    // The platform also confirms what it did for an earlier holder, so this
+    // does not tell that the executor has just ended.
+    Of.Course->noteBegun(Machine.Name, this->Shared.now());
     this->step(Of);
     return;
   }
--- a/src/libs/dispatch/wavekeeper.h
+++ b/src/libs/dispatch/wavekeeper.h
@@ -51,8 +51,6 @@
   void order(uint64_t Number, const jobs::MachineInfo &Machine);
   void takeOrdered(uint64_t Number, const jobs::MachineInfo &Machine,
                    const jobs::GatewayResult<void> &Answer);
-  void tellPlanner(const jobs::MachineInfo &Machine,
-                   peers::ServiceCallKind Kind);
   void record(Wave &Of);
   bool mayOrder() const;
 
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -117,10 +117,9 @@
   /// been replaced.
   void noteEmpty(const ExecutorId &Of, std::string_view Cause, TimePoint Now);
 
-  /// Gives an executor no new work and, within what their steps may miss,
-  /// moves away the tasks that last.
+  /// Gives an executor no new work for some seconds and, within what their
+  /// steps may miss, moves away the tasks that last.
   void evacuate(const ExecutorId &Of, TimePoint Now);
-  void endEvacuation(const ExecutorId &Of);
   /// What is left on an executor.
   Occupancy occupancy(const ExecutorId &Of) const;
 
--- a/src/libs/jobs/include/whintack/jobs/wavecourse.h
+++ b/src/libs/jobs/include/whintack/jobs/wavecourse.h
@@ -48,15 +48,15 @@
              const std::set<MachineName> &Begun);
 
   /// Adopts the platform's list of machines.
-  void noteMachines(const std::vector<MachineInfo> &Listed);
+  void noteMachines(const std::vector<MachineInfo> &Listed, TimePoint Now);
   /// Machines that are to be vacated now, those included that already are.
   std::vector<MachineInfo> vacate(TimePoint Now);
   /// Whether the machine may be ordered into maintenance now.
   bool mayOrder(const MachineName &Machine, Occupancy Left,
                 TimePoint Now) const;
   void noteOrdered(const MachineName &Machine);
-  /// The platform confirmed that the maintenance has begun.
-  void noteBegun(const MachineName &Machine);
+  /// The platform confirmed that the maintenance has begun, now or earlier.
+  void noteBegun(const MachineName &Machine, TimePoint Now);
   /// The platform refused the order and did nothing.
   void noteRefused(const MachineName &Machine);
 
@@ -74,6 +74,7 @@
     /// The executor before the order.
     ExecutorId Before;
     TimePoint VacatingSince;
+    TimePoint BegunAt = TimePoint::min();
   };
 
   Duration patience(TimePoint Now) const;
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -139,8 +139,12 @@
   const JobId Id = Job.Spec.Id;
   if (this->D->Jobs.contains(Id) || this->D->FinalJobs.contains(Id))
     return;
-  this->D->log("job-taken", {{"job", Id}, {"queue", Job.Policy.Name}});
-  this->D->insertJob(std::move(Job));
+  const JobRecord &Record = this->D->insertJob(std::move(Job));
+  this->D->log("job-taken",
+               {{"job", Id},
+                {"queue", Record.Policy.Name},
+                {"work", Record.Effort.Work},
+                {"chain-ms", toMilliseconds(Record.Effort.Chain)}});
 }
 
 void Planner::restoreJob(AcceptedJob Job, const JobProgress &Progress) {
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -108,7 +108,7 @@
   bool IsListed = false;
   bool IsReachable = true;
   bool HasReported = false;
-  bool IsEvacuating = false;
+  TimePoint EvacuatingUntil = TimePoint::min();
   /// Runs that no known job accounts for are on it.
   bool HasStrangers = false;
   Room Booked;
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -11,6 +11,8 @@
 static constexpr Duration NoRoomPause = std::chrono::milliseconds(100);
 /// Time after which a stop without an answer is sent again.
 static constexpr Duration StopRetry = std::chrono::milliseconds(500);
+/// How long an evacuation holds unless it is asked for again.
+static constexpr Duration EvacuationTime = std::chrono::seconds(2);
 /// How long the reports of an executor are watched for a start that it did not
 /// answer; a start takes effect within milliseconds, or seconds late.
 static constexpr Duration DoubtTime = std::chrono::milliseconds(300);
@@ -507,7 +509,7 @@
   if (Found == this->D->Workers.end())
     return;
   WorkerRecord &Worker = Found->second;
-  Worker.IsEvacuating = true;
+  Worker.EvacuatingUntil = Now + EvacuationTime;
   for (const auto &[Key, Number] : Worker.Runs) {
     JobRecord &Job = *this->D->job(Key.Of.Job);
     const StepSpec &Spec = this->D->spec(Job, Key.Of);
@@ -526,21 +528,14 @@
       this->D->orderStop(Key, Task);
     }
   }
-  (void)Now;
-}
-
-void Planner::endEvacuation(const ExecutorId &Of) {
-  const auto Found = this->D->Workers.find(Of);
-  if (Found != this->D->Workers.end())
-    Found->second.IsEvacuating = false;
 }
 
 Occupancy Planner::occupancy(const ExecutorId &Of) const {
-  // What an earlier planner started there is not known yet.
-  if (this->D->Awaited.contains(Of))
-    return Occupancy::Protected;
   const auto Found = this->D->Workers.find(Of);
-  if (Found == this->D->Workers.end() || Found->second.Runs.empty())
+  // What an earlier planner started there may not be known yet.
+  if (this->isRecovering() || Found == this->D->Workers.end())
+    return Occupancy::Protected;
+  if (Found->second.Runs.empty())
     return Occupancy::Vacant;
   for (const auto &[Key, Number] : Found->second.Runs) {
     const JobRecord &Job = *this->D->job(Key.Of.Job);
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -21,7 +21,7 @@
     const bool IsGuarded = Policy == this->Services.end() ||
                            Policy->second.ExecutorsRefuse;
     if (!Worker.IsListed || Worker.Info.IsDraining || !Worker.IsReachable ||
-        !Worker.HasReported || Worker.IsEvacuating ||
+        !Worker.HasReported || Now < Worker.EvacuatingUntil ||
         Now < Worker.NoRoomUntil || (Worker.HasStrangers && !IsGuarded))
       continue;
     Candidate Found{&Worker, Worker.free(), rackOf(Worker.Info)};
--- a/src/libs/jobs/wavecourse.cpp
+++ b/src/libs/jobs/wavecourse.cpp
@@ -7,6 +7,8 @@
 /// Time that a machine is down and its executor needs to come back; the
 /// platform maintains for 2 s, lists lag by up to 1 s.
 static constexpr Duration TurnLength = std::chrono::milliseconds(3500);
+/// How far the list of machines may lag behind an order.
+static constexpr Duration ListLag = std::chrono::milliseconds(1500);
 /// Longest wait for work that may be lost, even with time to spare.
 static constexpr Duration LongestPatience = std::chrono::seconds(4);
 
@@ -20,7 +22,8 @@
   }
 }
 
-void WaveCourse::noteMachines(const std::vector<MachineInfo> &Listed) {
+void WaveCourse::noteMachines(const std::vector<MachineInfo> &Listed,
+                              TimePoint Now) {
   this->HasList = true;
   for (auto &[Name, Each] : this->Machines)
     Each.IsListed = false;
@@ -31,8 +34,11 @@
     Machine &Each = Found->second;
     Each.IsListed = true;
     Each.Info = Info;
-    if (Each.Step == WaveStep::Begun && Info.State == MachineState::Up &&
-        (Info.Executor.isEmpty() || Info.Executor != Each.Before))
+    if (Each.Step != WaveStep::Begun || Info.State != MachineState::Up)
+      continue;
+    // The same executor long after the order: it was maintained before that.
+    const bool IsNew = Info.Executor.isEmpty() || Info.Executor != Each.Before;
+    if (IsNew || Now >= Each.BegunAt + ListLag)
       Each.Step = WaveStep::Over;
   }
   // A machine that has left for good needs no maintenance.
@@ -107,8 +113,9 @@
   Each.Before = Each.Info.Executor;
 }
 
-void WaveCourse::noteBegun(const MachineName &Name) {
+void WaveCourse::noteBegun(const MachineName &Name, TimePoint Now) {
   Machine &Each = this->Machines.at(Name);
+  Each.BegunAt = Now;
   if (Each.Step != WaveStep::Over)
     Each.Step = WaveStep::Begun;
 }
--- a/src/libs/peers/include/whintack/peers/message.h
+++ b/src/libs/peers/include/whintack/peers/message.h
@@ -117,21 +117,16 @@
   JobState,
   WaitingJobs,
   /// Keep new work from the executor and move away what lasts.
+  /// Holds for some seconds.
   EvacuateExecutor,
-  /// The executor may be used again.
-  ReleaseExecutor,
-  /// Everything on the executor has been ended with its machine.
-  ExecutorEmptied,
 };
 
-inline constexpr EnumNames<ServiceCallKind, 7> ServiceCallNames = {{
+inline constexpr EnumNames<ServiceCallKind, 5> ServiceCallNames = {{
     {ServiceCallKind::SubmitJob, "submit-job"},
     {ServiceCallKind::CancelJob, "cancel-job"},
     {ServiceCallKind::JobState, "job-state"},
     {ServiceCallKind::WaitingJobs, "waiting-jobs"},
     {ServiceCallKind::EvacuateExecutor, "evacuate-executor"},
-    {ServiceCallKind::ReleaseExecutor, "release-executor"},
-    {ServiceCallKind::ExecutorEmptied, "executor-emptied"},
 }};
 
 /// Asks the planner of a service about a job, a queue or an executor.
