--- a/src/libs/dispatch/executorboard.cpp
+++ b/src/libs/dispatch/executorboard.cpp
@@ -3,8 +3,9 @@
 namespace whintack::dispatch::Internal {
 
 /// Time between two looks: an executor that drains has to be noticed well
-/// within the 2 s in which it serves on.
-static constexpr Duration LookInterval = std::chrono::milliseconds(700);
+/// within the 2 s in which it serves on, and one that has been moved to a busy
+/// pool is waited for.
+static constexpr Duration LookInterval = std::chrono::milliseconds(400);
 
 ExecutorBoard::ExecutorBoard(
     Context Shared, std::string Prefix,
--- a/src/libs/dispatch/fleetnode.cpp
+++ b/src/libs/dispatch/fleetnode.cpp
@@ -4,6 +4,7 @@
 #include "executorboard.h"
 #include "jobdoor.h"
 #include "membership.h"
+#include "poolkeeper.h"
 #include "serviceshard.h"
 #include "storekeys.h"
 #include "wavekeeper.h"
@@ -76,6 +77,7 @@
   std::map<std::string, WonClaim> Won;
   std::map<std::string, std::shared_ptr<ServiceShard>> Shards;
   std::shared_ptr<WaveKeeper> Keeper;
+  std::shared_ptr<PoolKeeper> Mover;
   TimePoint SettledAt = TimePoint::max();
   std::atomic<bool> IsStopping{false};
   /// Read by the thread that answers the platform's question.
@@ -312,13 +314,20 @@
     return Self ? Self->Queues : nullptr;
   };
   if (Given.Shard == keys::FleetShard) {
-    this->Keeper = std::make_shared<WaveKeeper>(
-        this->Shared,
-        WaveEnvironment{this->Connections.Machines, this->Connections.Words,
-                        this->Calls, Table, ValidUntil, Lost},
-        this->Settings.Name, Given);
+    const WaveEnvironment Environment{this->Connections.Machines,
+                                      this->Connections.Words,
+                                      this->Calls,
+                                      Table,
+                                      ValidUntil,
+                                      Lost};
+    this->Keeper = std::make_shared<WaveKeeper>(this->Shared, Environment,
+                                                this->Settings.Name, Given);
     this->Keeper->start();
     this->Keeper->setWaves(this->Waves);
+    this->Mover = std::make_shared<PoolKeeper>(
+        this->Shared, Environment, this->Settings.Name, Given,
+        [Keeper = this->Keeper] { return Keeper->machinesInWork(); });
+    this->Mover->start();
     return;
   }
   ShardEnvironment Environment;
@@ -347,6 +356,8 @@
   if (Shard == keys::FleetShard && this->Keeper) {
     this->Keeper->stop();
     this->Keeper.reset();
+    this->Mover->stop();
+    this->Mover.reset();
   }
   if (const auto Found = this->Shards.find(Shard);
       Found != this->Shards.end()) {
@@ -427,6 +438,8 @@
   if (this->Keeper) {
     this->Keeper->stop();
     this->Keeper.reset();
+    this->Mover->stop();
+    this->Mover.reset();
   }
   for (const auto &[Name, Claimed] : this->Won) {
     const auto Found = this->Shards.find(Name);
--- /dev/null
+++ b/src/libs/dispatch/poolkeeper.h
@@ -0,0 +1,51 @@
+#ifndef WHINTACK_DISPATCH_POOLKEEPER_H
+#define WHINTACK_DISPATCH_POOLKEEPER_H
+
+#include "wavekeeper.h"
+
+#include "whintack/jobs/poolpolicy.h"
+
+namespace whintack::dispatch::Internal {
+
+/// Moves machines between pools after the demand that the planners tell, under
+/// the same claim as the keeper of waves.
+class PoolKeeper : public std::enable_shared_from_this<PoolKeeper> {
+public:
+  /// \p Reserved names machines that a wave works on.
+  PoolKeeper(Context Shared, WaveEnvironment Environment, EntryName Self,
+             WonClaim Won,
+             std::function<std::set<jobs::MachineName>()> Reserved);
+
+  void start();
+  void stop() { this->IsStopped = true; }
+
+private:
+  /// One round of asking the planners.
+  struct Round {
+    size_t Open = 0;
+    std::vector<jobs::PoolDemand> Demands;
+  };
+
+  void tick();
+  void ask();
+  void decide(const std::vector<jobs::PoolDemand> &Demands);
+  void propose(const jobs::MoveProposal &Move);
+  void order(const jobs::MoveProposal &Move);
+  bool mayOrder() const;
+
+  Context Shared;
+  WaveEnvironment Environment;
+  EntryName Self;
+  WonClaim Won;
+  std::function<std::set<jobs::MachineName>()> Reserved;
+  TimePoint OrdersFrom;
+  jobs::PoolPolicy Policy;
+  std::vector<jobs::MachineInfo> Machines;
+  /// Machines that were just ordered; the list may not show it yet.
+  std::map<jobs::MachineName, TimePoint> OrderedUntil;
+  bool IsStopped = false;
+};
+
+} // namespace whintack::dispatch::Internal
+
+#endif // WHINTACK_DISPATCH_POOLKEEPER_H
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -617,6 +617,10 @@
     Back({Asked.Id, ServiceOutcome::Done,
           std::to_string(this->Planner.waitingJobs(Asked.Subject))});
     return;
+  case peers::ServiceCallKind::PoolDemand:
+    Back({Asked.Id, ServiceOutcome::Done,
+          jobs::encodeDemand(this->Planner.demand(this->Shared.now()))});
+    return;
   case peers::ServiceCallKind::EvacuateExecutor: {
     const jobs::ExecutorId Id(Asked.Subject);
     this->Planner.evacuate(Id, this->Shared.now());
--- a/src/libs/dispatch/wavekeeper.cpp
+++ b/src/libs/dispatch/wavekeeper.cpp
@@ -13,9 +13,6 @@
 /// Time for one order; an order without an answer may have been carried out.
 static constexpr Duration OrderTimeout = std::chrono::milliseconds(1500);
 static constexpr Duration PlannerTimeout = std::chrono::milliseconds(500);
-/// Distance between the orders of two holders; above the 3 s within which the
-/// platform does not accept that holders take turns.
-static constexpr Duration HolderDistance = std::chrono::milliseconds(3500);
 /// Kept of a wave's time for the last machines' answers.
 static constexpr Duration EndMargin = std::chrono::seconds(2);
 
@@ -193,6 +190,14 @@
     }
 }
 
+std::set<jobs::MachineName> WaveKeeper::machinesInWork() const {
+  std::set<jobs::MachineName> Names;
+  for (const auto &[Number, Of] : this->Waves)
+    if (!Of.IsReported)
+      Names.merge(Of.Course->inWork());
+  return Names;
+}
+
 void WaveKeeper::step(Wave &Of) {
   if (!Of.IsStored || Of.StoredBegun != Of.Course->begun().size() ||
       (Of.Course->isCompleted() && !Of.IsReported))
--- a/src/libs/dispatch/wavekeeper.h
+++ b/src/libs/dispatch/wavekeeper.h
@@ -8,6 +8,10 @@
 
 namespace whintack::dispatch::Internal {
 
+/// Distance between the orders of two holders; above the 3 s within which the
+/// platform does not accept that holders take turns.
+constexpr Duration HolderDistance = std::chrono::milliseconds(3500);
+
 /// What the keeper of waves needs of its process.
 struct WaveEnvironment {
   jobs::MachineGateway Machines;
@@ -28,6 +32,8 @@
 
   void start();
   void stop() { this->IsStopped = true; }
+  /// Machines that are being vacated or may be down.
+  std::set<jobs::MachineName> machinesInWork() const;
   /// Adopts the waves that the operator asks for.
   void setWaves(const std::vector<jobs::WaveRequest> &Requests);
 
--- a/src/libs/jobs/include/whintack/jobs/jobqueue.h
+++ b/src/libs/jobs/include/whintack/jobs/jobqueue.h
@@ -23,6 +23,9 @@
   Duration ChainLeft = Duration::zero();
 };
 
+/// Whether a job that starts now can end in time, or late but with some worth.
+bool canStillEarn(const JobStanding &Job, TimePoint Now);
+
 /// Decides which of two jobs gets room first, for the load "each queue in its
 /// turn asks several times what its pool holds": jobs that can still be on
 /// time go first, the one with the least work before others, so that most are
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -5,6 +5,7 @@
 #include "whintack/jobs/configuration.h"
 #include "whintack/jobs/executor.h"
 #include "whintack/jobs/jobprogress.h"
+#include "whintack/jobs/poolpolicy.h"
 #include "whintack/jobs/wavecourse.h"
 
 #include <functional>
@@ -143,6 +144,8 @@
   uint64_t forgettableEnd(const ExecutorId &Of) const;
 
   PlannerCounts counts() const;
+  /// What the pool could use, for the policy that moves machines.
+  PoolDemand demand(TimePoint Now) const;
 
 private:
   class Private;
--- a/src/libs/jobs/include/whintack/jobs/wavecourse.h
+++ b/src/libs/jobs/include/whintack/jobs/wavecourse.h
@@ -61,6 +61,8 @@
   void noteRefused(const MachineName &Machine);
 
   std::set<MachineName> begun() const;
+  /// Machines that are being vacated or may be down.
+  std::set<MachineName> inWork() const;
   bool isCompleted() const;
   /// Machines that may be down.
   size_t down() const;
--- a/src/libs/jobs/jobqueue.cpp
+++ b/src/libs/jobs/jobqueue.cpp
@@ -25,6 +25,10 @@
   return Prospect::Nothing;
 }
 
+bool canStillEarn(const JobStanding &Job, TimePoint Now) {
+  return prospectOf(Job, Now) != Prospect::Nothing;
+}
+
 bool goesBefore(const JobStanding &First, const JobStanding &Second,
                 TimePoint Now) {
   if (First.Priority != Second.Priority)
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -199,6 +199,7 @@
   /// Keeps room on one executor free for a task that lasts and fits nowhere.
   void reserveFor(const Internal::JobRecord &Job, const TaskKey &Key,
                   std::vector<Internal::Candidate> &Candidates, TimePoint Now);
+  double startableWork(const Internal::JobRecord &Job) const;
   JobStanding standing(const Internal::JobRecord &Job) const;
 
   void log(std::string_view Event, std::initializer_list<LogField> Fields) {
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -320,6 +320,49 @@
     this->D->planJob(*Job, Candidates, Now, WallNow);
 }
 
+/// Estimated work of the tasks of a job that could start now, in core-seconds.
+double Planner::Private::startableWork(const JobRecord &Job) const {
+  constexpr double MicrosPerSecond = 1e6;
+  constexpr double MilliCoresPerCore = 1000;
+  double Work = 0;
+  for (size_t K = 0; K < Job.Occurrences.size(); ++K)
+    for (size_t S = 0; S < Job.Spec.Steps.size(); ++S) {
+      const StepSpec &Spec = Job.Spec.Steps[S];
+      if (Spec.IsLongRunning ||
+          !this->canStart(Job, {Job.Spec.Id, static_cast<int64_t>(K), S}))
+        continue;
+      const auto &Tasks = Job.Occurrences[K].Steps[S].Tasks;
+      const auto Waiting = std::count_if(
+          Tasks.begin(), Tasks.end(), [](const TaskRecord &Task) {
+            return !Task.Stored.IsDone && !Task.Current;
+          });
+      Work += static_cast<double>(Waiting) *
+              static_cast<double>(Spec.Need.MilliCores) / MilliCoresPerCore *
+              static_cast<double>(Spec.Estimate.count()) / MicrosPerSecond;
+    }
+  return Work;
+}
+
+PoolDemand Planner::demand(TimePoint Now) const {
+  constexpr double MilliCoresPerCore = 1000;
+  PoolDemand Demand;
+  Demand.Pool = this->D->Setup.Service;
+  for (const auto &[Id, Job] : this->D->Jobs)
+    if (!isFinal(Job.State) && !Job.Spec.isTimed() &&
+        canStillEarn(this->D->standing(Job), Now))
+      Demand.WaitingWork += this->D->startableWork(Job);
+  for (const auto &[Id, Worker] : this->D->Workers) {
+    if (!Worker.IsListed || Worker.Info.IsDraining || !Worker.IsReachable ||
+        !Worker.HasReported)
+      continue;
+    Demand.Cores += static_cast<double>(Worker.Info.Capacity.MilliCores) /
+                    MilliCoresPerCore;
+    if (Worker.Runs.empty() && !Worker.HasStrangers && !this->isRecovering())
+      Demand.Vacant.insert(Id);
+  }
+  return Demand;
+}
+
 std::vector<Order> Planner::takeOrders() {
   return std::exchange(this->D->Orders, {});
 }
--- a/src/libs/jobs/wavecourse.cpp
+++ b/src/libs/jobs/wavecourse.cpp
@@ -134,6 +134,15 @@
   return Names;
 }
 
+std::set<MachineName> WaveCourse::inWork() const {
+  std::set<MachineName> Names;
+  for (const auto &[Name, Each] : this->Machines)
+    if (Each.Step == WaveStep::Vacating || Each.Step == WaveStep::Ordered ||
+        Each.Step == WaveStep::Begun)
+      Names.insert(Name);
+  return Names;
+}
+
 bool WaveCourse::isCompleted() const {
   return this->HasList &&
          std::all_of(this->Machines.begin(), this->Machines.end(),
--- a/src/libs/peers/include/whintack/peers/message.h
+++ b/src/libs/peers/include/whintack/peers/message.h
@@ -119,14 +119,17 @@
   /// Keep new work from the executor and move away what lasts.
   /// Holds for some seconds.
   EvacuateExecutor,
+  /// What the service's pool could use.
+  PoolDemand,
 };
 
-inline constexpr EnumNames<ServiceCallKind, 5> ServiceCallNames = {{
+inline constexpr EnumNames<ServiceCallKind, 6> ServiceCallNames = {{
     {ServiceCallKind::SubmitJob, "submit-job"},
     {ServiceCallKind::CancelJob, "cancel-job"},
     {ServiceCallKind::JobState, "job-state"},
     {ServiceCallKind::WaitingJobs, "waiting-jobs"},
     {ServiceCallKind::EvacuateExecutor, "evacuate-executor"},
+    {ServiceCallKind::PoolDemand, "pool-demand"},
 }};
 
 /// Asks the planner of a service about a job, a queue or an executor.
