--- a/src/libs/jobs/include/whintack/jobs/poolpolicy.h
+++ b/src/libs/jobs/include/whintack/jobs/poolpolicy.h
@@ -13,6 +13,8 @@
   ServiceName Pool;
   /// Estimated work that could start now and can still earn, in core-seconds.
   double WaitingWork = 0;
+  /// Tasks that last and have no place.
+  size_t Displaced = 0;
   /// Processor room of the executors in use, in cores.
   double Cores = 0;
   /// Executors on which nothing runs.
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -199,6 +199,12 @@
   /// Keeps room on one executor free for a task that lasts and fits nowhere.
   void reserveFor(const Internal::JobRecord &Job, const TaskKey &Key,
                   std::vector<Internal::Candidate> &Candidates, TimePoint Now);
+  /// Whether the task fits on another executor now.
+  bool hasOtherPlace(const Internal::JobRecord &Job, const TaskKey &Key,
+                     TimePoint Now);
+  /// Tasks that last and have no place: not running, or on an executor that is
+  /// to be vacated.
+  size_t displacedTasks(TimePoint Now);
   double startableWork(const Internal::JobRecord &Job) const;
   JobStanding standing(const Internal::JobRecord &Job) const;
 
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -518,8 +518,9 @@
       continue;
     const bool MayStop =
         Spec.IsLongRunning
-            ? !Spec.HasMayMiss ||
-                  this->D->awayTasks(Job, Key.Of) < Spec.MayMiss
+            ? (!Spec.HasMayMiss ||
+               this->D->awayTasks(Job, Key.Of) < Spec.MayMiss) &&
+                  this->D->hasOtherPlace(Job, Key, Now)
             : Spec.IsCheckpointing && !Spec.IsGang;
     if (MayStop) {
       this->D->log("run-moved", {{"task", Key.text()},
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -343,10 +343,45 @@
   return Work;
 }
 
+bool Planner::Private::hasOtherPlace(const JobRecord &Job, const TaskKey &Key,
+                                     TimePoint Now) {
+  const ExecutorId &On = this->task(Key)->Current->On;
+  const std::vector<Candidate> Candidates = this->candidates(Now);
+  return std::any_of(Candidates.begin(), Candidates.end(),
+                     [&](const Candidate &Each) {
+                       return Each.Worker->Info.Id != On &&
+                              this->mayRunOn(Job, Key, Each, Now);
+                     });
+}
+
+size_t Planner::Private::displacedTasks(TimePoint Now) {
+  size_t Displaced = 0;
+  for (const auto &[Id, Job] : this->Jobs) {
+    if (isFinal(Job.State) || Job.Spec.isTimed())
+      continue;
+    for (size_t Step = 0; Step < Job.Spec.Steps.size(); ++Step) {
+      const StepKey Key{Id, 0, Step};
+      if (!Job.Spec.Steps[Step].IsLongRunning || !this->canStart(Job, Key))
+        continue;
+      const auto &Tasks = Job.Occurrences[0].Steps[Step].Tasks;
+      for (size_t Index = 0; Index < Tasks.size(); ++Index) {
+        const auto &Current = Tasks[Index].Current;
+        const bool IsLeaving =
+            Current && Now < this->Workers[Current->On].EvacuatingUntil;
+        if (!Current ||
+            (IsLeaving && !this->hasOtherPlace(Job, {Key, Index}, Now)))
+          ++Displaced;
+      }
+    }
+  }
+  return Displaced;
+}
+
 PoolDemand Planner::demand(TimePoint Now) const {
   constexpr double MilliCoresPerCore = 1000;
   PoolDemand Demand;
   Demand.Pool = this->D->Setup.Service;
+  Demand.Displaced = this->D->displacedTasks(Now);
   for (const auto &[Id, Job] : this->D->Jobs)
     if (!isFinal(Job.State) && !Job.Spec.isTimed() &&
         canStillEarn(this->D->standing(Job), Now))
--- a/src/libs/jobs/poolpolicy.cpp
+++ b/src/libs/jobs/poolpolicy.cpp
@@ -26,6 +26,7 @@
 std::string encodeDemand(const PoolDemand &Demand) {
   value Body = value::object();
   Body["waiting"] = value::number(Demand.WaitingWork);
+  Body["displaced"] = value::number(static_cast<uint64_t>(Demand.Displaced));
   Body["cores"] = value::number(Demand.Cores);
   value Vacant = value::array();
   size_t Next = 0;
@@ -42,6 +43,7 @@
   try {
     const value Body = value::parse(Text);
     Demand.WaitingWork = Body.at("waiting").as_double();
+    Demand.Displaced = Body.at("displaced").as_number().to_uint64();
     Demand.Cores = Body.at("cores").as_double();
     for (const value &Id : Body.at("vacant").as_array())
       Demand.Vacant.insert(ExecutorId(Id.as_string()));
@@ -76,17 +78,28 @@
   const PoolDemand *Demand = nullptr;
   size_t Machines = 0;
   size_t Vacant = 0;
-  /// Cores of machines that are on their way.
+  /// Machines that are on their way, and their cores.
+  size_t MachinesToCome = 0;
   double CoresToCome = 0;
 
+  void comes(double Cores) {
+    ++this->MachinesToCome;
+    this->CoresToCome += Cores;
+  }
+
   /// Machines that would still help.
   size_t wanted(double CoresOfMachine) const {
     const double Cores = this->Demand->Cores + this->CoresToCome;
     const double Excess = this->Demand->WaitingWork - Cores * TolerableWait;
+    const size_t ForLasting =
+        this->Demand->Displaced > this->MachinesToCome
+            ? this->Demand->Displaced - this->MachinesToCome
+            : 0;
     if (Excess <= 0)
-      return 0;
-    return static_cast<size_t>(
-        std::ceil(Excess / (CoresOfMachine * UsefulTime)));
+      return ForLasting;
+    return std::max(ForLasting,
+                    static_cast<size_t>(
+                        std::ceil(Excess / (CoresOfMachine * UsefulTime))));
   }
 };
 
@@ -109,7 +122,7 @@
     if (Pool != Pools.end()) {
       ++Pool->second.Machines;
       if (Machine.State != MachineState::Up)
-        Pool->second.CoresToCome += Cores;
+        Pool->second.comes(Cores);
     }
     if (Machine.State != MachineState::Up || Reserved.contains(Machine.Name))
       continue;
@@ -168,7 +181,7 @@
         break;
       }
       Give(*Chosen, Name);
-      Pool.CoresToCome += Cores;
+      Pool.comes(Cores);
     }
   }
   if (Spare.isEmpty())
