--- a/src/libs/dispatch/poolkeeper.cpp
+++ b/src/libs/dispatch/poolkeeper.cpp
@@ -6,7 +6,7 @@
 static constexpr Duration TickInterval = std::chrono::milliseconds(400);
 static constexpr Duration ListTimeout = std::chrono::milliseconds(1000);
 static constexpr Duration PlannerTimeout = std::chrono::milliseconds(300);
-static constexpr Duration OrderTimeout = std::chrono::milliseconds(1500);
+static constexpr Duration OrderTimeout = std::chrono::milliseconds(1000);
 /// How long a machine that was ordered is left alone: the move takes 1.5 s.
 static constexpr Duration OrderRest = std::chrono::milliseconds(2500);
 
@@ -27,7 +27,7 @@
 bool PoolKeeper::mayOrder() const {
   const TimePoint Now = this->Shared.now();
   return !this->IsStopped && Now >= this->OrdersFrom &&
-         Now < this->Environment.ClaimValidUntil();
+         mayOrderMachines(Now, this->Environment.ClaimValidUntil());
 }
 
 void PoolKeeper::tick() {
--- a/src/libs/dispatch/prefixwatch.cpp
+++ b/src/libs/dispatch/prefixwatch.cpp
@@ -5,7 +5,7 @@
 /// How long one call waits for a change; bounds how long a connection that
 /// went silent stays unnoticed, against the 2 s in which a configuration has
 /// to be in force.
-static constexpr Duration WatchLength = std::chrono::seconds(2);
+static constexpr Duration WatchLength = std::chrono::seconds(1);
 /// Longest pause before a call that failed is made again.
 static constexpr Duration RetryPause = std::chrono::milliseconds(400);
 
--- a/src/libs/dispatch/wavekeeper.cpp
+++ b/src/libs/dispatch/wavekeeper.cpp
@@ -11,11 +11,15 @@
 static constexpr Duration TickInterval = std::chrono::milliseconds(400);
 static constexpr Duration ListTimeout = std::chrono::milliseconds(1500);
 /// Time for one order; an order without an answer may have been carried out.
-static constexpr Duration OrderTimeout = std::chrono::milliseconds(1500);
+static constexpr Duration OrderTimeout = std::chrono::milliseconds(1000);
 static constexpr Duration PlannerTimeout = std::chrono::milliseconds(500);
 /// Kept of a wave's time for the last machines' answers.
 static constexpr Duration EndMargin = std::chrono::seconds(2);
 
+bool mayOrderMachines(TimePoint Now, TimePoint ClaimValidUntil) {
+  return Now + NodeLease::Length < ClaimValidUntil + LongestSilence;
+}
+
 WaveKeeper::WaveKeeper(Context Shared, WaveEnvironment Environment,
                        EntryName Self, WonClaim Won)
     : Shared(std::move(Shared)), Environment(std::move(Environment)),
@@ -32,7 +36,7 @@
 bool WaveKeeper::mayOrder() const {
   const TimePoint Now = this->Shared.now();
   return !this->IsStopped && Now >= this->OrdersFrom &&
-         Now < this->Environment.ClaimValidUntil();
+         mayOrderMachines(Now, this->Environment.ClaimValidUntil());
 }
 
 void WaveKeeper::load() {
@@ -159,6 +163,7 @@
   }
   if (IsAnyOpen && !this->IsListing) {
     this->IsListing = true;
+    this->ListAskedAt = this->Shared.now();
     this->Environment.Machines.List(
         this->Shared.now() + ListTimeout,
         onLoop<WaveKeeper,
@@ -185,7 +190,7 @@
   }
   for (auto &[Number, Of] : this->Waves)
     if (!Of.IsReported) {
-      Of.Course->noteMachines(Found.value(), this->Shared.now());
+      Of.Course->noteMachines(Found.value(), this->ListAskedAt);
       this->step(Of);
     }
 }
--- a/src/libs/dispatch/wavekeeper.h
+++ b/src/libs/dispatch/wavekeeper.h
@@ -8,9 +8,19 @@
 
 namespace whintack::dispatch::Internal {
 
-/// Distance between the orders of two holders; above the 3 s within which the
-/// platform does not accept that holders take turns.
-constexpr Duration HolderDistance = std::chrono::milliseconds(3500);
+/// How long a holder goes on ordering machines after the store last confirmed
+/// its claim: the store may give the claim to another without a word.
+constexpr Duration LongestSilence = std::chrono::milliseconds(1500);
+
+/// Distance between the orders of two holders: the platform does not accept
+/// that they take turns within 3 s; the earlier one may go on for the longest
+/// silence, and its last order takes up to a second.
+constexpr Duration HolderDistance =
+    std::chrono::milliseconds(3200) + LongestSilence +
+    std::chrono::milliseconds(1000);
+
+/// Whether the holder of a claim may order machines.
+bool mayOrderMachines(TimePoint Now, TimePoint ClaimValidUntil);
 
 /// What the keeper of waves needs of its process.
 struct WaveEnvironment {
@@ -73,6 +83,7 @@
   std::set<jobs::MachineName> Busy;
   bool IsLoaded = false;
   bool IsListing = false;
+  TimePoint ListAskedAt = TimePoint::min();
   bool IsStopped = false;
 };
 
--- a/src/libs/http/callclient.cpp
+++ b/src/libs/http/callclient.cpp
@@ -51,14 +51,23 @@
     Connection = std::make_shared<HttpConnection>(Server, this->MaxAnswerBytes,
                                                   this->Timers);
   HttpConnection &Used = *Connection;
+  const bool WasFresh = Used.isFresh();
   Used.send(Request, Deadline,
-            [this, Server, Generation, Connection = std::move(Connection),
+            [this, Server, Generation, WasFresh,
+             Connection = std::move(Connection),
              Done = std::move(Done)](HttpResult Outcome) mutable {
-              if (Outcome)
+              if (Outcome) {
                 this->giveBack(Server, Generation, std::move(Connection));
-              else
-                this->dropIdle(Server);
-              Done(std::move(Outcome));
+                Done(std::move(Outcome));
+                return;
+              }
+              this->dropIdle(Server);
+              HttpError Cause = std::move(Outcome).error();
+              // The library sent it on the kept connection first, and could
+              // not connect when it repeated it.
+              if (!WasFresh && Cause.Code == HttpErrorCode::NotConnected)
+                Cause.Code = HttpErrorCode::Broken;
+              Done(failure(std::move(Cause)));
             });
 }
 
--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -2,6 +2,8 @@
 
 #include "bodyreader.h"
 
+#include "whintack/base/log.h"
+
 #include <atomic>
 #include <boost/asio/ssl.hpp>
 #include <cpprest/http_client.h>
@@ -49,12 +51,29 @@
   crossplat::threadpool::initialize_with_threads(Count);
 }
 
+/// Makes closing a connection drop what has not arrived yet: a request that was
+/// given up must not be delivered once a partition has healed.
+static void dropUnsentOnClose(web::http::client::native_handle Handle) {
+  auto *Socket = static_cast<boost::asio::ip::tcp::socket *>(Handle);
+  boost::system::error_code Failed;
+  // The library asks before it connects, which opens the socket if need be.
+  if (!Socket->is_open())
+    Socket->open(boost::asio::ip::tcp::v4(), Failed);
+  if (!Failed)
+    Socket->set_option(boost::asio::socket_base::linger(true, 0), Failed);
+  if (Failed)
+    logEvent(LogLevel::Warning, "socket-option-failed",
+             {{"cause", Failed.message()}});
+}
+
 web::http::client::http_client_config
 HttpConnection::Private::clientConfig(const ClientTls &Tls) {
   web::http::client::http_client_config Config;
   // Each call has its own deadline; this only ends what has lost its owner.
   constexpr std::chrono::hours LongestCall(1);
   Config.set_timeout(LongestCall);
+  if (!Tls.IsEnabled)
+    Config.set_nativehandle_options(dropUnsentOnClose);
   const std::string AuthorityFile = Tls.AuthorityFile;
   if (Tls.IsEnabled && !AuthorityFile.empty())
     Config.set_ssl_context_callback(
--- a/src/libs/jobs/include/whintack/jobs/wavecourse.h
+++ b/src/libs/jobs/include/whintack/jobs/wavecourse.h
@@ -47,8 +47,8 @@
   WaveCourse(WaveRequest Request, TimePoint Deadline,
              const std::set<MachineName> &Begun);
 
-  /// Adopts the platform's list of machines.
-  void noteMachines(const std::vector<MachineInfo> &Listed, TimePoint Now);
+  /// Adopts the platform's list of machines, asked for at \p AskedAt.
+  void noteMachines(const std::vector<MachineInfo> &Listed, TimePoint AskedAt);
   /// Machines that are to be vacated now, those included that already are.
   std::vector<MachineInfo> vacate(TimePoint Now);
   /// Whether the machine may be ordered into maintenance now.
@@ -73,8 +73,6 @@
     WaveStep Step = WaveStep::Waiting;
     MachineInfo Info;
     bool IsListed = false;
-    /// The executor before the order.
-    ExecutorId Before;
     TimePoint VacatingSince;
     TimePoint BegunAt = TimePoint::min();
   };
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -152,6 +152,7 @@
   if (this->D->Jobs.contains(Id) || this->D->FinalJobs.contains(Id))
     return;
   JobRecord &Record = this->D->insertJob(std::move(Job));
+  Record.MayHaveRun = true;
   Record.State = Record.Shown = Progress.State;
   for (const auto &[Key, Stored] : Progress.Tasks) {
     TaskRecord *Task = this->D->task(Key);
--- a/src/libs/jobs/wavecourse.cpp
+++ b/src/libs/jobs/wavecourse.cpp
@@ -7,8 +7,8 @@
 /// Time that a machine is down and its executor needs to come back; the
 /// platform maintains for 2 s, lists lag by up to 1 s.
 static constexpr Duration TurnLength = std::chrono::milliseconds(3500);
-/// How far the list of machines may lag behind an order.
-static constexpr Duration ListLag = std::chrono::milliseconds(1500);
+/// How far the list of machines may lag behind an order that was confirmed.
+static constexpr Duration ListLag = std::chrono::milliseconds(300);
 /// Longest wait for work that may be lost, even with time to spare.
 static constexpr Duration LongestPatience = std::chrono::seconds(4);
 
@@ -23,7 +23,7 @@
 }
 
 void WaveCourse::noteMachines(const std::vector<MachineInfo> &Listed,
-                              TimePoint Now) {
+                              TimePoint AskedAt) {
   this->HasList = true;
   for (auto &[Name, Each] : this->Machines)
     Each.IsListed = false;
@@ -36,9 +36,9 @@
     Each.Info = Info;
     if (Each.Step != WaveStep::Begun || Info.State != MachineState::Up)
       continue;
-    // The same executor long after the order: it was maintained before that.
-    const bool IsNew = Info.Executor.isEmpty() || Info.Executor != Each.Before;
-    if (IsNew || Now >= Each.BegunAt + ListLag)
+    // Up although the maintenance had begun before the list was asked for: it
+    // is over, or was done for an earlier holder.
+    if (AskedAt >= Each.BegunAt + ListLag)
       Each.Step = WaveStep::Over;
   }
   // A machine that has left for good needs no maintenance.
@@ -110,7 +110,6 @@
 void WaveCourse::noteOrdered(const MachineName &Name) {
   Machine &Each = this->Machines.at(Name);
   Each.Step = WaveStep::Ordered;
-  Each.Before = Each.Info.Executor;
 }
 
 void WaveCourse::noteBegun(const MachineName &Name, TimePoint Now) {
--- /dev/null
+++ b/tests/auto/http/tst_callclient.cpp
@@ -0,0 +1,68 @@
+#include "scriptedserver.h"
+
+#include "whintack/http/callclient.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+
+using namespace whintack;
+using namespace whintack::http;
+using namespace whintack::tests;
+
+static HttpResult callOnce(CallClient &Calls, const Address &Server,
+                           Duration Timeout = std::chrono::seconds(10)) {
+  std::promise<HttpResult> Promise;
+  HttpRequest Request;
+  Request.Method = "POST";
+  Request.Target = "/";
+  Request.Body = "{}";
+  Calls.call(Server, Request, systemClock().Now() + Timeout,
+             [&Promise](HttpResult Outcome) {
+               Promise.set_value(std::move(Outcome));
+             });
+  return Promise.get_future().get();
+}
+
+TEST_CASE("a call that a kept connection carried is never called unsent") {
+  const Address Server = ownAddress(7, 18090);
+  ScriptedServer *Self = nullptr;
+  ScriptedServer Backend(Server, [&Self](const std::string &, unsigned Nth) {
+    if (Nth == 1)
+      return ScriptedAnswer{
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", false, false};
+    // Carries the request out, loses the answer and takes no connection more.
+    Self->refuseConnections();
+    return ScriptedAnswer{"", true, true};
+  });
+  Self = &Backend;
+  REQUIRE(Backend.isOpen());
+  TimerQueue Timers(systemClock());
+  CallClient Calls(systemClock(), Timers, 1 << 20);
+  REQUIRE(callOnce(Calls, Server));
+  const HttpResult Lost = callOnce(Calls, Server);
+  REQUIRE_FALSE(Lost);
+  CHECK(Backend.executions() == 2);
+  CHECK_FALSE(Lost.error().isNeverSent());
+  // On a fresh connection a refusal does tell that nothing was sent.
+  const HttpResult Refused = callOnce(Calls, Server);
+  REQUIRE_FALSE(Refused);
+  CHECK(Refused.error().isNeverSent());
+}
+
+TEST_CASE("giving a call up drops what has not arrived") {
+  const Address Server = ownAddress(8, 18091);
+  ScriptedServer Backend(Server, [](const std::string &, unsigned) {
+    return ScriptedAnswer();
+  });
+  Backend.awaitResets();
+  REQUIRE(Backend.isOpen());
+  TimerQueue Timers(systemClock());
+  CallClient Calls(systemClock(), Timers, 1 << 20);
+  const HttpResult Late =
+      callOnce(Calls, Server, std::chrono::milliseconds(100));
+  REQUIRE_FALSE(Late);
+  CHECK(Late.error().Code == HttpErrorCode::TimedOut);
+  while (Backend.resets() == 0)
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  CHECK(Backend.resets() == 1);
+}
--- /dev/null
+++ b/tests/auto/jobs/tst_plannerproperties.cpp
@@ -0,0 +1,314 @@
+#include "plannerfixture.h"
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace whintack;
+using namespace whintack::jobs;
+using namespace whintack::tests;
+
+namespace {
+
+/// An executor that does what the platform's pages say.
+struct SimulatedExecutor {
+  ExecutorInfo Info;
+  uint64_t HighestToken = 0;
+  std::map<TaskKey, uint64_t> Running;
+  /// Highest run that was stopped or has ended, by task.
+  std::map<TaskKey, uint64_t> Barred;
+  std::vector<EndReport> Ended;
+  uint64_t LastEnd = 0;
+
+  int64_t used() const {
+    return static_cast<int64_t>(this->Running.size()) * 1000;
+  }
+};
+
+/// An order on its way, with the token of the planner that gave it.
+struct Flying {
+  std::variant<StartOrder, StopOrder> Given;
+  uint64_t Token = 0;
+};
+
+/// Executors, a store and a planner that may be replaced; orders and answers
+/// are lost, late and overtaken.
+class World {
+public:
+  World() {
+    for (int Number = 0; Number < 3; ++Number)
+      this->addExecutor();
+    this->replacePlanner();
+    StepSpec Second = step(2);
+    Second.After = {0};
+    for (const std::string Id : {"1", "2"}) {
+      AcceptedJob Job = job(Id, {step(3), Second}, 3);
+      this->Accepted.push_back(Job);
+      this->Planner->addJob(Job);
+    }
+  }
+
+  void act(uint8_t Action, size_t Choice) {
+    this->Time.advance(std::chrono::milliseconds(50));
+    switch (Action % 10) {
+    case 0:
+    case 1:
+      this->plan();
+      break;
+    case 2:
+    case 3:
+      this->deliver(Choice, true);
+      break;
+    case 4:
+      this->deliver(Choice, Choice % 3 != 0);
+      break;
+    case 5:
+    case 6:
+      this->report(Choice);
+      break;
+    case 7:
+      this->endSomething(Choice);
+      break;
+    case 8:
+      this->store(Choice % 4 != 0);
+      break;
+    case 9:
+      if (Choice % 7 == 0)
+        this->crashExecutor(Choice);
+      else if (Choice % 5 == 0)
+        this->replacePlanner();
+      break;
+    }
+  }
+
+private:
+  void addExecutor() {
+    SimulatedExecutor Added;
+    Added.Info = executor("e" + std::to_string(++this->LastExecutor), 3000);
+    this->Executors.push_back(Added);
+  }
+
+  std::vector<ExecutorInfo> list() const {
+    std::vector<ExecutorInfo> Infos;
+    for (const SimulatedExecutor &Each : this->Executors)
+      Infos.push_back(Each.Info);
+    return Infos;
+  }
+
+  void replacePlanner() {
+    ++this->Token;
+    this->Planner = std::make_unique<jobs::Planner>(
+        PlannerSetup{TestService, this->Token, {}});
+    this->Planner->beginCensus();
+    for (const AcceptedJob &Job : this->Accepted) {
+      const auto Found = this->Stored.find(Job.Spec.Id);
+      if (Found != this->Stored.end() && isFinal(Found->second.State)) {
+        this->Planner->restoreFinalJob(Job.Spec.Id, Found->second.State);
+        continue;
+      }
+      AcceptedJob Restored = Job;
+      Restored.MayHaveRun = true;
+      this->Planner->restoreJob(Restored, Found == this->Stored.end()
+                                              ? JobProgress()
+                                              : Found->second);
+    }
+    this->Planner->setExecutors(this->list(), this->Time.now());
+    std::vector<ExecutorId> Ids;
+    for (const ExecutorInfo &Info : this->list())
+      Ids.push_back(Info.Id);
+    this->Planner->awaitReports(Ids);
+    this->Planner->endCensus();
+  }
+
+  void plan() {
+    this->Planner->plan(this->Time.now(), WallTime());
+    for (const Order &Given : this->Planner->takeOrders()) {
+      if (const auto *Start = std::get_if<StartOrder>(&Given))
+        this->Air.push_back({*Start, this->Token});
+      else if (const auto *Stop = std::get_if<StopOrder>(&Given))
+        this->Air.push_back({*Stop, this->Token});
+    }
+  }
+
+  SimulatedExecutor *find(const ExecutorId &Id) {
+    for (SimulatedExecutor &Each : this->Executors)
+      if (Each.Info.Id == Id)
+        return &Each;
+    return nullptr;
+  }
+
+  void deliver(size_t Choice, bool IsAnswered) {
+    if (this->Air.empty())
+      return;
+    const auto Place =
+        this->Air.begin() + static_cast<long>(Choice % this->Air.size());
+    const Flying Order = *Place;
+    // An order without an answer may arrive again, later.
+    if (IsAnswered || Choice % 2 == 0)
+      this->Air.erase(Place);
+    if (const auto *Start = std::get_if<StartOrder>(&Order.Given))
+      this->deliverStart(*Start, Order.Token, IsAnswered);
+    else
+      this->deliverStop(std::get<StopOrder>(Order.Given), Order.Token,
+                        IsAnswered);
+  }
+
+  void deliverStart(const StartOrder &Order, uint64_t From, bool IsAnswered) {
+    StartOutcome Outcome = StartOutcome::OtherIncarnation;
+    if (SimulatedExecutor *On = this->find(Order.On)) {
+      if (From < On->HighestToken)
+        Outcome = StartOutcome::Fenced;
+      else {
+        On->HighestToken = From;
+        Outcome = this->begin(*On, Order);
+      }
+    }
+    if (From != this->Token)
+      return;
+    this->Planner->noteStart(Order,
+                             IsAnswered ? Outcome : StartOutcome::Unknown,
+                             ++this->Clock, this->Time.now());
+  }
+
+  StartOutcome begin(SimulatedExecutor &On, const StartOrder &Order) {
+    const auto Present = On.Running.find(Order.Task);
+    if (Present != On.Running.end() && Present->second == Order.Run)
+      return StartOutcome::Started;
+    const auto Bar = On.Barred.find(Order.Task);
+    if (Bar != On.Barred.end() && Order.Run <= Bar->second)
+      return StartOutcome::Outdated;
+    if (On.used() + 1000 > On.Info.Capacity.MilliCores)
+      return StartOutcome::NoRoom;
+    this->checkStart(Order);
+    On.Running[Order.Task] = Order.Run;
+    return StartOutcome::Started;
+  }
+
+  void fail(const std::string &Broken) {
+    std::fprintf(stderr, "%s\n", Broken.c_str());
+    RC_FAIL("a promise is broken");
+  }
+
+  void checkStart(const StartOrder &Order) {
+    for (const SimulatedExecutor &Each : this->Executors)
+      if (Each.Running.contains(Order.Task))
+        this->fail("two runs of " + Order.Task.text());
+    if (this->Done.contains(Order.Task))
+      this->fail("a start after the end of " + Order.Task.text());
+    if (Order.Task.Of.Step == 1)
+      for (size_t Index = 0; Index < 3; ++Index)
+        if (!this->EverDone.contains({{Order.Task.Of.Job, 0, 0}, Index}))
+          this->fail("out of order: " + Order.Task.text());
+    if (this->Failed[Order.Task].size() >= 3)
+      this->fail("over its attempts: " + Order.Task.text());
+  }
+
+  void deliverStop(const StopOrder &Order, uint64_t From, bool IsAnswered) {
+    SimulatedExecutor *On = this->find(Order.On);
+    if (!On || From < On->HighestToken)
+      return;
+    On->HighestToken = From;
+    uint64_t &Bar = On->Barred[Order.Task];
+    Bar = std::max(Bar, Order.Run);
+    const auto Present = On->Running.find(Order.Task);
+    if (Present != On->Running.end() && Present->second == Order.Run)
+      this->end(*On, Order.Task, RunEnd::Stopped);
+    if (From == this->Token)
+      this->Planner->noteStop(
+          Order,
+          IsAnswered ? std::optional<ExecutorTime>(++this->Clock)
+                     : std::nullopt,
+          this->Time.now());
+  }
+
+  void end(SimulatedExecutor &On, TaskKey Task, RunEnd How) {
+    const uint64_t Run = On.Running.at(Task);
+    On.Running.erase(Task);
+    uint64_t &Bar = On.Barred[Task];
+    Bar = std::max(Bar, Run);
+    On.Ended.push_back({++On.LastEnd, Task, Run, How, ""});
+    if (How == RunEnd::Done)
+      this->EverDone.insert(Task);
+  }
+
+  void endSomething(size_t Choice) {
+    for (SimulatedExecutor &Each : this->Executors)
+      if (!Each.Running.empty()) {
+        this->end(Each, Each.Running.begin()->first,
+                  Choice % 4 == 0 ? RunEnd::Failed : RunEnd::Done);
+        return;
+      }
+  }
+
+  void report(size_t Choice) {
+    SimulatedExecutor &From = this->Executors[Choice % this->Executors.size()];
+    From.HighestToken = std::max(From.HighestToken, this->Token);
+    const uint64_t Forgettable = this->Planner->forgettableEnd(From.Info.Id);
+    for (const EndReport &End : From.Ended) {
+      if (End.Number > Forgettable)
+        break;
+      if (End.How == RunEnd::Done)
+        this->Done.insert(End.Task);
+      if (End.How == RunEnd::Failed)
+        this->Failed[End.Task].insert(End.Run);
+    }
+    std::erase_if(From.Ended, [&](const EndReport &End) {
+      return End.Number <= Forgettable;
+    });
+    ExecutorReport Report;
+    Report.At = ++this->Clock;
+    Report.Ended = From.Ended;
+    for (const auto &[Task, Run] : From.Running)
+      Report.Running.push_back({Task, Run, "", 50, 0});
+    this->Planner->noteReport(From.Info.Id, Report, this->Time.now());
+  }
+
+  void store(bool IsWritten) {
+    const auto Writes = this->Planner->takeWrites(100);
+    if (!IsWritten) {
+      this->Planner->noteWriteFailed(Writes);
+      return;
+    }
+    for (const JobWrite &Write : Writes)
+      this->Stored[Write.Job] = Write.Progress;
+    this->Planner->noteWritten(Writes);
+  }
+
+  void crashExecutor(size_t Choice) {
+    const size_t Place = Choice % this->Executors.size();
+    const ExecutorId Lost = this->Executors[Place].Info.Id;
+    this->Executors.erase(this->Executors.begin() + static_cast<long>(Place));
+    this->addExecutor();
+    this->Planner->noteEmpty(Lost, "crashed", this->Time.now());
+    this->Planner->setExecutors(this->list(), this->Time.now());
+  }
+
+  ManualClock Time;
+  std::unique_ptr<jobs::Planner> Planner;
+  std::vector<AcceptedJob> Accepted;
+  std::vector<SimulatedExecutor> Executors;
+  std::vector<Flying> Air;
+  std::map<JobId, JobProgress> Stored;
+  /// Tasks whose end an executor was told to forget.
+  std::set<TaskKey> Done;
+  std::set<TaskKey> EverDone;
+  std::map<TaskKey, std::set<uint64_t>> Failed;
+  uint64_t Token = 0;
+  int LastExecutor = 0;
+  ExecutorTime Clock = 1000;
+};
+
+} // namespace
+
+TEST_CASE("no interleaving of losses, delays and take-overs breaks a promise") {
+  CHECK(rc::check("planner", [] {
+    World Played;
+    const auto Actions =
+        *rc::gen::container<std::vector<std::pair<uint8_t, uint16_t>>>(
+            400, rc::gen::arbitrary<std::pair<uint8_t, uint16_t>>());
+    for (const auto &[Action, Choice] : Actions)
+      Played.act(Action, Choice);
+  }));
+}
--- /dev/null
+++ b/tests/auto/platform/tst_words.cpp
@@ -0,0 +1,118 @@
+#include "whintack/platform/platform.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace whintack;
+using namespace whintack::jobs;
+
+static const PlatformWords Words = platform::makeWords();
+
+static const std::string Server =
+    R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+    R"("slots":8,"state":"ready","cold-remaining-ms":0,"capacity":{"cpu":16000,)"
+    R"("mem-mb":32768,"gpu":0},"labels":["a","r1-3"],"sequence":4})";
+
+static const std::string Job =
+    R"({"task-spec":"text","steps":[{"count":4,"cpu":500,"mem-mb":256,)"
+    R"("affinity":"r1-3"},{"count":2,"after":[0],"checkpointing":true,)"
+    R"("may-miss":1,"long-running":true}]})";
+
+TEST_CASE("an executor's entry is decoded") {
+  const auto Read = Words.DecodeExecutor("servers/i-1", Server);
+  REQUIRE(Read);
+  CHECK(Read.value().Id == ExecutorId("i-1"));
+  CHECK(Read.value().Server == Address{"10.0.0.1", 80});
+  CHECK(Read.value().Capacity.MilliCores == 16000);
+  CHECK_FALSE(Read.value().IsDraining);
+}
+
+TEST_CASE("an entry that is not as expected names no executor") {
+  const auto Replaced = [](const std::string &From, const std::string &To) {
+    std::string Text = Server;
+    return Text.replace(Text.find(From), From.size(), To);
+  };
+  for (const std::string &Damaged :
+       {std::string(), std::string("\xff\xfe"), std::string("[]"),
+        Replaced("\"ready\"", "\"resting\""), Replaced("\"10.0.0.1:80\"", "7"),
+        Replaced("10.0.0.1:80", "nowhere"), Replaced("\"cpu\":16000", "\"cpu\":-1"),
+        Replaced("\"service\"", "\"other\""),
+        Replaced("[\"a\",\"r1-3\"]", "[1]")}) {
+    const auto Read = Words.DecodeExecutor("servers/i-1", Damaged);
+    REQUIRE_FALSE(Read);
+    CHECK_FALSE(Read.error().Message.empty());
+  }
+  CHECK_FALSE(Words.DecodeExecutor("servers/", Server));
+}
+
+TEST_CASE("a job's body is decoded and checked") {
+  const auto Read = Words.DecodeJob(JobId("1"), Job);
+  REQUIRE(Read);
+  CHECK(Read.value().Steps.size() == 2);
+  CHECK(Read.value().Steps[0].DataRack == "r1-3");
+  CHECK(Read.value().Steps[1].After == std::vector<size_t>{0});
+  CHECK(Read.value().Steps[1].HasMayMiss);
+  CHECK(Read.value().Steps[1].IsLongRunning);
+}
+
+TEST_CASE("a malformed job is refused with the field that is wrong") {
+  const auto Message = [](const std::string &Body) {
+    const auto Read = Words.DecodeJob(JobId("1"), Body);
+    REQUIRE_FALSE(Read);
+    return Read.error().Message;
+  };
+  CHECK(Message(R"({"steps":[]})").find("steps") != std::string::npos);
+  CHECK(Message(R"({"steps":[{"count":0}]})").find("steps[0].count") !=
+        std::string::npos);
+  CHECK(Message(R"({"steps":[{"count":1,"after":[0]}]})").find("after") !=
+        std::string::npos);
+  CHECK(Message(R"({"steps":[{"count":1,"cpu":1.5}]})").find("cpu") !=
+        std::string::npos);
+  CHECK(Message("{").find("JSON") != std::string::npos);
+  CHECK(Message(R"({"task-spec":")" + std::string(4001, 'x') +
+                R"(","steps":[{"count":1}]})")
+            .find("task-spec") != std::string::npos);
+}
+
+TEST_CASE("damaged bodies never decode to other values or crash") {
+  CHECK(rc::check("cut or changed bodies", [] {
+    const bool IsServer = *rc::gen::arbitrary<bool>();
+    std::string Text = IsServer ? Server : Job;
+    const auto Place =
+        *rc::gen::inRange<size_t>(0, Text.size());
+    if (*rc::gen::arbitrary<bool>())
+      Text.resize(Place);
+    else
+      Text[Place] = *rc::gen::arbitrary<char>();
+    if (IsServer) {
+      const auto Read = Words.DecodeExecutor("servers/i-1", Text);
+      // The macro evaluates its operands apart.
+      const bool IsSound = !Read || (Read.value().Server.Port != 0 &&
+                                     Read.value().Capacity.MilliCores >= 0);
+      RC_ASSERT(IsSound);
+    } else {
+      const auto Read = Words.DecodeJob(JobId("1"), Text);
+      const bool IsSound = !Read || !Read.value().Steps.empty();
+      RC_ASSERT(IsSound);
+    }
+  }));
+}
+
+TEST_CASE("the configuration and waves are decoded") {
+  const auto Read = Words.DecodeConfiguration(
+      R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",)"
+      R"("service":"s","max-attempts":2,"stretch":1.6,"timeout-ms":3000,)"
+      R"("advice":{"decision-ms":5,"each-ms":1,"validity-ms":3000}}],)"
+      R"("services":[{"name":"s","admission-check":true,"spare":false}],)"
+      R"("limits":{"max-body-bytes":1000}})");
+  REQUIRE(Read);
+  CHECK(Read.value().Queues[0].MostAttempts == 2);
+  CHECK(Read.value().Queues[0].Advice->Validity == std::chrono::seconds(3));
+  CHECK(Read.value().MostBodyBytes == 1000);
+  CHECK_FALSE(Words.DecodeConfiguration(R"({"routes":[],"services":[]})"));
+  const auto Wave = Words.DecodeWave(
+      R"({"wave":1,"machines":["m"],"duration-s":20.5,"maximum":2})");
+  REQUIRE(Wave);
+  CHECK(Wave.value().Length == std::chrono::milliseconds(20500));
+  CHECK_FALSE(Words.DecodeWave(R"({"wave":1,"machines":["m"],"maximum":0})"));
+}
--- a/tests/auto/support/scriptedserver.h
+++ b/tests/auto/support/scriptedserver.h
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <atomic>
+#include <cerrno>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -61,9 +62,16 @@
     close(this->Listener);
   }
 
+  /// Takes no further connection; those that are open stay.
+  void refuseConnections() { shutdown(this->Listener, SHUT_RDWR); }
+
   bool isOpen() const { return this->IsOpen; }
   unsigned executions() const { return this->Executions; }
   unsigned connections() const { return this->Connections; }
+  /// Waits at the end of each connection until it is reset.
+  void awaitResets() { this->IsAwaitingReset = true; }
+  /// Connections that the other side ended with a reset.
+  unsigned resets() const { return this->Resets; }
 
 private:
   void accept() {
@@ -78,8 +86,22 @@
     }
   }
 
+  /// A reset may follow the end of what was sent, which is read first.
+  void countReset(int Socket, bool IsReset) {
+    if (this->IsAwaitingReset)
+      while (!IsReset && !this->IsStopping) {
+        int Error = 0;
+        socklen_t Size = sizeof(Error);
+        getsockopt(Socket, SOL_SOCKET, SO_ERROR, &Error, &Size);
+        IsReset = Error != 0;
+        std::this_thread::yield();
+      }
+    if (IsReset)
+      ++this->Resets;
+  }
+
   /// Reads one whole request; empty if the connection ended.
-  static std::string readRequest(int Socket, std::string &Rest) {
+  std::string readRequest(int Socket, std::string &Rest) {
     while (true) {
       const size_t HeadEnd = Rest.find("\r\n\r\n");
       if (HeadEnd != std::string::npos) {
@@ -96,8 +118,10 @@
       }
       char Bytes[4096];
       const ssize_t Count = recv(Socket, Bytes, sizeof(Bytes), 0);
-      if (Count <= 0)
+      if (Count <= 0) {
+        this->countReset(Socket, Count < 0 && errno == ECONNRESET);
         return "";
+      }
       Rest.append(Bytes, static_cast<size_t>(Count));
     }
   }
@@ -130,6 +154,8 @@
   std::atomic<bool> IsStopping{false};
   std::atomic<unsigned> Executions{0};
   std::atomic<unsigned> Connections{0};
+  std::atomic<unsigned> Resets{0};
+  std::atomic<bool> IsAwaitingReset{false};
   std::mutex Mutex;
   std::vector<int> Sockets;
   std::vector<std::thread> Threads;
