--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,9 +4,13 @@
 set -euo pipefail
 build=${1:-build}
 if [ -n "${LINT_BASE:-}" ]; then
-  files=$(git diff --name-only --diff-filter=d "$LINT_BASE" -- 'src/*.cpp')
+  files=$(git diff --name-only --diff-filter=d "$LINT_BASE" -- 'src/*.cpp' 'platform/*.cpp')
 else
-  files=$(git ls-files 'src/*.cpp')
+  files=$(git ls-files 'src/*.cpp' 'platform/*.cpp')
 fi
 [ -n "$files" ] || exit 0
-echo "$files" | xargs -P "$(nproc)" -n 4 clang-tidy -p "$build" --quiet
+# The linter cannot read the compiler's precompiled headers.
+cmake -G Ninja -S . -B "$build/lint" -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON \
+  -DWHINTACK_TESTS=OFF -DWHINTACK_BENCHMARKS=OFF >/dev/null
+echo "$files" | xargs -P "${LINT_JOBS:-$(nproc)}" -n 4 \
+  clang-tidy -p "$build/lint" --quiet
--- a/src/libs/base/include/whintack/base/log.h
+++ b/src/libs/base/include/whintack/base/log.h
@@ -27,6 +27,13 @@
 /// Prepares logging to standard error only. Call once, first thing in main.
 void initializeLogging(const char *ProgramName);
 
+/// From now on writes to standard output, through a bounded queue that never
+/// blocks. For programs that run as services.
+void logToStandardOutput();
+
+/// Waits for a moment until what was logged is written.
+void flushLog();
+
 /// Sets the lowest level that is written.
 void setLogLevel(LogLevel Lowest);
 
--- a/src/libs/base/log.cpp
+++ b/src/libs/base/log.cpp
@@ -1,9 +1,13 @@
 #include "whintack/base/log.h"
 
 #include "whintack/base/enumnames.h"
+#include "whintack/base/logwriter.h"
 #include "whintack/base/time.h"
 
+#include <atomic>
+#include <csignal>
 #include <glog/logging.h>
+#include <unistd.h>
 
 namespace whintack {
 
@@ -19,6 +23,36 @@
   google::InitGoogleLogging(ProgramName);
 }
 
+/// Bytes held for a reader that does not keep up; some seconds of the busiest
+/// log.
+static constexpr size_t MostLogBytes = 4U << 20U;
+
+/// Writes to standard output; lives until the process ends.
+static std::atomic<LogWriter *> StandardOutput{nullptr};
+
+void logToStandardOutput() {
+  // A reader that ends must not end the service.
+  std::signal(SIGPIPE, SIG_IGN);
+  if (!StandardOutput)
+    StandardOutput = new LogWriter(STDOUT_FILENO, MostLogBytes);
+}
+
+void flushLog() {
+  constexpr Duration Longest = std::chrono::milliseconds(300);
+  if (LogWriter *Writer = StandardOutput)
+    Writer->flush(Longest);
+}
+
+/// Writes a line of the given severity where logs go.
+static void writeLine(google::LogSeverity Severity, const std::string &Line) {
+  if (LogWriter *Writer = StandardOutput) {
+    if (Severity >= FLAGS_minloglevel)
+      Writer->write(Line);
+    return;
+  }
+  google::LogMessage("", 0, Severity).stream() << Line;
+}
+
 void setLogLevel(LogLevel Lowest) {
   FLAGS_minloglevel = static_cast<int>(Lowest);
 }
@@ -52,12 +86,7 @@
   for (const LogField &Field : Fields)
     if (!Field.Value.empty())
       Line += " " + Field.Key + "=" + quoteLogValue(Field.Value);
-  if (Level == LogLevel::Info)
-    LOG(INFO) << Line;
-  else if (Level == LogLevel::Warning)
-    LOG(WARNING) << Line;
-  else
-    LOG(ERROR) << Line;
+  writeLine(static_cast<google::LogSeverity>(Level), Line);
 }
 
 } // namespace whintack
--- a/src/libs/commands/commanddemo.cpp
+++ b/src/libs/commands/commanddemo.cpp
@@ -165,8 +165,7 @@
   return this->waitUntil(
       [&] {
         std::map<PoolName, int64_t> Up;
-        for (const store::VmInfo &Vm :
-             this->Fleet.platform().machines().now())
+        for (const store::VmInfo &Vm : this->Fleet.platform().machines().now())
           ++Up[Vm.Pool];
         for (const auto &[Pool, Count] : Ordinary->Vms)
           if (Up[Pool] < Count)
@@ -239,8 +238,7 @@
   const bool HasFollowed = this->waitUntil(
       [&] {
         std::map<PoolName, int64_t> Up;
-        for (const store::VmInfo &Vm :
-             this->Fleet.platform().machines().now())
+        for (const store::VmInfo &Vm : this->Fleet.platform().machines().now())
           if (Vm.State == store::VmState::Live)
             ++Up[Vm.Pool];
         for (const auto &[Pool, Count] : Wanted->Vms)
--- a/src/libs/commands/commandentry.cpp
+++ b/src/libs/commands/commandentry.cpp
@@ -49,7 +49,8 @@
   Connections.Executors = platform::makeExecutorGateway(Calls);
   Connections.Machines =
       platform::makeMachineGateway(Settings.Fleet.Machines, Calls);
-  Connections.Advice = platform::makeAdviceGateway(Settings.Fleet.Advice, Calls);
+  Connections.Advice =
+      platform::makeAdviceGateway(Settings.Fleet.Advice, Calls);
   Connections.Words = platform::makeWords();
   dispatch::FleetNode Node(Settings, std::move(Connections), Time,
                            systemRandom(), Loop, Timers);
@@ -64,9 +65,10 @@
   logEvent(LogLevel::Info, "node-stopping", {{"node", Settings.Name}});
   const size_t CutOff = Node.stop();
   logEvent(LogLevel::Info, "node-stopped", {{"cut-off", CutOff}});
+  flushLog();
   // Calls that are still on their way refer to objects of this function.
-  std::_Exit(static_cast<int>(CutOff == 0 ? ExitCode::Done
-                                          : ExitCode::Refused));
+  std::_Exit(
+      static_cast<int>(CutOff == 0 ? ExitCode::Done : ExitCode::Refused));
 }
 
 int runEntry(const std::vector<std::string> &Words) {
@@ -90,6 +92,7 @@
     return static_cast<int>(ExitCode::BadInput);
   }
   const StopRequest Stop;
+  logToStandardOutput();
   setLogLevel(Settings.value().LowestLogged);
   http::initializeHttpThreads(
       static_cast<unsigned>(Settings.value().HttpThreads));
@@ -104,6 +107,7 @@
   }
   Stop.wait();
   const entry::StopReport Report = Node.stop();
+  flushLog();
   return static_cast<int>(Report.CutOff == 0 ? ExitCode::Done
                                              : ExitCode::Refused);
 }
--- a/src/libs/configuration/changeclient.cpp
+++ b/src/libs/configuration/changeclient.cpp
@@ -17,7 +17,7 @@
   std::optional<Head> Decoded = headFromJson(Read.value().Body);
   if (!Decoded)
     return failure(store::StoreError{StoreErrorCode::BadAnswer,
-                                        "the head cannot be understood"});
+                                     "the head cannot be understood"});
   return std::move(*Decoded);
 }
 
@@ -52,8 +52,8 @@
 ChangeClient::move(const ChangeRequest &Request,
                    const std::function<Head(const Head &)> &Change) {
   const auto Apply =
-      [&Request, &Change, this](
-          const store::Record &Before) -> std::optional<web::json::value> {
+      [&Request, &Change,
+       this](const store::Record &Before) -> std::optional<web::json::value> {
     Head Known;
     if (Before.exists())
       Known = headFromJson(Before.Body).value_or(Head());
@@ -85,8 +85,7 @@
   return Report;
 }
 
-store::StoreResult<Bucket>
-ChangeClient::readBucket(const std::string &Digest) {
+store::StoreResult<Bucket> ChangeClient::readBucket(const std::string &Digest) {
   if (Digest.empty())
     return Bucket();
   auto Read = this->Records.readImmutable(ContentPrefix + Digest);
--- a/src/libs/configuration/include/whintack/configuration/changeclient.h
+++ b/src/libs/configuration/include/whintack/configuration/changeclient.h
@@ -75,7 +75,7 @@
                     const std::function<Head(const Head &)> &Change);
   store::StoreResult<Bucket> readBucket(const std::string &Digest);
   store::StoreResult<void> writeBuckets(const declaration::ItemTexts &Items,
-                                           Head &Target, const Head &Known);
+                                        Head &Target, const Head &Known);
 
   store::RecordClient &Records;
   Clock Time;
--- a/src/libs/dispatch/claimboard.h
+++ b/src/libs/dispatch/claimboard.h
@@ -31,9 +31,7 @@
   void stop();
   bool isKnown() const { return this->IsKnown; }
   std::optional<Claim> holder(const std::string &Shard) const;
-  const std::map<std::string, Claim> &holders() const {
-    return this->Holders;
-  }
+  const std::map<std::string, Claim> &holders() const { return this->Holders; }
   /// The store's revision up to which the claims are known.
   uint64_t asOf() const { return this->Watch ? this->Watch->asOf() : 0; }
   /// Shards that \p Node holds.
--- a/src/libs/dispatch/claimseeker.cpp
+++ b/src/libs/dispatch/claimseeker.cpp
@@ -16,9 +16,9 @@
                          std::shared_ptr<NodeLease> Lease,
                          std::function<std::vector<EntryName>()> Members,
                          std::function<void(const WonClaim &)> OnWon)
-    : Shared(std::move(Shared)), Self(std::move(Self)),
-      Board(std::move(Board)), Lease(std::move(Lease)),
-      Members(std::move(Members)), OnWon(std::move(OnWon)) {}
+    : Shared(std::move(Shared)), Self(std::move(Self)), Board(std::move(Board)),
+      Lease(std::move(Lease)), Members(std::move(Members)),
+      OnWon(std::move(OnWon)) {}
 
 void ClaimSeeker::setShards(std::set<std::string> Shards) {
   this->Wanted = std::move(Shards);
@@ -27,9 +27,8 @@
 
 bool ClaimSeeker::isFirst(const std::string &Shard) const {
   const auto Rank = [this, &Shard](const EntryName &Node) {
-    return std::make_pair(
-        this->Board->shardsOf(Node),
-        std::hash<std::string>()(Node.text() + "/" + Shard));
+    return std::make_pair(this->Board->shardsOf(Node),
+                          std::hash<std::string>()(Node.text() + "/" + Shard));
   };
   const std::vector<EntryName> Alive = this->Members();
   return std::all_of(Alive.begin(), Alive.end(), [&](const EntryName &Node) {
@@ -90,17 +89,16 @@
   const std::string Attempt = randomIdentifier(this->Shared.Source);
   store::StoreTransaction Change;
   Change.Expect = {{keys::Claims + Shard, 0}, {Key, Revision}};
-  Change.Puts = {
-      {keys::Claims + Shard, encodeClaim({this->Self, 0, Attempt}),
-       this->Lease->id()},
-      {Key, std::to_string(Generation), 0}};
+  Change.Puts = {{keys::Claims + Shard, encodeClaim({this->Self, 0, Attempt}),
+                  this->Lease->id()},
+                 {Key, std::to_string(Generation), 0}};
   this->Shared.Store.Commit(
       Change,
       onLoop<ClaimSeeker, store::StoreResult<store::CommitAnswer>>(
           this->Shared.Loop, this->shared_from_this(),
-          [Shard, Attempt, Generation](
-              ClaimSeeker &Self,
-              store::StoreResult<store::CommitAnswer> Committed) {
+          [Shard, Attempt,
+           Generation](ClaimSeeker &Self,
+                       store::StoreResult<store::CommitAnswer> Committed) {
             Self.takeCommit(Shard, Attempt, Generation, std::move(Committed));
           }));
 }
--- a/src/libs/dispatch/claimseeker.h
+++ b/src/libs/dispatch/claimseeker.h
@@ -22,8 +22,7 @@
 /// shards spread and none stays free.
 class ClaimSeeker : public std::enable_shared_from_this<ClaimSeeker> {
 public:
-  ClaimSeeker(Context Shared, EntryName Self,
-              std::shared_ptr<ClaimBoard> Board,
+  ClaimSeeker(Context Shared, EntryName Self, std::shared_ptr<ClaimBoard> Board,
               std::shared_ptr<NodeLease> Lease,
               std::function<std::vector<EntryName>()> Members,
               std::function<void(const WonClaim &)> OnWon);
--- a/src/libs/dispatch/context.h
+++ b/src/libs/dispatch/context.h
@@ -31,28 +31,27 @@
 /// Wraps \p Call so that it runs on the loop's thread, and only if \p Owner
 /// still exists then.
 template <typename Owner, typename Argument, typename Call>
-std::function<void(Argument)> onLoop(TimerQueue &Loop,
-                                     const std::shared_ptr<Owner> &Object,
-                                     Call Function) {
-  return [&Loop, Weak = std::weak_ptr<Owner>(Object),
-          Function](Argument Given) {
-    Loop.post([Weak, Function,
-               Kept = std::make_shared<Argument>(std::move(Given))] {
-      if (const std::shared_ptr<Owner> Alive = Weak.lock())
-        Function(*Alive, std::move(*Kept));
-    });
-  };
+std::function<void(Argument)>
+onLoop(TimerQueue &Loop, const std::shared_ptr<Owner> &Object, Call Function) {
+  return
+      [&Loop, Weak = std::weak_ptr<Owner>(Object), Function](Argument Given) {
+        Loop.post([Weak, Function,
+                   Kept = std::make_shared<Argument>(std::move(Given))] {
+          if (const std::shared_ptr<Owner> Alive = Weak.lock())
+            Function(*Alive, std::move(*Kept));
+        });
+      };
 }
 
 /// Schedules \p Call on the loop for \p Deadline, if \p Owner exists then.
 template <typename Owner, typename Call>
 TimerId scheduleFor(TimerQueue &Loop, const std::shared_ptr<Owner> &Object,
                     TimePoint Deadline, Call Function) {
-  return Loop.schedule(
-      Deadline, [Weak = std::weak_ptr<Owner>(Object), Function] {
-        if (const std::shared_ptr<Owner> Alive = Weak.lock())
-          Function(*Alive);
-      });
+  return Loop.schedule(Deadline,
+                       [Weak = std::weak_ptr<Owner>(Object), Function] {
+                         if (const std::shared_ptr<Owner> Alive = Weak.lock())
+                           Function(*Alive);
+                       });
 }
 
 } // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/executorlink.cpp
+++ b/src/libs/dispatch/executorlink.cpp
@@ -30,9 +30,8 @@
 void ExecutorLink::open() { this->report(); }
 
 jobs::ExecutorTime ExecutorLink::nextLease() {
-  const jobs::ExecutorTime Until =
-      this->Clocks.estimate(this->Shared.now()) +
-      toMilliseconds(this->Setup.LongestLease);
+  const jobs::ExecutorTime Until = this->Clocks.estimate(this->Shared.now()) +
+                                   toMilliseconds(this->Setup.LongestLease);
   this->Clocks.noteLease(Until);
   return Until;
 }
@@ -91,9 +90,8 @@
     this->IsReachable = true;
     this->Hooks.OnReachable(this->Setup.To.Id, true);
   }
-  this->LastEnd = Answer.value().Ended.empty()
-                      ? 0
-                      : Answer.value().Ended.back().Number;
+  this->LastEnd =
+      Answer.value().Ended.empty() ? 0 : Answer.value().Ended.back().Number;
   this->Hooks.OnReport(this->Setup.To.Id, Answer.value());
   if (this->LastEnd == 0) {
     this->again(Duration::zero());
@@ -167,14 +165,14 @@
       continue;
     }
     ++this->OpenStarts;
-    this->Gateway.Start(this->Setup.To, Order, this->Setup.Token,
-                        this->nextLease(), this->Shared.now() + OrderTimeout,
-                        onLoop<ExecutorLink, jobs::StartAnswer>(
-                            this->Shared.Loop, this->shared_from_this(),
-                            [Order](ExecutorLink &Self,
-                                    const jobs::StartAnswer &Answer) {
-                              Self.takeStart(Order, Answer);
-                            }));
+    this->Gateway.Start(
+        this->Setup.To, Order, this->Setup.Token, this->nextLease(),
+        this->Shared.now() + OrderTimeout,
+        onLoop<ExecutorLink, jobs::StartAnswer>(
+            this->Shared.Loop, this->shared_from_this(),
+            [Order](ExecutorLink &Self, const jobs::StartAnswer &Answer) {
+              Self.takeStart(Order, Answer);
+            }));
   }
 }
 
@@ -224,11 +222,11 @@
       this->Shared.now() + OrderTimeout,
       [Order](const jobs::GatewayResult<jobs::ExecutorTime> &Answer) {
         if (!Answer)
-          logEvent(LogLevel::Warning, "pace-failed",
-                   {{"task", Order.Task.text()},
-                    {"percent", Order.Percent},
-                    {"code",
-                     nameOf(jobs::GatewayErrorNames, Answer.error().Code)}});
+          logEvent(
+              LogLevel::Warning, "pace-failed",
+              {{"task", Order.Task.text()},
+               {"percent", Order.Percent},
+               {"code", nameOf(jobs::GatewayErrorNames, Answer.error().Code)}});
       });
 }
 
--- a/src/libs/dispatch/fleetnode.cpp
+++ b/src/libs/dispatch/fleetnode.cpp
@@ -86,10 +86,10 @@
 
 FleetNode::Private::Private(settings::EntrySettings Given,
                             NodeConnections Connections, Clock Time,
-                            Random Source, TimerQueue &Loop,
-                            TimerQueue &Timers)
-    : Settings(std::move(Given)), Connections(std::move(Connections)),
-      Shared{Time, std::move(Source), Loop, this->Connections.Store},
+                            Random Source, TimerQueue &Loop, TimerQueue &Timers)
+    : Settings(std::move(Given)),
+      Connections(std::move(Connections)), Shared{Time, std::move(Source), Loop,
+                                                  this->Connections.Store},
       Timers(Timers), Stamps(this->Shared.Time.WallNow),
       Journal(this->Settings.Name, this->Stamps, TimelineCapacity) {}
 
@@ -109,9 +109,9 @@
 }
 
 bool FleetNode::Private::isReady() const {
-  const bool ReachesStore = this->Lease->isValid() ||
-                            (this->OperatorItems->isCurrent() &&
-                             this->Members->isKnown());
+  const bool ReachesStore =
+      this->Lease->isValid() ||
+      (this->OperatorItems->isCurrent() && this->Members->isKnown());
   return this->Queues && ReachesStore && !this->IsStopping;
 }
 
@@ -120,8 +120,8 @@
   peers::PeerHooks Hooks;
   Hooks.MakeHeartbeat = [] { return peers::Heartbeat(); };
   Hooks.OnPeersChanged = [] {};
-  Hooks.OnMessage = [Weak, &Loop = this->Shared.Loop](
-                        const EntryName &From, peers::Message Received) {
+  Hooks.OnMessage = [Weak, &Loop = this->Shared.Loop](const EntryName &From,
+                                                      peers::Message Received) {
     Loop.post([Weak, From, Received = std::move(Received)] {
       if (const auto Self = Weak.lock())
         Self->takeMessage(From, Received);
@@ -137,8 +137,7 @@
       this->Timers,
       [Weak, &Loop = this->Shared.Loop](http::HttpRequest Request,
                                         http::Responder Back) {
-        Loop.post([Weak, Request = std::move(Request),
-                   Back = std::move(Back)] {
+        Loop.post([Weak, Request = std::move(Request), Back = std::move(Back)] {
           if (const auto Self = Weak.lock())
             Self->Door->take(Request, Back);
         });
@@ -278,8 +277,7 @@
 }
 
 void FleetNode::Private::adopt(jobs::FleetConfiguration Newest) {
-  if (this->Queues &&
-      Newest.Version <= this->Queues->configuration().Version)
+  if (this->Queues && Newest.Version <= this->Queues->configuration().Version)
     return;
   logEvent(LogLevel::Info, "configuration-adopted",
            {{"version", Newest.Version},
@@ -314,11 +312,19 @@
     return Self ? Self->Queues : nullptr;
   };
   if (Given.Shard == keys::FleetShard) {
+    const auto Orders = std::make_shared<MachineOrders>(
+        this->Shared,
+        store::ExpectedRevision{keys::Claims + Given.Shard, Given.Token},
+        [Lost, Shard = Given.Shard](const std::string &Cause) {
+          Lost(Shard, Cause);
+        });
+    Orders->load();
     const WaveEnvironment Environment{this->Connections.Machines,
                                       this->Connections.Words,
                                       this->Calls,
                                       Table,
                                       ValidUntil,
+                                      Orders,
                                       Lost};
     this->Keeper = std::make_shared<WaveKeeper>(this->Shared, Environment,
                                                 this->Settings.Name, Given);
@@ -458,9 +464,8 @@
     if (Found == this->Shards.end())
       Release();
     else
-      Found->second->drain([Release, &Loop = this->Shared.Loop] {
-        Loop.post(Release);
-      });
+      Found->second->drain(
+          [Release, &Loop = this->Shared.Loop] { Loop.post(Release); });
   }
   Finish();
 }
@@ -493,9 +498,8 @@
       this->D->Front->close(Asked + this->D->Settings.StopTimeout);
   auto Ended = std::make_shared<std::promise<void>>();
   std::future<void> Ending = Ended->get_future();
-  this->D->Shared.Loop.post([D = this->D, Ended] {
-    D->Lease->end([Ended] { Ended->set_value(); });
-  });
+  this->D->Shared.Loop.post(
+      [D = this->D, Ended] { D->Lease->end([Ended] { Ended->set_value(); }); });
   constexpr Duration EndTimeout = std::chrono::milliseconds(300);
   Ending.wait_for(EndTimeout);
   this->D->ReadyFront->close(TimePoint::min());
--- a/src/libs/dispatch/jobdoor.cpp
+++ b/src/libs/dispatch/jobdoor.cpp
@@ -121,8 +121,8 @@
     For->Back(refusal(status::BadRequest, Spec.error().Message));
     return;
   }
-  For->Record = encodeStoredJob({For->QueueName, this->Shared.Time.WallNow(),
-                                 Body, std::nullopt});
+  For->Record = encodeStoredJob(
+      {For->QueueName, this->Shared.Time.WallNow(), Body, std::nullopt});
   this->store(For);
 }
 
@@ -132,13 +132,12 @@
   Change.Expect = {{Key, 0}};
   Change.Puts = {{Key, For->Record, 0}};
   this->Shared.Store.Commit(
-      Change,
-      onLoop<JobDoor, store::StoreResult<store::CommitAnswer>>(
-          this->Shared.Loop, this->shared_from_this(),
-          [For](JobDoor &Self,
-                const store::StoreResult<store::CommitAnswer> &Answer) {
-            Self.takeStored(For, Answer);
-          }));
+      Change, onLoop<JobDoor, store::StoreResult<store::CommitAnswer>>(
+                  this->Shared.Loop, this->shared_from_this(),
+                  [For](JobDoor &Self,
+                        const store::StoreResult<store::CommitAnswer> &Answer) {
+                    Self.takeStored(For, Answer);
+                  }));
 }
 
 void JobDoor::takeStored(
@@ -158,15 +157,14 @@
   const store::StoreError &Error = Answer.error();
   if (Error.Code != store::StoreErrorCode::Unreachable)
     For->IsUncertain = true;
-  const TimePoint Next =
-      this->Shared.now() + this->Shared.jittered(StoreRetry);
+  const TimePoint Next = this->Shared.now() + this->Shared.jittered(StoreRetry);
   if (Next < For->GiveUp) {
     scheduleFor(this->Shared.Loop, this->shared_from_this(), Next,
                 [For](JobDoor &Self) { Self.store(For); });
     return;
   }
-  const int Status = For->IsUncertain ? status::GatewayTimeout
-                                      : status::ServiceUnavailable;
+  const int Status =
+      For->IsUncertain ? status::GatewayTimeout : status::ServiceUnavailable;
   logRefusal(For->Id, Status, Error.Message);
   For->Back(refusal(Status, For->IsUncertain
                                 ? "it is not known whether the job is stored"
@@ -213,13 +211,12 @@
               Done(false);
               return;
             }
-            scheduleFor(Self.Shared.Loop, Self.shared_from_this(),
-                        Self.Shared.now() +
-                            2 * Self.Shared.jittered(StoreRetry),
-                        [For, Key, Content, TriesLeft, Done](JobDoor &Again) {
-                          Again.leaveNotice(For, Key, Content, TriesLeft - 1,
-                                            Done);
-                        });
+            scheduleFor(
+                Self.Shared.Loop, Self.shared_from_this(),
+                Self.Shared.now() + 2 * Self.Shared.jittered(StoreRetry),
+                [For, Key, Content, TriesLeft, Done](JobDoor &Again) {
+                  Again.leaveNotice(For, Key, Content, TriesLeft - 1, Done);
+                });
           }));
 }
 
@@ -247,9 +244,7 @@
               return;
             }
             scheduleFor(Self.Shared.Loop, Self.shared_from_this(), Next,
-                        [For, Done](JobDoor &Again) {
-                          Again.read(For, Done);
-                        });
+                        [For, Done](JobDoor &Again) { Again.read(For, Done); });
           }));
 }
 
@@ -283,8 +278,8 @@
             return;
           }
           const auto Stored = decodeStoredJob(Record.value());
-          const jobs::JobState Shown =
-              Stored && Stored.value().End ? *Stored.value().End
+          const jobs::JobState Shown = Stored && Stored.value().End
+                                           ? *Stored.value().End
                                            : jobs::JobState::Queued;
           For->Back(
               http::jsonResponse(status::Ok, Self->Words.EncodeState(Shown)));
@@ -315,36 +310,36 @@
 /// reached.
 void JobDoor::cancelInStore(const SharedVisit &For, bool MayAskPlanner) {
   const auto Self = this->shared_from_this();
-  this->read(For, [Self, For,
-                   MayAskPlanner](store::StoreResult<std::string> Record) {
-    if (!Record) {
-      For->Back(refusal(status::ServiceUnavailable,
-                        "the job cannot be cancelled at present"));
-      return;
-    }
-    if (Record.value().empty()) {
-      For->Back(refusal(Gone, "no such job"));
-      return;
-    }
-    const auto Stored = decodeStoredJob(Record.value());
-    if (Stored && Stored.value().End) {
-      For->Back(http::jsonResponse(status::Ok, "{}"));
-      return;
-    }
-    For->Record = Record.value();
-    if (MayAskPlanner)
-      Self->tellPlanner(For);
-    Self->leaveNotice(
-        For, keys::cancellations(For->Service) + For->Id.text(), "{}",
-        NoticeTries / 4, [Self, For](bool IsLeft) {
-          logEvent(LogLevel::Info, "cancel-noted",
-                   {{"job", For->Id}, {"stored", IsLeft ? "yes" : "no"}});
-          For->Back(IsLeft ? http::jsonResponse(status::Ok, "{}")
-                           : refusal(status::GatewayTimeout,
-                                     "it is not known whether the job is "
-                                     "cancelled"));
-        });
-  });
+  this->read(
+      For, [Self, For, MayAskPlanner](store::StoreResult<std::string> Record) {
+        if (!Record) {
+          For->Back(refusal(status::ServiceUnavailable,
+                            "the job cannot be cancelled at present"));
+          return;
+        }
+        if (Record.value().empty()) {
+          For->Back(refusal(Gone, "no such job"));
+          return;
+        }
+        const auto Stored = decodeStoredJob(Record.value());
+        if (Stored && Stored.value().End) {
+          For->Back(http::jsonResponse(status::Ok, "{}"));
+          return;
+        }
+        For->Record = Record.value();
+        if (MayAskPlanner)
+          Self->tellPlanner(For);
+        Self->leaveNotice(
+            For, keys::cancellations(For->Service) + For->Id.text(), "{}",
+            NoticeTries / 4, [Self, For](bool IsLeft) {
+              logEvent(LogLevel::Info, "cancel-noted",
+                       {{"job", For->Id}, {"stored", IsLeft ? "yes" : "no"}});
+              For->Back(IsLeft ? http::jsonResponse(status::Ok, "{}")
+                               : refusal(status::GatewayTimeout,
+                                         "it is not known whether the job is "
+                                         "cancelled"));
+            });
+      });
 }
 
 void JobDoor::showWaiting(const std::string &QueueName,
@@ -370,8 +365,8 @@
         size_t Waiting = 0;
         const std::string &Text = Known->second.Waiting;
         std::from_chars(Text.data(), Text.data() + Text.size(), Waiting);
-        Back(http::jsonResponse(status::Ok,
-                                Self->Words.EncodeWaiting(Waiting)));
+        Back(
+            http::jsonResponse(status::Ok, Self->Words.EncodeWaiting(Waiting)));
       });
 }
 
--- /dev/null
+++ b/src/libs/dispatch/machineorders.h
@@ -0,0 +1,62 @@
+#ifndef WHINTACK_DISPATCH_MACHINEORDERS_H
+#define WHINTACK_DISPATCH_MACHINEORDERS_H
+
+#include "context.h"
+
+#include "whintack/jobs/taskkey.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace whintack::dispatch::Internal {
+
+/// Writes down under the claim which machines are about to be ordered, before
+/// the orders go out. A holder whose claim is gone cannot write and so cannot
+/// order; its successor leaves alone for a while only those machines that were
+/// ordered last.
+class MachineOrders : public std::enable_shared_from_this<MachineOrders> {
+public:
+  /// \p Claim names the claim's key and revision.
+  MachineOrders(Context Shared, store::ExpectedRevision Claim,
+                std::function<void(const std::string &Cause)> OnLost);
+
+  /// Reads what an earlier holder wrote; tries again until it succeeds.
+  void load();
+  bool isLoaded() const { return this->IsLoaded; }
+  void stop() { this->IsStopped = true; }
+
+  /// Whether an earlier holder's orders keep the machine from being ordered.
+  bool isHeld(const jobs::MachineName &Machine) const;
+  /// Calls \p Send once it is written that the machine is ordered; never if
+  /// the claim is lost.
+  void announce(const jobs::MachineName &Machine, std::function<void()> Send);
+
+private:
+  struct Announced {
+    jobs::MachineName Machine;
+    std::function<void()> Send;
+  };
+
+  void takeRecord(store::StoreResult<store::StorePage> Answer);
+  void write();
+  void takeWritten(const store::StoreResult<store::CommitAnswer> &Answer);
+
+  Context Shared;
+  store::ExpectedRevision Claim;
+  std::function<void(const std::string &Cause)> OnLost;
+  /// Machines that an earlier holder ordered, held until that instant.
+  std::set<jobs::MachineName> EarlierOrdered;
+  TimePoint EarlierOver = TimePoint::min();
+  /// Machines ordered here, until they may be left out of the record.
+  std::map<jobs::MachineName, TimePoint> Recent;
+  std::vector<Announced> Waiting;
+  std::vector<Announced> Writing;
+  bool IsLoaded = false;
+  bool IsWriteRequested = false;
+  bool IsStopped = false;
+};
+
+} // namespace whintack::dispatch::Internal
+
+#endif // WHINTACK_DISPATCH_MACHINEORDERS_H
--- a/src/libs/dispatch/membership.cpp
+++ b/src/libs/dispatch/membership.cpp
@@ -27,10 +27,9 @@
     const auto Link = parseAddress(Body.at("link").as_string());
     if (!Link)
       throw std::runtime_error("the link is not an address");
-    return peers::PeerEndpoint{EntryName(Item.Key.substr(keys::Members.size())),
-                               DataCentreName(
-                                   Body.at("data-centre").as_string()),
-                               *Link};
+    return peers::PeerEndpoint{
+        EntryName(Item.Key.substr(keys::Members.size())),
+        DataCentreName(Body.at("data-centre").as_string()), *Link};
   } catch (const std::exception &Error) {
     logEvent(LogLevel::Error, "member-unreadable",
              {{"key", Item.Key}, {"cause", Error.what()}});
@@ -41,8 +40,8 @@
 Membership::Membership(Context Shared, peers::PeerEndpoint Self,
                        std::shared_ptr<NodeLease> Lease,
                        std::function<void()> OnChange)
-    : Shared(std::move(Shared)), Self(std::move(Self)),
-      Lease(std::move(Lease)), OnChange(std::move(OnChange)) {}
+    : Shared(std::move(Shared)), Self(std::move(Self)), Lease(std::move(Lease)),
+      OnChange(std::move(OnChange)) {}
 
 void Membership::start() {
   this->Lease->onGranted([Weak = this->weak_from_this()] {
@@ -59,19 +58,19 @@
   Change.Puts = {{keys::Members + this->Self.Name.text(),
                   encodeMember(this->Self), this->Lease->id()}};
   this->Shared.Store.Commit(
-      Change, onLoop<Membership, store::StoreResult<store::CommitAnswer>>(
-                  this->Shared.Loop, this->shared_from_this(),
-                  [](Membership &Self,
-                     const store::StoreResult<store::CommitAnswer> &Answer) {
-                    if (Answer) {
-                      Self.look();
-                      return;
-                    }
-                    scheduleFor(Self.Shared.Loop, Self.shared_from_this(),
-                                Self.Shared.now() +
-                                    Self.Shared.jittered(EnrollRetry),
-                                [](Membership &Again) { Again.enroll(); });
-                  }));
+      Change,
+      onLoop<Membership, store::StoreResult<store::CommitAnswer>>(
+          this->Shared.Loop, this->shared_from_this(),
+          [](Membership &Self,
+             const store::StoreResult<store::CommitAnswer> &Answer) {
+            if (Answer) {
+              Self.look();
+              return;
+            }
+            scheduleFor(Self.Shared.Loop, Self.shared_from_this(),
+                        Self.Shared.now() + Self.Shared.jittered(EnrollRetry),
+                        [](Membership &Again) { Again.enroll(); });
+          }));
 }
 
 void Membership::look() {
--- a/src/libs/dispatch/membership.h
+++ b/src/libs/dispatch/membership.h
@@ -13,8 +13,7 @@
 class Membership : public std::enable_shared_from_this<Membership> {
 public:
   Membership(Context Shared, peers::PeerEndpoint Self,
-             std::shared_ptr<NodeLease> Lease,
-             std::function<void()> OnChange);
+             std::shared_ptr<NodeLease> Lease, std::function<void()> OnChange);
 
   void start();
   void stop() { this->IsStopped = true; }
--- a/src/libs/dispatch/nodelease.cpp
+++ b/src/libs/dispatch/nodelease.cpp
@@ -36,22 +36,21 @@
 void NodeLease::grant() {
   const TimePoint Sent = this->Shared.now();
   this->Shared.Store.GrantLease(
-      Length, onLoop<NodeLease, store::StoreResult<store::LeaseId>>(
-                  this->Shared.Loop, this->shared_from_this(),
-                  [Sent](NodeLease &Self,
-                         store::StoreResult<store::LeaseId> Answer) {
-                    if (!Answer) {
-                      Self.again(Self.Shared.jittered(RetryPause));
-                      return;
-                    }
-                    Self.Id = Answer.value();
-                    Self.ValidUntil = Sent + Length - Margin;
-                    logEvent(LogLevel::Info, "lease-granted",
-                             {{"lease", Self.Id}});
-                    for (const auto &Hook : Self.GrantedHooks)
-                      Hook();
-                    Self.again(RenewInterval);
-                  }));
+      Length,
+      onLoop<NodeLease, store::StoreResult<store::LeaseId>>(
+          this->Shared.Loop, this->shared_from_this(),
+          [Sent](NodeLease &Self, store::StoreResult<store::LeaseId> Answer) {
+            if (!Answer) {
+              Self.again(Self.Shared.jittered(RetryPause));
+              return;
+            }
+            Self.Id = Answer.value();
+            Self.ValidUntil = Sent + Length - Margin;
+            logEvent(LogLevel::Info, "lease-granted", {{"lease", Self.Id}});
+            for (const auto &Hook : Self.GrantedHooks)
+              Hook();
+            Self.again(RenewInterval);
+          }));
 }
 
 void NodeLease::renew() {
--- a/src/libs/dispatch/poolkeeper.cpp
+++ b/src/libs/dispatch/poolkeeper.cpp
@@ -17,17 +17,11 @@
       Self(std::move(Self)), Won(std::move(Won)),
       Reserved(std::move(Reserved)) {}
 
-void PoolKeeper::start() {
-  this->OrdersFrom = this->Shared.now();
-  if (this->Won.Generation > 1)
-    this->OrdersFrom += HolderDistance;
-  this->tick();
-}
+void PoolKeeper::start() { this->tick(); }
 
 bool PoolKeeper::mayOrder() const {
-  const TimePoint Now = this->Shared.now();
-  return !this->IsStopped && Now >= this->OrdersFrom &&
-         mayOrderMachines(Now, this->Environment.ClaimValidUntil());
+  return !this->IsStopped && this->Environment.Orders->isLoaded() &&
+         this->Shared.now() < this->Environment.ClaimValidUntil();
 }
 
 void PoolKeeper::tick() {
@@ -36,8 +30,7 @@
   if (this->mayOrder())
     this->Environment.Machines.List(
         this->Shared.now() + ListTimeout,
-        onLoop<PoolKeeper,
-               jobs::GatewayResult<std::vector<jobs::MachineInfo>>>(
+        onLoop<PoolKeeper, jobs::GatewayResult<std::vector<jobs::MachineInfo>>>(
             this->Shared.Loop, this->shared_from_this(),
             [](PoolKeeper &Self,
                jobs::GatewayResult<std::vector<jobs::MachineInfo>> Found) {
@@ -54,12 +47,10 @@
 void PoolKeeper::ask() {
   const auto Queues = this->Environment.Queues();
   auto Current = std::make_shared<Round>();
-  for (const jobs::ServicePolicy &Service :
-       Queues->configuration().Services)
+  for (const jobs::ServicePolicy &Service : Queues->configuration().Services)
     if (!Service.IsSpare)
       ++Current->Open;
-  for (const jobs::ServicePolicy &Service :
-       Queues->configuration().Services) {
+  for (const jobs::ServicePolicy &Service : Queues->configuration().Services) {
     if (Service.IsSpare)
       continue;
     this->Environment.Calls->call(
@@ -92,14 +83,16 @@
   for (const auto &[Name, Until] : this->OrderedUntil)
     if (Now < Until)
       LeftAlone.insert(Name);
+  for (const jobs::MachineInfo &Machine : this->Machines)
+    if (this->Environment.Orders->isHeld(Machine.Name))
+      LeftAlone.insert(Machine.Name);
   ServiceName Spare;
   const auto Queues = this->Environment.Queues();
-  for (const jobs::ServicePolicy &Service :
-       Queues->configuration().Services)
+  for (const jobs::ServicePolicy &Service : Queues->configuration().Services)
     if (Service.IsSpare)
       Spare = Service.Name;
-  for (const jobs::MoveProposal &Move : this->Policy.decide(
-           this->Machines, Demands, Spare, LeftAlone, Now)) {
+  for (const jobs::MoveProposal &Move :
+       this->Policy.decide(this->Machines, Demands, Spare, LeftAlone, Now)) {
     this->OrderedUntil[Move.Machine.Name] = Now + OrderRest;
     this->propose(Move);
   }
@@ -119,16 +112,24 @@
       PlannerTimeout,
       [Weak = this->weak_from_this(), Move](const CallResult &Answer) {
         const auto Self = Weak.lock();
-        const bool IsVacant =
-            Answer.Outcome == CallOutcome::Done &&
-            valueOf(jobs::OccupancyNames, Answer.Content) ==
-                jobs::Occupancy::Vacant;
+        const bool IsVacant = Answer.Outcome == CallOutcome::Done &&
+                              valueOf(jobs::OccupancyNames, Answer.Content) ==
+                                  jobs::Occupancy::Vacant;
         if (Self && IsVacant && Self->mayOrder())
           Self->order(Move);
       });
 }
 
 void PoolKeeper::order(const jobs::MoveProposal &Move) {
+  this->Environment.Orders->announce(Move.Machine.Name,
+                                     [Weak = this->weak_from_this(), Move] {
+                                       const auto Self = Weak.lock();
+                                       if (Self && Self->mayOrder())
+                                         Self->send(Move);
+                                     });
+}
+
+void PoolKeeper::send(const jobs::MoveProposal &Move) {
   logEvent(LogLevel::Info, "machine-moved",
            {{"machine", Move.Machine.Name},
             {"from", Move.Machine.Pool},
--- a/src/libs/dispatch/poolkeeper.h
+++ b/src/libs/dispatch/poolkeeper.h
@@ -31,6 +31,7 @@
   void decide(const std::vector<jobs::PoolDemand> &Demands);
   void propose(const jobs::MoveProposal &Move);
   void order(const jobs::MoveProposal &Move);
+  void send(const jobs::MoveProposal &Move);
   bool mayOrder() const;
 
   Context Shared;
@@ -38,7 +39,6 @@
   EntryName Self;
   WonClaim Won;
   std::function<std::set<jobs::MachineName>()> Reserved;
-  TimePoint OrdersFrom;
   jobs::PoolPolicy Policy;
   std::vector<jobs::MachineInfo> Machines;
   /// Machines that were just ordered; the list may not show it yet.
--- a/src/libs/dispatch/prefixwatch.cpp
+++ b/src/libs/dispatch/prefixwatch.cpp
@@ -90,8 +90,7 @@
   std::set<std::string> Changed;
   for (store::StoreChange &Change : Answer.value().Changes) {
     const auto Known = this->Items.find(Change.Key);
-    if (Known != this->Items.end() &&
-        Known->second.Revision >= Change.Revision)
+    if (Known != this->Items.end() && Known->second.Revision >= Change.Revision)
       continue;
     if (Change.Item)
       this->Items[Change.Key] = std::move(*Change.Item);
--- a/src/libs/dispatch/servicecalls.cpp
+++ b/src/libs/dispatch/servicecalls.cpp
@@ -6,9 +6,8 @@
     Context Shared, EntryName Self, std::shared_ptr<ClaimBoard> Board,
     std::function<bool(const EntryName &, const peers::Message &)> Send,
     std::function<bool(const peers::ServiceCall &, AnswerBack)> Local)
-    : Shared(std::move(Shared)), Self(std::move(Self)),
-      Board(std::move(Board)), Send(std::move(Send)), Local(std::move(Local)) {
-}
+    : Shared(std::move(Shared)), Self(std::move(Self)), Board(std::move(Board)),
+      Send(std::move(Send)), Local(std::move(Local)) {}
 
 static CallResult resultOf(const peers::ServiceAnswer &Answer) {
   switch (Answer.Outcome) {
@@ -39,8 +38,7 @@
       });
   if (IsLocal)
     return;
-  const std::optional<Claim> Holder =
-      this->Board->holder(Asked.Service.text());
+  const std::optional<Claim> Holder = this->Board->holder(Asked.Service.text());
   if (!Holder || Holder->Holder == this->Self ||
       !this->Send(Holder->Holder, Asked))
     this->finish(Id, {CallOutcome::Unavailable, ""});
--- a/src/libs/dispatch/servicecalls.h
+++ b/src/libs/dispatch/servicecalls.h
@@ -41,12 +41,10 @@
 public:
   /// \p Local answers calls for services that are planned here; it returns
   /// false for the others.
-  ServiceCalls(Context Shared, EntryName Self,
-               std::shared_ptr<ClaimBoard> Board,
-               std::function<bool(const EntryName &, const peers::Message &)>
-                   Send,
-               std::function<bool(const peers::ServiceCall &, AnswerBack)>
-                   Local);
+  ServiceCalls(
+      Context Shared, EntryName Self, std::shared_ptr<ClaimBoard> Board,
+      std::function<bool(const EntryName &, const peers::Message &)> Send,
+      std::function<bool(const peers::ServiceCall &, AnswerBack)> Local);
 
   void call(peers::ServiceCall Asked, Duration Timeout, CallDone Done);
 
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -28,12 +28,12 @@
                            WonClaim Won)
     : Shared(std::move(Shared)), Environment(std::move(Environment)),
       Won(std::move(Won)), Service(this->Won.Shard),
-      Planner({this->Service, this->Won.Generation,
-               [Service = this->Service](std::string_view Event,
-                                         std::initializer_list<LogField>
-                                             Fields) {
-                 logEvent(LogLevel::Info, Event, Fields);
-               }}) {}
+      Planner(
+          {this->Service, this->Won.Generation,
+           [Service = this->Service](std::string_view Event,
+                                     std::initializer_list<LogField> Fields) {
+             logEvent(LogLevel::Info, Event, Fields);
+           }}) {}
 
 void ServiceShard::start() {
   this->ClaimedAt = this->Shared.now();
@@ -51,11 +51,11 @@
   }
   this->Records = std::make_shared<ShardStore>(this->Shared, this->Service,
                                                this->Won.Token);
-  this->Records->load([Weak = this->weak_from_this()](
-                          const ShardStore::Contents &Loaded) {
-    if (const auto Self = Weak.lock())
-      Self->takeContents(Loaded);
-  });
+  this->Records->load(
+      [Weak = this->weak_from_this()](const ShardStore::Contents &Loaded) {
+        if (const auto Self = Weak.lock())
+          Self->takeContents(Loaded);
+      });
 }
 
 void ServiceShard::stop() {
@@ -94,10 +94,8 @@
     Job.Policy = *Policy;
   else
     Job.Policy.Name = Stored.value().QueueName;
-  const Duration Age =
-      this->Shared.Time.WallNow() - Stored.value().Accepted;
-  Job.Accepted =
-      this->Shared.now() - std::max(Age, Duration::zero());
+  const Duration Age = this->Shared.Time.WallNow() - Stored.value().Accepted;
+  Job.Accepted = this->Shared.now() - std::max(Age, Duration::zero());
   Job.MayHaveRun = Earlier != nullptr;
   if (Earlier)
     this->Planner.restoreJob(std::move(Job), *Earlier);
@@ -109,8 +107,7 @@
 void ServiceShard::restore(
     const store::StoreItem &Item,
     const std::unordered_map<std::string, std::string> &Progress) {
-  const std::string Id =
-      Item.Key.substr(keys::jobs(this->Service).size());
+  const std::string Id = Item.Key.substr(keys::jobs(this->Service).size());
   jobs::JobProgress Known;
   if (const auto Found = Progress.find(Id); Found != Progress.end()) {
     auto Read = jobs::decodeProgress(jobs::JobId(Id), Found->second);
@@ -244,8 +241,7 @@
   this->Census = CensusState::Taking;
   this->Environment.ListMachines(
       this->Shared.now() + CensusTimeout,
-      onLoop<ServiceShard,
-             jobs::GatewayResult<std::vector<jobs::MachineInfo>>>(
+      onLoop<ServiceShard, jobs::GatewayResult<std::vector<jobs::MachineInfo>>>(
           this->Shared.Loop, this->shared_from_this(),
           [](ServiceShard &Self,
              const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found) {
@@ -259,8 +255,7 @@
     return;
   const TimePoint Now = this->Shared.now();
   if (!Found && Now < this->EarlierLeasesOver) {
-    scheduleFor(this->Shared.Loop, this->shared_from_this(),
-                Now + CensusRetry,
+    scheduleFor(this->Shared.Loop, this->shared_from_this(), Now + CensusRetry,
                 [](ServiceShard &Self) { Self.takeCensus(); });
     return;
   }
@@ -336,8 +331,7 @@
 void ServiceShard::lookAtSilent() {
   this->Environment.ListMachines(
       this->Shared.now() + CensusTimeout,
-      onLoop<ServiceShard,
-             jobs::GatewayResult<std::vector<jobs::MachineInfo>>>(
+      onLoop<ServiceShard, jobs::GatewayResult<std::vector<jobs::MachineInfo>>>(
           this->Shared.Loop, this->shared_from_this(),
           [](ServiceShard &Self,
              const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found) {
@@ -366,8 +360,7 @@
   if (this->Silent.empty())
     return;
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
-              this->Shared.now() + SilentLookInterval,
-              [](ServiceShard &Self) {
+              this->Shared.now() + SilentLookInterval, [](ServiceShard &Self) {
                 std::erase_if(Self.Silent, [&Self](const auto &Id) {
                   return Self.Planner.occupancy(Id) == jobs::Occupancy::Vacant;
                 });
@@ -379,19 +372,19 @@
 /// Looks for jobs that doors told an earlier planner of while this one read
 /// the records.
 void ServiceShard::rescan() {
-  this->Records->load([Weak = this->weak_from_this()](
-                          const ShardStore::Contents &Loaded) {
-    const auto Self = Weak.lock();
-    if (!Self || Self->IsStopped)
-      return;
-    const size_t Prefix = keys::jobs(Self->Service).size();
-    for (const store::StoreItem &Item : Loaded.Jobs) {
-      const jobs::JobId Id(Item.Key.substr(Prefix));
-      if (!Self->Planner.shownState(Id))
-        Self->restore(Item, {});
-    }
-    Self->requestPlan();
-  });
+  this->Records->load(
+      [Weak = this->weak_from_this()](const ShardStore::Contents &Loaded) {
+        const auto Self = Weak.lock();
+        if (!Self || Self->IsStopped)
+          return;
+        const size_t Prefix = keys::jobs(Self->Service).size();
+        for (const store::StoreItem &Item : Loaded.Jobs) {
+          const jobs::JobId Id(Item.Key.substr(Prefix));
+          if (!Self->Planner.shownState(Id))
+            Self->restore(Item, {});
+        }
+        Self->requestPlan();
+      });
 }
 
 void ServiceShard::openLink(const jobs::ExecutorInfo &Info) {
@@ -564,9 +557,8 @@
             {"cause", Cause}});
   // The owner may destroy this object, which is in use further up the stack.
   this->Shared.Loop.post([Environment = this->Environment,
-                          Shard = this->Won.Shard, Cause] {
-    Environment.OnLost(Shard, Cause);
-  });
+                          Shard = this->Won.Shard,
+                          Cause] { Environment.OnLost(Shard, Cause); });
 }
 
 void ServiceShard::answerCancel(const peers::ServiceCall &Asked,
@@ -625,8 +617,8 @@
     const jobs::ExecutorId Id(Asked.Subject);
     this->Planner.evacuate(Id, this->Shared.now());
     Back({Asked.Id, ServiceOutcome::Done,
-          std::string(nameOf(jobs::OccupancyNames,
-                             this->Planner.occupancy(Id)))});
+          std::string(
+              nameOf(jobs::OccupancyNames, this->Planner.occupancy(Id)))});
     this->requestPlan();
     return;
   }
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -72,8 +72,8 @@
   void carryOut(const jobs::Order &Given);
   void ask(const jobs::AdviceOrder &Question);
   void lookAtSilent();
-  void judgeSilent(
-      const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found);
+  void
+  judgeSilent(const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found);
   void rescan();
   void requestFlush();
   void flush();
--- a/src/libs/dispatch/shardstore.cpp
+++ b/src/libs/dispatch/shardstore.cpp
@@ -51,11 +51,11 @@
                   const auto Self = Weak.lock();
                   if (!Self)
                     return;
-                  Self->readAll(keys::progress(Self->Service), "", Progress,
-                                [Jobs, Progress, Done] {
-                                  Done({std::move(*Jobs),
-                                        std::move(*Progress)});
-                                });
+                  Self->readAll(
+                      keys::progress(Self->Service), "", Progress,
+                      [Jobs, Progress, Done] {
+                        Done({std::move(*Jobs), std::move(*Progress)});
+                      });
                 });
 }
 
@@ -80,19 +80,20 @@
     Change.Removals.push_back(keys::progress(this->Service) + Id);
   }
   this->Shared.Store.Commit(
-      Change, onLoop<ShardStore, store::StoreResult<store::CommitAnswer>>(
-                  this->Shared.Loop, this->shared_from_this(),
-                  [Done](ShardStore &Self,
-                         const store::StoreResult<store::CommitAnswer> &Answer) {
-                    if (Self.IsStopped)
-                      return;
-                    if (!Answer)
-                      Done(WriteOutcome::Failed);
-                    else if (Answer.value().IsCommitted)
-                      Done(WriteOutcome::Written);
-                    else
-                      Done(WriteOutcome::Superseded);
-                  }));
+      Change,
+      onLoop<ShardStore, store::StoreResult<store::CommitAnswer>>(
+          this->Shared.Loop, this->shared_from_this(),
+          [Done](ShardStore &Self,
+                 const store::StoreResult<store::CommitAnswer> &Answer) {
+            if (Self.IsStopped)
+              return;
+            if (!Answer)
+              Done(WriteOutcome::Failed);
+            else if (Answer.value().IsCommitted)
+              Done(WriteOutcome::Written);
+            else
+              Done(WriteOutcome::Superseded);
+          }));
 }
 
 } // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/storekeys.h
+++ b/src/libs/dispatch/storekeys.h
@@ -13,6 +13,8 @@
 inline const std::string Generations = "whintack/generation/";
 inline const std::string Members = "whintack/member/";
 inline const std::string Waves = "whintack/wave/";
+/// Machines that the holder of the fleet shard ordered last.
+inline const std::string MachineOrders = "whintack/machine-orders";
 
 /// The shard that maintains and moves machines.
 inline const std::string FleetShard = "fleet";
--- a/src/libs/dispatch/wavekeeper.cpp
+++ b/src/libs/dispatch/wavekeeper.cpp
@@ -16,27 +16,19 @@
 /// Kept of a wave's time for the last machines' answers.
 static constexpr Duration EndMargin = std::chrono::seconds(2);
 
-bool mayOrderMachines(TimePoint Now, TimePoint ClaimValidUntil) {
-  return Now + NodeLease::Length < ClaimValidUntil + LongestSilence;
-}
-
 WaveKeeper::WaveKeeper(Context Shared, WaveEnvironment Environment,
                        EntryName Self, WonClaim Won)
     : Shared(std::move(Shared)), Environment(std::move(Environment)),
       Self(std::move(Self)), Won(std::move(Won)) {}
 
 void WaveKeeper::start() {
-  this->OrdersFrom = this->Shared.now();
-  if (this->Won.Generation > 1)
-    this->OrdersFrom += HolderDistance;
   this->load();
   this->tick();
 }
 
 bool WaveKeeper::mayOrder() const {
-  const TimePoint Now = this->Shared.now();
-  return !this->IsStopped && Now >= this->OrdersFrom &&
-         mayOrderMachines(Now, this->Environment.ClaimValidUntil());
+  return !this->IsStopped && this->Environment.Orders->isLoaded() &&
+         this->Shared.now() < this->Environment.ClaimValidUntil();
 }
 
 void WaveKeeper::load() {
@@ -131,9 +123,9 @@
       Change,
       onLoop<WaveKeeper, store::StoreResult<store::CommitAnswer>>(
           this->Shared.Loop, this->shared_from_this(),
-          [Number, Count = Begun.size(), IsCompleted](
-              WaveKeeper &Self,
-              const store::StoreResult<store::CommitAnswer> &Answer) {
+          [Number, Count = Begun.size(),
+           IsCompleted](WaveKeeper &Self,
+                        const store::StoreResult<store::CommitAnswer> &Answer) {
             Wave &Written = Self.Waves[Number];
             Written.IsWriting = false;
             if (!Answer)
@@ -166,8 +158,7 @@
     this->ListAskedAt = this->Shared.now();
     this->Environment.Machines.List(
         this->Shared.now() + ListTimeout,
-        onLoop<WaveKeeper,
-               jobs::GatewayResult<std::vector<jobs::MachineInfo>>>(
+        onLoop<WaveKeeper, jobs::GatewayResult<std::vector<jobs::MachineInfo>>>(
             this->Shared.Loop, this->shared_from_this(),
             [](WaveKeeper &Self,
                jobs::GatewayResult<std::vector<jobs::MachineInfo>> Found) {
@@ -210,8 +201,7 @@
   if (!this->mayOrder() || !Of.IsStored)
     return;
   const uint64_t Number = Of.Course->request().Number;
-  for (const jobs::MachineInfo &Machine :
-       Of.Course->vacate(this->Shared.now()))
+  for (const jobs::MachineInfo &Machine : Of.Course->vacate(this->Shared.now()))
     if (this->Busy.insert(Machine.Name).second)
       this->vacate(Number, Machine);
 }
@@ -219,12 +209,11 @@
 void WaveKeeper::vacate(uint64_t Number, const jobs::MachineInfo &Machine) {
   const jobs::ServicePolicy *Policy =
       this->Environment.Queues()->service(Machine.Pool);
-  const bool IsOff =
-      Machine.Executor.isEmpty() || (Policy && Policy->IsSpare);
+  const bool IsOff = Machine.Executor.isEmpty() || (Policy && Policy->IsSpare);
   const auto Go = [this, Number, Machine](jobs::Occupancy Left) {
     this->Busy.erase(Machine.Name);
     const jobs::WaveCourse &Course = *this->Waves[Number].Course;
-    if (this->mayOrder() &&
+    if (this->mayOrder() && !this->Environment.Orders->isHeld(Machine.Name) &&
         Course.mayOrder(Machine.Name, Left, this->Shared.now()))
       this->order(Number, Machine);
   };
@@ -248,6 +237,14 @@
 void WaveKeeper::order(uint64_t Number, const jobs::MachineInfo &Machine) {
   this->Waves[Number].Course->noteOrdered(Machine.Name);
   this->Busy.insert(Machine.Name);
+  this->Environment.Orders->announce(
+      Machine.Name, [Weak = this->weak_from_this(), Number, Machine] {
+        if (const auto Self = Weak.lock())
+          Self->send(Number, Machine);
+      });
+}
+
+void WaveKeeper::send(uint64_t Number, const jobs::MachineInfo &Machine) {
   logEvent(LogLevel::Info, "machine-maintained",
            {{"wave", Number},
             {"machine", Machine.Name},
--- a/src/libs/dispatch/wavekeeper.h
+++ b/src/libs/dispatch/wavekeeper.h
@@ -2,26 +2,13 @@
 #define WHINTACK_DISPATCH_WAVEKEEPER_H
 
 #include "claimseeker.h"
+#include "machineorders.h"
 #include "servicecalls.h"
 
 #include "whintack/jobs/wavecourse.h"
 
 namespace whintack::dispatch::Internal {
 
-/// How long a holder goes on ordering machines after the store last confirmed
-/// its claim: the store may give the claim to another without a word.
-constexpr Duration LongestSilence = std::chrono::milliseconds(1500);
-
-/// Distance between the orders of two holders: the platform does not accept
-/// that they take turns within 3 s; the earlier one may go on for the longest
-/// silence, and its last order takes up to a second.
-constexpr Duration HolderDistance =
-    std::chrono::milliseconds(3200) + LongestSilence +
-    std::chrono::milliseconds(1000);
-
-/// Whether the holder of a claim may order machines.
-bool mayOrderMachines(TimePoint Now, TimePoint ClaimValidUntil);
-
 /// What the keeper of waves needs of its process.
 struct WaveEnvironment {
   jobs::MachineGateway Machines;
@@ -29,6 +16,7 @@
   std::shared_ptr<ServiceCalls> Calls;
   std::function<std::shared_ptr<const jobs::QueueTable>()> Queues;
   std::function<TimePoint()> ClaimValidUntil;
+  std::shared_ptr<MachineOrders> Orders;
   std::function<void(const std::string &Shard, const std::string &Cause)>
       OnLost;
 };
@@ -65,6 +53,7 @@
   void takeMachines(jobs::GatewayResult<std::vector<jobs::MachineInfo>> Found);
   void vacate(uint64_t Number, const jobs::MachineInfo &Machine);
   void order(uint64_t Number, const jobs::MachineInfo &Machine);
+  void send(uint64_t Number, const jobs::MachineInfo &Machine);
   void takeOrdered(uint64_t Number, const jobs::MachineInfo &Machine,
                    const jobs::GatewayResult<void> &Answer);
   void record(Wave &Of);
@@ -74,8 +63,6 @@
   WaveEnvironment Environment;
   EntryName Self;
   WonClaim Won;
-  /// Orders of an earlier holder and of this one keep their distance.
-  TimePoint OrdersFrom;
   std::map<uint64_t, Wave> Waves;
   std::map<uint64_t, std::string> Records;
   std::vector<jobs::WaveRequest> Requests;
--- a/src/libs/entry/entrynode.cpp
+++ b/src/libs/entry/entrynode.cpp
@@ -195,10 +195,9 @@
           },
           [this](const VmName &Vm) { return this->Drains->requests(Vm); },
           [this](const VmName &Vm) { this->Drains->forget(Vm); }},
-      StewardHooks{
-          [this] { return this->Keeper.current(); },
-          [this] { return this->Directory->vms(); },
-          [this](const store::VmInfo &Vm) { return this->probe(Vm); }},
+      StewardHooks{[this] { return this->Keeper.current(); },
+                   [this] { return this->Directory->vms(); },
+                   [this](const store::VmInfo &Vm) { return this->probe(Vm); }},
       this->Time, this->Source, this->Journal);
   this->Operators = std::make_unique<OperatorFront>(
       this->Settings.OperatorListener,
@@ -316,8 +315,7 @@
     return std::nullopt;
   std::vector<EntryName> Entries;
   for (const store::VmInfo &Vm : this->Directory->vms())
-    if (Vm.Role == store::VmRole::Entry &&
-        Vm.State != store::VmState::Gone)
+    if (Vm.Role == store::VmRole::Entry && Vm.State != store::VmState::Gone)
       Entries.emplace_back(Vm.Name.text());
   return Entries;
 }
--- a/src/libs/entry/forwarder.cpp
+++ b/src/libs/entry/forwarder.cpp
@@ -224,16 +224,28 @@
   this->Connections.release(std::move(Used), IsWhole);
   const bool IsAnswered = Result == AttemptResult::Answered ||
                           Result == AttemptResult::AnsweredWithFailure;
-  if (IsAnswered) {
+  const auto TellCaller = [&] {
     ForwardResult Ended;
     Ended.Outcome = routing::RequestOutcome::Done;
     Ended.Answer = std::move(Answer).value();
     Ended.Executor = Executor;
     this->tell(Handle, std::move(Ended));
+  };
+  const auto Decide = [&] {
+    this->decide([&](Router &Decisions, TimePoint Now) {
+      return Decisions.finish({Handle, Result, IsLeaving}, Now);
+    });
+  };
+  if (!IsAnswered) {
+    Decide();
+  } else if (IsLeaving) {
+    // The caller's next request must not meet the leaving server again.
+    Decide();
+    TellCaller();
+  } else {
+    TellCaller();
+    Decide();
   }
-  this->decide([&](Router &Decisions, TimePoint Now) {
-    return Decisions.finish({Handle, Result, IsLeaving}, Now);
-  });
 }
 
 void Forwarder::Private::probe(const routing::ProbeAction &Ordered) {
@@ -318,8 +330,7 @@
       continue;
     this->D->Connections.setAddress(Vm.Name, Vm.Server);
     Executors.push_back({Vm.Name, Service->second, Vm.DataCentre,
-                         Vm.Incarnation,
-                         Vm.State == store::VmState::Leaving});
+                         Vm.Incarnation, Vm.State == store::VmState::Leaving});
   }
   this->D->decide([&Executors](Router &Decisions, TimePoint Now) {
     return Decisions.setExecutors(Executors, Now);
--- a/src/libs/entry/include/whintack/entry/forwarder.h
+++ b/src/libs/entry/include/whintack/entry/forwarder.h
@@ -5,8 +5,8 @@
 #include "whintack/base/timerqueue.h"
 #include "whintack/http/httpclient.h"
 #include "whintack/peers/message.h"
-#include "whintack/store/vmdirectory.h"
 #include "whintack/routing/router.h"
+#include "whintack/store/vmdirectory.h"
 
 #include <functional>
 #include <memory>
--- a/src/libs/entry/sharekeeper.cpp
+++ b/src/libs/entry/sharekeeper.cpp
@@ -96,8 +96,7 @@
 
 bool ShareKeeper::take(const Step &Next) {
   SharePlan After;
-  const auto Change =
-      [&](const store::Record &Read) -> std::optional<value> {
+  const auto Change = [&](const store::Record &Read) -> std::optional<value> {
     const SharePlan Before = planFromRecord(Read);
     After = Next(Before);
     if (After == Before)
--- a/src/libs/entry/sharekeeper.h
+++ b/src/libs/entry/sharekeeper.h
@@ -4,8 +4,8 @@
 #include "whintack/base/eventjournal.h"
 #include "whintack/base/supervisor.h"
 #include "whintack/entry/forwarder.h"
-#include "whintack/store/recordclient.h"
 #include "whintack/routing/shareplan.h"
+#include "whintack/store/recordclient.h"
 
 #include <map>
 
--- a/src/libs/jobs/clockmap.cpp
+++ b/src/libs/jobs/clockmap.cpp
@@ -29,8 +29,8 @@
   const auto Left = static_cast<double>(this->LatestLease - this->Said);
   if (Left <= 0)
     return this->Received;
-  return this->Received +
-         std::chrono::milliseconds(static_cast<int64_t>(Left / SlowestRate) + 1);
+  return this->Received + std::chrono::milliseconds(
+                              static_cast<int64_t>(Left / SlowestRate) + 1);
 }
 
 } // namespace whintack::jobs
--- a/src/libs/jobs/include/whintack/jobs/gateways.h
+++ b/src/libs/jobs/include/whintack/jobs/gateways.h
@@ -74,8 +74,7 @@
       Report;
   std::function<void(const ExecutorAddress &To, const StartOrder &Order,
                      uint64_t Token, ExecutorTime LeaseUntil,
-                     TimePoint Deadline,
-                     std::function<void(StartAnswer)> Done)>
+                     TimePoint Deadline, std::function<void(StartAnswer)> Done)>
       Start;
   std::function<void(const ExecutorAddress &To, const StopOrder &Order,
                      uint64_t Token, TimePoint Deadline,
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -31,8 +31,7 @@
   if (!Job || Key.Of.Occurrence < 0 ||
       static_cast<size_t>(Key.Of.Occurrence) >= Job->Occurrences.size())
     return nullptr;
-  auto &Steps =
-      Job->Occurrences[static_cast<size_t>(Key.Of.Occurrence)].Steps;
+  auto &Steps = Job->Occurrences[static_cast<size_t>(Key.Of.Occurrence)].Steps;
   if (Key.Of.Step >= Steps.size() ||
       Key.Index >= Steps[Key.Of.Step].Tasks.size())
     return nullptr;
@@ -113,9 +112,8 @@
       auto &Tasks = Job.Occurrences[K].Steps[Step].Tasks;
       for (size_t Index = 0; Index < Tasks.size(); ++Index)
         if (Tasks[Index].Current)
-          this->orderStop(
-              {{Job.Spec.Id, static_cast<int64_t>(K), Step}, Index},
-              Tasks[Index]);
+          this->orderStop({{Job.Spec.Id, static_cast<int64_t>(K), Step}, Index},
+                          Tasks[Index]);
     }
 }
 
@@ -165,10 +163,9 @@
             .Done;
     Record.HasStarted = true;
   }
-  this->D->log("job-restored",
-               {{"job", Id},
-                {"state", nameOf(JobStateNames, Record.State)},
-                {"tasks", Progress.Tasks.size()}});
+  this->D->log("job-restored", {{"job", Id},
+                                {"state", nameOf(JobStateNames, Record.State)},
+                                {"tasks", Progress.Tasks.size()}});
   this->D->finishIfDone(Record);
 }
 
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -1,10 +1,10 @@
 #ifndef WHINTACK_JOBS_PLANNER_P_H
 #define WHINTACK_JOBS_PLANNER_P_H
 
+#include "stepplacement.h"
 #include "whintack/jobs/executorjudge.h"
 #include "whintack/jobs/fillpace.h"
 #include "whintack/jobs/jobqueue.h"
-#include "stepplacement.h"
 #include "whintack/jobs/planner.h"
 
 #include <deque>
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -46,7 +46,8 @@
   if (Task.Current->Phase == RunPhase::Stopping)
     return;
   Task.Current->Phase = RunPhase::Stopping;
-  this->Orders.push_back(StopOrder{Task.Current->On, Key, Task.Current->Number});
+  this->Orders.push_back(
+      StopOrder{Task.Current->On, Key, Task.Current->Number});
 }
 
 void Planner::Private::stopGang(const StepKey &Step) {
@@ -85,8 +86,8 @@
       continue;
     }
     if (Worker.IsListed)
-      this->D->log("executor-unlisted", {{"executor", Entry->first},
-                                         {"runs", Worker.Runs.size()}});
+      this->D->log("executor-unlisted",
+                   {{"executor", Entry->first}, {"runs", Worker.Runs.size()}});
     Worker.IsListed = false;
     const bool IsOver =
         Worker.Runs.empty() && !this->D->Awaited.contains(Entry->first);
@@ -124,8 +125,8 @@
 
 void Planner::Private::takeDone(JobRecord &Job, const TaskKey &Key) {
   const bool IsGang = this->spec(Job, Key.Of).IsGang;
-  StepRecord &Step =
-      Job.Occurrences[static_cast<size_t>(Key.Of.Occurrence)].Steps[Key.Of.Step];
+  StepRecord &Step = Job.Occurrences[static_cast<size_t>(Key.Of.Occurrence)]
+                         .Steps[Key.Of.Step];
   for (size_t Index = 0; Index < Step.Tasks.size(); ++Index) {
     if (!IsGang && Index != Key.Index)
       continue;
@@ -146,8 +147,8 @@
 void Planner::Private::takeFailure(JobRecord &Job, const EndReport &End,
                                    WorkerRecord &Worker, TimePoint Now) {
   const StepSpec &Spec = this->spec(Job, End.Task.Of);
-  TaskRecord &Task = Spec.IsGang ? this->gangLeader(End.Task.Of)
-                                 : *this->task(End.Task);
+  TaskRecord &Task =
+      Spec.IsGang ? this->gangLeader(End.Task.Of) : *this->task(End.Task);
   const bool IsNew = Task.Stored.FailedRuns.insert(End.Run).second;
   if (!IsNew)
     return;
@@ -213,8 +214,9 @@
                             {"executor", Worker.Info.Id}});
   this->book(Row.Task, Task, std::move(Run));
   Job.HasStarted = true;
-  StepRecord &Step = Job.Occurrences[static_cast<size_t>(Row.Task.Of.Occurrence)]
-                         .Steps[Row.Task.Of.Step];
+  StepRecord &Step =
+      Job.Occurrences[static_cast<size_t>(Row.Task.Of.Occurrence)]
+          .Steps[Row.Task.Of.Step];
   if (this->spec(Job, Row.Task.Of).IsOnOneRack && Step.Rack.empty() &&
       Worker.Info.Labels.size() > 1)
     Step.Rack = Worker.Info.Labels[1];
@@ -300,9 +302,9 @@
       continue;
     const StepSpec &Spec = this->spec(*Job, Row.Task.Of);
     if (Spec.isServing())
-      Worst = std::max(Worst,
-                       static_cast<double>(Row.Load) /
-                           static_cast<double>(toMilliseconds(Spec.TailTarget)));
+      Worst = std::max(
+          Worst, static_cast<double>(Row.Load) /
+                     static_cast<double>(toMilliseconds(Spec.TailTarget)));
     else if (Spec.IsFilling)
       Filling.push_back(Row.Task);
   }
@@ -375,8 +377,8 @@
       Task->Current->Phase = RunPhase::Running;
     Job.HasStarted = true;
     if (this->D->spec(Job, Step).IsFilling && Worker.Pace.percent() < 100)
-      this->D->Orders.push_back(PaceOrder{Order.On, Order.Task, Order.Run,
-                                          Worker.Pace.percent()});
+      this->D->Orders.push_back(
+          PaceOrder{Order.On, Order.Task, Order.Run, Worker.Pace.percent()});
     return;
   case StartOutcome::Unknown:
     // It may well run: a report tells, before it is stopped in vain.
@@ -517,15 +519,13 @@
     if (Task.Current->Phase != RunPhase::Running)
       continue;
     const bool MayStop =
-        Spec.IsLongRunning
-            ? (!Spec.HasMayMiss ||
-               this->D->awayTasks(Job, Key.Of) < Spec.MayMiss) &&
-                  this->D->hasOtherPlace(Job, Key, Now)
-            : Spec.IsCheckpointing && !Spec.IsGang;
+        Spec.IsLongRunning ? (!Spec.HasMayMiss ||
+                              this->D->awayTasks(Job, Key.Of) < Spec.MayMiss) &&
+                                 this->D->hasOtherPlace(Job, Key, Now)
+                           : Spec.IsCheckpointing && !Spec.IsGang;
     if (MayStop) {
-      this->D->log("run-moved", {{"task", Key.text()},
-                                 {"run", Number},
-                                 {"executor", Of}});
+      this->D->log("run-moved",
+                   {{"task", Key.text()}, {"run", Number}, {"executor", Of}});
       this->D->orderStop(Key, Task);
     }
   }
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -18,8 +18,8 @@
   std::vector<Candidate> Suspect;
   for (auto &[Id, Worker] : this->Workers) {
     const auto Policy = this->Services.find(Worker.Info.Service);
-    const bool IsGuarded = Policy == this->Services.end() ||
-                           Policy->second.ExecutorsRefuse;
+    const bool IsGuarded =
+        Policy == this->Services.end() || Policy->second.ExecutorsRefuse;
     if (!Worker.IsListed || Worker.Info.IsDraining || !Worker.IsReachable ||
         !Worker.HasReported || Now < Worker.EvacuatingUntil ||
         Now < Worker.NoRoomUntil || (Worker.HasStrangers && !IsGuarded))
@@ -42,9 +42,9 @@
   JobStanding Standing;
   Standing.Priority = Job.Policy.Priority;
   Standing.Accepted = Job.Accepted;
-  Standing.Lasts = std::any_of(
-      Job.Spec.Steps.begin(), Job.Spec.Steps.end(),
-      [](const StepSpec &Step) { return Step.IsLongRunning; });
+  Standing.Lasts =
+      std::any_of(Job.Spec.Steps.begin(), Job.Spec.Steps.end(),
+                  [](const StepSpec &Step) { return Step.IsLongRunning; });
   Standing.WorkLeft = Job.Effort.Work;
   if (isProtected(Job.Spec.Id)) {
     const auto Queue = this->WorkOfQueues.find(Job.Policy.Name);
@@ -89,9 +89,9 @@
       std::find(Labels.begin(), Labels.end(), Spec.RequiredLabel) ==
           Labels.end())
     return false;
-  const StepRecord &Step = Job.Occurrences[static_cast<size_t>(
-                                               Key.Of.Occurrence)]
-                               .Steps[Key.Of.Step];
+  const StepRecord &Step =
+      Job.Occurrences[static_cast<size_t>(Key.Of.Occurrence)]
+          .Steps[Key.Of.Step];
   if (Spec.IsOnOneRack && !Step.Rack.empty() && On.Rack != Step.Rack)
     return false;
   if (Spec.MostPerExecutor > 0 &&
@@ -117,12 +117,12 @@
         scorePlacement(Spec, Each.Worker->Info, Each.Free, Each.Rack);
     Score.HasFailedThere = Each.Worker->Info.Id == FailedOn;
     if (Spec.IsLongRunning)
-      Score.LastingTasks = static_cast<size_t>(std::count_if(
-          Each.Worker->Runs.begin(), Each.Worker->Runs.end(),
-          [this](const auto &Run) {
-            const JobRecord &Other = *this->job(Run.first.Of.Job);
-            return this->spec(Other, Run.first.Of).IsLongRunning;
-          }));
+      Score.LastingTasks = static_cast<size_t>(
+          std::count_if(Each.Worker->Runs.begin(), Each.Worker->Runs.end(),
+                        [this](const auto &Run) {
+                          const JobRecord &Other = *this->job(Run.first.Of.Job);
+                          return this->spec(Other, Run.first.Of).IsLongRunning;
+                        }));
     if (!Best || Score < BestScore) {
       Best = &Each;
       BestScore = Score;
@@ -256,9 +256,8 @@
       return;
     }
     if (!Place) {
-      const bool IsUnbound = Spec.RequiredLabel.empty() &&
-                             !Spec.IsOnOneRack && Spec.MostPerExecutor == 0 &&
-                             !Job.Policy.Advice;
+      const bool IsUnbound = Spec.RequiredLabel.empty() && !Spec.IsOnOneRack &&
+                             Spec.MostPerExecutor == 0 && !Job.Policy.Advice;
       if (IsUnbound)
         this->DidNotFit = Need;
       return;
@@ -332,8 +331,8 @@
           !this->canStart(Job, {Job.Spec.Id, static_cast<int64_t>(K), S}))
         continue;
       const auto &Tasks = Job.Occurrences[K].Steps[S].Tasks;
-      const auto Waiting = std::count_if(
-          Tasks.begin(), Tasks.end(), [](const TaskRecord &Task) {
+      const auto Waiting =
+          std::count_if(Tasks.begin(), Tasks.end(), [](const TaskRecord &Task) {
             return !Task.Stored.IsDone && !Task.Current;
           });
       Work += static_cast<double>(Waiting) *
--- a/src/libs/jobs/poolpolicy.cpp
+++ b/src/libs/jobs/poolpolicy.cpp
@@ -97,18 +97,18 @@
             : 0;
     if (Excess <= 0)
       return ForLasting;
-    return std::max(ForLasting,
-                    static_cast<size_t>(
-                        std::ceil(Excess / (CoresOfMachine * UsefulTime))));
+    return std::max(ForLasting, static_cast<size_t>(std::ceil(
+                                    Excess / (CoresOfMachine * UsefulTime))));
   }
 };
 
 } // namespace
 
-std::vector<MoveProposal> PoolPolicy::decide(
-    const std::vector<MachineInfo> &Machines,
-    const std::vector<PoolDemand> &Demands, const ServiceName &Spare,
-    const std::set<MachineName> &Reserved, TimePoint Now) {
+std::vector<MoveProposal>
+PoolPolicy::decide(const std::vector<MachineInfo> &Machines,
+                   const std::vector<PoolDemand> &Demands,
+                   const ServiceName &Spare,
+                   const std::set<MachineName> &Reserved, TimePoint Now) {
   this->noteVacant(Machines, Demands, Now);
   std::map<ServiceName, PoolState> Pools;
   for (const PoolDemand &Demand : Demands)
@@ -136,9 +136,8 @@
   // Those with the most to do for their size choose first.
   std::vector<std::pair<double, ServiceName>> Order;
   for (const auto &[Name, Pool] : Pools)
-    Order.emplace_back(-Pool.Demand->WaitingWork /
-                           std::max(Pool.Demand->Cores, 1.0),
-                       Name);
+    Order.emplace_back(
+        -Pool.Demand->WaitingWork / std::max(Pool.Demand->Cores, 1.0), Name);
   std::sort(Order.begin(), Order.end());
   std::vector<MoveProposal> Moves;
   const auto MayGive = [&Pools](const ServiceName &From) {
--- a/src/libs/jobs/queuetable.cpp
+++ b/src/libs/jobs/queuetable.cpp
@@ -10,11 +10,10 @@
   for (size_t Index = 0; Index < Queues.size(); ++Index)
     this->ByHost[Queues[Index].Host].push_back(Index);
   for (auto &[Host, Indices] : this->ByHost)
-    std::sort(Indices.begin(), Indices.end(),
-              [&Queues](size_t First, size_t Second) {
-                return Queues[First].Prefix.size() >
-                       Queues[Second].Prefix.size();
-              });
+    std::sort(
+        Indices.begin(), Indices.end(), [&Queues](size_t First, size_t Second) {
+          return Queues[First].Prefix.size() > Queues[Second].Prefix.size();
+        });
 }
 
 const Queue *QueueTable::find(std::string_view Host,
--- a/src/libs/jobs/stepplacement.cpp
+++ b/src/libs/jobs/stepplacement.cpp
@@ -63,11 +63,10 @@
       Begin = std::max(Begin, Ends[Earlier]);
     Ends[Index] = Begin + Step.Estimate;
     Effort.Chain = std::max(Effort.Chain, Ends[Index]);
-    Effort.Work += static_cast<double>(Step.Count) *
-                   (static_cast<double>(Step.Need.MilliCores) /
-                    MillisPerSecond) *
-                   (static_cast<double>(toMilliseconds(Step.Estimate)) /
-                    MillisPerSecond);
+    Effort.Work +=
+        static_cast<double>(Step.Count) *
+        (static_cast<double>(Step.Need.MilliCores) / MillisPerSecond) *
+        (static_cast<double>(toMilliseconds(Step.Estimate)) / MillisPerSecond);
   }
   return Effort;
 }
--- a/src/libs/jobs/wavecourse.cpp
+++ b/src/libs/jobs/wavecourse.cpp
@@ -51,8 +51,7 @@
   return static_cast<size_t>(std::count_if(
       this->Machines.begin(), this->Machines.end(), [](const auto &Entry) {
         const Machine &Each = Entry.second;
-        return Each.Step == WaveStep::Ordered ||
-               Each.Step == WaveStep::Begun ||
+        return Each.Step == WaveStep::Ordered || Each.Step == WaveStep::Begun ||
                (Each.IsListed && Each.Info.State == MachineState::Maintenance);
       }));
 }
@@ -60,12 +59,11 @@
 /// How long a machine may wait for work that could be lost, if the rest of the
 /// wave is to end in time.
 Duration WaveCourse::patience(TimePoint Now) const {
-  const auto Left = static_cast<size_t>(
-      std::count_if(this->Machines.begin(), this->Machines.end(),
-                    [](const auto &Entry) {
-                      return Entry.second.Step == WaveStep::Waiting ||
-                             Entry.second.Step == WaveStep::Vacating;
-                    }));
+  const auto Left = static_cast<size_t>(std::count_if(
+      this->Machines.begin(), this->Machines.end(), [](const auto &Entry) {
+        return Entry.second.Step == WaveStep::Waiting ||
+               Entry.second.Step == WaveStep::Vacating;
+      }));
   const size_t AtOnce = std::max<size_t>(this->Request.MostAtOnce, 1);
   const auto Turns =
       static_cast<int64_t>(std::max<size_t>((Left + AtOnce - 1) / AtOnce, 1));
--- a/src/libs/local/include/whintack/local/localsettings.h
+++ b/src/libs/local/include/whintack/local/localsettings.h
@@ -3,8 +3,8 @@
 
 #include "whintack/declaration/resources.h"
 #include "whintack/document/document.h"
-#include "whintack/store/vmdirectory.h"
 #include "whintack/settings/settings.h"
+#include "whintack/store/vmdirectory.h"
 
 #include <vector>
 
--- a/src/libs/peers/peernetwork.cpp
+++ b/src/libs/peers/peernetwork.cpp
@@ -347,8 +347,7 @@
 void PeerNetwork::close() { this->D->close(); }
 
 void PeerNetwork::setPeers(const std::vector<PeerEndpoint> &Peers) {
-  asio::post(this->D->Context,
-             [D = this->D, Peers] { D->setPeers(Peers); });
+  asio::post(this->D->Context, [D = this->D, Peers] { D->setPeers(Peers); });
 }
 
 bool PeerNetwork::send(const EntryName &Peer, const Message &Sent) {
@@ -358,8 +357,7 @@
   const auto Framed = this->D->encode(Sent);
   ++this->D->Traffic.MessagesSent;
   this->D->Traffic.BytesSent += Framed->size();
-  asio::post(this->D->Context,
-             [Link, Framed] { Link->send(Framed); });
+  asio::post(this->D->Context, [Link, Framed] { Link->send(Framed); });
   return this->isUsable(Peer);
 }
 
--- a/src/libs/steward/movesteward.cpp
+++ b/src/libs/steward/movesteward.cpp
@@ -48,8 +48,8 @@
       Known.insert(Vm.Name);
   std::map<RackName, std::vector<const VmInfo *>> NewByRack;
   for (const VmInfo &Vm : Listed)
-    if (Vm.Role == store::VmRole::Worker &&
-        Vm.State == store::VmState::Live && !Known.contains(Vm.Name))
+    if (Vm.Role == store::VmRole::Worker && Vm.State == store::VmState::Live &&
+        !Known.contains(Vm.Name))
       NewByRack[Vm.Rack].push_back(&Vm);
   const WallTime Now = this->Time.WallNow();
   for (const auto &[Rack, Vms] : NewByRack)
--- a/src/libs/steward/poolsteward.cpp
+++ b/src/libs/steward/poolsteward.cpp
@@ -36,8 +36,7 @@
   const uint64_t Own = this->Epoch();
   if (Own == 0)
     return 0;
-  const auto Change =
-      [&](const store::Record &Before) -> std::optional<value> {
+  const auto Change = [&](const store::Record &Before) -> std::optional<value> {
     auto Rack = fleet::rackFromJson(Before.Body);
     VmRecord *Changed = Rack ? Rack->find(Vm.Record.Name) : nullptr;
     const bool IsOurs =
--- a/src/libs/steward/shardclaims.cpp
+++ b/src/libs/steward/shardclaims.cpp
@@ -89,8 +89,7 @@
   const OperationId Operation(randomIdentifier(this->Source));
   const auto Holder = this->Records.update(
       fleet::holderKey(Shard), Operation,
-      [this](
-          const store::Record &Before) -> std::optional<web::json::value> {
+      [this](const store::Record &Before) -> std::optional<web::json::value> {
         if (Before.exists())
           return std::nullopt;
         return web::json::value(this->Self.text());
@@ -100,8 +99,7 @@
     return;
   const auto Claimed = this->Records.update(
       fleet::shardKey(Shard), Operation,
-      [this](
-          const store::Record &Before) -> std::optional<web::json::value> {
+      [this](const store::Record &Before) -> std::optional<web::json::value> {
         fleet::ShardRecord Next;
         if (Before.exists())
           Next =
--- a/src/libs/steward/steward.cpp
+++ b/src/libs/steward/steward.cpp
@@ -14,10 +14,10 @@
 /// The shard that decides on moves between pools.
 static constexpr const char *MoveShard = "moves";
 
-Steward::Steward(store::RecordClient &Records,
-                 store::WorkerControl Workers, FleetReader &Reader,
-                 ShardClaims &Claims, DrainHooks Drains, StewardHooks Hooks,
-                 Clock Time, Random Source, EventJournal &Journal)
+Steward::Steward(store::RecordClient &Records, store::WorkerControl Workers,
+                 FleetReader &Reader, ShardClaims &Claims, DrainHooks Drains,
+                 StewardHooks Hooks, Clock Time, Random Source,
+                 EventJournal &Journal)
     : Records(Records), Workers(std::move(Workers)), Reader(Reader),
       Claims(Claims), Drains(std::move(Drains)), Hooks(std::move(Hooks)),
       Time(std::move(Time)), Source(std::move(Source)), Journal(Journal),
@@ -47,8 +47,7 @@
                        Record->Phase == fleet::VmPhase::Quarantined;
   const auto Found = std::find_if(
       Listed.begin(), Listed.end(), [&Vm](const store::VmInfo &Candidate) {
-        return Candidate.Name == Vm &&
-               Candidate.State == store::VmState::Live;
+        return Candidate.Name == Vm && Candidate.State == store::VmState::Live;
       });
   if (IsTried && Found != Listed.end())
     Facts.IsAnswering = this->Hooks.Probe(*Found);
--- a/tests/auto/configuration/tst_configuration.cpp
+++ b/tests/auto/configuration/tst_configuration.cpp
@@ -22,7 +22,7 @@
   tests::ManualClock Time;
   standin::MemoryPlatform Platform{Time.clock()};
   store::RecordClient Records{Platform.store(), 10000, Time.clock(),
-                                 seededRandom(1)};
+                              seededRandom(1)};
   ChangeClient Changes{Records, Time.clock()};
   ConfigurationKeeper Keeper;
 
--- a/tests/auto/store/tst_recordclient.cpp
+++ b/tests/auto/store/tst_recordclient.cpp
@@ -1,6 +1,6 @@
 #include "manualclock.h"
-#include "whintack/store/recordclient.h"
 #include "whintack/standin/memoryplatform.h"
+#include "whintack/store/recordclient.h"
 
 #include <catch2/catch.hpp>
 
