--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -208,7 +208,7 @@
     return;
   if (!this->IsLoaded)
     return;
-  this->Planner.setExecutors(Now, this->Shared.now());
+  this->Planner.setExecutors(Now);
   std::set<jobs::ExecutorId> Seen;
   for (const jobs::ExecutorInfo &Info : Now) {
     if (Info.Service != this->Service)
@@ -235,22 +235,24 @@
   this->requestPlan();
 }
 
-/// Learns of executors that the list of the store lacks, because their entries
-/// lapsed: an earlier planner's tasks may run on them.
-void ServiceShard::takeCensus() {
-  this->Census = CensusState::Taking;
+void ServiceShard::listMachines(MachineHandler Take) {
   this->Environment.ListMachines(
       this->Shared.now() + CensusTimeout,
-      onLoop<ServiceShard, jobs::GatewayResult<std::vector<jobs::MachineInfo>>>(
+      onLoop<ServiceShard, MachineList>(
           this->Shared.Loop, this->shared_from_this(),
-          [](ServiceShard &Self,
-             const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found) {
-            Self.takeMachines(Found);
+          [Take](ServiceShard &Self, const MachineList &Found) {
+            (Self.*Take)(Found);
           }));
 }
 
-void ServiceShard::takeMachines(
-    const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found) {
+/// Learns of executors that the list of the store lacks, because their entries
+/// lapsed: an earlier planner's tasks may run on them.
+void ServiceShard::takeCensus() {
+  this->Census = CensusState::Taking;
+  this->listMachines(&ServiceShard::takeMachines);
+}
+
+void ServiceShard::takeMachines(const MachineList &Found) {
   if (this->IsStopped)
     return;
   const TimePoint Now = this->Shared.now();
@@ -276,8 +278,7 @@
               this->EarlierLeasesOver, [Hidden](ServiceShard &Self) {
                 for (const jobs::ExecutorId &Id : Hidden)
                   if (!Self.Links.contains(Id))
-                    Self.Planner.noteEmpty(Id, "leases lapsed",
-                                           Self.Shared.now());
+                    Self.Planner.noteEmpty(Id, "leases lapsed");
                 Self.requestPlan();
               });
   this->requestPlan();
@@ -310,7 +311,7 @@
     this->Planner.noteStop(Order, At, this->Shared.now());
   };
   Hooks.OnReachable = [this](const jobs::ExecutorId &Id, bool IsReachable) {
-    this->Planner.setReachable(Id, IsReachable, this->Shared.now());
+    this->Planner.setReachable(Id, IsReachable);
     if (!IsReachable && this->Silent.insert(Id).second &&
         this->Silent.size() == 1)
       this->lookAtSilent();
@@ -319,7 +320,7 @@
     this->requestPlan();
   };
   Hooks.OnEmpty = [this](const jobs::ExecutorId &Id, std::string_view Cause) {
-    this->Planner.noteEmpty(Id, Cause, this->Shared.now());
+    this->Planner.noteEmpty(Id, Cause);
     this->requestPlan();
   };
   Hooks.OnFenced = [this] { this->lose("fenced by a later planner"); };
@@ -329,18 +330,10 @@
 /// Asks the platform about executors that do not answer: one whose machine is
 /// down, or runs another executor, runs nothing any more.
 void ServiceShard::lookAtSilent() {
-  this->Environment.ListMachines(
-      this->Shared.now() + CensusTimeout,
-      onLoop<ServiceShard, jobs::GatewayResult<std::vector<jobs::MachineInfo>>>(
-          this->Shared.Loop, this->shared_from_this(),
-          [](ServiceShard &Self,
-             const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found) {
-            Self.judgeSilent(Found);
-          }));
+  this->listMachines(&ServiceShard::judgeSilent);
 }
 
-void ServiceShard::judgeSilent(
-    const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found) {
+void ServiceShard::judgeSilent(const MachineList &Found) {
   if (this->IsStopped)
     return;
   if (Found && !Found.value().empty()) {
@@ -351,8 +344,7 @@
     std::erase_if(this->Silent, [&](const jobs::ExecutorId &Id) {
       if (Up.contains(Id))
         return false;
-      this->Planner.noteEmpty(Id, "its machine is down or has been replaced",
-                              this->Shared.now());
+      this->Planner.noteEmpty(Id, "its machine is down or has been replaced");
       return true;
     });
     this->requestPlan();
@@ -421,8 +413,7 @@
     this->carryOut(Given);
   this->requestFlush();
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
-              this->Planner.nextPlan(Now, this->Shared.Time.WallNow()),
-              [Now](ServiceShard &Self) {
+              this->Planner.nextPlan(Now), [Now](ServiceShard &Self) {
                 if (Self.LastPlan <= Now)
                   Self.requestPlan();
               });
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -54,9 +54,12 @@
   /// Whether it is known on which executors an earlier planner's tasks may run.
   enum class CensusState { NotNeeded, Needed, Taking, Done };
 
+  using MachineList = jobs::GatewayResult<std::vector<jobs::MachineInfo>>;
+  using MachineHandler = void (ServiceShard::*)(const MachineList &);
+
   void takeCensus();
-  void takeMachines(
-      const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found);
+  void listMachines(MachineHandler Take);
+  void takeMachines(const MachineList &Found);
   void takeContents(const ShardStore::Contents &Loaded);
   void restore(const store::StoreItem &Item,
                const std::unordered_map<std::string, std::string> &Progress);
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -89,7 +89,7 @@
   /// Adopts the queues' newest policies.
   void setQueues(const QueueTable &Queues);
   /// Adopts the list of the service's executors.
-  void setExecutors(const std::vector<ExecutorInfo> &Listed, TimePoint Now);
+  void setExecutors(const std::vector<ExecutorInfo> &Listed);
   /// From now on until endCensus() tasks that an earlier planner may have
   /// started are not started anew.
   void beginCensus();
@@ -113,10 +113,10 @@
                   TimePoint ValidUntil);
   void noteAdviceFailed(const AdviceOrder &Asked, TimePoint Now);
   /// The executor does or does not answer.
-  void setReachable(const ExecutorId &Of, bool IsReachable, TimePoint Now);
+  void setReachable(const ExecutorId &Of, bool IsReachable);
   /// Nothing runs on the executor any more: its leases have lapsed, or it has
   /// been replaced.
-  void noteEmpty(const ExecutorId &Of, std::string_view Cause, TimePoint Now);
+  void noteEmpty(const ExecutorId &Of, std::string_view Cause);
 
   /// Gives an executor no new work for some seconds and, within what their
   /// steps may miss, moves away the tasks that last.
@@ -128,7 +128,7 @@
   void plan(TimePoint Now, WallTime WallNow);
   std::vector<Order> takeOrders();
   /// Instant at which plan() should be called again without other events.
-  TimePoint nextPlan(TimePoint Now, WallTime WallNow) const;
+  TimePoint nextPlan(TimePoint Now) const;
 
   /// Whether a write should go out at once: a client waits for it.
   bool hasUrgentWrites() const;
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -59,8 +59,7 @@
   }
 }
 
-void Planner::setExecutors(const std::vector<ExecutorInfo> &Listed,
-                           TimePoint Now) {
+void Planner::setExecutors(const std::vector<ExecutorInfo> &Listed) {
   std::set<ExecutorId> Seen;
   for (const ExecutorInfo &Info : Listed) {
     if (Info.Service != this->D->Setup.Service)
@@ -95,7 +94,6 @@
       this->D->Judge.forget(Entry->first);
     Entry = IsOver ? this->D->Workers.erase(Entry) : std::next(Entry);
   }
-  (void)Now;
 }
 
 /// Moves what would be lost away from an executor that drains: it ends
@@ -386,7 +384,7 @@
     Task->Current->DoubtedFrom = Now + DoubtTime;
     return;
   case StartOutcome::OtherIncarnation:
-    this->noteEmpty(Order.On, "other incarnation", Now);
+    this->noteEmpty(Order.On, "other incarnation");
     return;
   case StartOutcome::NoRoom:
     Worker.NoRoomUntil = Now + NoRoomPause;
@@ -459,8 +457,7 @@
   Found->second.NextAsk = Now + AdvicePause;
 }
 
-void Planner::setReachable(const ExecutorId &Of, bool IsReachable,
-                           TimePoint Now) {
+void Planner::setReachable(const ExecutorId &Of, bool IsReachable) {
   const auto Found = this->D->Workers.find(Of);
   if (Found == this->D->Workers.end() ||
       Found->second.IsReachable == IsReachable)
@@ -468,11 +465,9 @@
   Found->second.IsReachable = IsReachable;
   this->D->log("executor-link",
                {{"executor", Of}, {"reachable", IsReachable ? "yes" : "no"}});
-  (void)Now;
 }
 
-void Planner::noteEmpty(const ExecutorId &Of, std::string_view Cause,
-                        TimePoint Now) {
+void Planner::noteEmpty(const ExecutorId &Of, std::string_view Cause) {
   this->D->Awaited.erase(Of);
   const auto Found = this->D->Workers.find(Of);
   if (Found == this->D->Workers.end())
@@ -489,7 +484,6 @@
     this->D->dropIfOver(Key.Of.Job);
   }
   Found->second.HasReported = false;
-  (void)Now;
 }
 
 size_t Planner::Private::awayTasks(const JobRecord &Job, const StepKey &Step) {
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -113,8 +113,7 @@
   for (Candidate &Each : Candidates) {
     if (!this->mayRunOn(Job, Key, Each, Now))
       continue;
-    PlacementScore Score =
-        scorePlacement(Spec, Each.Worker->Info, Each.Free, Each.Rack);
+    PlacementScore Score = scorePlacement(Spec, Each.Free, Each.Rack);
     Score.HasFailedThere = Each.Worker->Info.Id == FailedOn;
     if (Spec.IsLongRunning)
       Score.LastingTasks = static_cast<size_t>(
@@ -401,9 +400,6 @@
   return std::exchange(this->D->Orders, {});
 }
 
-TimePoint Planner::nextPlan(TimePoint Now, WallTime WallNow) const {
-  (void)WallNow;
-  return Now + PlanInterval;
-}
+TimePoint Planner::nextPlan(TimePoint Now) const { return Now + PlanInterval; }
 
 } // namespace whintack::jobs
--- a/src/libs/jobs/stepplacement.cpp
+++ b/src/libs/jobs/stepplacement.cpp
@@ -12,10 +12,8 @@
   return Executor.Labels[RackPosition];
 }
 
-PlacementScore scorePlacement(const StepSpec &Spec,
-                              const ExecutorInfo &Executor, const Room &Free,
+PlacementScore scorePlacement(const StepSpec &Spec, const Room &Free,
                               const std::string &Rack) {
-  (void)Executor;
   PlacementScore Score;
   Score.IsFarFromData = !Spec.DataRack.empty() && Rack != Spec.DataRack;
   const int64_t Left = Free.MilliCores - Spec.bookedRoom().MilliCores;
--- a/src/libs/jobs/stepplacement.h
+++ b/src/libs/jobs/stepplacement.h
@@ -30,8 +30,7 @@
   }
 };
 
-PlacementScore scorePlacement(const StepSpec &Spec,
-                              const ExecutorInfo &Executor, const Room &Free,
+PlacementScore scorePlacement(const StepSpec &Spec, const Room &Free,
                               const std::string &Rack);
 
 /// Free room of one executor of a rack.
--- a/tests/auto/jobs/plannerfixture.h
+++ b/tests/auto/jobs/plannerfixture.h
@@ -54,7 +54,7 @@
 
   /// Lists executors and lets each report that nothing runs.
   void list(const std::vector<jobs::ExecutorInfo> &Infos) {
-    this->Planner.setExecutors(Infos, this->Time.now());
+    this->Planner.setExecutors(Infos);
     for (const jobs::ExecutorInfo &Info : Infos)
       this->report(Info.Id.text(), {}, {});
   }
--- a/tests/auto/jobs/tst_planner.cpp
+++ b/tests/auto/jobs/tst_planner.cpp
@@ -81,9 +81,9 @@
   const auto Starts = Fixture.starts();
   Fixture.confirm(Starts[0]);
   Fixture.list({executor("b")});
-  Fixture.Planner.setReachable(ExecutorId("a"), false, Fixture.Time.now());
+  Fixture.Planner.setReachable(ExecutorId("a"), false);
   CHECK(Fixture.starts().empty());
-  Fixture.Planner.noteEmpty(ExecutorId("a"), "lapsed", Fixture.Time.now());
+  Fixture.Planner.noteEmpty(ExecutorId("a"), "lapsed");
   const auto Again = Fixture.starts();
   REQUIRE(Again.size() == 1);
   CHECK(Again[0].On == ExecutorId("b"));
@@ -93,8 +93,7 @@
   PlannerFixture Fixture(2);
   Fixture.Planner.beginCensus();
   Fixture.Planner.restoreJob(job("1", {step(1)}), {});
-  Fixture.Planner.setExecutors({executor("a"), executor("b")},
-                               Fixture.Time.now());
+  Fixture.Planner.setExecutors({executor("a"), executor("b")});
   Fixture.Planner.awaitReports({ExecutorId("a"), ExecutorId("b")});
   Fixture.report("a", {}, {});
   CHECK(Fixture.starts().empty());
--- a/tests/auto/jobs/tst_plannerproperties.cpp
+++ b/tests/auto/jobs/tst_plannerproperties.cpp
@@ -114,7 +114,7 @@
                                               ? JobProgress()
                                               : Found->second);
     }
-    this->Planner->setExecutors(this->list(), this->Time.now());
+    this->Planner->setExecutors(this->list());
     std::vector<ExecutorId> Ids;
     for (const ExecutorInfo &Info : this->list())
       Ids.push_back(Info.Id);
@@ -281,8 +281,8 @@
     const ExecutorId Lost = this->Executors[Place].Info.Id;
     this->Executors.erase(this->Executors.begin() + static_cast<long>(Place));
     this->addExecutor();
-    this->Planner->noteEmpty(Lost, "crashed", this->Time.now());
-    this->Planner->setExecutors(this->list(), this->Time.now());
+    this->Planner->noteEmpty(Lost, "crashed");
+    this->Planner->setExecutors(this->list());
   }
 
   ManualClock Time;
