--- a/src/libs/dispatch/fleetnode.cpp
+++ b/src/libs/dispatch/fleetnode.cpp
@@ -88,7 +88,8 @@
                             NodeConnections Connections, Clock Time,
                             Random Source, TimerQueue &Loop, TimerQueue &Timers)
     : Settings(std::move(Given)),
-      Connections(std::move(Connections)), Shared{Time, std::move(Source), Loop,
+      Connections(std::move(Connections)), Shared{std::move(Time),
+                                                  std::move(Source), Loop,
                                                   this->Connections.Store},
       Timers(Timers), Stamps(this->Shared.Time.WallNow),
       Journal(this->Settings.Name, this->Stamps, TimelineCapacity) {}
--- a/src/libs/dispatch/jobdoor.cpp
+++ b/src/libs/dispatch/jobdoor.cpp
@@ -191,7 +191,7 @@
 /// Leaves word in the store for the planner.
 void JobDoor::leaveNotice(const SharedVisit &For, const std::string &Key,
                           const std::string &Content, int64_t TriesLeft,
-                          std::function<void(bool)> Done) {
+                          const std::function<void(bool)> &Done) {
   store::StoreTransaction Change;
   Change.Puts = {{Key, Content, 0}};
   this->Shared.Store.Commit(
@@ -220,8 +220,9 @@
           }));
 }
 
-void JobDoor::read(const SharedVisit &For,
-                   std::function<void(store::StoreResult<std::string>)> Done) {
+void JobDoor::read(
+    const SharedVisit &For,
+    const std::function<void(store::StoreResult<std::string>)> &Done) {
   const std::string Key = keys::jobs(For->Service) + For->Id.text();
   this->Shared.Store.Range(
       Key, "", store::ReadKind::Current,
--- a/src/libs/dispatch/jobdoor.h
+++ b/src/libs/dispatch/jobdoor.h
@@ -45,7 +45,7 @@
   void tellPlanner(const SharedVisit &For);
   void leaveNotice(const SharedVisit &For, const std::string &Key,
                    const std::string &Content, int64_t TriesLeft,
-                   std::function<void(bool)> Done);
+                   const std::function<void(bool)> &Done);
   void show(const SharedVisit &For);
   void cancel(const SharedVisit &For);
   void cancelInStore(const SharedVisit &For, bool MayAskPlanner);
@@ -53,7 +53,7 @@
                    const http::Responder &Back);
   /// Reads a job's record; the text is empty if there is none.
   void read(const SharedVisit &For,
-            std::function<void(store::StoreResult<std::string>)> Done);
+            const std::function<void(store::StoreResult<std::string>)> &Done);
 
   Context Shared;
   jobs::PlatformWords Words;
--- a/src/libs/dispatch/nodelease.cpp
+++ b/src/libs/dispatch/nodelease.cpp
@@ -81,7 +81,7 @@
           }));
 }
 
-void NodeLease::end(std::function<void()> Done) {
+void NodeLease::end(const std::function<void()> &Done) {
   this->IsEnding = true;
   if (this->Id == 0) {
     Done();
--- a/src/libs/dispatch/nodelease.h
+++ b/src/libs/dispatch/nodelease.h
@@ -18,7 +18,7 @@
 
   void start();
   /// Ends the lease, and with it everything held under it.
-  void end(std::function<void()> Done);
+  void end(const std::function<void()> &Done);
 
   /// The lease; 0 while there is none.
   store::LeaseId id() const { return this->Id; }
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -553,7 +553,7 @@
 }
 
 void ServiceShard::answerCancel(const peers::ServiceCall &Asked,
-                                AnswerBack Back) {
+                                const AnswerBack &Back) {
   const std::optional<uint64_t> Change =
       this->Planner.cancel(jobs::JobId(Asked.Subject));
   if (!Change) {
@@ -568,7 +568,8 @@
   this->requestPlan();
 }
 
-void ServiceShard::answer(const peers::ServiceCall &Asked, AnswerBack Back) {
+void ServiceShard::answer(const peers::ServiceCall &Asked,
+                          const AnswerBack &Back) {
   using peers::ServiceOutcome;
   if (this->IsStopped || !this->IsLoaded ||
       this->Shared.now() >= this->Environment.ClaimValidUntil()) {
@@ -585,7 +586,7 @@
     return;
   }
   case peers::ServiceCallKind::CancelJob:
-    this->answerCancel(Asked, std::move(Back));
+    this->answerCancel(Asked, Back);
     return;
   case peers::ServiceCallKind::JobState: {
     const auto State = this->Planner.shownState(jobs::JobId(Asked.Subject));
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -46,7 +46,7 @@
   void setExecutors(const std::vector<jobs::ExecutorInfo> &Listed);
   void setQueues(const jobs::QueueTable &Queues);
   /// Answers a call of the door or the fleet steward.
-  void answer(const peers::ServiceCall &Asked, AnswerBack Back);
+  void answer(const peers::ServiceCall &Asked, const AnswerBack &Back);
   jobs::PlannerCounts counts() const { return this->Planner.counts(); }
   bool isLoaded() const { return this->IsLoaded; }
 
@@ -85,7 +85,7 @@
   void answerStored();
   void lose(const std::string &Cause);
   std::string queueOf(const jobs::JobId &Job) const;
-  void answerCancel(const peers::ServiceCall &Asked, AnswerBack Back);
+  void answerCancel(const peers::ServiceCall &Asked, const AnswerBack &Back);
 
   Context Shared;
   ShardEnvironment Environment;
--- a/src/libs/dispatch/shardstore.cpp
+++ b/src/libs/dispatch/shardstore.cpp
@@ -9,9 +9,10 @@
 ShardStore::ShardStore(Context Shared, ServiceName Service, uint64_t Token)
     : Shared(std::move(Shared)), Service(std::move(Service)), Token(Token) {}
 
-void ShardStore::readAll(const std::string &Prefix, const std::string &After,
-                         std::shared_ptr<std::vector<store::StoreItem>> Found,
-                         std::function<void()> Done) {
+void ShardStore::readAll(
+    const std::string &Prefix, const std::string &After,
+    const std::shared_ptr<std::vector<store::StoreItem>> &Found,
+    const std::function<void()> &Done) {
   this->Shared.Store.Range(
       Prefix, After, store::ReadKind::Current,
       onLoop<ShardStore, store::StoreResult<store::StorePage>>(
@@ -40,7 +41,7 @@
           }));
 }
 
-void ShardStore::load(std::function<void(Contents)> Done) {
+void ShardStore::load(const std::function<void(Contents)> &Done) {
   auto Jobs = std::make_shared<std::vector<store::StoreItem>>();
   auto Progress = std::make_shared<std::vector<store::StoreItem>>();
   // Progress is read after the jobs: a job that ends in between leaves a final
@@ -62,7 +63,7 @@
 void ShardStore::write(
     const std::vector<jobs::JobWrite> &Writes,
     const std::function<std::string(const jobs::JobId &)> &QueueOf,
-    std::function<void(WriteOutcome)> Done) {
+    const std::function<void(WriteOutcome)> &Done) {
   store::StoreTransaction Change;
   Change.Expect = {{keys::Claims + this->Service.text(), this->Token}};
   for (const jobs::JobWrite &Write : Writes) {
--- a/src/libs/dispatch/shardstore.h
+++ b/src/libs/dispatch/shardstore.h
@@ -21,7 +21,7 @@
     std::vector<store::StoreItem> Progress;
   };
   /// Reads all records; tries again until it succeeds or stop() is called.
-  void load(std::function<void(Contents)> Done);
+  void load(const std::function<void(Contents)> &Done);
 
   /// How a write ended.
   enum class WriteOutcome {
@@ -35,14 +35,14 @@
   /// that ends.
   void write(const std::vector<jobs::JobWrite> &Writes,
              const std::function<std::string(const jobs::JobId &)> &QueueOf,
-             std::function<void(WriteOutcome)> Done);
+             const std::function<void(WriteOutcome)> &Done);
 
   void stop() { this->IsStopped = true; }
 
 private:
   void readAll(const std::string &Prefix, const std::string &After,
-               std::shared_ptr<std::vector<store::StoreItem>> Found,
-               std::function<void()> Done);
+               const std::shared_ptr<std::vector<store::StoreItem>> &Found,
+               const std::function<void()> &Done);
 
   Context Shared;
   ServiceName Service;
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -193,6 +193,7 @@
   if (!Spec.IsOnOneRack || !Step.Rack.empty())
     return;
   std::vector<RackRoom> Rooms;
+  Rooms.reserve(Candidates.size());
   for (const Candidate &Each : Candidates)
     Rooms.push_back({Each.Rack, Each.Free});
   Step.Rack = roomiestRack(Spec, Rooms);
--- a/src/libs/jobs/poolpolicy.cpp
+++ b/src/libs/jobs/poolpolicy.cpp
@@ -135,6 +135,7 @@
   }
   // Those with the most to do for their size choose first.
   std::vector<std::pair<double, ServiceName>> Order;
+  Order.reserve(Pools.size());
   for (const auto &[Name, Pool] : Pools)
     Order.emplace_back(
         -Pool.Demand->WaitingWork / std::max(Pool.Demand->Cores, 1.0), Name);
@@ -152,7 +153,8 @@
       --From->second.Vacant;
     }
   };
-  for (const auto &[Pressure, Name] : Order) {
+  for (const auto &[Pressure, Pressed] : Order) {
+    const ServiceName &Name = Pressed;
     PoolState &Pool = Pools[Name];
     while (true) {
       const MachineInfo *Chosen = nullptr;
