Jobs, Dispatch, Platform: Keep one copy of what was written twice

What is stored is kept as a sorted set instead of searched for over all jobs on each look of each link. Code that the last changes left dead is gone: urgent writes, planner counts, unread fields and parameters.

--- a/src/libs/dispatch/executorlink.cpp
+++ b/src/libs/dispatch/executorlink.cpp
@@ -19,8 +19,6 @@
 /// Orders to start on their way to one executor at a time: enough to hide the
 /// travel time, few enough to need few of its 64 connections.
 static constexpr size_t MostOpenStarts = 6;
-/// Failed reports after which the executor gets no new work.
-static constexpr int64_t FailuresToUnreachable = 1;
 
 ExecutorLink::ExecutorLink(Context Shared, jobs::ExecutorGateway Gateway,
                            LinkSetup Setup, LinkHooks Hooks)
@@ -124,7 +122,7 @@
     break;
   }
   ++this->Failures;
-  if (this->Failures >= FailuresToUnreachable && this->IsReachable) {
+  if (this->IsReachable) {
     this->IsReachable = false;
     logEvent(LogLevel::Warning, "executor-silent",
              {{"executor", this->Setup.To.Id},
--- a/src/libs/dispatch/fleetnode.cpp
+++ b/src/libs/dispatch/fleetnode.cpp
@@ -24,7 +24,7 @@
 /// that they spread at the first start.
 static constexpr Duration SettleTime = std::chrono::milliseconds(800);
 /// How often claims and shards are compared without a change.
-static constexpr Duration ReviewInterval = std::chrono::seconds(1);
+static constexpr Duration ReviewInterval = std::chrono::milliseconds(500);
 /// Longest time for handing shards over at a stop.
 static constexpr Duration HandOverTimeout = std::chrono::milliseconds(1200);
 /// How long connections are taken after this VM has said that it stops; the
@@ -44,6 +44,7 @@
   void adopt(jobs::FleetConfiguration Newest);
   void takeWon(const WonClaim &Won);
   void loseShard(const std::string &Shard, const std::string &Cause);
+  void stopKeepers();
   void checkClaims();
   void dropStrayClaim(const std::string &Shard, const Claim &Stray);
   bool answerLocally(const peers::ServiceCall &Asked, const AnswerBack &Back);
@@ -51,6 +52,8 @@
   void handOver(const std::function<void()> &Done);
   void releaseClaim(const std::string &Shard, uint64_t Token,
                     const std::function<void()> &Done);
+  /// Returns the newest queues each time it is called.
+  std::function<std::shared_ptr<const jobs::QueueTable>()> queueSource();
   bool isReady() const;
   peers::PeerNetworkSetup peerSetup() const;
   http::ServerLimits serverLimits() const;
@@ -109,6 +112,15 @@
   return Limits;
 }
 
+std::function<std::shared_ptr<const jobs::QueueTable>()>
+FleetNode::Private::queueSource() {
+  return [Weak = this->weak_from_this()]()
+             -> std::shared_ptr<const jobs::QueueTable> {
+    const auto Self = Weak.lock();
+    return Self ? Self->Queues : nullptr;
+  };
+}
+
 bool FleetNode::Private::isReady() const {
   const bool ReachesStore =
       this->Lease->isValid() ||
@@ -165,10 +177,6 @@
 
 void FleetNode::Private::begin() {
   const std::weak_ptr<Private> Weak = this->weak_from_this();
-  const auto Queues = [Weak]() -> std::shared_ptr<const jobs::QueueTable> {
-    const auto Self = Weak.lock();
-    return Self ? Self->Queues : nullptr;
-  };
   this->Lease = std::make_shared<NodeLease>(this->Shared);
   this->Board = std::make_shared<ClaimBoard>(this->Shared, [Weak] {
     if (const auto Self = Weak.lock())
@@ -185,7 +193,7 @@
         return Self && Self->answerLocally(Asked, Back);
       });
   this->Door = std::make_shared<JobDoor>(this->Shared, this->Connections.Words,
-                                         this->Calls, Queues);
+                                         this->Calls, this->queueSource());
   this->Members = std::make_shared<Membership>(
       this->Shared,
       peers::PeerEndpoint{this->Settings.Name, this->Settings.DataCentre,
@@ -242,14 +250,12 @@
   this->IsReadyNow = this->isReady();
   if (this->IsStopping)
     return;
-  if (this->Shared.now() >= this->SettledAt && this->Members->isKnown()) {
+  if (this->Shared.now() >= this->SettledAt && this->Members->isKnown())
     this->checkClaims();
-    this->Seeker->seek();
-  }
   constexpr Duration FirstReviews = std::chrono::milliseconds(200);
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
               this->Shared.now() +
-                  (this->IsReadyNow ? ReviewInterval / 2 : FirstReviews),
+                  (this->IsReadyNow ? ReviewInterval : FirstReviews),
               [](Private &Self) { Self.review(); });
 }
 
@@ -308,10 +314,7 @@
       Self->loseShard(Shard, Cause);
   };
   const auto ValidUntil = [Lease = this->Lease] { return Lease->validUntil(); };
-  const auto Table = [Weak]() -> std::shared_ptr<const jobs::QueueTable> {
-    const auto Self = Weak.lock();
-    return Self ? Self->Queues : nullptr;
-  };
+  const auto Table = this->queueSource();
   if (Given.Shard == keys::FleetShard) {
     const auto Orders = std::make_shared<MachineOrders>(
         this->Shared,
@@ -354,18 +357,23 @@
   Shard->start();
 }
 
+void FleetNode::Private::stopKeepers() {
+  if (!this->Keeper)
+    return;
+  this->Keeper->stop();
+  this->Keeper.reset();
+  this->Mover->stop();
+  this->Mover.reset();
+}
+
 void FleetNode::Private::loseShard(const std::string &Shard,
                                    const std::string &Cause) {
   if (this->Won.erase(Shard) == 0)
     return;
   logEvent(LogLevel::Warning, "shard-dropped",
            {{"shard", Shard}, {"cause", Cause}});
-  if (Shard == keys::FleetShard && this->Keeper) {
-    this->Keeper->stop();
-    this->Keeper.reset();
-    this->Mover->stop();
-    this->Mover.reset();
-  }
+  if (Shard == keys::FleetShard)
+    this->stopKeepers();
   if (const auto Found = this->Shards.find(Shard);
       Found != this->Shards.end()) {
     Found->second->stop();
@@ -442,12 +450,7 @@
         Done();
     });
   };
-  if (this->Keeper) {
-    this->Keeper->stop();
-    this->Keeper.reset();
-    this->Mover->stop();
-    this->Mover.reset();
-  }
+  this->stopKeepers();
   for (const auto &[Name, Claimed] : this->Won) {
     const auto Found = this->Shards.find(Name);
     const std::weak_ptr<Private> Weak = this->weak_from_this();
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -9,8 +9,6 @@
 static constexpr Duration FlushInterval = std::chrono::milliseconds(15);
 /// When what could not be stored is tried again.
 static constexpr Duration FlushRetry = std::chrono::milliseconds(100);
-/// Slowest rate of an executor's clock.
-static constexpr double SlowestRate = 0.98;
 /// How long the advice service may take beyond what the queue's policy says;
 /// calls wait for each other there.
 static constexpr Duration AdviceSlack = std::chrono::milliseconds(1500);
@@ -44,7 +42,7 @@
         this->ClaimedAt + NodeLease::Length +
         Duration(static_cast<int64_t>(
             static_cast<double>(this->Environment.LongestLease.count()) /
-            SlowestRate));
+            jobs::SlowestClockRate));
   if (this->Won.Generation > 1) {
     this->Census = CensusState::Needed;
     this->Planner.beginCensus();
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -47,8 +47,6 @@
   void setQueues(const jobs::QueueTable &Queues);
   /// Answers a call of the door or the fleet steward.
   void answer(const peers::ServiceCall &Asked, const AnswerBack &Back);
-  jobs::PlannerCounts counts() const { return this->Planner.counts(); }
-  bool isLoaded() const { return this->IsLoaded; }
 
 private:
   /// Whether it is known on which executors an earlier planner's tasks may run.
--- a/src/libs/jobs/clockmap.cpp
+++ b/src/libs/jobs/clockmap.cpp
@@ -2,9 +2,6 @@
 
 namespace whintack::jobs {
 
-/// Slowest rate of an executor's clock; from the platform's pages.
-static constexpr double SlowestRate = 0.98;
-
 void ClockMap::note(ExecutorTime NewlySaid, TimePoint At) {
   // Answers overtake each other; the latest instant counts.
   if (this->IsKnown && NewlySaid < this->Said)
@@ -29,8 +26,9 @@
   const auto Left = static_cast<double>(this->LatestLease - this->Said);
   if (Left <= 0)
     return this->Received;
-  return this->Received + std::chrono::milliseconds(
-                              static_cast<int64_t>(Left / SlowestRate) + 1);
+  return this->Received +
+         std::chrono::milliseconds(
+             static_cast<int64_t>(Left / SlowestClockRate) + 1);
 }
 
 } // namespace whintack::jobs
--- a/src/libs/jobs/include/whintack/jobs/clockmap.h
+++ b/src/libs/jobs/include/whintack/jobs/clockmap.h
@@ -6,6 +6,9 @@
 
 namespace whintack::jobs {
 
+/// Slowest rate of an executor's clock; from the platform's pages.
+constexpr double SlowestClockRate = 0.98;
+
 /// Relates one executor's clock to ours, and tells when every lease that was
 /// sent to it has certainly run out. Its clock may be up to 2 % slow.
 class ClockMap {
--- a/src/libs/jobs/include/whintack/jobs/jobspec.h
+++ b/src/libs/jobs/include/whintack/jobs/jobspec.h
@@ -11,6 +11,9 @@
 
 namespace whintack::jobs {
 
+/// Rooms count processors in thousandths of a core.
+constexpr double MilliCoresPerCore = 1000;
+
 /// Room on an executor: what a task requests or an executor has.
 struct Room {
   int64_t MilliCores = 0;
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -48,15 +48,6 @@
   uint64_t Through = 0;
 };
 
-/// Numbers for metrics and the operators' pages.
-struct PlannerCounts {
-  size_t Jobs = 0;
-  size_t WaitingJobs = 0;
-  size_t RunningTasks = 0;
-  size_t Executors = 0;
-  size_t UsableExecutors = 0;
-};
-
 /// Decides which task of a service's jobs runs where, and when.
 ///
 /// Pure: told of events and the time, it gives orders. For one task there is
@@ -130,8 +121,6 @@
   /// Instant at which plan() should be called again without other events.
   TimePoint nextPlan(TimePoint Now) const;
 
-  /// Whether a write should go out at once: a client waits for it.
-  bool hasUrgentWrites() const;
   /// Takes at most \p Most writes; each is to be confirmed or given back.
   std::vector<JobWrite> takeWrites(size_t Most);
   void noteWritten(const std::vector<JobWrite> &Writes);
@@ -143,7 +132,6 @@
   /// The last end of the executor that it may forget.
   uint64_t forgettableEnd(const ExecutorId &Of) const;
 
-  PlannerCounts counts() const;
   /// What the pool could use, for the policy that moves machines.
   PoolDemand demand(TimePoint Now) const;
 
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -15,12 +15,31 @@
                      [](const StepRecord &Step) { return Step.isDone(); });
 }
 
+StepRecord &JobRecord::step(const StepKey &Key) {
+  return this->Occurrences[static_cast<size_t>(Key.Occurrence)].Steps[Key.Step];
+}
+
+const StepRecord &JobRecord::step(const StepKey &Key) const {
+  return this->Occurrences[static_cast<size_t>(Key.Occurrence)].Steps[Key.Step];
+}
+
 Room WorkerRecord::free() const {
   Room Left = this->Info.Capacity;
   Left -= this->Booked;
   return Left;
 }
 
+/// Calls \p Do with the key and the record of each task of the job.
+template <typename Action> static void forEachTask(JobRecord &Job, Action Do) {
+  for (size_t K = 0; K < Job.Occurrences.size(); ++K)
+    for (size_t Step = 0; Step < Job.Occurrences[K].Steps.size(); ++Step) {
+      const StepKey Key{Job.Spec.Id, static_cast<int64_t>(K), Step};
+      std::vector<TaskRecord> &Tasks = Job.Occurrences[K].Steps[Step].Tasks;
+      for (size_t Index = 0; Index < Tasks.size(); ++Index)
+        Do(TaskKey{Key, Index}, Tasks[Index]);
+    }
+}
+
 JobRecord *Planner::Private::job(const JobId &Id) {
   const auto Found = this->Jobs.find(Id);
   return Found == this->Jobs.end() ? nullptr : &Found->second;
@@ -68,18 +87,25 @@
   return this->Jobs.insert_or_assign(Id, std::move(Job)).first->second;
 }
 
+void Planner::Private::setFirstUnstored(JobRecord &Job, uint64_t Change) {
+  if (Job.FirstUnstored != 0)
+    this->Unstored.erase(this->Unstored.find(Job.FirstUnstored));
+  Job.FirstUnstored = Change;
+  if (Change != 0)
+    this->Unstored.insert(Change);
+}
+
 uint64_t Planner::Private::noteChange(JobRecord &Job) {
   ++this->Changes;
   Job.LastChange = this->Changes;
   if (Job.FirstUnstored == 0)
-    Job.FirstUnstored = this->Changes;
+    this->setFirstUnstored(Job, this->Changes);
   return this->Changes;
 }
 
 void Planner::Private::setState(JobRecord &Job, JobState State) {
   Job.State = State;
   this->noteChange(Job);
-  this->HasUrgentWrites = true;
   this->log("job-ended", {{"job", Job.Spec.Id},
                           {"state", nameOf(JobStateNames, State)},
                           {"queue", Job.Policy.Name}});
@@ -107,14 +133,10 @@
 }
 
 void Planner::Private::stopAll(JobRecord &Job) {
-  for (size_t K = 0; K < Job.Occurrences.size(); ++K)
-    for (size_t Step = 0; Step < Job.Occurrences[K].Steps.size(); ++Step) {
-      auto &Tasks = Job.Occurrences[K].Steps[Step].Tasks;
-      for (size_t Index = 0; Index < Tasks.size(); ++Index)
-        if (Tasks[Index].Current)
-          this->orderStop({{Job.Spec.Id, static_cast<int64_t>(K), Step}, Index},
-                          Tasks[Index]);
-    }
+  forEachTask(Job, [this](const TaskKey &Key, TaskRecord &Task) {
+    if (Task.Current)
+      this->orderStop(Key, Task);
+  });
 }
 
 uint64_t Planner::Private::nextRun(const StepKey &Step, size_t Index) {
@@ -158,9 +180,7 @@
       continue;
     Task->Stored = Stored;
     if (Stored.IsDone)
-      ++Record.Occurrences[static_cast<size_t>(Key.Of.Occurrence)]
-            .Steps[Key.Of.Step]
-            .Done;
+      ++Record.step(Key.Of).Done;
     Record.HasStarted = true;
   }
   this->D->log("job-restored", {{"job", Id},
@@ -215,35 +235,25 @@
       Job.Policy = *Newest;
 }
 
-bool Planner::hasUrgentWrites() const { return this->D->HasUrgentWrites; }
-
 std::vector<JobWrite> Planner::takeWrites(size_t Most) {
   std::vector<JobWrite> Writes;
-  bool IsAnyEndLeft = false;
   const auto Take = [&](bool TakesEnds) {
     for (auto &[Id, Job] : this->D->Jobs) {
       if (Job.FirstUnstored == 0 || Job.IsBeingWritten ||
           isFinal(Job.State) != TakesEnds)
         continue;
-      if (Writes.size() >= Most) {
-        IsAnyEndLeft = IsAnyEndLeft || TakesEnds;
+      if (Writes.size() >= Most)
         return;
-      }
       JobWrite Write;
       Write.Job = Id;
       Write.Progress.State = Job.State;
       Write.Through = this->D->Changes;
-      for (size_t K = 0; K < Job.Occurrences.size(); ++K)
-        for (size_t S = 0; S < Job.Occurrences[K].Steps.size(); ++S)
-          for (size_t I = 0; I < Job.Occurrences[K].Steps[S].Tasks.size();
-               ++I) {
-            const TaskProgress &Stored =
-                Job.Occurrences[K].Steps[S].Tasks[I].Stored;
-            if (Stored.IsDone || !Stored.FailedRuns.empty() ||
-                !Stored.Checkpoint.empty())
-              Write.Progress.Tasks.emplace(
-                  TaskKey{{Id, static_cast<int64_t>(K), S}, I}, Stored);
-          }
+      forEachTask(Job, [&Write](const TaskKey &Key, const TaskRecord &Task) {
+        const TaskProgress &Stored = Task.Stored;
+        if (Stored.IsDone || !Stored.FailedRuns.empty() ||
+            !Stored.Checkpoint.empty())
+          Write.Progress.Tasks.emplace(Key, Stored);
+      });
       Job.IsBeingWritten = true;
       Writes.push_back(std::move(Write));
     }
@@ -251,7 +261,6 @@
   // Clients wait for ends, so these go first.
   Take(true);
   Take(false);
-  this->D->HasUrgentWrites = IsAnyEndLeft;
   return Writes;
 }
 
@@ -263,26 +272,20 @@
     Job->IsBeingWritten = false;
     Job->Shown = Write.Progress.State;
     const bool IsCurrent = Job->LastChange <= Write.Through;
-    Job->FirstUnstored = IsCurrent ? 0 : Write.Through + 1;
+    this->D->setFirstUnstored(*Job, IsCurrent ? 0 : Write.Through + 1);
     this->D->dropIfOver(Write.Job);
   }
 }
 
 void Planner::noteWriteFailed(const std::vector<JobWrite> &Writes) {
   for (const JobWrite &Write : Writes)
-    if (JobRecord *Job = this->D->job(Write.Job)) {
+    if (JobRecord *Job = this->D->job(Write.Job))
       Job->IsBeingWritten = false;
-      this->D->HasUrgentWrites =
-          this->D->HasUrgentWrites || isFinal(Job->State);
-    }
 }
 
 uint64_t Planner::storedThrough() const {
-  uint64_t Through = this->D->Changes;
-  for (const auto &[Id, Job] : this->D->Jobs)
-    if (Job.FirstUnstored != 0)
-      Through = std::min(Through, Job.FirstUnstored - 1);
-  return Through;
+  const std::multiset<uint64_t> &Unstored = this->D->Unstored;
+  return Unstored.empty() ? this->D->Changes : *Unstored.begin() - 1;
 }
 
 uint64_t Planner::changes() const { return this->D->Changes; }
@@ -305,20 +308,4 @@
   return Worker.ForgettableEnd;
 }
 
-PlannerCounts Planner::counts() const {
-  PlannerCounts Counts;
-  Counts.Jobs = this->D->Jobs.size();
-  for (const auto &[Id, Job] : this->D->Jobs) {
-    Counts.RunningTasks += Job.OpenRuns;
-    if (!Job.HasStarted && !isFinal(Job.State))
-      ++Counts.WaitingJobs;
-  }
-  Counts.Executors = this->D->Workers.size();
-  for (const auto &[Id, Worker] : this->D->Workers)
-    if (Worker.IsListed && Worker.IsReachable && Worker.HasReported &&
-        !Worker.Info.IsDraining)
-      ++Counts.UsableExecutors;
-  return Counts;
-}
-
 } // namespace whintack::jobs
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -39,7 +39,6 @@
   TimePoint DoubtedFrom = TimePoint::max();
   /// When a stop that was not confirmed is sent again.
   TimePoint NextStop = TimePoint::max();
-  TimePoint Since;
   int64_t Percent = 0;
 };
 
@@ -60,8 +59,6 @@
   size_t Done = 0;
   /// Rack that was chosen for a step that stays on one.
   std::string Rack;
-  /// When the step's tasks became startable.
-  TimePoint ReadySince = TimePoint::max();
 
   bool isDone() const { return this->Done == this->Tasks.size(); }
 };
@@ -91,6 +88,9 @@
   size_t OpenRuns = 0;
   /// Estimated once; the steps do not change.
   JobEffort Effort;
+
+  StepRecord &step(const StepKey &Key);
+  const StepRecord &step(const StepKey &Key) const;
 };
 
 /// Tickets of one step.
@@ -143,6 +143,7 @@
   const StepSpec &spec(const Internal::JobRecord &Job, const StepKey &Step);
   Internal::TaskRecord &gangLeader(const StepKey &Step);
   uint64_t noteChange(Internal::JobRecord &Job);
+  void setFirstUnstored(Internal::JobRecord &Job, uint64_t Change);
   void setState(Internal::JobRecord &Job, JobState State);
   void finishIfDone(Internal::JobRecord &Job);
   void dropIfOver(const JobId &Id);
@@ -159,9 +160,9 @@
   void takeFailure(Internal::JobRecord &Job, const EndReport &End,
                    Internal::WorkerRecord &Worker, TimePoint Now);
   void takeRunning(Internal::WorkerRecord &Worker, const RunReport &Row,
-                   ExecutorTime At, TimePoint Now);
+                   ExecutorTime At);
   void adopt(Internal::WorkerRecord &Worker, const RunReport &Row,
-             ExecutorTime At, TimePoint Now);
+             ExecutorTime At);
   void dropMissing(Internal::WorkerRecord &Worker, const ExecutorReport &Report,
                    TimePoint Now);
   void setPace(Internal::WorkerRecord &Worker, const ExecutorReport &Report,
@@ -227,7 +228,8 @@
   std::map<std::string, std::pair<double, size_t>> WorkOfQueues;
   std::vector<Order> Orders;
   uint64_t Changes = 0;
-  bool HasUrgentWrites = false;
+  /// FirstUnstored of all jobs that have one.
+  std::multiset<uint64_t> Unstored;
   /// What did not fit anywhere in this pass; larger needs are not tried.
   std::optional<Room> DidNotFit;
 };
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -123,8 +123,7 @@
 
 void Planner::Private::takeDone(JobRecord &Job, const TaskKey &Key) {
   const bool IsGang = this->spec(Job, Key.Of).IsGang;
-  StepRecord &Step = Job.Occurrences[static_cast<size_t>(Key.Of.Occurrence)]
-                         .Steps[Key.Of.Step];
+  StepRecord &Step = Job.step(Key.Of);
   for (size_t Index = 0; Index < Step.Tasks.size(); ++Index) {
     if (!IsGang && Index != Key.Index)
       continue;
@@ -197,7 +196,7 @@
 
 /// Takes over a run that an earlier planner started.
 void Planner::Private::adopt(WorkerRecord &Worker, const RunReport &Row,
-                             ExecutorTime At, TimePoint Now) {
+                             ExecutorTime At) {
   TaskRecord &Task = *this->task(Row.Task);
   JobRecord &Job = *this->job(Row.Task.Of.Job);
   RunRecord Run;
@@ -205,16 +204,13 @@
   Run.On = Worker.Info.Id;
   Run.Phase = RunPhase::Running;
   Run.ConfirmedAt = At;
-  Run.Since = Now;
   Run.Percent = Row.Percent;
   this->log("run-adopted", {{"task", Row.Task.text()},
                             {"run", Row.Run},
                             {"executor", Worker.Info.Id}});
   this->book(Row.Task, Task, std::move(Run));
   Job.HasStarted = true;
-  StepRecord &Step =
-      Job.Occurrences[static_cast<size_t>(Row.Task.Of.Occurrence)]
-          .Steps[Row.Task.Of.Step];
+  StepRecord &Step = Job.step(Row.Task.Of);
   if (this->spec(Job, Row.Task.Of).IsOnOneRack && Step.Rack.empty() &&
       Worker.Info.Labels.size() > 1)
     Step.Rack = Worker.Info.Labels[1];
@@ -223,7 +219,7 @@
 }
 
 void Planner::Private::takeRunning(WorkerRecord &Worker, const RunReport &Row,
-                                   ExecutorTime At, TimePoint Now) {
+                                   ExecutorTime At) {
   TaskRecord *Task = this->task(Row.Task);
   if (!Task) {
     Worker.HasStrangers = true;
@@ -232,7 +228,7 @@
   }
   Task->LastRun = std::max(Task->LastRun, Row.Run);
   if (!Task->Current) {
-    this->adopt(Worker, Row, At, Now);
+    this->adopt(Worker, Row, At);
   } else if (Task->Current->On != Worker.Info.Id ||
              Task->Current->Number != Row.Run) {
     Worker.HasStrangers = true;
@@ -342,7 +338,7 @@
     Worker.UnforgottenEnds.emplace_back(End.Number, this->D->Changes);
   }
   for (const RunReport &Row : Report.Running)
-    this->D->takeRunning(Worker, Row, Report.At, Now);
+    this->D->takeRunning(Worker, Row, Report.At);
   if (!Report.IsCut)
     this->D->dropMissing(Worker, Report, Now);
   this->D->setPace(Worker, Report, Now);
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -89,9 +89,7 @@
       std::find(Labels.begin(), Labels.end(), Spec.RequiredLabel) ==
           Labels.end())
     return false;
-  const StepRecord &Step =
-      Job.Occurrences[static_cast<size_t>(Key.Of.Occurrence)]
-          .Steps[Key.Of.Step];
+  const StepRecord &Step = Job.step(Key.Of);
   if (Spec.IsOnOneRack && !Step.Rack.empty() && On.Rack != Step.Rack)
     return false;
   if (Spec.MostPerExecutor > 0 &&
@@ -177,7 +175,6 @@
   RunRecord Record;
   Record.Number = Run;
   Record.On = Start.On;
-  Record.Since = Now;
   this->log("run-placed", {{"task", Key.text()},
                            {"run", Run},
                            {"executor", Start.On},
@@ -233,8 +230,7 @@
                                 std::vector<Candidate> &Candidates,
                                 TimePoint Now) {
   const StepSpec &Spec = this->spec(Job, Step);
-  StepRecord &Record =
-      Job.Occurrences[static_cast<size_t>(Step.Occurrence)].Steps[Step.Step];
+  StepRecord &Record = Job.step(Step);
   if (Record.isDone() || !this->hasTickets(Job, Step, Candidates, Now))
     return;
   const Room Need = Spec.bookedRoom();
@@ -322,7 +318,6 @@
 /// Estimated work of the tasks of a job that could start now, in core-seconds.
 double Planner::Private::startableWork(const JobRecord &Job) const {
   constexpr double MicrosPerSecond = 1e6;
-  constexpr double MilliCoresPerCore = 1000;
   double Work = 0;
   for (size_t K = 0; K < Job.Occurrences.size(); ++K)
     for (size_t S = 0; S < Job.Spec.Steps.size(); ++S) {
@@ -377,7 +372,6 @@
 }
 
 PoolDemand Planner::demand(TimePoint Now) const {
-  constexpr double MilliCoresPerCore = 1000;
   PoolDemand Demand;
   Demand.Pool = this->D->Setup.Service;
   Demand.Displaced = this->D->displacedTasks(Now);
--- a/src/libs/jobs/poolpolicy.cpp
+++ b/src/libs/jobs/poolpolicy.cpp
@@ -21,7 +21,6 @@
 static constexpr size_t VacantKept = 1;
 /// Fewest machines of a pool: what lasts is spread over as many.
 static constexpr size_t FewestMachines = 4;
-static constexpr double MilliCoresPerCore = 1000;
 
 std::string encodeDemand(const PoolDemand &Demand) {
   value Body = value::object();
--- a/src/libs/jobs/stepplacement.cpp
+++ b/src/libs/jobs/stepplacement.cpp
@@ -63,7 +63,7 @@
     Effort.Chain = std::max(Effort.Chain, Ends[Index]);
     Effort.Work +=
         static_cast<double>(Step.Count) *
-        (static_cast<double>(Step.Need.MilliCores) / MillisPerSecond) *
+        (static_cast<double>(Step.Need.MilliCores) / MilliCoresPerCore) *
         (static_cast<double>(toMilliseconds(Step.Estimate)) / MillisPerSecond);
   }
   return Effort;
