Dispatch: Pass store calls through a peer when the store turns a VM away

Cause: the store may refuse or lose one VM's calls and serve the others. A planner on such a VM lost its claim after 3 s and its service stood still until another took it over; a job door refused or gave no answer.

StoreRelay makes all calls: directly as long as that works, else through a peer that the store serves.

Also: an order to a machine that waits for the store is given up after 1 s, when the evacuation that made it safe may have run out; a maintenance order without an answer counts as down and its machine is vacated again before the next one; a silent executor is judged only by a list of machines that was asked for after it fell silent.

--- a/src/libs/base/include/whintack/base/timerqueue.h
+++ b/src/libs/base/include/whintack/base/timerqueue.h
@@ -6,17 +6,26 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace whintack {
 
 /// Handle of a scheduled call.
 using TimerId = uint64_t;
 
-/// Calls functions at their deadlines on a thread of its own. The functions
-/// must be short. Safe for several threads.
+/// Who runs the calls of a TimerQueue.
+enum class TimerThread {
+  /// A thread of the queue's own.
+  Own,
+  /// Whoever calls runNext(); for tests and replays on a clock of their own.
+  Caller,
+};
+
+/// Calls functions at their deadlines, one at a time. The functions must be
+/// short. Safe for several threads.
 class TimerQueue {
 public:
-  explicit TimerQueue(Clock Time);
+  explicit TimerQueue(Clock Time, TimerThread Thread = TimerThread::Own);
   ~TimerQueue();
 
   /// Calls \p Call once \p Deadline has passed.
@@ -30,6 +39,12 @@
   /// Forgets a call that has not started.
   void cancel(TimerId Id);
 
+  /// The deadline of the next call, if there is one.
+  std::optional<TimePoint> nextDeadline() const;
+  /// Runs the next call if its deadline has passed. Only with
+  /// TimerThread::Caller.
+  bool runNext();
+
 private:
   class Private;
   std::unique_ptr<Private> D;
--- a/src/libs/base/timerqueue.cpp
+++ b/src/libs/base/timerqueue.cpp
@@ -25,6 +25,7 @@
   explicit Private(Clock Time) : Time(std::move(Time)) {}
 
   void run();
+  bool runNext(std::unique_lock<std::mutex> &Lock, TimePoint Now);
   void waitForNext(std::unique_lock<std::mutex> &Lock);
 
   Clock Time;
@@ -48,25 +49,33 @@
     this->Changed.wait_for(Lock, Wait);
 }
 
+/// Runs the next call if it is due, without the lock.
+bool TimerQueue::Private::runNext(std::unique_lock<std::mutex> &Lock,
+                                  TimePoint Now) {
+  if (this->Calls.empty() || this->Calls.begin()->first.Deadline > Now)
+    return false;
+  auto Due = this->Calls.extract(this->Calls.begin());
+  this->Deadlines.erase(Due.key().Id);
+  Lock.unlock();
+  Due.mapped()();
+  Lock.lock();
+  return true;
+}
+
 void TimerQueue::Private::run() {
   std::unique_lock<std::mutex> Lock(this->Mutex);
   while (!this->Stopping) {
     this->waitForNext(Lock);
     const TimePoint Now = this->Time.Now();
-    while (!this->Stopping && !this->Calls.empty() &&
-           this->Calls.begin()->first.Deadline <= Now) {
-      auto Due = this->Calls.extract(this->Calls.begin());
-      this->Deadlines.erase(Due.key().Id);
-      Lock.unlock();
-      Due.mapped()();
-      Lock.lock();
+    while (!this->Stopping && this->runNext(Lock, Now)) {
     }
   }
 }
 
-TimerQueue::TimerQueue(Clock Time)
+TimerQueue::TimerQueue(Clock Time, TimerThread Thread)
     : D(std::make_unique<Private>(std::move(Time))) {
-  this->D->Thread = std::thread([this] { this->D->run(); });
+  if (Thread == TimerThread::Own)
+    this->D->Thread = std::thread([this] { this->D->run(); });
 }
 
 TimerQueue::~TimerQueue() {
@@ -75,7 +84,8 @@
     this->D->Stopping = true;
   }
   this->D->Changed.notify_all();
-  this->D->Thread.join();
+  if (this->D->Thread.joinable())
+    this->D->Thread.join();
 }
 
 TimerId TimerQueue::schedule(TimePoint Deadline, std::function<void()> Call) {
@@ -98,4 +108,16 @@
   this->D->Deadlines.erase(Found);
 }
 
+std::optional<TimePoint> TimerQueue::nextDeadline() const {
+  const std::lock_guard<std::mutex> Lock(this->D->Mutex);
+  if (this->D->Calls.empty())
+    return std::nullopt;
+  return this->D->Calls.begin()->first.Deadline;
+}
+
+bool TimerQueue::runNext() {
+  std::unique_lock<std::mutex> Lock(this->D->Mutex);
+  return this->D->runNext(Lock, this->D->Time.Now());
+}
+
 } // namespace whintack
--- a/src/libs/dispatch/fleetnode.cpp
+++ b/src/libs/dispatch/fleetnode.cpp
@@ -7,6 +7,7 @@
 #include "poolkeeper.h"
 #include "serviceshard.h"
 #include "storekeys.h"
+#include "storerelay.h"
 #include "wavekeeper.h"
 
 #include "whintack/base/eventjournal.h"
@@ -49,6 +50,7 @@
   void dropStrayClaim(const std::string &Shard, const Claim &Stray);
   bool answerLocally(const peers::ServiceCall &Asked, const AnswerBack &Back);
   void takeMessage(const EntryName &From, const peers::Message &Received);
+  std::vector<EntryName> usablePeers() const;
   void handOver(const std::function<void()> &Done);
   void releaseClaim(const std::string &Shard, uint64_t Token,
                     const std::function<void()> &Done);
@@ -65,6 +67,7 @@
   HybridClock Stamps;
   EventJournal Journal;
   std::unique_ptr<peers::PeerNetwork> Peers;
+  std::shared_ptr<StoreRelay> Relay;
   std::shared_ptr<NodeLease> Lease;
   std::shared_ptr<ClaimBoard> Board;
   std::shared_ptr<ClaimSeeker> Seeker;
@@ -177,6 +180,18 @@
 
 void FleetNode::Private::begin() {
   const std::weak_ptr<Private> Weak = this->weak_from_this();
+  this->Relay = std::make_shared<StoreRelay>(
+      this->Shared,
+      StoreRelayHooks{[Weak](const EntryName &To, const peers::Message &Sent) {
+                        const auto Self = Weak.lock();
+                        return Self && Self->Peers->send(To, Sent);
+                      },
+                      [Weak] {
+                        const auto Self = Weak.lock();
+                        return Self ? Self->usablePeers()
+                                    : std::vector<EntryName>();
+                      }});
+  this->Shared.Store = this->Relay->store();
   this->Lease = std::make_shared<NodeLease>(this->Shared);
   this->Board = std::make_shared<ClaimBoard>(this->Shared, [Weak] {
     if (const auto Self = Weak.lock())
@@ -438,6 +453,18 @@
     this->Calls->take(From, *Asked);
   else if (const auto *Answer = std::get_if<peers::ServiceAnswer>(&Received))
     this->Calls->take(*Answer);
+  else if (const auto *Passed = std::get_if<peers::StoreRequest>(&Received))
+    this->Relay->take(From, *Passed);
+  else if (const auto *Made = std::get_if<peers::StoreResponse>(&Received))
+    this->Relay->take(From, *Made);
+}
+
+std::vector<EntryName> FleetNode::Private::usablePeers() const {
+  std::vector<EntryName> Usable;
+  for (const peers::PeerStatus &Peer : this->Peers->peers())
+    if (Peer.IsUsable)
+      Usable.push_back(Peer.Name);
+  return Usable;
 }
 
 /// Gives all claims back, after what is not stored yet has been.
--- a/src/libs/dispatch/machineorders.cpp
+++ b/src/libs/dispatch/machineorders.cpp
@@ -2,6 +2,7 @@
 
 #include "storekeys.h"
 
+#include <algorithm>
 #include <cpprest/json.h>
 
 namespace whintack::dispatch::Internal {
@@ -61,8 +62,10 @@
 }
 
 void MachineOrders::announce(const jobs::MachineName &Machine,
-                             std::function<void()> Send) {
-  this->Waiting.push_back({Machine, std::move(Send)});
+                             TimePoint SendBy, std::function<void()> Send,
+                             std::function<void()> GiveUp) {
+  this->Waiting.push_back({Machine, SendBy, std::move(Send),
+                           std::move(GiveUp)});
   if (this->IsWriteRequested || !this->Writing.empty())
     return;
   this->IsWriteRequested = true;
@@ -73,8 +76,27 @@
   });
 }
 
+/// Gives up the orders that could not be written down in time.
+void MachineOrders::dropOutdated() {
+  const auto IsOutdated = [Now = this->Shared.now()](const Announced &Each) {
+    return Now > Each.SendBy;
+  };
+  const auto Outdated = std::stable_partition(
+      this->Waiting.begin(), this->Waiting.end(),
+      [&](const Announced &Each) { return !IsOutdated(Each); });
+  std::vector<Announced> Dropped(std::make_move_iterator(Outdated),
+                                 std::make_move_iterator(this->Waiting.end()));
+  this->Waiting.erase(Outdated, this->Waiting.end());
+  for (const Announced &Each : Dropped) {
+    logEvent(LogLevel::Warning, "machine-order-dropped",
+             {{"machine", Each.Machine}, {"cause", "not written in time"}});
+    Each.GiveUp();
+  }
+}
+
 void MachineOrders::write() {
   this->IsWriteRequested = false;
+  this->dropOutdated();
   if (this->IsStopped || this->Waiting.empty())
     return;
   const TimePoint Now = this->Shared.now();
@@ -117,8 +139,13 @@
     this->OnLost("another holds the claim");
     return;
   }
-  for (const Announced &Each : Written)
-    Each.Send();
+  const TimePoint Now = this->Shared.now();
+  for (const Announced &Each : Written) {
+    if (Now <= Each.SendBy)
+      Each.Send();
+    else
+      this->Waiting.push_back(Each);
+  }
   this->write();
 }
 
--- a/src/libs/dispatch/machineorders.h
+++ b/src/libs/dispatch/machineorders.h
@@ -29,17 +29,22 @@
   /// Whether an earlier holder's orders keep the machine from being ordered.
   bool isHeld(const jobs::MachineName &Machine) const;
   /// Calls \p Send once it is written that the machine is ordered; never if
-  /// the claim is lost.
-  void announce(const jobs::MachineName &Machine, std::function<void()> Send);
+  /// the claim is lost. Calls \p GiveUp instead if that is not written by
+  /// \p SendBy: what made the order safe may not hold any more.
+  void announce(const jobs::MachineName &Machine, TimePoint SendBy,
+                std::function<void()> Send, std::function<void()> GiveUp);
 
 private:
   struct Announced {
     jobs::MachineName Machine;
+    TimePoint SendBy;
     std::function<void()> Send;
+    std::function<void()> GiveUp;
   };
 
   void takeRecord(store::StoreResult<store::StorePage> Answer);
   void write();
+  void dropOutdated();
   void takeWritten(const store::StoreResult<store::CommitAnswer> &Answer);
 
   Context Shared;
--- a/src/libs/dispatch/poolkeeper.cpp
+++ b/src/libs/dispatch/poolkeeper.cpp
@@ -1,5 +1,7 @@
 #include "poolkeeper.h"
 
+#include "whintack/jobs/planner.h"
+
 namespace whintack::dispatch::Internal {
 
 /// Time between two looks at the demand; a tenth of a queue's turn of 4 s.
@@ -102,31 +104,34 @@
 void PoolKeeper::propose(const jobs::MoveProposal &Move) {
   const jobs::ServicePolicy *From =
       this->Environment.Queues()->service(Move.Machine.Pool);
+  const TimePoint Now = this->Shared.now();
   if (Move.Machine.Executor.isEmpty() || (From && From->IsSpare)) {
-    this->order(Move);
+    this->order(Move, Now + jobs::EvacuationTime / 2);
     return;
   }
   this->Environment.Calls->call(
       {0, Move.Machine.Pool, peers::ServiceCallKind::EvacuateExecutor,
        Move.Machine.Executor.text(), ""},
       PlannerTimeout,
-      [Weak = this->weak_from_this(), Move](const CallResult &Answer) {
+      [Weak = this->weak_from_this(), Move, Now](const CallResult &Answer) {
         const auto Self = Weak.lock();
         const bool IsVacant = Answer.Outcome == CallOutcome::Done &&
                               valueOf(jobs::OccupancyNames, Answer.Content) ==
                                   jobs::Occupancy::Vacant;
         if (Self && IsVacant && Self->mayOrder())
-          Self->order(Move);
+          Self->order(Move, Now + jobs::EvacuationTime / 2);
       });
 }
 
-void PoolKeeper::order(const jobs::MoveProposal &Move) {
-  this->Environment.Orders->announce(Move.Machine.Name,
-                                     [Weak = this->weak_from_this(), Move] {
-                                       const auto Self = Weak.lock();
-                                       if (Self && Self->mayOrder())
-                                         Self->send(Move);
-                                     });
+void PoolKeeper::order(const jobs::MoveProposal &Move, TimePoint SendBy) {
+  this->Environment.Orders->announce(
+      Move.Machine.Name, SendBy,
+      [Weak = this->weak_from_this(), Move] {
+        const auto Self = Weak.lock();
+        if (Self && Self->mayOrder())
+          Self->send(Move);
+      },
+      [] {});
 }
 
 void PoolKeeper::send(const jobs::MoveProposal &Move) {
--- a/src/libs/dispatch/poolkeeper.h
+++ b/src/libs/dispatch/poolkeeper.h
@@ -30,7 +30,8 @@
   void ask();
   void decide(const std::vector<jobs::PoolDemand> &Demands);
   void propose(const jobs::MoveProposal &Move);
-  void order(const jobs::MoveProposal &Move);
+  /// Sends the order unless it cannot go out by \p SendBy.
+  void order(const jobs::MoveProposal &Move, TimePoint SendBy);
   void send(const jobs::MoveProposal &Move);
   bool mayOrder() const;
 
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -328,6 +328,7 @@
 /// Asks the platform about executors that do not answer: one whose machine is
 /// down, or runs another executor, runs nothing any more.
 void ServiceShard::lookAtSilent() {
+  this->SilentAsked = this->Silent;
   this->listMachines(&ServiceShard::judgeSilent);
 }
 
@@ -340,7 +341,8 @@
       if (Machine.State == jobs::MachineState::Up)
         Up.insert(Machine.Executor);
     std::erase_if(this->Silent, [&](const jobs::ExecutorId &Id) {
-      if (Up.contains(Id))
+      // The list may have been made before this one fell silent.
+      if (Up.contains(Id) || !this->SilentAsked.contains(Id))
         return false;
       this->Planner.noteEmpty(Id, "its machine is down or has been replaced");
       return true;
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -96,6 +96,8 @@
   std::unordered_map<jobs::JobId, std::string> QueueNames;
   /// Executors that do not answer.
   std::set<jobs::ExecutorId> Silent;
+  /// Those of them that were silent when the machines were last asked for.
+  std::set<jobs::ExecutorId> SilentAsked;
   /// Answers that wait until a change is stored.
   std::multimap<uint64_t, std::function<void()>> AwaitingStore;
   std::function<void()> OnDrained;
--- a/src/libs/dispatch/wavekeeper.cpp
+++ b/src/libs/dispatch/wavekeeper.cpp
@@ -2,6 +2,8 @@
 
 #include "storekeys.h"
 
+#include "whintack/jobs/planner.h"
+
 #include <cpprest/json.h>
 
 namespace whintack::dispatch::Internal {
@@ -210,12 +212,13 @@
   const jobs::ServicePolicy *Policy =
       this->Environment.Queues()->service(Machine.Pool);
   const bool IsOff = Machine.Executor.isEmpty() || (Policy && Policy->IsSpare);
-  const auto Go = [this, Number, Machine](jobs::Occupancy Left) {
+  const TimePoint SendBy = this->Shared.now() + jobs::EvacuationTime / 2;
+  const auto Go = [this, Number, Machine, SendBy](jobs::Occupancy Left) {
     this->Busy.erase(Machine.Name);
     const jobs::WaveCourse &Course = *this->Waves[Number].Course;
     if (this->mayOrder() && !this->Environment.Orders->isHeld(Machine.Name) &&
         Course.mayOrder(Machine.Name, Left, this->Shared.now()))
-      this->order(Number, Machine);
+      this->order(Number, Machine, SendBy);
   };
   if (IsOff) {
     Go(jobs::Occupancy::Vacant);
@@ -234,16 +237,31 @@
       });
 }
 
-void WaveKeeper::order(uint64_t Number, const jobs::MachineInfo &Machine) {
+void WaveKeeper::order(uint64_t Number, const jobs::MachineInfo &Machine,
+                       TimePoint SendBy) {
   this->Waves[Number].Course->noteOrdered(Machine.Name);
   this->Busy.insert(Machine.Name);
   this->Environment.Orders->announce(
-      Machine.Name, [Weak = this->weak_from_this(), Number, Machine] {
-        if (const auto Self = Weak.lock())
+      Machine.Name, SendBy,
+      [Weak = this->weak_from_this(), Number, Machine] {
+        const auto Self = Weak.lock();
+        if (Self && Self->mayOrder())
           Self->send(Number, Machine);
+        else if (Self)
+          Self->noteNotOrdered(Number, Machine.Name);
+      },
+      [Weak = this->weak_from_this(), Number, Name = Machine.Name] {
+        if (const auto Self = Weak.lock())
+          Self->noteNotOrdered(Number, Name);
       });
 }
 
+void WaveKeeper::noteNotOrdered(uint64_t Number,
+                                const jobs::MachineName &Machine) {
+  this->Busy.erase(Machine);
+  this->Waves[Number].Course->noteRefused(Machine);
+}
+
 void WaveKeeper::send(uint64_t Number, const jobs::MachineInfo &Machine) {
   logEvent(LogLevel::Info, "machine-maintained",
            {{"wave", Number},
@@ -280,14 +298,7 @@
   switch (Answer.error().Code) {
   case jobs::GatewayErrorCode::NoAnswer:
   case jobs::GatewayErrorCode::BadAnswer:
-    // It may begin later. Asking again is harmless: the platform confirms what
-    // it has already done.
-    scheduleFor(this->Shared.Loop, this->shared_from_this(),
-                this->Shared.now() + TickInterval,
-                [Number, Machine](WaveKeeper &Self) {
-                  if (Self.mayOrder())
-                    Self.order(Number, Machine);
-                });
+    Of.Course->noteUnanswered(Machine.Name);
     return;
   case jobs::GatewayErrorCode::Fenced:
     this->Environment.OnLost(this->Won.Shard, "fenced by a later holder");
--- a/src/libs/dispatch/wavekeeper.h
+++ b/src/libs/dispatch/wavekeeper.h
@@ -52,7 +52,10 @@
   void step(Wave &Of);
   void takeMachines(jobs::GatewayResult<std::vector<jobs::MachineInfo>> Found);
   void vacate(uint64_t Number, const jobs::MachineInfo &Machine);
-  void order(uint64_t Number, const jobs::MachineInfo &Machine);
+  /// Sends the order unless it cannot go out by \p SendBy.
+  void order(uint64_t Number, const jobs::MachineInfo &Machine,
+             TimePoint SendBy);
+  void noteNotOrdered(uint64_t Number, const jobs::MachineName &Machine);
   void send(uint64_t Number, const jobs::MachineInfo &Machine);
   void takeOrdered(uint64_t Number, const jobs::MachineInfo &Machine,
                    const jobs::GatewayResult<void> &Answer);
--- a/src/libs/entry/claimdesk.cpp
+++ b/src/libs/entry/claimdesk.cpp
@@ -1,5 +1,7 @@
 #include "claimdesk.h"
 
+#include "whintack/base/log.h"
+
 #include <algorithm>
 
 namespace whintack::entry::Internal {
@@ -208,8 +210,11 @@
       this->Table.merge(Keyed, Now);
     if (Part->IsLast)
       this->Unheard.erase(Peer);
-    if (this->Unheard.empty())
+    if (this->Unheard.empty() && !this->Table.isSynchronized()) {
       this->Table.setSynchronized(true);
+      logEvent(LogLevel::Info, "claims-synchronized",
+               {{"unheard", 0}, {"claims", this->Table.size()}});
+    }
   } else {
     return false;
   }
@@ -224,6 +229,9 @@
       return;
     if (this->Time.Now() >= this->SynchronizedBy) {
       this->Table.setSynchronized(true);
+      logEvent(LogLevel::Warning, "claims-synchronized",
+               {{"unheard", this->Unheard.size()},
+                {"claims", this->Table.size()}});
       return;
     }
     Asked = this->Unheard;
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -16,6 +16,10 @@
 
 namespace whintack::jobs {
 
+/// How long an evacuation holds unless it is asked for again: long enough for
+/// an order to a machine to be written down and sent.
+constexpr Duration EvacuationTime = std::chrono::seconds(2);
+
 /// What the planner wants done. Orders to one executor are sent in order.
 using Order = std::variant<StartOrder, StopOrder, PaceOrder, AdviceOrder>;
 
--- a/src/libs/jobs/include/whintack/jobs/wavecourse.h
+++ b/src/libs/jobs/include/whintack/jobs/wavecourse.h
@@ -55,6 +55,10 @@
   bool mayOrder(const MachineName &Machine, Occupancy Left,
                 TimePoint Now) const;
   void noteOrdered(const MachineName &Machine);
+  /// The order got no answer: the maintenance may begin at any time. The
+  /// machine counts as down, is vacated again and may be ordered again, which
+  /// the platform answers truthfully.
+  void noteUnanswered(const MachineName &Machine);
   /// The platform confirmed that the maintenance has begun, now or earlier.
   void noteBegun(const MachineName &Machine, TimePoint Now);
   /// The platform refused the order and did nothing.
@@ -75,6 +79,8 @@
     bool IsListed = false;
     TimePoint VacatingSince;
     TimePoint BegunAt = TimePoint::min();
+    /// An order that got no answer may still take effect.
+    bool MayBegin = false;
   };
 
   Duration patience(TimePoint Now) const;
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -11,8 +11,6 @@
 static constexpr Duration NoRoomPause = std::chrono::milliseconds(100);
 /// Time after which a stop without an answer is sent again.
 static constexpr Duration StopRetry = std::chrono::milliseconds(500);
-/// How long an evacuation holds unless it is asked for again.
-static constexpr Duration EvacuationTime = std::chrono::seconds(2);
 /// How long the reports of an executor are watched for a start that it did not
 /// answer; a start takes effect within milliseconds, or seconds late.
 static constexpr Duration DoubtTime = std::chrono::milliseconds(300);
--- a/src/libs/jobs/wavecourse.cpp
+++ b/src/libs/jobs/wavecourse.cpp
@@ -34,6 +34,8 @@
     Machine &Each = Found->second;
     Each.IsListed = true;
     Each.Info = Info;
+    if (Each.MayBegin && Info.State == MachineState::Maintenance)
+      this->noteBegun(Info.Name, AskedAt);
     if (Each.Step != WaveStep::Begun || Info.State != MachineState::Up)
       continue;
     // Up although the maintenance had begun before the list was asked for: it
@@ -76,11 +78,15 @@
   if (!this->HasList)
     return Chosen;
   size_t Taken = this->down();
-  for (const auto &[Name, Each] : this->Machines)
+  for (const auto &[Name, Each] : this->Machines) {
     if (Each.Step == WaveStep::Vacating) {
       ++Taken;
       Chosen.push_back(Each.Info);
+    } else if (Each.Step == WaveStep::Ordered && Each.MayBegin &&
+               Each.Info.State == MachineState::Up) {
+      Chosen.push_back(Each.Info);
     }
+  }
   for (auto &[Name, Each] : this->Machines) {
     if (Taken >= this->Request.MostAtOnce)
       break;
@@ -97,8 +103,11 @@
 bool WaveCourse::mayOrder(const MachineName &Name, Occupancy Left,
                           TimePoint Now) const {
   const Machine &Each = this->Machines.at(Name);
-  if (Each.Step != WaveStep::Vacating ||
-      this->down() >= this->Request.MostAtOnce)
+  // One that may begin at any time is counted as down already.
+  const bool IsAgain = Each.Step == WaveStep::Ordered && Each.MayBegin;
+  const bool IsNext = Each.Step == WaveStep::Vacating &&
+                      this->down() < this->Request.MostAtOnce;
+  if (!IsAgain && !IsNext)
     return false;
   if (Left == Occupancy::Interruptible)
     return Now - Each.VacatingSince >= this->patience(Now);
@@ -110,16 +119,21 @@
   Each.Step = WaveStep::Ordered;
 }
 
+void WaveCourse::noteUnanswered(const MachineName &Name) {
+  this->Machines.at(Name).MayBegin = true;
+}
+
 void WaveCourse::noteBegun(const MachineName &Name, TimePoint Now) {
   Machine &Each = this->Machines.at(Name);
   Each.BegunAt = Now;
+  Each.MayBegin = false;
   if (Each.Step != WaveStep::Over)
     Each.Step = WaveStep::Begun;
 }
 
 void WaveCourse::noteRefused(const MachineName &Name) {
   Machine &Each = this->Machines.at(Name);
-  if (Each.Step == WaveStep::Ordered)
+  if (Each.Step == WaveStep::Ordered && !Each.MayBegin)
     Each.Step = WaveStep::Vacating;
 }
 
--- a/src/libs/peers/include/whintack/peers/message.h
+++ b/src/libs/peers/include/whintack/peers/message.h
@@ -4,6 +4,7 @@
 #include "whintack/base/enumnames.h"
 #include "whintack/base/event.h"
 #include "whintack/base/eventjournal.h"
+#include "whintack/store/storecall.h"
 #include "whintack/routing/claimtable.h"
 #include "whintack/routing/messages.h"
 
@@ -167,6 +168,18 @@
   std::string Content;
 };
 
+/// Asks a peer to make a call to the platform's store.
+struct StoreRequest {
+  CallId Id = 0;
+  store::StoreCall Call;
+};
+
+/// Answers a StoreRequest.
+struct StoreResponse {
+  CallId Id = 0;
+  store::StoreResult<store::StoreReply> Result = store::StoreReply();
+};
+
 /// Any message between entry VMs.
 using Message =
     std::variant<Hello, Heartbeat, HeadNotice, ContentRequest, ContentAnswer,
@@ -174,7 +187,7 @@
                  routing::LeavingNotice, ClaimRequest, ClaimAnswer, ClaimSettle,
                  ClaimForget, ClaimTableRequest, ClaimTablePart, RunningRequest,
                  RunningAnswer, TimelineRequest, TimelineAnswer, ServiceCall,
-                 ServiceAnswer>;
+                 ServiceAnswer, StoreRequest, StoreResponse>;
 
 } // namespace whintack::peers
 
--- a/src/libs/peers/messagecodec.cpp
+++ b/src/libs/peers/messagecodec.cpp
@@ -87,6 +87,126 @@
   return Read;
 }
 
+static std::unique_ptr<wire::StoreItemT> toWire(const store::StoreItem &Item) {
+  auto Out = std::make_unique<wire::StoreItemT>();
+  Out->key = Item.Key;
+  Out->value = Item.Value;
+  Out->revision = Item.Revision;
+  Out->lease = Item.Lease;
+  return Out;
+}
+
+static store::StoreItem fromWire(const wire::StoreItemT &In) {
+  return {In.key, In.value, In.revision, In.lease};
+}
+
+static wire::StoreRequestT toWire(const StoreRequest &Sent) {
+  const store::StoreCall &Call = Sent.Call;
+  wire::StoreRequestT Out;
+  Out.id = Sent.Id;
+  Out.kind = static_cast<uint8_t>(Call.Kind);
+  Out.prefix = Call.Prefix;
+  Out.after_key = Call.AfterKey;
+  Out.is_stale = Call.Read == store::ReadKind::Stale;
+  Out.after_revision = Call.AfterRevision;
+  Out.length_us = static_cast<uint64_t>(Call.Length.count());
+  Out.lease = Call.Lease;
+  for (const store::ExpectedRevision &Expected : Call.Change.Expect) {
+    auto Row = std::make_unique<wire::ExpectedRevisionT>();
+    Row->key = Expected.Key;
+    Row->revision = Expected.Revision;
+    Out.expect.push_back(std::move(Row));
+  }
+  for (const store::StorePut &Put : Call.Change.Puts) {
+    auto Row = std::make_unique<wire::StorePutT>();
+    Row->key = Put.Key;
+    Row->value = Put.Value;
+    Row->lease = Put.Lease;
+    Out.puts.push_back(std::move(Row));
+  }
+  Out.removals = Call.Change.Removals;
+  return Out;
+}
+
+static std::optional<Message> fromWire(const wire::StoreRequestT &In) {
+  if (In.kind >= store::StoreCallNames.size())
+    return std::nullopt;
+  StoreRequest Read;
+  Read.Id = In.id;
+  store::StoreCall &Call = Read.Call;
+  Call.Kind = static_cast<store::StoreCallKind>(In.kind);
+  Call.Prefix = In.prefix;
+  Call.AfterKey = In.after_key;
+  Call.Read = In.is_stale ? store::ReadKind::Stale : store::ReadKind::Current;
+  Call.AfterRevision = In.after_revision;
+  Call.Length = Duration(static_cast<int64_t>(In.length_us));
+  Call.Lease = In.lease;
+  for (const auto &Row : In.expect)
+    Call.Change.Expect.push_back({Row->key, Row->revision});
+  for (const auto &Row : In.puts)
+    Call.Change.Puts.push_back({Row->key, Row->value, Row->lease});
+  Call.Change.Removals = In.removals;
+  return Read;
+}
+
+static wire::StoreResponseT toWire(const StoreResponse &Sent) {
+  wire::StoreResponseT Out;
+  Out.id = Sent.Id;
+  Out.is_failed = !Sent.Result;
+  if (!Sent.Result) {
+    Out.error = static_cast<uint8_t>(Sent.Result.error().Code);
+    Out.message = Sent.Result.error().Message;
+    return Out;
+  }
+  // Only one kind of answer is set, so the shared fields do not clash.
+  const store::StoreReply &Reply = Sent.Result.value();
+  for (const store::StoreItem &Item : Reply.Page.Items)
+    Out.items.push_back(toWire(Item));
+  for (const store::StoreItem &Item : Reply.Committed.Current)
+    Out.items.push_back(toWire(Item));
+  Out.has_more = Reply.Page.HasMore;
+  Out.as_of = std::max(Reply.Page.AsOf, Reply.Watched.AsOf);
+  for (const store::StoreChange &Change : Reply.Watched.Changes) {
+    auto Row = std::make_unique<wire::StoreChangeT>();
+    Row->key = Change.Key;
+    Row->revision = Change.Revision;
+    if (Change.Item)
+      Row->item = toWire(*Change.Item);
+    Out.changes.push_back(std::move(Row));
+  }
+  Out.is_committed = Reply.Committed.IsCommitted;
+  Out.revision = Reply.Committed.Revision;
+  Out.lease = Reply.Lease;
+  return Out;
+}
+
+static std::optional<Message> fromWire(const wire::StoreResponseT &In) {
+  if (In.is_failed) {
+    if (In.error >= store::StoreErrorNames.size())
+      return std::nullopt;
+    return StoreResponse{
+        In.id, failure(store::StoreError{
+                   static_cast<store::StoreErrorCode>(In.error), In.message})};
+  }
+  store::StoreReply Reply;
+  for (const auto &Item : In.items)
+    Reply.Page.Items.push_back(fromWire(*Item));
+  Reply.Committed.Current = Reply.Page.Items;
+  Reply.Page.HasMore = In.has_more;
+  Reply.Page.AsOf = In.as_of;
+  Reply.Watched.AsOf = In.as_of;
+  for (const auto &Row : In.changes) {
+    store::StoreChange Change{Row->key, Row->revision, std::nullopt};
+    if (Row->item)
+      Change.Item = fromWire(*Row->item);
+    Reply.Watched.Changes.push_back(std::move(Change));
+  }
+  Reply.Committed.IsCommitted = In.is_committed;
+  Reply.Committed.Revision = In.revision;
+  Reply.Lease = In.lease;
+  return StoreResponse{In.id, std::move(Reply)};
+}
+
 namespace {
 
 /// Fills the body of an envelope from each kind of message.
@@ -236,6 +356,12 @@
     Out.content = Sent.Content;
     this->Body.Set(std::move(Out));
   }
+  void operator()(const StoreRequest &Sent) const {
+    this->Body.Set(toWire(Sent));
+  }
+  void operator()(const StoreResponse &Sent) const {
+    this->Body.Set(toWire(Sent));
+  }
 };
 
 } // namespace
@@ -344,6 +470,10 @@
     return ServiceAnswer{Read->id, static_cast<ServiceOutcome>(Read->outcome),
                          Read->content};
   }
+  if (const auto *Read = In.AsStoreRequest())
+    return fromWire(*Read);
+  if (const auto *Read = In.AsStoreResponse())
+    return fromWire(*Read);
   return std::nullopt;
 }
 
--- a/tests/auto/jobs/tst_policies.cpp
+++ b/tests/auto/jobs/tst_policies.cpp
@@ -211,6 +211,34 @@
   CHECK(Course.vacate(at(2s)).size() == 1);
 }
 
+TEST_CASE("a machine whose order got no answer counts as down and is ordered "
+          "again only once it is vacant again") {
+  WaveRequest Request;
+  Request.MostAtOnce = 1;
+  Request.Machines = {MachineName("m0"), MachineName("m1")};
+  WaveCourse Course(Request, at(30s), {});
+  std::vector<MachineInfo> Machines = {machine("m0", "p"), machine("m1", "p")};
+  Course.noteMachines(Machines, at(0s));
+  Course.vacate(at(0s));
+  const MachineName First("m0");
+  Course.noteOrdered(First);
+  Course.noteUnanswered(First);
+  CHECK(Course.down() == 1);
+  const auto Again = Course.vacate(at(1s));
+  REQUIRE(Again.size() == 1);
+  CHECK(Again[0].Name == First);
+  CHECK_FALSE(Course.mayOrder(First, Occupancy::Protected, at(20s)));
+  CHECK(Course.mayOrder(First, Occupancy::Vacant, at(1s)));
+  // A refusal does not say that the first order did nothing.
+  Course.noteOrdered(First);
+  Course.noteRefused(First);
+  CHECK(Course.down() == 1);
+  Machines[0].State = MachineState::Maintenance;
+  Course.noteMachines(Machines, at(2s));
+  CHECK(Course.begun().contains(First));
+  CHECK(Course.vacate(at(2s)).empty());
+}
+
 TEST_CASE("progress survives its encoding and damage is told") {
   JobProgress Progress;
   Progress.State = JobState::Running;
--- a/tests/auto/peers/tst_messagecodec.cpp
+++ b/tests/auto/peers/tst_messagecodec.cpp
@@ -62,6 +62,52 @@
           EventKind::WaveStopped);
 }
 
+TEST_CASE("calls to the store and their answers read back") {
+  StoreRequest Asked;
+  Asked.Id = 4;
+  Asked.Call.Kind = store::StoreCallKind::Commit;
+  Asked.Call.Change.Expect = {{"claim", 9}};
+  Asked.Call.Change.Puts = {{"key", std::string("\0\xff", 2), 3}};
+  Asked.Call.Change.Removals = {"old"};
+  const store::StoreTransaction Change = roundTrip(Asked).Call.Change;
+  CHECK(Change.Expect.at(0).Revision == 9);
+  CHECK(Change.Puts.at(0).Value == std::string("\0\xff", 2));
+  CHECK(Change.Puts.at(0).Lease == 3);
+  CHECK(Change.Removals.at(0) == "old");
+
+  StoreRequest Range;
+  Range.Call.AfterKey = "k";
+  Range.Call.Read = store::ReadKind::Stale;
+  CHECK(roundTrip(Range).Call.Read == store::ReadKind::Stale);
+  CHECK(roundTrip(Range).Call.AfterKey == "k");
+
+  store::StoreReply Page;
+  Page.Page.Items = {{"k", "v", 2, 1}};
+  Page.Page.HasMore = true;
+  Page.Page.AsOf = 8;
+  const auto Read = roundTrip(StoreResponse{5, Page}).Result;
+  REQUIRE(Read);
+  CHECK(Read.value().Page.Items.at(0).Revision == 2);
+  CHECK(Read.value().Page.HasMore);
+  CHECK(Read.value().Page.AsOf == 8);
+
+  store::StoreReply Watched;
+  Watched.Watched.AsOf = 7;
+  Watched.Watched.Changes = {{"gone", 6, std::nullopt}};
+  const auto Changes = roundTrip(StoreResponse{5, Watched}).Result;
+  REQUIRE(Changes);
+  CHECK_FALSE(Changes.value().Watched.Changes.at(0).Item);
+  CHECK(Changes.value().Watched.AsOf == 7);
+
+  const auto Failed =
+      roundTrip(StoreResponse{
+                    6, failure(store::StoreError{
+                           store::StoreErrorCode::HistoryLost, "dropped"})})
+          .Result;
+  REQUIRE_FALSE(Failed);
+  CHECK(Failed.error().Code == store::StoreErrorCode::HistoryLost);
+}
+
 TEST_CASE("bytes that are no message are refused, whatever they are") {
   const Random Source = seededRandom(11);
   REQUIRE_FALSE(decodeMessage(""));
