Entry: An owner of claims that stood still vouches for nothing until it has caught up

Cause: a process that is stopped for some seconds and goes on has missed the claims taken meanwhile, and its links are down; yet it vouched alone for the keys that it was asked about. The order of such a caller ran there; its repetition through the other owner, which could not reach the first, ran again.

A gap of more than a second between two looks now makes an owner unsure until it has taken in the claims of the others.

--- a/src/libs/entry/claimdesk.cpp
+++ b/src/libs/entry/claimdesk.cpp
@@ -17,19 +17,35 @@
 /// After this an owner that could not be asked counts as lost.
 static constexpr Duration SynchronizeTimeout = std::chrono::seconds(5);
 static constexpr size_t ClaimsPerPart = 500;
+/// Five missed looks; peers take longer to count a process as lost.
+static constexpr Duration LongestPause = std::chrono::seconds(1);
 
 ClaimDesk::ClaimDesk(EntryName Self, std::vector<EntryName> Members,
                      ClaimHooks Hooks, Clock Time, TimerQueue &Timers)
     : Self(std::move(Self)), Members(std::move(Members)),
       Hooks(std::move(Hooks)), Time(std::move(Time)), Timers(Timers),
-      SynchronizedBy(this->Time.Now() + SynchronizeTimeout),
-      Table(ClaimsKeptFor, MostClaimBytes) {
+      LastLook(this->Time.Now()), Table(ClaimsKeptFor, MostClaimBytes) {
+  this->expectAllTables();
+}
+
+void ClaimDesk::expectAllTables() {
+  this->SynchronizedBy = this->Time.Now() + SynchronizeTimeout;
   for (const EntryName &Member : this->Members)
     if (Member != this->Self)
       this->Unheard.insert(Member);
   this->Table.setSynchronized(this->Unheard.empty());
 }
 
+void ClaimDesk::noticePause(TimePoint Now) {
+  if (Now - this->LastLook <= LongestPause)
+    return;
+  logEvent(LogLevel::Warning, "claims-outdated",
+           {{"paused-ms", toMilliseconds(Now - this->LastLook)},
+            {"claims", this->Table.size()}});
+  this->LastLook = Now;
+  this->expectAllTables();
+}
+
 void ClaimDesk::claim(const std::string &Key, const RequestId &Request,
                       const std::string &Digest, ClaimDone Done) {
   Pending Asked;
@@ -48,6 +64,7 @@
     Answer.Owner = Owner;
     if (Owner == this->Self) {
       const std::lock_guard<std::mutex> Lock(this->Mutex);
+      this->noticePause(this->Time.Now());
       Answer.Before = this->Table.claim(Key, Wanted, this->Time.Now());
       Answer.HasAnswered = true;
     } else if (this->Hooks.IsUsable(Owner)) {
@@ -191,6 +208,7 @@
     Answer.Id = Asked->Id;
     {
       const std::lock_guard<std::mutex> Lock(this->Mutex);
+      this->noticePause(Now);
       Answer.Before = this->Table.claim(Asked->Key, Asked->Wanted, Now);
     }
     this->Hooks.SendToPeer(Peer, Answer);
@@ -225,13 +243,15 @@
   std::set<EntryName> Asked;
   {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
+    this->noticePause(this->Time.Now());
+    this->LastLook = this->Time.Now();
     if (this->Table.isSynchronized())
       return;
     if (this->Time.Now() >= this->SynchronizedBy) {
       this->Table.setSynchronized(true);
-      logEvent(LogLevel::Warning, "claims-synchronized",
-               {{"unheard", this->Unheard.size()},
-                {"claims", this->Table.size()}});
+      logEvent(
+          LogLevel::Warning, "claims-synchronized",
+          {{"unheard", this->Unheard.size()}, {"claims", this->Table.size()}});
       return;
     }
     Asked = this->Unheard;
--- a/src/libs/entry/claimdesk.h
+++ b/src/libs/entry/claimdesk.h
@@ -46,8 +46,8 @@
 
   /// Takes in a peer's message. Returns false if it is about something else.
   bool takeMessage(const EntryName &Peer, const peers::Message &Received);
-  /// Asks peers newly usable for their claims; call from time to time until
-  /// isSynchronized().
+  /// Asks peers newly usable for their claims until isSynchronized(); to be
+  /// called several times a second.
   void synchronize();
   bool isSynchronized() const;
   size_t size() const;
@@ -66,6 +66,10 @@
   void expire(peers::CallId Id);
   void finish(const Pending &Ended);
   void sendTable(const EntryName &Peer);
+  /// Vouches for nothing any more if this process has stood still: the others
+  /// took claims in without it. Needs the lock.
+  void noticePause(TimePoint Now);
+  void expectAllTables();
   routing::ClaimVerdict judge(const Pending &Ended) const;
 
   EntryName Self;
@@ -74,6 +78,8 @@
   Clock Time;
   TimerQueue &Timers;
   TimePoint SynchronizedBy;
+  /// When synchronize() was called last.
+  TimePoint LastLook;
   mutable std::mutex Mutex;
   routing::ClaimTable Table;
   std::map<peers::CallId, Pending> Calls;
--- a/tests/auto/processes/processes.sh
+++ b/tests/auto/processes/processes.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs entry VMs as processes of their own under load, kills one, stops one
 # past its leases and lets it go on, stops the platform for a while, and ends
-# one gracefully. The backend servers count what ran: no order may run twice,
+# one gracefully. WHINTACK_KEEP_LOGS names a directory that gets the logs. The backend servers count what ran: no order may run twice,
 # no server may run more than its slots, and the graceful stop may cut off no
 # request. Verdicts are on counts only, never on times.
 set -u
@@ -16,6 +16,7 @@
     kill -CONT "$pid" 2>/dev/null
     kill -KILL "$pid" 2>/dev/null
   done
+  if [ -n "${WHINTACK_KEEP_LOGS:-}" ]; then cp -r "$work" "$WHINTACK_KEEP_LOGS"; fi
   rm -rf "$work"
 }
 trap finish EXIT
