Dispatch: Let a new mover of machines begin where it can

A planner that still waited for one cut off executor called none of its executors vacant for 6 s; one that had just taken over counted no cores, so that its pool got far too many machines.

The record of orders names the store's revision of each; the successor knows from the revisions that it saw itself since when each was written, so it holds a machine 4.3 s from its order and the others not at all. An executor that has reported to the new planner refuses the old one, so what it says counts at once. Cores of listed executors count before their first report.

--- a/src/libs/dispatch/claimboard.cpp
+++ b/src/libs/dispatch/claimboard.cpp
@@ -44,6 +44,9 @@
             this->Holders[Key.substr(keys::Claims.size())] = std::move(*Read);
         this->IsKnown = true;
         this->OnChange();
+      },
+      [this](uint64_t Revision) {
+        this->Revisions.note(Revision, this->Shared.now());
       });
   this->Watch->start();
 }
--- a/src/libs/dispatch/claimboard.h
+++ b/src/libs/dispatch/claimboard.h
@@ -2,6 +2,7 @@
 #define WHINTACK_DISPATCH_CLAIMBOARD_H
 
 #include "prefixwatch.h"
+#include "revisionclock.h"
 
 #include "whintack/base/identifier.h"
 
@@ -34,6 +35,8 @@
   const std::map<std::string, Claim> &holders() const { return this->Holders; }
   /// The store's revision up to which the claims are known.
   uint64_t asOf() const { return this->Watch ? this->Watch->asOf() : 0; }
+  /// When the store named which revision.
+  const RevisionClock &revisions() const { return this->Revisions; }
   /// Shards that \p Node holds.
   size_t shardsOf(const EntryName &Node) const;
 
@@ -42,6 +45,7 @@
   std::function<void()> OnChange;
   std::shared_ptr<PrefixWatch> Watch;
   std::map<std::string, Claim> Holders;
+  RevisionClock Revisions;
   bool IsKnown = false;
 };
 
--- a/src/libs/dispatch/fleetnode.cpp
+++ b/src/libs/dispatch/fleetnode.cpp
@@ -334,6 +334,9 @@
     const auto Orders = std::make_shared<MachineOrders>(
         this->Shared,
         store::ExpectedRevision{keys::Claims + Given.Shard, Given.Token},
+        [Board = this->Board, Now = this->Shared.Time.Now](uint64_t Revision) {
+          return Board->revisions().writtenBy(Revision, Now());
+        },
         [Lost, Shard = Given.Shard](const std::string &Cause) {
           Lost(Shard, Cause);
         });
--- a/src/libs/dispatch/machineorders.cpp
+++ b/src/libs/dispatch/machineorders.cpp
@@ -9,8 +9,9 @@
 
 using web::json::value;
 
-/// How long a successor leaves a machine alone: the platform does not accept
-/// that holders take turns within 3 s, and the last order takes up to a second.
+/// How long after an order was written down a successor leaves the machine
+/// alone: the platform does not accept that holders take turns within 3 s, and
+/// the order goes out within a second.
 static constexpr Duration HolderDistance = std::chrono::milliseconds(4300);
 /// How long a machine stays in the record: longer than HolderDistance and the
 /// time until a lost claim is taken over.
@@ -19,9 +20,10 @@
 
 MachineOrders::MachineOrders(
     Context Shared, store::ExpectedRevision Claim,
+    std::function<TimePoint(uint64_t Revision)> WrittenBy,
     std::function<void(const std::string &Cause)> OnLost)
     : Shared(std::move(Shared)), Claim(std::move(Claim)),
-      OnLost(std::move(OnLost)) {}
+      WrittenBy(std::move(WrittenBy)), OnLost(std::move(OnLost)) {}
 
 void MachineOrders::load() {
   this->Shared.Store.Range(
@@ -42,30 +44,40 @@
                 [](MachineOrders &Again) { Again.load(); });
     return;
   }
-  this->EarlierOver = this->Shared.now() + HolderDistance;
-  for (const store::StoreItem &Item : Answer.value().Items) {
-    try {
-      const value Names = value::parse(Item.Value);
-      for (const value &Name : Names.as_array())
-        this->EarlierOrdered.insert(jobs::MachineName(Name.as_string()));
-    } catch (const std::exception &Error) {
-      logEvent(LogLevel::Error, "machine-orders-unreadable",
-               {{"cause", Error.what()}});
+  for (const store::StoreItem &Item : Answer.value().Items)
+    this->readRecord(Item);
+  this->IsLoaded = true;
+}
+
+void MachineOrders::readRecord(const store::StoreItem &Item) {
+  try {
+    const value Rows = value::parse(Item.Value);
+    for (const value &Row : Rows.as_array()) {
+      const uint64_t Revision = Row.at("revision").as_number().to_uint64();
+      const TimePoint Written =
+          this->WrittenBy(Revision == 0 ? Item.Revision : Revision);
+      this->HeldUntil[jobs::MachineName(Row.at("machine").as_string())] =
+          Written + HolderDistance;
     }
+  } catch (const std::exception &Error) {
+    logEvent(LogLevel::Error, "machine-orders-unreadable",
+             {{"cause", Error.what()}});
+    this->AllHeldUntil = this->Shared.now() + HolderDistance;
   }
-  this->IsLoaded = true;
 }
 
 bool MachineOrders::isHeld(const jobs::MachineName &Machine) const {
-  return !this->IsLoaded || (this->Shared.now() < this->EarlierOver &&
-                             this->EarlierOrdered.contains(Machine));
+  const TimePoint Now = this->Shared.now();
+  const auto Found = this->HeldUntil.find(Machine);
+  return !this->IsLoaded || Now < this->AllHeldUntil ||
+         (Found != this->HeldUntil.end() && Now < Found->second);
 }
 
-void MachineOrders::announce(const jobs::MachineName &Machine,
-                             TimePoint SendBy, std::function<void()> Send,
+void MachineOrders::announce(const jobs::MachineName &Machine, TimePoint SendBy,
+                             std::function<void()> Send,
                              std::function<void()> GiveUp) {
-  this->Waiting.push_back({Machine, SendBy, std::move(Send),
-                           std::move(GiveUp)});
+  this->Waiting.push_back(
+      {Machine, SendBy, std::move(Send), std::move(GiveUp)});
   if (this->IsWriteRequested || !this->Writing.empty())
     return;
   this->IsWriteRequested = true;
@@ -100,18 +112,21 @@
   if (this->IsStopped || this->Waiting.empty())
     return;
   const TimePoint Now = this->Shared.now();
-  std::erase_if(this->Recent,
-                [Now](const auto &Entry) { return Entry.second <= Now; });
+  std::erase_if(this->Recent, [Now](const auto &Entry) {
+    return Entry.second.KeptUntil <= Now;
+  });
   this->Writing = std::exchange(this->Waiting, {});
   for (const Announced &Each : this->Writing)
-    this->Recent[Each.Machine] = Now + RecordTime;
-  value Names = value::array();
+    this->Recent[Each.Machine] = {Now + RecordTime, 0};
+  value Rows = value::array();
   size_t Next = 0;
-  for (const auto &[Name, Until] : this->Recent)
-    Names[Next++] = value::string(Name.text());
+  for (const auto &[Name, Order] : this->Recent) {
+    Rows[Next]["machine"] = value::string(Name.text());
+    Rows[Next++]["revision"] = value::number(Order.Revision);
+  }
   store::StoreTransaction Change;
   Change.Expect = {this->Claim};
-  Change.Puts = {{keys::MachineOrders, Names.serialize(), 0}};
+  Change.Puts = {{keys::MachineOrders, Rows.serialize(), 0}};
   this->Shared.Store.Commit(
       Change, onLoop<MachineOrders, store::StoreResult<store::CommitAnswer>>(
                   this->Shared.Loop, this->shared_from_this(),
@@ -141,6 +156,7 @@
   }
   const TimePoint Now = this->Shared.now();
   for (const Announced &Each : Written) {
+    this->Recent[Each.Machine].Revision = Answer.value().Revision;
     if (Now <= Each.SendBy)
       Each.Send();
     else
--- a/src/libs/dispatch/machineorders.h
+++ b/src/libs/dispatch/machineorders.h
@@ -17,8 +17,10 @@
 /// ordered last.
 class MachineOrders : public std::enable_shared_from_this<MachineOrders> {
 public:
-  /// \p Claim names the claim's key and revision.
+  /// \p Claim names the claim's key and revision; \p WrittenBy tells when a
+  /// revision of the store had been written at the latest.
   MachineOrders(Context Shared, store::ExpectedRevision Claim,
+                std::function<TimePoint(uint64_t Revision)> WrittenBy,
                 std::function<void(const std::string &Cause)> OnLost);
 
   /// Reads what an earlier holder wrote; tries again until it succeeds.
@@ -42,19 +44,30 @@
     std::function<void()> GiveUp;
   };
 
+  /// A machine ordered here.
+  struct Noted {
+    /// When it may be left out of the record.
+    TimePoint KeptUntil;
+    /// The store's revision that wrote it down; 0 while that is not known.
+    uint64_t Revision = 0;
+  };
+
   void takeRecord(store::StoreResult<store::StorePage> Answer);
+  void readRecord(const store::StoreItem &Item);
   void write();
   void dropOutdated();
   void takeWritten(const store::StoreResult<store::CommitAnswer> &Answer);
 
   Context Shared;
   store::ExpectedRevision Claim;
+  std::function<TimePoint(uint64_t Revision)> WrittenBy;
   std::function<void(const std::string &Cause)> OnLost;
-  /// Machines that an earlier holder ordered, held until that instant.
-  std::set<jobs::MachineName> EarlierOrdered;
-  TimePoint EarlierOver = TimePoint::min();
-  /// Machines ordered here, until they may be left out of the record.
-  std::map<jobs::MachineName, TimePoint> Recent;
+  /// Machines that an earlier holder ordered, and until when they are held.
+  std::map<jobs::MachineName, TimePoint> HeldUntil;
+  /// All machines are held until then, if the record could not be read.
+  TimePoint AllHeldUntil = TimePoint::min();
+  /// Machines ordered here.
+  std::map<jobs::MachineName, Noted> Recent;
   std::vector<Announced> Waiting;
   std::vector<Announced> Writing;
   bool IsLoaded = false;
--- a/src/libs/dispatch/prefixwatch.cpp
+++ b/src/libs/dispatch/prefixwatch.cpp
@@ -9,9 +9,10 @@
 /// Longest pause before a call that failed is made again.
 static constexpr Duration RetryPause = std::chrono::milliseconds(400);
 
-PrefixWatch::PrefixWatch(Context Shared, std::string Prefix, ItemHook OnChange)
+PrefixWatch::PrefixWatch(Context Shared, std::string Prefix, ItemHook OnChange,
+                         std::function<void(uint64_t Revision)> OnRevision)
     : Shared(std::move(Shared)), Prefix(std::move(Prefix)),
-      OnChange(std::move(OnChange)) {}
+      OnChange(std::move(OnChange)), OnRevision(std::move(OnRevision)) {}
 
 void PrefixWatch::start() {
   this->Reading.clear();
@@ -37,6 +38,8 @@
     return;
   }
   store::StorePage &Page = Answer.value();
+  if (this->OnRevision)
+    this->OnRevision(Page.AsOf);
   // Pages are not a snapshot: what changed since the first is watched for.
   if (this->ReadingAsOf == 0)
     this->ReadingAsOf = Page.AsOf;
@@ -99,6 +102,8 @@
     Changed.insert(Change.Key);
   }
   this->AsOf = std::max(this->AsOf, Answer.value().AsOf);
+  if (this->OnRevision)
+    this->OnRevision(this->AsOf);
   this->IsCurrent = true;
   if (!Changed.empty())
     this->OnChange(this->Items, Changed);
--- a/src/libs/dispatch/prefixwatch.h
+++ b/src/libs/dispatch/prefixwatch.h
@@ -22,7 +22,9 @@
 /// that a connection that went silent is noticed within seconds.
 class PrefixWatch : public std::enable_shared_from_this<PrefixWatch> {
 public:
-  PrefixWatch(Context Shared, std::string Prefix, ItemHook OnChange);
+  /// \p OnRevision, if given, gets each revision that the store names.
+  PrefixWatch(Context Shared, std::string Prefix, ItemHook OnChange,
+              std::function<void(uint64_t Revision)> OnRevision = nullptr);
 
   void start();
   void stop() { this->IsStopped = true; }
@@ -42,6 +44,7 @@
   Context Shared;
   std::string Prefix;
   ItemHook OnChange;
+  std::function<void(uint64_t Revision)> OnRevision;
   ItemMap Items;
   ItemMap Reading;
   uint64_t AsOf = 0;
--- a/src/libs/dispatch/storerelay.cpp
+++ b/src/libs/dispatch/storerelay.cpp
@@ -36,13 +36,12 @@
     : Shared(std::move(Shared)), Hooks(std::move(Hooks)) {}
 
 store::AsyncStore StoreRelay::store() {
-  return store::storeOver(
-      [Weak = this->weak_from_this()](
-          store::StoreCall Asked,
-          store::StoreCallback<store::StoreReply> Done) {
-        if (const auto Self = Weak.lock())
-          Self->call(std::move(Asked), std::move(Done));
-      });
+  return store::storeOver([Weak = this->weak_from_this()](
+                              store::StoreCall Asked,
+                              store::StoreCallback<store::StoreReply> Done) {
+    if (const auto Self = Weak.lock())
+      Self->call(std::move(Asked), std::move(Done));
+  });
 }
 
 bool StoreRelay::mayAskPeers() const {
@@ -79,12 +78,12 @@
   Of.IsDirectTried = true;
   // The call may end before makeCall returns, and with it Of.
   const store::StoreCall Asked = Of.Asked;
-  store::makeCall(this->Shared.Store, Asked,
-                  onLoop<StoreRelay, Reply>(
-                      this->Shared.Loop, this->shared_from_this(),
-                      [Id](StoreRelay &Self, Reply Answer) {
-                        Self.takeDirect(Id, std::move(Answer));
-                      }));
+  store::makeCall(
+      this->Shared.Store, Asked,
+      onLoop<StoreRelay, Reply>(this->Shared.Loop, this->shared_from_this(),
+                                [Id](StoreRelay &Self, Reply Answer) {
+                                  Self.takeDirect(Id, std::move(Answer));
+                                }));
 }
 
 void StoreRelay::setTurnedAway(const StoreError &Cause) {
@@ -132,8 +131,7 @@
     return false;
   std::vector<EntryName> Peers = this->Hooks.UsablePeers();
   std::erase(Peers, Of.Peer);
-  const auto Known =
-      std::find(Peers.begin(), Peers.end(), this->Preferred);
+  const auto Known = std::find(Peers.begin(), Peers.end(), this->Preferred);
   if (Known != Peers.end())
     std::iter_swap(Peers.begin(), Known);
   else if (!Peers.empty())
@@ -147,17 +145,17 @@
     if (!this->Hooks.Send(Peer, peers::StoreRequest{Id, Of.Asked}))
       continue;
     Of.Peer = Peer;
-    scheduleFor(this->Shared.Loop, this->shared_from_this(),
-                this->Shared.now() + PeerTimeout + Of.Asked.Length,
-                [Id, Peer](StoreRelay &Self) {
-                  const auto Found = Self.Open.find(Id);
-                  if (Found == Self.Open.end() || Found->second.Peer != Peer)
-                    return;
-                  Self.takeFromPeer(
-                      Id, failure(StoreError{StoreErrorCode::Ambiguous,
-                                             Peer.text() +
-                                                 " did not answer in time"}));
-                });
+    scheduleFor(
+        this->Shared.Loop, this->shared_from_this(),
+        this->Shared.now() + PeerTimeout + Of.Asked.Length,
+        [Id, Peer](StoreRelay &Self) {
+          const auto Found = Self.Open.find(Id);
+          if (Found == Self.Open.end() || Found->second.Peer != Peer)
+            return;
+          Self.takeFromPeer(
+              Id, failure(StoreError{StoreErrorCode::Ambiguous,
+                                     Peer.text() + " did not answer in time"}));
+        });
     return true;
   }
   return false;
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -522,7 +522,8 @@
 Occupancy Planner::occupancy(const ExecutorId &Of) const {
   const auto Found = this->D->Workers.find(Of);
   // What an earlier planner started there may not be known yet.
-  if (this->isRecovering() || Found == this->D->Workers.end())
+  if (Found == this->D->Workers.end() || !Found->second.HasReported ||
+      Found->second.HasStrangers)
     return Occupancy::Protected;
   if (Found->second.Runs.empty())
     return Occupancy::Vacant;
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -388,12 +388,12 @@
         Demand.WaitingWork += this->D->startableWork(Job);
     }
   for (const auto &[Id, Worker] : this->D->Workers) {
-    if (!Worker.IsListed || Worker.Info.IsDraining || !Worker.IsReachable ||
-        !Worker.HasReported)
+    if (!Worker.IsListed || Worker.Info.IsDraining || !Worker.IsReachable)
       continue;
+    // One that has not reported yet will, or turns out to be unreachable.
     Demand.Cores += static_cast<double>(Worker.Info.Capacity.MilliCores) /
                     MilliCoresPerCore;
-    if (Worker.Runs.empty() && !Worker.HasStrangers && !this->isRecovering())
+    if (Worker.HasReported && Worker.Runs.empty() && !Worker.HasStrangers)
       Demand.Vacant.insert(Id);
   }
   return Demand;
--- a/src/libs/peers/include/whintack/peers/message.h
+++ b/src/libs/peers/include/whintack/peers/message.h
@@ -4,9 +4,9 @@
 #include "whintack/base/enumnames.h"
 #include "whintack/base/event.h"
 #include "whintack/base/eventjournal.h"
-#include "whintack/store/storecall.h"
 #include "whintack/routing/claimtable.h"
 #include "whintack/routing/messages.h"
+#include "whintack/store/storecall.h"
 
 #include <string>
 #include <variant>
