Dispatch: Replace lost holders after 2 s; free the machines of movers that have ended

Leases of 2 s, renewed each 450 ms. The record of orders names the process that ordered; once its VM runs another, its machines are free. A record carries over what is still held for earlier holders, so that a third one knows of it.

--- a/src/libs/dispatch/fleetnode.cpp
+++ b/src/libs/dispatch/fleetnode.cpp
@@ -51,6 +51,8 @@
   bool answerLocally(const peers::ServiceCall &Asked, const AnswerBack &Back);
   void takeMessage(const EntryName &From, const peers::Message &Received);
   std::vector<EntryName> usablePeers() const;
+  /// Whether another process has taken the place of \p Process on its VM.
+  bool hasEnded(const OrderingProcess &Process) const;
   void handOver(const std::function<void()> &Done);
   void releaseClaim(const std::string &Shard, uint64_t Token,
                     const std::function<void()> &Done);
@@ -63,6 +65,8 @@
   settings::EntrySettings Settings;
   NodeConnections Connections;
   Context Shared;
+  /// Tells this process from earlier ones on this VM.
+  uint64_t Incarnation;
   TimerQueue &Timers;
   HybridClock Stamps;
   EventJournal Journal;
@@ -97,12 +101,13 @@
       Connections(std::move(Connections)), Shared{std::move(Time),
                                                   std::move(Source), Loop,
                                                   this->Connections.Store},
-      Timers(Timers), Stamps(this->Shared.Time.WallNow),
+      Incarnation(this->Shared.Source()), Timers(Timers),
+      Stamps(this->Shared.Time.WallNow),
       Journal(this->Settings.Name, this->Stamps, TimelineCapacity) {}
 
 peers::PeerNetworkSetup FleetNode::Private::peerSetup() const {
   peers::PeerNetworkSetup Setup;
-  Setup.Self = {this->Settings.Name, this->Shared.Source(),
+  Setup.Self = {this->Settings.Name, this->Incarnation,
                 this->Settings.DataCentre};
   Setup.Listener = this->Settings.PeerListener;
   Setup.AcceptsNewcomers = true;
@@ -332,14 +337,20 @@
   const auto Table = this->queueSource();
   if (Given.Shard == keys::FleetShard) {
     const auto Orders = std::make_shared<MachineOrders>(
-        this->Shared,
+        this->Shared, OrderingProcess{this->Settings.Name, this->Incarnation},
         store::ExpectedRevision{keys::Claims + Given.Shard, Given.Token},
-        [Board = this->Board, Now = this->Shared.Time.Now](uint64_t Revision) {
-          return Board->revisions().writtenBy(Revision, Now());
-        },
-        [Lost, Shard = Given.Shard](const std::string &Cause) {
-          Lost(Shard, Cause);
-        });
+        MachineOrdersHooks{
+            [Board = this->Board,
+             Now = this->Shared.Time.Now](uint64_t Revision) {
+              return Board->revisions().writtenBy(Revision, Now());
+            },
+            [Weak](const OrderingProcess &Process) {
+              const auto Self = Weak.lock();
+              return Self && Self->hasEnded(Process);
+            },
+            [Lost, Shard = Given.Shard](const std::string &Cause) {
+              Lost(Shard, Cause);
+            }});
     Orders->load();
     const WaveEnvironment Environment{this->Connections.Machines,
                                       this->Connections.Words,
@@ -470,6 +481,17 @@
   return Usable;
 }
 
+bool FleetNode::Private::hasEnded(const OrderingProcess &Process) const {
+  if (Process.Vm == this->Settings.Name)
+    return Process.Incarnation != this->Incarnation;
+  const std::vector<peers::PeerStatus> Known = this->Peers->peers();
+  return std::any_of(Known.begin(), Known.end(),
+                     [&Process](const peers::PeerStatus &Peer) {
+                       return Peer.Name == Process.Vm && Peer.IsUsable &&
+                              Peer.Incarnation != Process.Incarnation;
+                     });
+}
+
 /// Gives all claims back, after what is not stored yet has been.
 void FleetNode::Private::handOver(const std::function<void()> &Done) {
   this->Seeker->stop();
--- a/src/libs/dispatch/machineorders.cpp
+++ b/src/libs/dispatch/machineorders.cpp
@@ -18,12 +18,11 @@
 static constexpr Duration RecordTime = std::chrono::seconds(8);
 static constexpr Duration Retry = std::chrono::milliseconds(150);
 
-MachineOrders::MachineOrders(
-    Context Shared, store::ExpectedRevision Claim,
-    std::function<TimePoint(uint64_t Revision)> WrittenBy,
-    std::function<void(const std::string &Cause)> OnLost)
-    : Shared(std::move(Shared)), Claim(std::move(Claim)),
-      WrittenBy(std::move(WrittenBy)), OnLost(std::move(OnLost)) {}
+MachineOrders::MachineOrders(Context Shared, OrderingProcess Self,
+                             store::ExpectedRevision Claim,
+                             MachineOrdersHooks Hooks)
+    : Shared(std::move(Shared)), Self(std::move(Self)), Claim(std::move(Claim)),
+      Hooks(std::move(Hooks)) {}
 
 void MachineOrders::load() {
   this->Shared.Store.Range(
@@ -53,11 +52,15 @@
   try {
     const value Rows = value::parse(Item.Value);
     for (const value &Row : Rows.as_array()) {
-      const uint64_t Revision = Row.at("revision").as_number().to_uint64();
-      const TimePoint Written =
-          this->WrittenBy(Revision == 0 ? Item.Revision : Revision);
-      this->HeldUntil[jobs::MachineName(Row.at("machine").as_string())] =
-          Written + HolderDistance;
+      Noted Order;
+      Order.By = {EntryName(Row.at("vm").as_string()),
+                  Row.at("process").as_number().to_uint64()};
+      Order.Revision = Row.at("revision").as_number().to_uint64();
+      if (Order.Revision == 0)
+        Order.Revision = Item.Revision;
+      Order.HeldUntil = this->Hooks.WrittenBy(Order.Revision) + HolderDistance;
+      Order.KeptUntil = Order.HeldUntil;
+      this->Recent[jobs::MachineName(Row.at("machine").as_string())] = Order;
     }
   } catch (const std::exception &Error) {
     logEvent(LogLevel::Error, "machine-orders-unreadable",
@@ -68,9 +71,11 @@
 
 bool MachineOrders::isHeld(const jobs::MachineName &Machine) const {
   const TimePoint Now = this->Shared.now();
-  const auto Found = this->HeldUntil.find(Machine);
-  return !this->IsLoaded || Now < this->AllHeldUntil ||
-         (Found != this->HeldUntil.end() && Now < Found->second);
+  if (!this->IsLoaded || Now < this->AllHeldUntil)
+    return true;
+  const auto Found = this->Recent.find(Machine);
+  return Found != this->Recent.end() && Now < Found->second.HeldUntil &&
+         !this->Hooks.HasEnded(Found->second.By);
 }
 
 void MachineOrders::announce(const jobs::MachineName &Machine, TimePoint SendBy,
@@ -117,11 +122,13 @@
   });
   this->Writing = std::exchange(this->Waiting, {});
   for (const Announced &Each : this->Writing)
-    this->Recent[Each.Machine] = {Now + RecordTime, 0};
+    this->Recent[Each.Machine] = {this->Self, Now + RecordTime};
   value Rows = value::array();
   size_t Next = 0;
   for (const auto &[Name, Order] : this->Recent) {
     Rows[Next]["machine"] = value::string(Name.text());
+    Rows[Next]["vm"] = value::string(Order.By.Vm.text());
+    Rows[Next]["process"] = value::number(Order.By.Incarnation);
     Rows[Next++]["revision"] = value::number(Order.Revision);
   }
   store::StoreTransaction Change;
@@ -151,7 +158,7 @@
   }
   const std::vector<Announced> Written = std::exchange(this->Writing, {});
   if (!Answer.value().IsCommitted) {
-    this->OnLost("another holds the claim");
+    this->Hooks.OnLost("another holds the claim");
     return;
   }
   const TimePoint Now = this->Shared.now();
--- a/src/libs/dispatch/nodelease.cpp
+++ b/src/libs/dispatch/nodelease.cpp
@@ -3,8 +3,8 @@
 namespace whintack::dispatch::Internal {
 
 /// Four renewals fit into a lease, so that one lost answer costs nothing.
-static constexpr Duration RenewInterval = std::chrono::milliseconds(700);
-static constexpr Duration RetryPause = std::chrono::milliseconds(300);
+static constexpr Duration RenewInterval = std::chrono::milliseconds(450);
+static constexpr Duration RetryPause = std::chrono::milliseconds(200);
 /// Kept between the end that this process counts with and the store's: a clock
 /// that is 2 % slow and the time from a check to the last byte sent.
 static constexpr Duration Margin = std::chrono::milliseconds(200);
--- a/src/libs/dispatch/nodelease.h
+++ b/src/libs/dispatch/nodelease.h
@@ -14,7 +14,7 @@
   explicit NodeLease(Context Shared);
 
   /// Length of the lease: a holder that died is replaced after this time.
-  static constexpr Duration Length = std::chrono::seconds(3);
+  static constexpr Duration Length = std::chrono::seconds(2);
 
   void start();
   /// Ends the lease, and with it everything held under it.
--- a/src/libs/dispatch/storerelay.cpp
+++ b/src/libs/dispatch/storerelay.cpp
@@ -8,13 +8,13 @@
 using store::StoreError;
 using store::StoreErrorCode;
 
-/// How long the own way rests after it failed: a lease of 3 s is renewed often
+/// How long the own way rests after it failed: a lease of 2 s is renewed often
 /// enough meanwhile, and one call in a second finds out that it works again.
 static constexpr Duration DirectRest = std::chrono::seconds(1);
 /// How long peers are left alone once they were turned away, too.
 static constexpr Duration PeersRest = std::chrono::seconds(1);
 /// When a call that can be repeated goes to a peer as well: a tenth of a
-/// second is usual while the store is slow, and a lease has 3 s.
+/// second is usual while the store is slow, and a lease has 2 s.
 static constexpr Duration HedgeAfter = std::chrono::milliseconds(500);
 /// Longest wait for a peer's answer, above what the call itself waits.
 static constexpr Duration PeerTimeout = std::chrono::milliseconds(1000);
--- a/tests/auto/dispatch/tst_machineorders.cpp
+++ b/tests/auto/dispatch/tst_machineorders.cpp
@@ -55,13 +55,18 @@
 /// Runs the parts on a stepped loop.
 class Fixture {
 public:
-  std::shared_ptr<MachineOrders> open(uint64_t Token) {
+  std::shared_ptr<MachineOrders> open(uint64_t Token, const char *Vm = "e1") {
+    MachineOrdersHooks Hooks;
+    Hooks.WrittenBy = [this](uint64_t Revision) {
+      return this->Revisions.writtenBy(Revision, this->Loop.Time.now());
+    };
+    Hooks.HasEnded = [this](const OrderingProcess &Process) {
+      return Process == this->Ended;
+    };
+    Hooks.OnLost = [this](const std::string &) { this->IsLost = true; };
     auto Orders = std::make_shared<MachineOrders>(
-        this->Shared, store::ExpectedRevision{"claim", Token},
-        [this](uint64_t Revision) {
-          return this->Revisions.writtenBy(Revision, this->Loop.Time.now());
-        },
-        [this](const std::string &) { this->IsLost = true; });
+        this->Shared, OrderingProcess{EntryName(Vm), Token},
+        store::ExpectedRevision{"claim", Token}, Hooks);
     Orders->load();
     this->Loop.settle();
     return Orders;
@@ -72,6 +77,7 @@
   Context Shared{this->Loop.Time.clock(), seededRandom(1), this->Loop.Queue,
                  Store.interface()};
   RevisionClock Revisions;
+  OrderingProcess Ended;
   bool IsLost = false;
 };
 
@@ -86,7 +92,8 @@
       jobs::MachineName("m1"), TimePoint::max(),
       [&] { RecordWhenSent = Test.Store.Record; }, [] {});
   Test.Loop.settle();
-  CHECK(RecordWhenSent == R"([{"machine":"m1","revision":0}])");
+  CHECK(RecordWhenSent ==
+        R"([{"machine":"m1","process":7,"revision":0,"vm":"e1"}])");
 
   Test.Store.ClaimRevision = 8;
   const auto Second = Test.open(8);
@@ -148,6 +155,37 @@
   CHECK_FALSE(Second->isHeld(jobs::MachineName("late")));
 }
 
+TEST_CASE("machines of a process that has ended can be ordered at once") {
+  Fixture Test;
+  const auto First = Test.open(7);
+  First->announce(
+      jobs::MachineName("m1"), TimePoint::max(), [] {}, [] {});
+  Test.Loop.settle();
+  Test.Store.ClaimRevision = 8;
+  const auto Second = Test.open(8, "e2");
+  CHECK(Second->isHeld(jobs::MachineName("m1")));
+  Test.Ended = {EntryName("e1"), 7};
+  CHECK_FALSE(Second->isHeld(jobs::MachineName("m1")));
+}
+
+TEST_CASE("a third holder still knows what the first one ordered") {
+  Fixture Test;
+  Test.Store.ClaimRevision = 7;
+  const auto First = Test.open(7);
+  First->announce(
+      jobs::MachineName("m1"), TimePoint::max(), [] {}, [] {});
+  Test.Loop.settle();
+  Test.Store.ClaimRevision = 8;
+  const auto Second = Test.open(8, "e2");
+  Second->announce(
+      jobs::MachineName("m2"), TimePoint::max(), [] {}, [] {});
+  Test.Loop.settle();
+  Test.Store.ClaimRevision = 9;
+  const auto Third = Test.open(9, "e3");
+  CHECK(Third->isHeld(jobs::MachineName("m1")));
+  CHECK(Third->isHeld(jobs::MachineName("m2")));
+}
+
 TEST_CASE("a record that cannot be read holds every machine for a while") {
   Fixture Test;
   Test.Store.Record = "[\"m1\"";
