Dispatch: Split the core from the listeners; play whole fleets in memory

FleetCore holds what an entry VM decides, FleetNode its listeners and peer links. The new library simulation holds the users' platform in memory on a loop: a store with leases, watches and faults, machines with their executors, and a ledger that checks what executors are told (no task twice at once or after it is done, order, attempts, room, cancellations, turns of machine holders).

--- /dev/null
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -0,0 +1,284 @@
+#include "simulatedfleet.h"
+
+namespace whintack::tests {
+
+using dispatch::Internal::Context;
+using dispatch::Internal::CoreIdentity;
+using dispatch::Internal::FleetCore;
+using dispatch::Internal::PeerTransport;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr Duration LongestLease = seconds(6);
+static constexpr int64_t MostAttempts = 3;
+
+SimulatedFleet::SimulatedFleet(uint64_t Seed)
+    : Source(seededRandom(Seed)),
+      Platform(this->Loop.Time.clock(), this->Loop.Queue, this->Source) {}
+
+SimulatedFleet::~SimulatedFleet() = default;
+
+static jobs::StepSpec stepOf(size_t Count, int64_t MilliCores,
+                             Duration Estimate) {
+  jobs::StepSpec Step;
+  Step.Count = Count;
+  Step.Need = {MilliCores, 256, 0};
+  Step.Estimate = Estimate;
+  return Step;
+}
+
+static jobs::FleetConfiguration usualConfiguration() {
+  jobs::FleetConfiguration Made;
+  Made.Version = 1;
+  for (const char *Name : {"quotes", "payouts"}) {
+    jobs::Queue Queue;
+    Queue.Name = Name;
+    Queue.Host = "fleet.example";
+    Queue.Prefix = std::string("/") + Name + "/";
+    Queue.Service = ServiceName(Name);
+    Queue.MostAttempts = MostAttempts;
+    Queue.Stretch = 2;
+    Queue.Objective = milliseconds(600);
+    Made.Queues.push_back(std::move(Queue));
+    jobs::ServicePolicy Service;
+    Service.Name = ServiceName(Name);
+    Service.ExecutorsRefuse = std::string(Name) == "quotes";
+    Made.Services.push_back(std::move(Service));
+  }
+  jobs::ServicePolicy Spare;
+  Spare.Name = ServiceName("spare");
+  Spare.IsSpare = true;
+  Made.Services.push_back(std::move(Spare));
+  return Made;
+}
+
+void SimulatedFleet::startAll() {
+  this->Platform.configure(usualConfiguration());
+  jobs::JobSpec Short;
+  Short.Steps = {stepOf(4, 2000, milliseconds(400))};
+  this->Platform.addTemplate("short", Short);
+  jobs::JobSpec Chain;
+  Chain.Steps = {stepOf(3, 2000, milliseconds(300)),
+                 stepOf(2, 4000, milliseconds(500))};
+  Chain.Steps[1].After = {0};
+  Chain.Steps[1].IsCheckpointing = true;
+  this->Platform.addTemplate("chain", Chain);
+  jobs::JobSpec Lasting;
+  Lasting.Steps = {stepOf(3, 1000, seconds(1))};
+  Lasting.Steps[0].IsLongRunning = true;
+  this->Platform.addTemplate("lasting", Lasting);
+  for (int Number = 0; Number < 12; ++Number) {
+    simulation::MachineSetup Machine;
+    Machine.Name = jobs::MachineName("m" + std::to_string(Number));
+    Machine.Pool = ServiceName(Number < 5    ? "quotes"
+                               : Number < 10 ? "payouts"
+                                             : "spare");
+    Machine.Rack = "r" + std::to_string(Number % 4);
+    Machine.DataCentre = DataCentreName(Number % 2 == 0 ? "d1" : "d2");
+    Machine.Capacity = {16000, 64000, 0};
+    this->Platform.addMachine(Machine);
+  }
+  this->startNode("e1", "d1");
+  this->startNode("e2", "d2");
+  this->startNode("e3", "d1");
+  this->runFor(seconds(5));
+}
+
+void SimulatedFleet::startNode(const std::string &Name,
+                               const std::string &DataCentre) {
+  Node &Of = this->Nodes[Name];
+  Of.DataCentre = DataCentre;
+  Of.Incarnation = this->Source();
+  const EntryName Vm(Name);
+  dispatch::NodeConnections Connections;
+  Connections.Store = this->Platform.store().interface(Vm);
+  Connections.Executors = this->Platform.executors(Vm);
+  Connections.Machines = this->Platform.machines(Vm);
+  Connections.Words = this->Platform.words();
+  Context Shared{this->Loop.Time.clock(), this->Source, this->Loop.Queue,
+                 Connections.Store};
+  const CoreIdentity Self{Vm, DataCentreName(DataCentre),
+                          Address{"127.0.0.1", 9000}, Of.Incarnation,
+                          LongestLease};
+  Of.Core = std::make_shared<FleetCore>(Self, Connections, Shared,
+                                        this->transportOf(Name));
+  this->Loop.Queue.post([Core = std::weak_ptr(Of.Core)] {
+    if (const auto Alive = Core.lock())
+      Alive->begin();
+  });
+}
+
+void SimulatedFleet::killNode(const std::string &Name) {
+  this->Nodes.at(Name).Core.reset();
+  this->Nodes.at(Name).Known.clear();
+}
+
+void SimulatedFleet::restartNode(const std::string &Name) {
+  if (!this->Nodes.at(Name).Core)
+    this->startNode(Name, std::string(this->Nodes.at(Name).DataCentre));
+}
+
+void SimulatedFleet::stopNode(const std::string &Name) {
+  const std::shared_ptr<FleetCore> Core = this->Nodes.at(Name).Core;
+  Core->announceStop();
+  this->Loop.Queue.post([Core] { Core->handOver([] {}); });
+  this->runFor(milliseconds(1200));
+  this->Loop.Queue.post([Core] { Core->endLease([] {}); });
+  this->runFor(milliseconds(300));
+  this->killNode(Name);
+}
+
+void SimulatedFleet::setCut(const std::string &Name, bool IsCut) {
+  if (IsCut)
+    this->CutOff.insert(Name);
+  else
+    this->CutOff.erase(Name);
+  const EntryName Vm(Name);
+  this->Platform.store().setPath(Vm, IsCut ? simulation::StorePath::Silent
+                                           : simulation::StorePath::Served);
+  const std::string &Own = this->Nodes.at(Name).DataCentre;
+  for (const char *DataCentre : {"d1", "d2"})
+    if (Own != DataCentre)
+      this->Platform.setCut(Vm, DataCentreName(DataCentre), IsCut);
+}
+
+std::vector<std::string> SimulatedFleet::nodeNames() const {
+  std::vector<std::string> Names;
+  for (const auto &[Name, Of] : this->Nodes)
+    Names.push_back(Name);
+  return Names;
+}
+
+std::string SimulatedFleet::plannerOf(const std::string &Service) const {
+  const auto Text =
+      this->Platform.store().value("whintack/claim/" + Service);
+  if (!Text)
+    return {};
+  store::StoreItem Item;
+  Item.Value = *Text;
+  const auto Claim = dispatch::Internal::decodeClaim(Item);
+  return Claim ? Claim->Holder.text() : std::string();
+}
+
+bool SimulatedFleet::areLinked(const std::string &First,
+                               const std::string &Second) const {
+  const auto IsUp = [this](const std::string &Name) {
+    const auto Found = this->Nodes.find(Name);
+    return Found != this->Nodes.end() && Found->second.Core &&
+           !this->CutOff.contains(Name);
+  };
+  return IsUp(First) && IsUp(Second);
+}
+
+PeerTransport SimulatedFleet::transportOf(const std::string &Name) {
+  PeerTransport Transport;
+  Transport.Send = [this, Name](const EntryName &To,
+                                const peers::Message &Sent) {
+    if (!this->areLinked(Name, To.text()))
+      return false;
+    this->Loop.Queue.schedule(
+        this->Loop.Time.now() + milliseconds(1), [this, Name, To, Sent] {
+          if (this->areLinked(Name, To.text()))
+            this->Nodes.at(To.text())
+                .Core->takeMessage(EntryName(Name), Sent);
+        });
+    return true;
+  };
+  Transport.SetPeers =
+      [this, Name](const std::vector<peers::PeerEndpoint> &Others) {
+        this->Nodes.at(Name).Known = Others;
+      };
+  Transport.Peers = [this, Name] {
+    std::vector<peers::PeerStatus> Peers;
+    for (const peers::PeerEndpoint &Other : this->Nodes.at(Name).Known) {
+      peers::PeerStatus Status;
+      Status.Name = Other.Name;
+      Status.IsUsable = this->areLinked(Name, Other.Name.text());
+      Status.Incarnation = this->Nodes.at(Other.Name.text()).Incarnation;
+      Peers.push_back(std::move(Status));
+    }
+    return Peers;
+  };
+  return Transport;
+}
+
+std::shared_ptr<ClientAnswer> SimulatedFleet::send(const std::string &Node,
+                                                   const std::string &Method,
+                                                   const std::string &Path,
+                                                   const std::string &Body) {
+  auto Answer = std::make_shared<ClientAnswer>();
+  http::HttpRequest Request;
+  Request.Method = Method;
+  Request.Target = Path;
+  Request.Headers.set("Host", "fleet.example");
+  Request.Body = Body;
+  if (const auto Core = this->Nodes.at(Node).Core)
+    this->Loop.Queue.post([Weak = std::weak_ptr(Core), Request, Answer] {
+      if (const auto Alive = Weak.lock())
+        Alive->take(Request, [Answer](const http::HttpResponse &Response) {
+          Answer->Status = Response.Status;
+          Answer->Body = Response.Body;
+        });
+    });
+  return Answer;
+}
+
+std::string SimulatedFleet::submit(const std::string &Queue,
+                                   const std::string &Template) {
+  constexpr uint64_t FirstId = 0x1000000000000000;
+  std::ostringstream Path;
+  Path << "/" << Queue << "/" << std::hex << FirstId + ++this->LastJob;
+  const std::string Id = Path.str().substr(Queue.size() + 2);
+  auto Spec = this->Platform.words().DecodeJob(jobs::JobId(Id), Template);
+  this->Platform.ledger().noteSubmitted(Spec.value(), MostAttempts);
+  this->tryToSubmit(Path.str(), Template, this->Source());
+  return Path.str();
+}
+
+void SimulatedFleet::tryToSubmit(const std::string &Path,
+                                 const std::string &Template, size_t Attempt) {
+  constexpr unsigned MostTries = 8;
+  if (++this->Attempts[Path] > MostTries)
+    return;
+  const std::vector<std::string> Names = this->nodeNames();
+  const auto Answer =
+      this->send(Names[Attempt % Names.size()], "POST", Path, Template);
+  this->Loop.Queue.schedule(
+      this->Loop.Time.now() + milliseconds(3000), [=, this] {
+        constexpr int Ok = 200;
+        if (Answer->Status == Ok)
+          this->Accepted.insert(Path);
+        else
+          this->tryToSubmit(Path, Template, Attempt + 1);
+      });
+}
+
+std::string SimulatedFleet::stateOf(const std::string &Path) {
+  for (int Try = 0; Try < 3; ++Try)
+    for (const std::string &Name : this->nodeNames()) {
+      const auto Answer = this->send(Name, "GET", Path);
+      this->runFor(milliseconds(1500));
+      constexpr int Ok = 200;
+      constexpr int Gone = 410;
+      if (Answer->Status == Ok)
+        return Answer->Body;
+      if (Answer->Status == Gone)
+        return std::to_string(Answer->Status);
+    }
+  return "no answer";
+}
+
+void SimulatedFleet::cancel(const std::string &Path) {
+  const std::vector<std::string> Names = this->nodeNames();
+  const auto Answer =
+      this->send(Names[this->Source() % Names.size()], "DELETE", Path);
+  this->runFor(seconds(2));
+  constexpr int Ok = 200;
+  if (Answer->Status != Ok)
+    return;
+  this->Cancelled.insert(Path);
+  this->Platform.ledger().noteCancelled(
+      jobs::JobId(Path.substr(Path.rfind('/') + 1)), this->Loop.Time.now());
+}
+
+} // namespace whintack::tests
--- /dev/null
+++ b/tests/auto/dispatch/simulatedfleet.h
@@ -0,0 +1,86 @@
+#ifndef WHINTACK_TESTS_SIMULATEDFLEET_H
+#define WHINTACK_TESTS_SIMULATEDFLEET_H
+
+#include "fleetcore.h"
+#include "steppedloop.h"
+
+#include "whintack/simulation/simulatedplatform.h"
+
+#include <map>
+#include <set>
+
+namespace whintack::tests {
+
+/// What a client was told.
+struct ClientAnswer {
+  int Status = 0;
+  std::string Body;
+};
+
+/// Entry VMs without listeners on a simulated platform, all on one stepped
+/// loop: the same seed gives the same run.
+class SimulatedFleet {
+public:
+  explicit SimulatedFleet(uint64_t Seed = 1);
+  ~SimulatedFleet();
+
+  /// Sets up the usual fleet: two services, a spare pool, three entry VMs in
+  /// two data centres; and lets it settle.
+  void startAll();
+  void startNode(const std::string &Name, const std::string &DataCentre);
+  /// Ends the process at once.
+  void killNode(const std::string &Name);
+  void restartNode(const std::string &Name);
+  /// Stops the process as a signal does.
+  void stopNode(const std::string &Name);
+  /// Cuts, or heals, one VM off the others and off the other data centre.
+  void setCut(const std::string &Name, bool IsCut);
+
+  std::vector<std::string> nodeNames() const;
+  /// The VM that plans the service; empty if none does.
+  std::string plannerOf(const std::string &Service) const;
+
+  /// Sends a request to a VM; the answer is filled in when it comes.
+  std::shared_ptr<ClientAnswer> send(const std::string &Node,
+                                     const std::string &Method,
+                                     const std::string &Path,
+                                     const std::string &Body = "");
+  /// Hands a job of a template in, and goes on at other VMs until it has been
+  /// accepted or refused for good. Returns its path.
+  std::string submit(const std::string &Queue, const std::string &Template);
+  /// The state shown for the job: "410" and so on if there is none.
+  std::string stateOf(const std::string &Path);
+  void cancel(const std::string &Path);
+
+  void runFor(Duration Length) { this->Loop.runFor(Length); }
+  Random &source() { return this->Source; }
+
+  SteppedLoop Loop;
+  Random Source;
+  simulation::SimulatedPlatform Platform;
+  /// Jobs that clients were told are accepted.
+  std::set<std::string> Accepted;
+  std::set<std::string> Cancelled;
+
+private:
+  struct Node {
+    std::string DataCentre;
+    uint64_t Incarnation = 0;
+    std::shared_ptr<dispatch::Internal::FleetCore> Core;
+    std::vector<peers::PeerEndpoint> Known;
+  };
+
+  bool areLinked(const std::string &First, const std::string &Second) const;
+  dispatch::Internal::PeerTransport transportOf(const std::string &Name);
+  void tryToSubmit(const std::string &Path, const std::string &Template,
+                   size_t Attempt);
+
+  std::map<std::string, Node> Nodes;
+  std::set<std::string> CutOff;
+  uint64_t LastJob = 0;
+  std::map<std::string, unsigned> Attempts;
+};
+
+} // namespace whintack::tests
+
+#endif // WHINTACK_TESTS_SIMULATEDFLEET_H
