Jobs: Give tasks that last their machines first and keep their next place free

Pools with displaced tasks choose first, a machine with the label that the task requires, and may take a vacant machine of a pressed pool. Evacuation stops only as many tasks as find room one after the other, and nothing else is placed there while they stop. Tests in tst_policies and tst_planner (the second failed before: 2 stops for one place).

--- a/src/libs/jobs/include/whintack/jobs/poolpolicy.h
+++ b/src/libs/jobs/include/whintack/jobs/poolpolicy.h
@@ -17,6 +17,8 @@
   double ArrivingWork = 0;
   /// Tasks that last and have no place.
   size_t Displaced = 0;
+  /// Labels that some of them require of an executor, one for each task.
+  std::vector<std::string> DisplacedLabels;
   /// Processor room of the executors in use, in cores.
   double Cores = 0;
   /// Executors on which nothing runs.
@@ -33,6 +35,7 @@
   ServiceName To;
 };
 
+/// Tasks that last and have no place are served before anything that waits.
 /// Decides which machines change their pool, for the load "demand turns from
 /// queue to queue, each in its turn asks several times what its pool holds and
 /// little in between": pools with more waiting than they can work off in time
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -200,12 +200,13 @@
   /// Keeps room on one executor free for a task that lasts and fits nowhere.
   void reserveFor(const Internal::JobRecord &Job, const TaskKey &Key,
                   std::vector<Internal::Candidate> &Candidates, TimePoint Now);
-  /// Whether the task fits on another executor now.
-  bool hasOtherPlace(const Internal::JobRecord &Job, const TaskKey &Key,
-                     TimePoint Now);
+  /// Whether the task fits on another executor; takes its room of \p Places.
+  bool takeOtherPlace(const Internal::JobRecord &Job, const TaskKey &Key,
+                      std::vector<Internal::Candidate> &Places, TimePoint Now);
   /// Tasks that last and have no place: not running, or on an executor that is
   /// to be vacated.
-  size_t displacedTasks(TimePoint Now);
+  /// Returns the label that each of them requires, empty for none.
+  std::vector<std::string> displacedTasks(TimePoint Now);
   double startableWork(const Internal::JobRecord &Job) const;
   JobStanding standing(const Internal::JobRecord &Job) const;
 
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -500,6 +500,7 @@
     return;
   WorkerRecord &Worker = Found->second;
   Worker.EvacuatingUntil = Now + EvacuationTime;
+  std::vector<Candidate> Places = this->D->candidates(Now);
   for (const auto &[Key, Number] : Worker.Runs) {
     JobRecord &Job = *this->D->job(Key.Of.Job);
     const StepSpec &Spec = this->D->spec(Job, Key.Of);
@@ -509,7 +510,7 @@
     const bool MayStop =
         Spec.IsLongRunning ? (!Spec.HasMayMiss ||
                               this->D->awayTasks(Job, Key.Of) < Spec.MayMiss) &&
-                                 this->D->hasOtherPlace(Job, Key, Now)
+                                 this->D->takeOtherPlace(Job, Key, Places, Now)
                            : Spec.IsCheckpointing && !Spec.IsGang;
     if (MayStop) {
       this->D->log("run-moved",
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -246,9 +246,16 @@
   }
   for (size_t Index = 0; Index < Record.Tasks.size(); ++Index) {
     TaskRecord &Task = Record.Tasks[Index];
+    const TaskKey Key{Step, Index};
+    if (Spec.IsLongRunning && Task.Current &&
+        Task.Current->Phase == RunPhase::Stopping) {
+      // It starts again in a moment; nothing else may take its place.
+      if (Candidate *Next = this->choose(Job, Key, Candidates, Now))
+        Next->Free -= Spec.bookedRoom();
+      continue;
+    }
     if (Task.Stored.IsDone || Task.Current || Now < Task.NotBefore)
       continue;
-    const TaskKey Key{Step, Index};
     Candidate *Place = this->choose(Job, Key, Candidates, Now);
     if (!Place && Spec.IsLongRunning) {
       this->reserveFor(Job, Key, Candidates, Now);
@@ -340,19 +347,22 @@
   return Work;
 }
 
-bool Planner::Private::hasOtherPlace(const JobRecord &Job, const TaskKey &Key,
-                                     TimePoint Now) {
+bool Planner::Private::takeOtherPlace(const JobRecord &Job, const TaskKey &Key,
+                                      std::vector<Candidate> &Places,
+                                      TimePoint Now) {
   const ExecutorId &On = this->task(Key)->Current->On;
-  const std::vector<Candidate> Candidates = this->candidates(Now);
-  return std::any_of(Candidates.begin(), Candidates.end(),
-                     [&](const Candidate &Each) {
-                       return Each.Worker->Info.Id != On &&
-                              this->mayRunOn(Job, Key, Each, Now);
-                     });
+  for (Candidate &Each : Places) {
+    if (Each.Worker->Info.Id == On || !this->mayRunOn(Job, Key, Each, Now))
+      continue;
+    Each.Free -= this->spec(Job, Key.Of).bookedRoom();
+    return true;
+  }
+  return false;
 }
 
-size_t Planner::Private::displacedTasks(TimePoint Now) {
-  size_t Displaced = 0;
+std::vector<std::string> Planner::Private::displacedTasks(TimePoint Now) {
+  std::vector<std::string> Displaced;
+  std::vector<Candidate> Places = this->candidates(Now);
   for (const auto &[Id, Job] : this->Jobs) {
     if (isFinal(Job.State) || Job.Spec.isTimed())
       continue;
@@ -365,9 +375,9 @@
         const auto &Current = Tasks[Index].Current;
         const bool IsLeaving =
             Current && Now < this->Workers[Current->On].EvacuatingUntil;
-        if (!Current ||
-            (IsLeaving && !this->hasOtherPlace(Job, {Key, Index}, Now)))
-          ++Displaced;
+        if (!Current || (IsLeaving &&
+                         !this->takeOtherPlace(Job, {Key, Index}, Places, Now)))
+          Displaced.push_back(Job.Spec.Steps[Step].RequiredLabel);
       }
     }
   }
@@ -379,7 +389,11 @@
       std::chrono::duration<double>(ArrivalWindow).count();
   PoolDemand Demand;
   Demand.Pool = this->D->Setup.Service;
-  Demand.Displaced = this->D->displacedTasks(Now);
+  for (std::string &Label : this->D->displacedTasks(Now)) {
+    ++Demand.Displaced;
+    if (!Label.empty())
+      Demand.DisplacedLabels.push_back(std::move(Label));
+  }
   for (const auto &[Id, Job] : this->D->Jobs)
     if (!Job.Spec.isTimed()) {
       if (Job.Accepted > Now - ArrivalWindow)
--- a/src/libs/jobs/poolpolicy.cpp
+++ b/src/libs/jobs/poolpolicy.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cpprest/json.h>
+#include <tuple>
 
 namespace whintack::jobs {
 
@@ -27,6 +28,10 @@
   Body["waiting"] = value::number(Demand.WaitingWork);
   Body["arriving"] = value::number(Demand.ArrivingWork);
   Body["displaced"] = value::number(static_cast<uint64_t>(Demand.Displaced));
+  value Labels = value::array();
+  for (size_t Index = 0; Index < Demand.DisplacedLabels.size(); ++Index)
+    Labels[Index] = value::string(Demand.DisplacedLabels[Index]);
+  Body["displaced-labels"] = Labels;
   Body["cores"] = value::number(Demand.Cores);
   value Vacant = value::array();
   size_t Next = 0;
@@ -45,6 +50,8 @@
     Demand.WaitingWork = Body.at("waiting").as_double();
     Demand.ArrivingWork = Body.at("arriving").as_double();
     Demand.Displaced = Body.at("displaced").as_number().to_uint64();
+    for (const value &Label : Body.at("displaced-labels").as_array())
+      Demand.DisplacedLabels.push_back(Label.as_string());
     Demand.Cores = Body.at("cores").as_double();
     for (const value &Id : Body.at("vacant").as_array())
       Demand.Vacant.insert(ExecutorId(Id.as_string()));
@@ -88,14 +95,18 @@
     this->CoresToCome += Cores;
   }
 
+  /// Tasks that last and will have no place, a machine for each.
+  size_t lasting() const {
+    return this->Demand->Displaced > this->MachinesToCome
+               ? this->Demand->Displaced - this->MachinesToCome
+               : 0;
+  }
+
   /// Machines that would still help.
   size_t wanted(double CoresOfMachine) const {
     const double Cores = this->Demand->Cores + this->CoresToCome;
     const double Excess = this->Demand->WaitingWork - Cores * TolerableWait;
-    const size_t ForLasting =
-        this->Demand->Displaced > this->MachinesToCome
-            ? this->Demand->Displaced - this->MachinesToCome
-            : 0;
+    const size_t ForLasting = this->lasting();
     const double ForWaiting = Excess / (CoresOfMachine * UsefulTime);
     const double ForArriving =
         (this->Demand->ArrivingWork - Cores) / CoresOfMachine;
@@ -104,96 +115,176 @@
   }
 };
 
-} // namespace
+/// One decision: who may give, who takes, what is left.
+class PoolRound {
+public:
+  PoolRound(const std::vector<PoolDemand> &Demands, ServiceName Spare)
+      : Spare(std::move(Spare)) {
+    for (const PoolDemand &Demand : Demands)
+      this->Pools[Demand.Pool].Demand = &Demand;
+  }
 
-std::vector<MoveProposal>
-PoolPolicy::decide(const std::vector<MachineInfo> &Machines,
-                   const std::vector<PoolDemand> &Demands,
-                   const ServiceName &Spare,
-                   const std::set<MachineName> &Reserved, TimePoint Now) {
-  this->noteVacant(Machines, Demands, Now);
+  void add(const MachineInfo &Machine, bool IsVacant, bool IsReserved);
+  /// The pools, those that need machines most first.
+  std::vector<ServiceName> byNeed() const;
+  /// Gives \p Name the machines that it wants, as far as there are any.
+  void serve(const ServiceName &Name);
+  /// Vacant machines that no pool has taken.
+  const std::vector<const MachineInfo *> &vacant() const {
+    return this->FromPools;
+  }
+  /// Sends a vacant machine to the spare pool if its own does not want it.
+  void release(const MachineInfo &Machine);
+  std::vector<MoveProposal> takeMoves() { return std::move(this->Moves); }
+
+private:
+  bool mayGive(const MachineInfo &Machine, const ServiceName &To,
+               bool IsForLasting);
+  const MachineInfo *choose(const ServiceName &To, bool IsForLasting,
+                            const std::string &Label);
+  void give(const MachineInfo &Machine, const ServiceName &To);
+
+  ServiceName Spare;
   std::map<ServiceName, PoolState> Pools;
-  for (const PoolDemand &Demand : Demands)
-    Pools[Demand.Pool].Demand = &Demand;
   std::vector<const MachineInfo *> FromSpare;
   std::vector<const MachineInfo *> FromPools;
-  for (const MachineInfo &Machine : Machines) {
-    const auto Pool = Pools.find(Machine.Pool);
-    const double Cores =
-        static_cast<double>(Machine.Capacity.MilliCores) / MilliCoresPerCore;
-    if (Pool != Pools.end()) {
-      ++Pool->second.Machines;
-      if (Machine.State != MachineState::Up)
-        Pool->second.comes(Cores);
-    }
-    if (Machine.State != MachineState::Up || Reserved.contains(Machine.Name))
-      continue;
-    if (Machine.Pool == Spare)
-      FromSpare.push_back(&Machine);
-    else if (Pool != Pools.end() && this->Idle.contains(Machine.Name)) {
-      ++Pool->second.Vacant;
-      FromPools.push_back(&Machine);
-    }
+  std::vector<MoveProposal> Moves;
+};
+
+double coresOf(const MachineInfo &Machine) {
+  return static_cast<double>(Machine.Capacity.MilliCores) / MilliCoresPerCore;
+}
+
+void PoolRound::add(const MachineInfo &Machine, bool IsVacant,
+                    bool IsReserved) {
+  const auto Pool = this->Pools.find(Machine.Pool);
+  const bool IsUp = Machine.State == MachineState::Up;
+  if (Pool != this->Pools.end()) {
+    ++Pool->second.Machines;
+    if (!IsUp)
+      Pool->second.comes(coresOf(Machine));
+  }
+  if (!IsUp || IsReserved)
+    return;
+  if (Machine.Pool == this->Spare) {
+    this->FromSpare.push_back(&Machine);
+  } else if (Pool != this->Pools.end() && IsVacant) {
+    ++Pool->second.Vacant;
+    this->FromPools.push_back(&Machine);
   }
-  // Those with the most to do for their size choose first.
-  std::vector<std::pair<double, ServiceName>> Order;
-  Order.reserve(Pools.size());
-  for (const auto &[Name, Pool] : Pools)
+}
+
+std::vector<ServiceName> PoolRound::byNeed() const {
+  // Tasks that last and have no place go first, then those with the most to do
+  // for their size.
+  std::vector<std::tuple<bool, double, ServiceName>> Order;
+  for (const auto &[Name, Pool] : this->Pools)
     Order.emplace_back(
+        Pool.lasting() == 0,
         -Pool.Demand->WaitingWork / std::max(Pool.Demand->Cores, 1.0), Name);
   std::sort(Order.begin(), Order.end());
-  std::vector<MoveProposal> Moves;
-  const auto MayGive = [&Pools](const ServiceName &From) {
-    const PoolState &Pool = Pools[From];
-    return Pool.Machines > FewestMachines && Pool.Vacant > VacantKept;
+  std::vector<ServiceName> Names;
+  Names.reserve(Order.size());
+  for (const auto &[HasAll, Pressure, Name] : Order)
+    Names.push_back(Name);
+  return Names;
+}
+
+bool PoolRound::mayGive(const MachineInfo &Machine, const ServiceName &To,
+                        bool IsForLasting) {
+  const PoolState &Pool = this->Pools[Machine.Pool];
+  if (Machine.Pool == To || Pool.Machines <= FewestMachines)
+    return false;
+  if (IsForLasting)
+    return Pool.lasting() == 0;
+  return Pool.Vacant > VacantKept && Pool.wanted(1) == 0;
+}
+
+/// Takes a machine out of those that are left, with \p Label if that is not
+/// empty; the spare ones first.
+const MachineInfo *PoolRound::choose(const ServiceName &To, bool IsForLasting,
+                                     const std::string &Label) {
+  const auto HasLabel = [&Label](const MachineInfo *Each) {
+    return Label.empty() || std::find(Each->Labels.begin(), Each->Labels.end(),
+                                      Label) != Each->Labels.end();
   };
-  const auto Give = [&](const MachineInfo &Machine, const ServiceName &To) {
-    Moves.push_back({Machine, To});
-    const auto From = Pools.find(Machine.Pool);
-    if (From != Pools.end()) {
-      --From->second.Machines;
-      --From->second.Vacant;
-    }
+  const auto IsGiven = [&](const MachineInfo *Each) {
+    return HasLabel(Each) && this->mayGive(*Each, To, IsForLasting);
+  };
+  const auto Take = [](std::vector<const MachineInfo *> &From, auto Found) {
+    const MachineInfo *Taken = *Found;
+    From.erase(Found);
+    return Taken;
   };
-  for (const auto &[Pressure, Pressed] : Order) {
-    const ServiceName &Name = Pressed;
-    PoolState &Pool = Pools[Name];
-    while (true) {
-      const MachineInfo *Chosen = nullptr;
-      if (!FromSpare.empty()) {
-        Chosen = FromSpare.back();
-        FromSpare.pop_back();
-      } else {
-        const auto Found = std::find_if(
-            FromPools.begin(), FromPools.end(), [&](const auto *Each) {
-              return Each->Pool != Name && MayGive(Each->Pool) &&
-                     Pools[Each->Pool].wanted(1) == 0;
-            });
-        if (Found == FromPools.end())
-          break;
-        Chosen = *Found;
-        FromPools.erase(Found);
-      }
-      const double Cores =
-          static_cast<double>(Chosen->Capacity.MilliCores) / MilliCoresPerCore;
-      if (Pool.wanted(Cores) == 0) {
-        if (Chosen->Pool == Spare)
-          FromSpare.push_back(Chosen);
-        else
-          FromPools.push_back(Chosen);
-        break;
-      }
-      Give(*Chosen, Name);
-      Pool.comes(Cores);
+  const auto Spared =
+      std::find_if(this->FromSpare.begin(), this->FromSpare.end(), HasLabel);
+  if (Spared != this->FromSpare.end())
+    return Take(this->FromSpare, Spared);
+  const auto Given =
+      std::find_if(this->FromPools.begin(), this->FromPools.end(), IsGiven);
+  if (Given != this->FromPools.end())
+    return Take(this->FromPools, Given);
+  return nullptr;
+}
+
+void PoolRound::give(const MachineInfo &Machine, const ServiceName &To) {
+  this->Moves.push_back({Machine, To});
+  const auto From = this->Pools.find(Machine.Pool);
+  if (From == this->Pools.end())
+    return;
+  --From->second.Machines;
+  --From->second.Vacant;
+}
+
+void PoolRound::serve(const ServiceName &Name) {
+  PoolState &Pool = this->Pools[Name];
+  std::vector<std::string> Labels = Pool.Demand->DisplacedLabels;
+  while (true) {
+    const bool IsForLasting = Pool.lasting() > 0;
+    std::string Label;
+    if (IsForLasting && !Labels.empty()) {
+      Label = Labels.back();
+      Labels.pop_back();
     }
+    const MachineInfo *Chosen = this->choose(Name, IsForLasting, Label);
+    if (!Chosen && !Label.empty())
+      continue;
+    if (!Chosen)
+      return;
+    if (Pool.wanted(coresOf(*Chosen)) == 0) {
+      (Chosen->Pool == this->Spare ? this->FromSpare : this->FromPools)
+          .push_back(Chosen);
+      return;
+    }
+    this->give(*Chosen, Name);
+    Pool.comes(coresOf(*Chosen));
   }
-  if (Spare.isEmpty())
-    return Moves;
-  for (const MachineInfo *Machine : FromPools)
-    if (Now - this->Idle[Machine->Name].Since >= IdleTime &&
-        MayGive(Machine->Pool) && Pools[Machine->Pool].wanted(1) == 0)
-      Give(*Machine, Spare);
-  return Moves;
+}
+
+void PoolRound::release(const MachineInfo &Machine) {
+  if (this->mayGive(Machine, this->Spare, false))
+    this->give(Machine, this->Spare);
+}
+
+} // namespace
+
+std::vector<MoveProposal>
+PoolPolicy::decide(const std::vector<MachineInfo> &Machines,
+                   const std::vector<PoolDemand> &Demands,
+                   const ServiceName &Spare,
+                   const std::set<MachineName> &Reserved, TimePoint Now) {
+  this->noteVacant(Machines, Demands, Now);
+  PoolRound Round(Demands, Spare);
+  for (const MachineInfo &Machine : Machines)
+    Round.add(Machine, this->Idle.contains(Machine.Name),
+              Reserved.contains(Machine.Name));
+  for (const ServiceName &Name : Round.byNeed())
+    Round.serve(Name);
+  if (!Spare.isEmpty())
+    for (const MachineInfo *Machine : Round.vacant())
+      if (Now - this->Idle[Machine->Name].Since >= IdleTime)
+        Round.release(*Machine);
+  return Round.takeMoves();
 }
 
 } // namespace whintack::jobs
--- a/tests/auto/jobs/tst_planner.cpp
+++ b/tests/auto/jobs/tst_planner.cpp
@@ -261,6 +261,27 @@
   CHECK(Fixture.Planner.demand(Fixture.Time.now()).Displaced == 1);
 }
 
+TEST_CASE("of tasks that last, only as many are moved as have another place, "
+          "and nothing else takes it meanwhile") {
+  PlannerFixture Fixture;
+  Fixture.list({executor("a", 4000)});
+  StepSpec Lasting = step(2, 2000);
+  Lasting.IsLongRunning = true;
+  Fixture.Planner.addJob(job("1", {Lasting}));
+  const auto Starts = Fixture.starts();
+  REQUIRE(Starts.size() == 2);
+  for (const StartOrder &Order : Starts)
+    Fixture.confirm(Order);
+  Fixture.Planner.setExecutors({executor("a", 4000), executor("b", 2000)});
+  Fixture.report("b", {}, {});
+  Fixture.Planner.evacuate(ExecutorId("a"), Fixture.Time.now());
+  const auto Stops = Fixture.taken<StopOrder>();
+  REQUIRE(Stops.size() == 1);
+  // The stop is under way; short work waits for the place to be taken.
+  Fixture.Planner.addJob(job("2", {step(1, 2000)}));
+  CHECK(Fixture.starts().empty());
+}
+
 TEST_CASE("a task that lasts and fits nowhere keeps room from others") {
   PlannerFixture Fixture;
   Fixture.list({executor("a", 2000)});
--- a/tests/auto/jobs/tst_policies.cpp
+++ b/tests/auto/jobs/tst_policies.cpp
@@ -146,6 +146,44 @@
   CHECK(Moves.size() == 6);
 }
 
+TEST_CASE("tasks that last and have no place get machines before work that "
+          "waits, one with the label that they require") {
+  std::vector<MachineInfo> Machines;
+  PoolDemand Busy;
+  Busy.Pool = ServiceName("busy");
+  Busy.Cores = 160;
+  Busy.WaitingWork = 4000;
+  PoolDemand Lasting;
+  Lasting.Pool = ServiceName("lasting");
+  Lasting.Cores = 128;
+  Lasting.Displaced = 2;
+  Lasting.DisplacedLabels = {"big"};
+  for (int Number = 0; Number < 5; ++Number)
+    Machines.push_back(machine("b" + std::to_string(Number), "busy"));
+  for (int Number = 0; Number < 4; ++Number)
+    Machines.push_back(machine("l" + std::to_string(Number), "lasting"));
+  Machines.push_back(machine("s0", "spare"));
+  Machines.push_back(machine("s1", "spare"));
+  Machines.back().Labels = {"big"};
+  PoolPolicy Policy;
+  const auto Moves = Policy.decide(Machines, {Busy, Lasting},
+                                   ServiceName("spare"), {}, at(0s));
+  REQUIRE(Moves.size() == 2);
+  CHECK(Moves[0].Machine.Name == MachineName("s1"));
+  for (const MoveProposal &Move : Moves)
+    CHECK(Move.To == ServiceName("lasting"));
+
+  // Without spare machines, a pressed pool gives a vacant one.
+  Machines.resize(9);
+  Busy.Vacant = {Machines[0].Executor};
+  Lasting.DisplacedLabels.clear();
+  Lasting.Displaced = 1;
+  const auto Given = Policy.decide(Machines, {Busy, Lasting},
+                                   ServiceName("spare"), {}, at(1s));
+  REQUIRE(Given.size() == 1);
+  CHECK(Given[0].Machine.Name == MachineName("b0"));
+}
+
 TEST_CASE("a pool whose demand is not known keeps its machines") {
   PoolPolicy Policy;
   std::vector<MachineInfo> Machines;
@@ -161,12 +199,14 @@
   Demand.WaitingWork = 12.5;
   Demand.ArrivingWork = 7;
   Demand.Displaced = 2;
+  Demand.DisplacedLabels = {"gpu"};
   Demand.Vacant = {ExecutorId("a")};
   const auto Read = decodeDemand(ServiceName("p"), encodeDemand(Demand));
   REQUIRE(Read);
   CHECK(Read.value().WaitingWork == 12.5);
   CHECK(Read.value().ArrivingWork == 7);
   CHECK(Read.value().Displaced == 2);
+  CHECK(Read.value().DisplacedLabels == Demand.DisplacedLabels);
   CHECK(Read.value().Vacant == Demand.Vacant);
   CHECK_FALSE(decodeDemand(ServiceName("p"), "{}"));
 }
