Commands: Show jobs on a simulated platform in the demo

fleet-demo runs three entry VMs with real listeners and peer links on the simulated platform: jobs over HTTP, bad input, a VM that the store turns away, machines that lose power, lost answers and late orders, a graceful stop. It checks what clients were told and what executors ran. make demo runs it after the demo of backend servers.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 demo: build
 	$(BUILD)/whintack demo --settings examples/local-imigongo.yaml \
 	  --declaration examples/imigongo.yaml
+	$(BUILD)/whintack fleet-demo
 
 # Passes over the tests of KNOWN-RED.txt and prints them.
 check: build
--- a/src/libs/commands/command.cpp
+++ b/src/libs/commands/command.cpp
@@ -23,10 +23,11 @@
 
 } // namespace
 
-static constexpr std::array<CommandRow, 16> Commands = {{
+static constexpr std::array<CommandRow, 17> Commands = {{
     {"entry", "run an entry VM", runEntry},
     {"local", "run a whole fleet on this machine", runLocal},
     {"demo", "show a preset change and a maintenance wave", runDemo},
+    {"fleet-demo", "show jobs on a simulated platform", runFleetDemo},
     {"check", "check settings and declarations", runCheck},
     {"plan", "show what applying a declaration would change", runPlan},
     {"apply", "put a declaration in force", runApply},
@@ -45,7 +46,7 @@
 static void printUsage(FILE *Stream) {
   std::fputs("Usage: whintack COMMAND [OPTION...]\n\nCommands:\n", Stream);
   for (const CommandRow &Row : Commands)
-    std::fprintf(Stream, "  %-10s %s\n", Row.Name, Row.Help);
+    std::fprintf(Stream, "  %-11s %s\n", Row.Name, Row.Help);
   std::fputs("\n'whintack COMMAND --help' shows the options of a command.\n",
              Stream);
 }
--- a/src/libs/commands/commands.h
+++ b/src/libs/commands/commands.h
@@ -12,6 +12,7 @@
 int runCheck(const std::vector<std::string> &Words);
 int runDemo(const std::vector<std::string> &Words);
 int runEntry(const std::vector<std::string> &Words);
+int runFleetDemo(const std::vector<std::string> &Words);
 int runJob(const std::vector<std::string> &Words);
 int runLoad(const std::vector<std::string> &Words);
 int runLocal(const std::vector<std::string> &Words);
--- /dev/null
+++ b/src/libs/simulation/examplefleet.cpp
@@ -0,0 +1,70 @@
+#include "whintack/simulation/examplefleet.h"
+
+namespace whintack::simulation {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static jobs::StepSpec stepOf(size_t Count, int64_t MilliCores,
+                             Duration Estimate) {
+  jobs::StepSpec Step;
+  Step.Count = Count;
+  Step.Need = {MilliCores, 256, 0};
+  Step.Estimate = Estimate;
+  return Step;
+}
+
+static jobs::FleetConfiguration exampleConfiguration() {
+  jobs::FleetConfiguration Made;
+  Made.Version = 1;
+  for (const char *Name : {"quotes", "payouts"}) {
+    jobs::Queue Queue;
+    Queue.Name = Name;
+    Queue.Host = ExampleHost;
+    Queue.Prefix = std::string("/") + Name + "/";
+    Queue.Service = ServiceName(Name);
+    Queue.MostAttempts = ExampleMostAttempts;
+    Queue.Stretch = 2;
+    Queue.Objective = milliseconds(600);
+    Made.Queues.push_back(std::move(Queue));
+    jobs::ServicePolicy Service;
+    Service.Name = ServiceName(Name);
+    Service.ExecutorsRefuse = std::string(Name) == "quotes";
+    Made.Services.push_back(std::move(Service));
+  }
+  jobs::ServicePolicy Spare;
+  Spare.Name = ServiceName("spare");
+  Spare.IsSpare = true;
+  Made.Services.push_back(std::move(Spare));
+  return Made;
+}
+
+void addExampleFleet(SimulatedPlatform &Platform) {
+  Platform.configure(exampleConfiguration());
+  jobs::JobSpec Short;
+  Short.Steps = {stepOf(4, 2000, milliseconds(400))};
+  Platform.addTemplate("short", Short);
+  jobs::JobSpec Chain;
+  Chain.Steps = {stepOf(3, 2000, milliseconds(300)),
+                 stepOf(2, 4000, milliseconds(500))};
+  Chain.Steps[1].After = {0};
+  Chain.Steps[1].IsCheckpointing = true;
+  Platform.addTemplate("chain", Chain);
+  jobs::JobSpec Lasting;
+  Lasting.Steps = {stepOf(3, 1000, seconds(1))};
+  Lasting.Steps[0].IsLongRunning = true;
+  Platform.addTemplate("lasting", Lasting);
+  for (int Number = 0; Number < 12; ++Number) {
+    MachineSetup Machine;
+    Machine.Name = jobs::MachineName("m" + std::to_string(Number));
+    Machine.Pool = ServiceName(Number < 5    ? "quotes"
+                               : Number < 10 ? "payouts"
+                                             : "spare");
+    Machine.Rack = "r" + std::to_string(Number % 4);
+    Machine.DataCentre = DataCentreName(Number % 2 == 0 ? "d1" : "d2");
+    Machine.Capacity = {16000, 64000, 0};
+    Platform.addMachine(Machine);
+  }
+}
+
+} // namespace whintack::simulation
--- a/src/libs/simulation/memorystore.cpp
+++ b/src/libs/simulation/memorystore.cpp
@@ -58,9 +58,9 @@
   Made.Range = [this, Vm](const std::string &Prefix, const std::string &After,
                           store::ReadKind,
                           store::StoreCallback<store::StorePage> Done) {
-    this->serve<store::StorePage>(
-        Vm, std::move(Done),
-        [this, Prefix, After] { return this->range(Prefix, After); });
+    this->serve<store::StorePage>(Vm, std::move(Done), [this, Prefix, After] {
+      return this->range(Prefix, After);
+    });
   };
   Made.Commit = [this, Vm](const store::StoreTransaction &Change,
                            store::StoreCallback<store::CommitAnswer> Done) {
@@ -69,9 +69,9 @@
   };
   Made.GrantLease = [this, Vm](Duration Length,
                                store::StoreCallback<store::LeaseId> Done) {
-    this->serve<store::LeaseId>(
-        Vm, std::move(Done),
-        [this, Vm, Length] { return this->grant(Vm, Length); });
+    this->serve<store::LeaseId>(Vm, std::move(Done), [this, Vm, Length] {
+      return this->grant(Vm, Length);
+    });
   };
   Made.KeepLease = [this, Vm](store::LeaseId Id,
                               store::StoreCallback<void> Done) {
@@ -88,8 +88,7 @@
   Made.Watch = [this, Vm](const std::string &Prefix, uint64_t After,
                           Duration Wait,
                           store::StoreCallback<store::WatchAnswer> Done) {
-    this->watch(Vm,
-                {Prefix, After, this->Time.Now() + Wait, std::move(Done)});
+    this->watch(Vm, {Prefix, After, this->Time.Now() + Wait, std::move(Done)});
   };
   return Made;
 }
@@ -231,38 +230,36 @@
 }
 
 void MemoryStore::watch(const EntryName &Vm, Watcher Added) {
-  this->Loop.schedule(
-      this->Time.Now() + this->Delay,
-      [this, Vm, Added = std::move(Added)]() mutable {
-        if (this->pathOf(Vm) != StorePath::Served) {
-          Added.Done(
-              failure(StoreError{StoreErrorCode::Unreachable, "refused"}));
-          return;
-        }
-        if (Added.After < this->Forgotten) {
-          Added.Done(
-              failure(StoreError{StoreErrorCode::HistoryLost, "dropped"}));
-          return;
-        }
-        if (const auto Changes = this->changesFor(Added)) {
-          Added.Done(*Changes);
-          return;
-        }
-        const TimePoint Until = Added.Until;
-        const auto Place =
-            this->Watchers.insert(this->Watchers.end(), std::move(Added));
-        this->Loop.schedule(Until, [this, Key = &*Place] {
-          const auto Found =
-              std::find_if(this->Watchers.begin(), this->Watchers.end(),
-                           [Key](const Watcher &Each) { return &Each == Key; });
-          // Another watch may have taken its place in memory.
-          if (Found == this->Watchers.end() || this->Time.Now() < Found->Until)
-            return;
-          const auto Done = std::move(Found->Done);
-          this->Watchers.erase(Found);
-          Done(store::WatchAnswer{{}, this->Revision});
-        });
-      });
+  this->Loop.schedule(this->Time.Now() + this->Delay, [this, Vm,
+                                                       Added = std::move(
+                                                           Added)]() mutable {
+    if (this->pathOf(Vm) != StorePath::Served) {
+      Added.Done(failure(StoreError{StoreErrorCode::Unreachable, "refused"}));
+      return;
+    }
+    if (Added.After < this->Forgotten) {
+      Added.Done(failure(StoreError{StoreErrorCode::HistoryLost, "dropped"}));
+      return;
+    }
+    if (const auto Changes = this->changesFor(Added)) {
+      Added.Done(*Changes);
+      return;
+    }
+    const TimePoint Until = Added.Until;
+    const auto Place =
+        this->Watchers.insert(this->Watchers.end(), std::move(Added));
+    this->Loop.schedule(Until, [this, Key = &*Place] {
+      const auto Found =
+          std::find_if(this->Watchers.begin(), this->Watchers.end(),
+                       [Key](const Watcher &Each) { return &Each == Key; });
+      // Another watch may have taken its place in memory.
+      if (Found == this->Watchers.end() || this->Time.Now() < Found->Until)
+        return;
+      const auto Done = std::move(Found->Done);
+      this->Watchers.erase(Found);
+      Done(store::WatchAnswer{{}, this->Revision});
+    });
+  });
 }
 
 std::optional<store::WatchAnswer>
@@ -286,10 +283,9 @@
       continue;
     }
     // The answer takes its time, and must not run inside the change.
-    this->Loop.schedule(this->Time.Now() + this->Delay,
-                        [Done = std::move(Each->Done), Changes] {
-                          Done(*Changes);
-                        });
+    this->Loop.schedule(
+        this->Time.Now() + this->Delay,
+        [Done = std::move(Each->Done), Changes] { Done(*Changes); });
     Each = this->Watchers.erase(Each);
   }
 }
--- a/src/libs/simulation/runledger.cpp
+++ b/src/libs/simulation/runledger.cpp
@@ -11,8 +11,7 @@
 /// How long after a cancellation was confirmed its tasks may still start.
 static constexpr Duration CancelTime = std::chrono::seconds(3);
 
-void RunLedger::noteSubmitted(const jobs::JobSpec &Spec,
-                              int64_t MostAttempts) {
+void RunLedger::noteSubmitted(const jobs::JobSpec &Spec, int64_t MostAttempts) {
   JobHistory &Job = this->Jobs[Spec.Id];
   Job.Spec = Spec;
   Job.MostAttempts = MostAttempts;
@@ -46,8 +45,7 @@
 void RunLedger::checkOrder(const JobHistory &Job, const TaskKey &Task) {
   for (const size_t Earlier : Job.Spec.Steps[Task.Of.Step].After)
     for (size_t Index = 0; Index < Job.Spec.Steps[Earlier].Count; ++Index)
-      if (!this->isDone(
-              {{Task.Of.Job, Task.Of.Occurrence, Earlier}, Index})) {
+      if (!this->isDone({{Task.Of.Job, Task.Of.Occurrence, Earlier}, Index})) {
         this->noteViolation("started before its turn: " + Task.text());
         return;
       }
--- a/src/libs/simulation/simulatedexecutor.cpp
+++ b/src/libs/simulation/simulatedexecutor.cpp
@@ -47,11 +47,10 @@
     return;
   this->LeaseUntil = Until;
   const Duration Left = std::chrono::milliseconds(Until - this->clock());
-  this->Loop.schedule(this->Time.Now() + Left,
-                      [Weak = this->weak_from_this()] {
-                        if (const auto Self = Weak.lock())
-                          Self->checkLease();
-                      });
+  this->Loop.schedule(this->Time.Now() + Left, [Weak = this->weak_from_this()] {
+    if (const auto Self = Weak.lock())
+      Self->checkLease();
+  });
 }
 
 /// Kills everything once the lease has run out.
--- a/src/libs/simulation/simulatedplatform.cpp
+++ b/src/libs/simulation/simulatedplatform.cpp
@@ -204,9 +204,8 @@
         },
         [First, Silence] { First(failure(GatewayError(Silence))); });
     // An executor may also fall silent while it waits.
-    this->Loop.schedule(Deadline, [First, Silence] {
-      First(failure(GatewayError(Silence)));
-    });
+    this->Loop.schedule(
+        Deadline, [First, Silence] { First(failure(GatewayError(Silence))); });
   };
   Made.Start = [=, this](const jobs::ExecutorAddress &To,
                          const jobs::StartOrder &Order, uint64_t Token,
@@ -239,9 +238,8 @@
             First(Answer);
         },
         [First, Silence] { First(failure(GatewayError(Silence))); });
-    this->Loop.schedule(Deadline, [First, Silence] {
-      First(failure(GatewayError(Silence)));
-    });
+    this->Loop.schedule(
+        Deadline, [First, Silence] { First(failure(GatewayError(Silence))); });
   };
   Made.Pace = [=, this](const jobs::ExecutorAddress &To,
                         const jobs::PaceOrder &Order, uint64_t Token,
@@ -302,11 +300,11 @@
     this->Loop.schedule(this->Time.Now() + 2 * TravelTime, std::move(Call));
   };
   jobs::MachineGateway Made;
-  Made.List =
-      [this, After](TimePoint,
-                    jobs::GatewayCallback<std::vector<jobs::MachineInfo>> Done) {
-        After([this, Done = std::move(Done)] { Done(this->machineList()); });
-      };
+  Made.List = [this, After](
+                  TimePoint,
+                  jobs::GatewayCallback<std::vector<jobs::MachineInfo>> Done) {
+    After([this, Done = std::move(Done)] { Done(this->machineList()); });
+  };
   Made.Move = [this, After](const jobs::MachineOrderer &By,
                             const jobs::MachineName &Name,
                             const ServiceName &Pool, TimePoint,
@@ -373,8 +371,7 @@
   Words.EncodeWaveStatus = [](bool IsCompleted) {
     return std::string(IsCompleted ? "completed" : "running");
   };
-  Words.DecodeConfiguration =
-      [this](const std::string &Text)
+  Words.DecodeConfiguration = [this](const std::string &Text)
       -> jobs::DecodeResult<jobs::FleetConfiguration> {
     const auto Version = parseNumber<uint64_t>(Text);
     if (!Version || !this->Configurations.contains(*Version))
@@ -388,8 +385,7 @@
       return failure(DecodeError{"no such wave: " + Text});
     return this->Waves.at(*Number);
   };
-  Words.DecodeExecutor =
-      [this](const std::string &Key, const std::string &Text)
+  Words.DecodeExecutor = [this](const std::string &Key, const std::string &Text)
       -> jobs::DecodeResult<jobs::ExecutorInfo> {
     const auto Found = this->Machines.find(jobs::MachineName(Text));
     const jobs::ExecutorId Id(Key.substr(ExecutorPrefix.size()));
@@ -408,8 +404,9 @@
     Info.Labels = {"standard", Of.Setup.Rack};
     return Info;
   };
-  Words.DecodeJob = [this](const jobs::JobId &Id, const std::string &Body)
-      -> jobs::DecodeResult<jobs::JobSpec> {
+  Words.DecodeJob =
+      [this](const jobs::JobId &Id,
+             const std::string &Body) -> jobs::DecodeResult<jobs::JobSpec> {
     const auto Found = this->Templates.find(Body);
     if (Found == this->Templates.end())
       return failure(DecodeError{"no such template: " + Body});
--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -1,5 +1,7 @@
 #include "simulatedfleet.h"
 
+#include "whintack/simulation/examplefleet.h"
+
 namespace whintack::tests {
 
 using dispatch::Internal::Context;
@@ -10,7 +12,6 @@
 using std::chrono::seconds;
 
 static constexpr Duration LongestLease = seconds(6);
-static constexpr int64_t MostAttempts = 3;
 
 SimulatedFleet::SimulatedFleet(uint64_t Seed)
     : Source(seededRandom(Seed)),
@@ -18,66 +19,8 @@
 
 SimulatedFleet::~SimulatedFleet() = default;
 
-static jobs::StepSpec stepOf(size_t Count, int64_t MilliCores,
-                             Duration Estimate) {
-  jobs::StepSpec Step;
-  Step.Count = Count;
-  Step.Need = {MilliCores, 256, 0};
-  Step.Estimate = Estimate;
-  return Step;
-}
-
-static jobs::FleetConfiguration usualConfiguration() {
-  jobs::FleetConfiguration Made;
-  Made.Version = 1;
-  for (const char *Name : {"quotes", "payouts"}) {
-    jobs::Queue Queue;
-    Queue.Name = Name;
-    Queue.Host = "fleet.example";
-    Queue.Prefix = std::string("/") + Name + "/";
-    Queue.Service = ServiceName(Name);
-    Queue.MostAttempts = MostAttempts;
-    Queue.Stretch = 2;
-    Queue.Objective = milliseconds(600);
-    Made.Queues.push_back(std::move(Queue));
-    jobs::ServicePolicy Service;
-    Service.Name = ServiceName(Name);
-    Service.ExecutorsRefuse = std::string(Name) == "quotes";
-    Made.Services.push_back(std::move(Service));
-  }
-  jobs::ServicePolicy Spare;
-  Spare.Name = ServiceName("spare");
-  Spare.IsSpare = true;
-  Made.Services.push_back(std::move(Spare));
-  return Made;
-}
-
 void SimulatedFleet::startAll() {
-  this->Platform.configure(usualConfiguration());
-  jobs::JobSpec Short;
-  Short.Steps = {stepOf(4, 2000, milliseconds(400))};
-  this->Platform.addTemplate("short", Short);
-  jobs::JobSpec Chain;
-  Chain.Steps = {stepOf(3, 2000, milliseconds(300)),
-                 stepOf(2, 4000, milliseconds(500))};
-  Chain.Steps[1].After = {0};
-  Chain.Steps[1].IsCheckpointing = true;
-  this->Platform.addTemplate("chain", Chain);
-  jobs::JobSpec Lasting;
-  Lasting.Steps = {stepOf(3, 1000, seconds(1))};
-  Lasting.Steps[0].IsLongRunning = true;
-  this->Platform.addTemplate("lasting", Lasting);
-  for (int Number = 0; Number < 12; ++Number) {
-    simulation::MachineSetup Machine;
-    Machine.Name = jobs::MachineName("m" + std::to_string(Number));
-    Machine.Pool = ServiceName(Number < 5    ? "quotes"
-                               : Number < 10 ? "payouts"
-                                             : "spare");
-    Machine.Rack = "r" + std::to_string(Number % 4);
-    Machine.DataCentre = DataCentreName(Number % 2 == 0 ? "d1" : "d2");
-    Machine.Capacity = {16000, 64000, 0};
-    this->Platform.addMachine(Machine);
-  }
+  simulation::addExampleFleet(this->Platform);
   this->startNode("e1", "d1");
   this->startNode("e2", "d2");
   this->startNode("e3", "d1");
@@ -150,8 +93,7 @@
 }
 
 std::string SimulatedFleet::plannerOf(const std::string &Service) const {
-  const auto Text =
-      this->Platform.store().value("whintack/claim/" + Service);
+  const auto Text = this->Platform.store().value("whintack/claim/" + Service);
   if (!Text)
     return {};
   store::StoreItem Item;
@@ -179,15 +121,14 @@
     this->Loop.Queue.schedule(
         this->Loop.Time.now() + milliseconds(1), [this, Name, To, Sent] {
           if (this->areLinked(Name, To.text()))
-            this->Nodes.at(To.text())
-                .Core->takeMessage(EntryName(Name), Sent);
+            this->Nodes.at(To.text()).Core->takeMessage(EntryName(Name), Sent);
         });
     return true;
   };
-  Transport.SetPeers =
-      [this, Name](const std::vector<peers::PeerEndpoint> &Others) {
-        this->Nodes.at(Name).Known = Others;
-      };
+  Transport.SetPeers = [this,
+                        Name](const std::vector<peers::PeerEndpoint> &Others) {
+    this->Nodes.at(Name).Known = Others;
+  };
   Transport.Peers = [this, Name] {
     std::vector<peers::PeerStatus> Peers;
     for (const peers::PeerEndpoint &Other : this->Nodes.at(Name).Known) {
@@ -210,7 +151,7 @@
   http::HttpRequest Request;
   Request.Method = Method;
   Request.Target = Path;
-  Request.Headers.set("Host", "fleet.example");
+  Request.Headers.set("Host", simulation::ExampleHost);
   Request.Body = Body;
   if (const auto Core = this->Nodes.at(Node).Core)
     this->Loop.Queue.post([Weak = std::weak_ptr(Core), Request, Answer] {
@@ -230,7 +171,8 @@
   Path << "/" << Queue << "/" << std::hex << FirstId + ++this->LastJob;
   const std::string Id = Path.str().substr(Queue.size() + 2);
   auto Spec = this->Platform.words().DecodeJob(jobs::JobId(Id), Template);
-  this->Platform.ledger().noteSubmitted(Spec.value(), MostAttempts);
+  this->Platform.ledger().noteSubmitted(Spec.value(),
+                                        simulation::ExampleMostAttempts);
   this->tryToSubmit(Path.str(), Template, this->Source());
   return Path.str();
 }
@@ -243,14 +185,14 @@
   const std::vector<std::string> Names = this->nodeNames();
   const auto Answer =
       this->send(Names[Attempt % Names.size()], "POST", Path, Template);
-  this->Loop.Queue.schedule(
-      this->Loop.Time.now() + milliseconds(3000), [=, this] {
-        constexpr int Ok = 200;
-        if (Answer->Status == Ok)
-          this->Accepted.insert(Path);
-        else
-          this->tryToSubmit(Path, Template, Attempt + 1);
-      });
+  this->Loop.Queue.schedule(this->Loop.Time.now() + milliseconds(3000),
+                            [=, this] {
+                              constexpr int Ok = 200;
+                              if (Answer->Status == Ok)
+                                this->Accepted.insert(Path);
+                              else
+                                this->tryToSubmit(Path, Template, Attempt + 1);
+                            });
 }
 
 std::string SimulatedFleet::stateOf(const std::string &Path) {
--- a/tests/auto/dispatch/tst_fleet.cpp
+++ b/tests/auto/dispatch/tst_fleet.cpp
@@ -79,7 +79,8 @@
   BusyFleet Fleet;
   const auto Body = Fleet.send("e1", "POST", "/quotes/00000000000000aa", "odd");
   const auto Id = Fleet.send("e1", "POST", "/quotes/zz", "short");
-  const auto Queue = Fleet.send("e1", "POST", "/none/00000000000000aa", "short");
+  const auto Queue =
+      Fleet.send("e1", "POST", "/none/00000000000000aa", "short");
   const auto Unknown = Fleet.send("e1", "GET", "/quotes/00000000000000aa");
   Fleet.runFor(seconds(1));
   CHECK(Body->Status == 400);
@@ -156,8 +157,8 @@
 TEST_CASE("nothing is lost or run twice while the store is away") {
   BusyFleet Fleet;
   Fleet.work(seconds(2));
-  const StorePath Path = GENERATE(StorePath::Refused, StorePath::Silent,
-                                  StorePath::AnswersLost);
+  const StorePath Path =
+      GENERATE(StorePath::Refused, StorePath::Silent, StorePath::AnswersLost);
   Fleet.Platform.store().setPathOfAll(Path);
   Fleet.work(seconds(5));
   Fleet.Platform.store().setPathOfAll(StorePath::Served);
--- a/tests/auto/dispatch/tst_fleethunt.cpp
+++ b/tests/auto/dispatch/tst_fleethunt.cpp
@@ -57,9 +57,9 @@
       return;
     const char *Templates[] = {"short", "chain", "short", "lasting"};
     const size_t Drawn = this->draw(40);
-    const std::string Path = this->Fleet.submit(
-        this->draw(2) == 0 ? "quotes" : "payouts",
-        Drawn == 0 ? "lasting" : Templates[Drawn % 3]);
+    const std::string Path =
+        this->Fleet.submit(this->draw(2) == 0 ? "quotes" : "payouts",
+                           Drawn == 0 ? "lasting" : Templates[Drawn % 3]);
     if (Drawn == 0)
       this->Lasting.insert(Path);
     this->later(milliseconds(60 + this->draw(160)), [this] { this->work(); });
@@ -116,9 +116,8 @@
       return;
     case 9:
       Platform.store().setDelay(milliseconds(150));
-      this->later(For, [&Platform] {
-        Platform.store().setDelay(milliseconds(2));
-      });
+      this->later(For,
+                  [&Platform] { Platform.store().setDelay(milliseconds(2)); });
       return;
     }
   }
@@ -161,7 +160,8 @@
   const size_t Dash = Text.find('-');
   if (Dash == std::string::npos)
     return {1, std::stoull(Text)};
-  return {std::stoull(Text.substr(0, Dash)), std::stoull(Text.substr(Dash + 1))};
+  return {std::stoull(Text.substr(0, Dash)),
+          std::stoull(Text.substr(Dash + 1))};
 }
 
 } // namespace
