Jobs: Keep ends whose job may still turn up

A job that a door told the earlier planner of while this one read its records turns up seconds later, and ran again.

A job told of in that time counts as possibly run before, unless it was accepted a moment ago. Test in tst_planner (failed before: the end was forgotten at once).

--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -18,6 +18,9 @@
 /// When an earlier planner's claim has certainly run out.
 static constexpr Duration RescanDelay =
     NodeLease::Length + std::chrono::seconds(1);
+/// A job accepted so short a while ago has been told to nobody else: a door
+/// waits longer for a planner's answer.
+static constexpr Duration FreshAge = std::chrono::milliseconds(300);
 static constexpr Duration CensusRetry = std::chrono::milliseconds(200);
 /// Kept of a ticket's validity for the order's way.
 static constexpr Duration TicketMargin = std::chrono::milliseconds(100);
@@ -46,6 +49,7 @@
   if (this->Won.Generation > 1) {
     this->Census = CensusState::Needed;
     this->Planner.beginCensus();
+    this->Planner.beginCatchUp();
   }
   this->Records = std::make_shared<ShardStore>(this->Shared, this->Service,
                                                this->Won.Token);
@@ -66,6 +70,14 @@
   this->Links.clear();
 }
 
+/// Whether a job that this planner is told of may have been told to an earlier
+/// one, which went on until its own claim ran out.
+bool ServiceShard::mayHaveRunEarlier(Duration Age) const {
+  const bool IsNew = Age >= Duration::zero() && Age < FreshAge;
+  return this->Won.Generation > 1 && !IsNew &&
+         this->Shared.now() < this->ClaimedAt + RescanDelay;
+}
+
 bool ServiceShard::addStored(const jobs::JobId &Id, const std::string &Text,
                              const jobs::JobProgress *Earlier) {
   const auto Stored = decodeStoredJob(Text);
@@ -94,7 +106,7 @@
     Job.Policy.Name = Stored.value().QueueName;
   const Duration Age = this->Shared.Time.WallNow() - Stored.value().Accepted;
   Job.Accepted = this->Shared.now() - std::max(Age, Duration::zero());
-  Job.MayHaveRun = Earlier != nullptr;
+  Job.MayHaveRun = Earlier != nullptr || this->mayHaveRunEarlier(Age);
   if (Earlier)
     this->Planner.restoreJob(std::move(Job), *Earlier);
   else
@@ -375,6 +387,8 @@
           if (!Self->Planner.shownState(Id))
             Self->restore(Item, {});
         }
+        Self->Planner.endCatchUp();
+        Self->requestFlush();
         Self->requestPlan();
       });
 }
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -72,6 +72,7 @@
   void plan();
   void carryOut(const jobs::Order &Given);
   void ask(const jobs::AdviceOrder &Question);
+  bool mayHaveRunEarlier(Duration Age) const;
   void lookAtSilent();
   void
   judgeSilent(const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found);
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -89,6 +89,11 @@
   /// started are not started anew.
   void beginCensus();
   void endCensus();
+  /// From now on the ends of unknown jobs are neither dropped nor forgotten:
+  /// an earlier planner may know jobs that turn up here later.
+  void beginCatchUp();
+  /// All jobs that an earlier planner can know have been added.
+  void endCatchUp();
   /// Tasks that may run on one of \p Executors are not started elsewhere
   /// until each has reported or its leases have lapsed.
   void awaitReports(const std::vector<ExecutorId> &Executors);
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -164,7 +164,9 @@
                {{"job", Id},
                 {"queue", Record.Policy.Name},
                 {"work", Record.Effort.Work},
-                {"chain-ms", toMilliseconds(Record.Effort.Chain)}});
+                {"chain-ms", toMilliseconds(Record.Effort.Chain)},
+                {"may-have-run", Record.MayHaveRun ? "yes" : "no"}});
+  this->D->takeUnknownEnds(Id, Record.Accepted);
 }
 
 void Planner::restoreJob(AcceptedJob Job, const JobProgress &Progress) {
@@ -187,6 +189,7 @@
                                 {"state", nameOf(JobStateNames, Record.State)},
                                 {"tasks", Progress.Tasks.size()}});
   this->D->finishIfDone(Record);
+  this->D->takeUnknownEnds(Id, Record.Accepted);
 }
 
 void Planner::restoreFinalJob(const JobId &Job, JobState State) {
@@ -301,7 +304,9 @@
   WorkerRecord &Worker = Found->second;
   const uint64_t Through = this->storedThrough();
   while (!Worker.UnforgottenEnds.empty() &&
-         Worker.UnforgottenEnds.front().second <= Through) {
+         Worker.UnforgottenEnds.front().second <= Through &&
+         (Worker.FirstUnknownEnd == 0 ||
+          Worker.UnforgottenEnds.front().first < Worker.FirstUnknownEnd)) {
     Worker.ForgettableEnd = Worker.UnforgottenEnds.front().first;
     Worker.UnforgottenEnds.pop_front();
   }
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -116,6 +116,8 @@
   uint64_t LastEnd = 0;
   /// Ends that were taken in, with the change that came of each.
   std::deque<std::pair<uint64_t, uint64_t>> UnforgottenEnds;
+  /// Ends from this one on wait for their jobs to turn up; 0 for none.
+  uint64_t FirstUnknownEnd = 0;
   uint64_t ForgettableEnd = 0;
   FillPace Pace;
   TimePoint NoRoomUntil = TimePoint::min();
@@ -156,6 +158,10 @@
   void orderStop(const TaskKey &Key, Internal::TaskRecord &Task);
   void takeEnd(Internal::WorkerRecord &Worker, const EndReport &End,
                TimePoint Now);
+  /// Whether the job may be one that has not turned up yet.
+  bool mayTurnUp(const JobId &Job) const;
+  /// Takes in what ended before the job turned up.
+  void takeUnknownEnds(const JobId &Job, TimePoint Now);
   void takeDone(Internal::JobRecord &Job, const TaskKey &Key);
   void takeFailure(Internal::JobRecord &Job, const EndReport &End,
                    Internal::WorkerRecord &Worker, TimePoint Now);
@@ -224,6 +230,9 @@
   std::map<StepKey, Internal::AdviceRecord> Advice;
   std::set<ExecutorId> Awaited;
   bool IsInCensus = false;
+  bool IsCatchingUp = false;
+  /// Ends of jobs that may turn up, by job.
+  std::map<JobId, std::vector<std::pair<ExecutorId, EndReport>>> UnknownEnds;
   ExecutorJudge Judge;
   /// Mean work of the jobs taken in, by queue, in core-seconds.
   std::map<std::string, std::pair<double, size_t>> WorkOfQueues;
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -115,6 +115,32 @@
 
 void Planner::endCensus() { this->D->IsInCensus = false; }
 
+void Planner::beginCatchUp() { this->D->IsCatchingUp = true; }
+
+void Planner::endCatchUp() {
+  this->D->IsCatchingUp = false;
+  this->D->UnknownEnds.clear();
+  for (auto &[Id, Worker] : this->D->Workers)
+    Worker.FirstUnknownEnd = 0;
+}
+
+bool Planner::Private::mayTurnUp(const JobId &Job) const {
+  return this->IsCatchingUp && !this->Jobs.contains(Job) &&
+         !this->FinalJobs.contains(Job);
+}
+
+void Planner::Private::takeUnknownEnds(const JobId &Job, TimePoint Now) {
+  const auto Found = this->UnknownEnds.find(Job);
+  if (Found == this->UnknownEnds.end())
+    return;
+  const auto Ends = std::move(Found->second);
+  this->UnknownEnds.erase(Found);
+  for (const auto &[Executor, End] : Ends)
+    if (const auto Worker = this->Workers.find(Executor);
+        Worker != this->Workers.end())
+      this->takeEnd(Worker->second, End, Now);
+}
+
 bool Planner::isRecovering() const {
   return this->D->IsInCensus || !this->D->Awaited.empty();
 }
@@ -332,7 +358,13 @@
     if (End.Number <= Worker.LastEnd)
       continue;
     Worker.LastEnd = End.Number;
-    this->D->takeEnd(Worker, End, Now);
+    if (this->D->mayTurnUp(End.Task.Of.Job)) {
+      this->D->UnknownEnds[End.Task.Of.Job].emplace_back(From, End);
+      if (Worker.FirstUnknownEnd == 0)
+        Worker.FirstUnknownEnd = End.Number;
+    } else {
+      this->D->takeEnd(Worker, End, Now);
+    }
     Worker.UnforgottenEnds.emplace_back(End.Number, this->D->Changes);
   }
   for (const RunReport &Row : Report.Running)
--- a/tests/auto/jobs/tst_planner.cpp
+++ b/tests/auto/jobs/tst_planner.cpp
@@ -130,6 +130,30 @@
   }
 }
 
+TEST_CASE("an end of a job that has not turned up yet is kept until it has") {
+  PlannerFixture Fixture;
+  Fixture.Planner.beginCatchUp();
+  Fixture.list({executor("a")});
+  const TaskKey Task{{JobId("1"), 0, 0}, 0};
+  EndReport End;
+  End.Number = 1;
+  End.Task = Task;
+  End.Run = 3;
+  End.How = RunEnd::Done;
+  Fixture.report("a", {}, {End});
+  CHECK(Fixture.Planner.forgettableEnd(ExecutorId("a")) == 0);
+
+  SECTION("its job turns up: it is done, and not run again") {
+    Fixture.Planner.restoreJob(job("1", {step(1)}), {});
+    CHECK(Fixture.starts().empty());
+    CHECK(Fixture.Planner.takeWrites(10).size() == 1);
+  }
+  SECTION("its job does not turn up: it is forgotten") {
+    Fixture.Planner.endCatchUp();
+    CHECK(Fixture.Planner.forgettableEnd(ExecutorId("a")) == 1);
+  }
+}
+
 TEST_CASE("a job fails after as many failed runs as its queue allows") {
   PlannerFixture Fixture;
   Fixture.list({executor("a"), executor("b")});
