Dispatch: Claim by what each VM can carry

The settings name the VM's share of a core, members carry it, and shards go to the VM with the least claims for its share. Sites with equal VMs are unchanged.

--- a/src/libs/dispatch/claimseeker.cpp
+++ b/src/libs/dispatch/claimseeker.cpp
@@ -14,7 +14,7 @@
 ClaimSeeker::ClaimSeeker(Context Shared, EntryName Self,
                          std::shared_ptr<ClaimBoard> Board,
                          std::shared_ptr<NodeLease> Lease,
-                         std::function<std::vector<EntryName>()> Members,
+                         std::function<std::vector<Member>()> Members,
                          std::function<void(const WonClaim &)> OnWon)
     : Shared(std::move(Shared)), Self(std::move(Self)), Board(std::move(Board)),
       Lease(std::move(Lease)), Members(std::move(Members)),
@@ -26,14 +26,19 @@
 }
 
 bool ClaimSeeker::isFirst(const std::string &Shard) const {
-  const auto Rank = [this, &Shard](const EntryName &Node) {
-    return std::make_pair(this->Board->shardsOf(Node),
-                          std::hash<std::string>()(Node.text() + "/" + Shard));
+  // Shards spread by what each VM can carry.
+  const auto Rank = [this, &Shard](const Member &Node) {
+    const EntryName &Name = Node.Endpoint.Name;
+    const auto WithThis = static_cast<double>(this->Board->shardsOf(Name) + 1);
+    return std::make_pair(WithThis / Node.Strength,
+                          std::hash<std::string>()(Name.text() + "/" + Shard));
   };
-  const std::vector<EntryName> Alive = this->Members();
-  return std::all_of(Alive.begin(), Alive.end(), [&](const EntryName &Node) {
-    return Node == this->Self || Rank(this->Self) < Rank(Node);
-  });
+  const std::vector<Member> Alive = this->Members();
+  const auto First = std::min_element(
+      Alive.begin(), Alive.end(), [&](const Member &One, const Member &Other) {
+        return Rank(One) < Rank(Other);
+      });
+  return First == Alive.end() || First->Endpoint.Name == this->Self;
 }
 
 void ClaimSeeker::seek() {
--- a/src/libs/dispatch/claimseeker.h
+++ b/src/libs/dispatch/claimseeker.h
@@ -2,6 +2,7 @@
 #define WHINTACK_DISPATCH_CLAIMSEEKER_H
 
 #include "claimboard.h"
+#include "membership.h"
 #include "nodelease.h"
 
 #include <set>
@@ -24,7 +25,7 @@
 public:
   ClaimSeeker(Context Shared, EntryName Self, std::shared_ptr<ClaimBoard> Board,
               std::shared_ptr<NodeLease> Lease,
-              std::function<std::vector<EntryName>()> Members,
+              std::function<std::vector<Member>()> Members,
               std::function<void(const WonClaim &)> OnWon);
 
   /// Shards that should be held by somebody.
@@ -52,7 +53,7 @@
   EntryName Self;
   std::shared_ptr<ClaimBoard> Board;
   std::shared_ptr<NodeLease> Lease;
-  std::function<std::vector<EntryName>()> Members;
+  std::function<std::vector<Member>()> Members;
   std::function<void(const WonClaim &)> OnWon;
   std::set<std::string> Wanted;
   /// Shards that are being claimed or waited for.
--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -81,8 +81,9 @@
   this->Lease = std::make_shared<NodeLease>(this->Shared);
   this->Members = std::make_shared<Membership>(
       this->Shared,
-      peers::PeerEndpoint{this->Self.Name, this->Self.DataCentre,
-                          this->Self.PeerListener},
+      Member{peers::PeerEndpoint{this->Self.Name, this->Self.DataCentre,
+                                 this->Self.PeerListener},
+             this->Self.Strength},
       this->Lease, [Weak] {
         if (const auto Alive = Weak.lock())
           Alive->Transport.SetPeers(Alive->Members->others());
@@ -113,7 +114,7 @@
                                          this->Calls, this->queueSource());
   this->Seeker = std::make_shared<ClaimSeeker>(
       this->Shared, this->Self.Name, this->Board, this->Lease,
-      [Members = this->Members] { return Members->names(); },
+      [Members = this->Members] { return Members->all(); },
       [Weak](const WonClaim &Won) {
         if (const auto Alive = Weak.lock())
           Alive->takeWon(Won);
--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -25,6 +25,8 @@
   Address PeerListener;
   /// Tells this process from earlier ones on this VM.
   uint64_t Incarnation = 0;
+  /// Share of a processor core that this VM may use.
+  double Strength = 1;
   /// Longest lease that executors grant.
   Duration LongestLease = Duration::zero();
 };
--- a/src/libs/dispatch/fleetnode.cpp
+++ b/src/libs/dispatch/fleetnode.cpp
@@ -81,6 +81,7 @@
   this->Core = std::make_shared<FleetCore>(
       CoreIdentity{this->Settings.Name, this->Settings.DataCentre,
                    this->Settings.PeerListener, this->Incarnation,
+                   this->Settings.Fleet.ProcessorShare,
                    this->Settings.Fleet.LongestLease},
       this->Connections, this->Shared, std::move(Transport));
 }
--- a/src/libs/dispatch/membership.cpp
+++ b/src/libs/dispatch/membership.cpp
@@ -13,23 +13,26 @@
 static constexpr Duration LookInterval = std::chrono::seconds(1);
 static constexpr Duration EnrollRetry = std::chrono::milliseconds(400);
 
-static std::string encodeMember(const peers::PeerEndpoint &Member) {
+static std::string encodeMember(const peers::PeerEndpoint &Member,
+                                double Strength) {
   value Body = value::object();
+  Body["strength"] = value::number(Strength);
   Body["data-centre"] = value::string(Member.DataCentre.text());
   Body["link"] = value::string(Member.Link.text());
   return Body.serialize();
 }
 
-static std::optional<peers::PeerEndpoint>
-decodeMember(const store::StoreItem &Item) {
+static std::optional<Member> decodeMember(const store::StoreItem &Item) {
   try {
     const value Body = value::parse(Item.Value);
     const auto Link = parseAddress(Body.at("link").as_string());
     if (!Link)
       throw std::runtime_error("the link is not an address");
-    return peers::PeerEndpoint{
-        EntryName(Item.Key.substr(keys::Members.size())),
-        DataCentreName(Body.at("data-centre").as_string()), *Link};
+    return Member{
+        peers::PeerEndpoint{EntryName(Item.Key.substr(keys::Members.size())),
+                            DataCentreName(Body.at("data-centre").as_string()),
+                            *Link},
+        Body.at("strength").as_double()};
   } catch (const std::exception &Error) {
     logEvent(LogLevel::Error, "member-unreadable",
              {{"key", Item.Key}, {"cause", Error.what()}});
@@ -37,7 +40,7 @@
   }
 }
 
-Membership::Membership(Context Shared, peers::PeerEndpoint Self,
+Membership::Membership(Context Shared, Member Self,
                        std::shared_ptr<NodeLease> Lease,
                        std::function<void()> OnChange)
     : Shared(std::move(Shared)), Self(std::move(Self)), Lease(std::move(Lease)),
@@ -55,8 +58,9 @@
   if (this->IsStopped || !this->Lease->isValid())
     return;
   store::StoreTransaction Change;
-  Change.Puts = {{keys::Members + this->Self.Name.text(),
-                  encodeMember(this->Self), this->Lease->id()}};
+  Change.Puts = {{keys::Members + this->Self.Endpoint.Name.text(),
+                  encodeMember(this->Self.Endpoint, this->Self.Strength),
+                  this->Lease->id()}};
   this->Shared.Store.Commit(
       Change,
       onLoop<Membership, store::StoreResult<store::CommitAnswer>>(
@@ -87,17 +91,18 @@
 
 void Membership::take(store::StoreResult<store::StorePage> Answer) {
   if (Answer) {
-    std::map<EntryName, peers::PeerEndpoint> Read;
+    std::map<EntryName, Member> Read;
     for (const store::StoreItem &Item : Answer.value().Items)
-      if (std::optional<peers::PeerEndpoint> Member = decodeMember(Item))
-        if (Member->Name != this->Self.Name)
-          Read.emplace(Member->Name, std::move(*Member));
+      if (std::optional<Member> Each = decodeMember(Item))
+        if (Each->Endpoint.Name != this->Self.Endpoint.Name)
+          Read.emplace(Each->Endpoint.Name, std::move(*Each));
     const bool IsChanged =
         !this->IsKnown || Read.size() != this->Known.size() ||
         !std::equal(Read.begin(), Read.end(), this->Known.begin(),
                     [](const auto &First, const auto &Second) {
                       return First.first == Second.first &&
-                             First.second.Link == Second.second.Link;
+                             First.second.Endpoint.Link ==
+                                 Second.second.Endpoint.Link;
                     });
     this->IsKnown = true;
     if (IsChanged) {
@@ -114,16 +119,16 @@
 
 std::vector<peers::PeerEndpoint> Membership::others() const {
   std::vector<peers::PeerEndpoint> Others;
-  for (const auto &[Name, Member] : this->Known)
-    Others.push_back(Member);
+  for (const auto &[Name, Each] : this->Known)
+    Others.push_back(Each.Endpoint);
   return Others;
 }
 
-std::vector<EntryName> Membership::names() const {
-  std::vector<EntryName> Names = {this->Self.Name};
-  for (const auto &[Name, Member] : this->Known)
-    Names.push_back(Name);
-  return Names;
+std::vector<Member> Membership::all() const {
+  std::vector<Member> All = {this->Self};
+  for (const auto &[Name, Each] : this->Known)
+    All.push_back(Each);
+  return All;
 }
 
 } // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/membership.h
+++ b/src/libs/dispatch/membership.h
@@ -9,11 +9,18 @@
 
 namespace whintack::dispatch::Internal {
 
+/// An entry VM that is part of the fleet.
+struct Member {
+  peers::PeerEndpoint Endpoint;
+  /// Share of a processor core that it may use.
+  double Strength = 1;
+};
+
 /// The entry VMs that live, as they registered themselves under their leases.
 class Membership : public std::enable_shared_from_this<Membership> {
 public:
-  Membership(Context Shared, peers::PeerEndpoint Self,
-             std::shared_ptr<NodeLease> Lease, std::function<void()> OnChange);
+  Membership(Context Shared, Member Self, std::shared_ptr<NodeLease> Lease,
+             std::function<void()> OnChange);
 
   void start();
   void stop() { this->IsStopped = true; }
@@ -21,7 +28,7 @@
   /// All other members.
   std::vector<peers::PeerEndpoint> others() const;
   /// All members by name, this one included.
-  std::vector<EntryName> names() const;
+  std::vector<Member> all() const;
   /// Whether the list has been read.
   bool isKnown() const { return this->IsKnown; }
 
@@ -31,10 +38,10 @@
   void take(store::StoreResult<store::StorePage> Answer);
 
   Context Shared;
-  peers::PeerEndpoint Self;
+  Member Self;
   std::shared_ptr<NodeLease> Lease;
   std::function<void()> OnChange;
-  std::map<EntryName, peers::PeerEndpoint> Known;
+  std::map<EntryName, Member> Known;
   bool IsKnown = false;
   bool IsStopped = false;
 };
--- a/src/libs/settings/include/whintack/settings/settings.h
+++ b/src/libs/settings/include/whintack/settings/settings.h
@@ -50,6 +50,8 @@
   Address Advice;
   /// Longest time for which executors let tasks run without word from us.
   Duration LongestLease = std::chrono::seconds(6);
+  /// Share of a processor core that this VM may use.
+  double ProcessorShare = 1;
 };
 
 /// Settings of one entry VM.
--- a/src/libs/settings/settings.cpp
+++ b/src/libs/settings/settings.cpp
@@ -1,6 +1,7 @@
 #include "whintack/settings/settings.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace whintack::settings {
 
@@ -74,6 +75,22 @@
     Root.error("listen", "'listen' needs callers, operators and peers");
 }
 
+/// Reads how much of a core this VM may use; more than one core counts as more.
+static double readShare(document::FieldReader &Reader, const std::string &Key) {
+  const std::string Text = Reader.text(Key, "1");
+  double Share = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Read = std::from_chars(Text.data(), End, Share);
+  constexpr double Least = 0.01;
+  constexpr double Most = 1024;
+  const bool IsShare = Read.ec == std::errc() && Read.ptr == End &&
+                       Share >= Least && Share <= Most;
+  if (IsShare)
+    return Share;
+  Reader.error(Key, "'" + Text + "' is not a share of a core, 0.01 to 1024");
+  return 1;
+}
+
 static void readFleet(document::FieldReader &Root, EntrySettings &Read) {
   Root.mapping("fleet", [&Read](document::FieldReader &Reader) {
     FleetSettings &Fleet = Read.Fleet;
@@ -89,6 +106,7 @@
     Fleet.LongestLease =
         Reader.duration("longest-lease", Fleet.LongestLease,
                         std::chrono::milliseconds(100), std::chrono::hours(1));
+    Fleet.ProcessorShare = readShare(Reader, "processor-share");
   });
 }
 
@@ -193,6 +211,8 @@
       {"fleet.machines", "the platform's list of machines", "ip:port"},
       {"fleet.advice", "the platform's advice on executors", "ip:port"},
       {"fleet.longest-lease", "longest lease of tasks", "100ms to 1h, 6s"},
+      {"fleet.processor-share", "share of a core that this VM may use",
+       "0.01 to 1024, 1"},
       {"log-level", "lowest level logged", "info, warning, error; info"},
   };
 }
--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -40,8 +40,11 @@
   Connections.Words = this->Platform.words();
   Context Shared{this->Loop.Time.clock(), this->Source, this->Loop.Queue,
                  Connections.Store};
-  const CoreIdentity Self{Vm, DataCentreName(DataCentre),
-                          Address{"127.0.0.1", 9000}, Of.Incarnation,
+  const CoreIdentity Self{Vm,
+                          DataCentreName(DataCentre),
+                          Address{"127.0.0.1", 9000},
+                          Of.Incarnation,
+                          1,
                           LongestLease};
   Of.Core = std::make_shared<FleetCore>(Self, Connections, Shared,
                                         this->transportOf(Name));
