--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 bench: build
 	$(BUILD)/bench/bench_routing
 	$(BUILD)/bench/bench_fleet
+	$(BUILD)/bench/bench_planner
 	$(BUILD)/bench/bench_configuration
 	$(BUILD)/bench/policy_under_load
 
--- a/src/libs/dispatch/claimseeker.cpp
+++ b/src/libs/dispatch/claimseeker.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <tuple>
 
 namespace whintack::dispatch::Internal {
 
@@ -26,12 +27,12 @@
 }
 
 bool ClaimSeeker::isFirst(const std::string &Shard) const {
-  // Shards spread by what each VM can carry.
+  // Shards spread over VMs, because each needs links of its own; among VMs with
+  // as many the one that can carry most goes first.
   const auto Rank = [this, &Shard](const Member &Node) {
     const EntryName &Name = Node.Endpoint.Name;
-    const auto WithThis = static_cast<double>(this->Board->shardsOf(Name) + 1);
-    return std::make_pair(WithThis / Node.Strength,
-                          std::hash<std::string>()(Name.text() + "/" + Shard));
+    return std::make_tuple(this->Board->shardsOf(Name), -Node.Strength,
+                           std::hash<std::string>()(Name.text() + "/" + Shard));
   };
   const std::vector<Member> Alive = this->Members();
   const auto First = std::min_element(
--- a/src/libs/simulation/simulatedplatform.cpp
+++ b/src/libs/simulation/simulatedplatform.cpp
@@ -198,9 +198,10 @@
         Vm, To, Deadline,
         [Request, First](Machine *Of, bool IsAnswered) {
           Of->Executor->report(
-              Request, IsAnswered
-                           ? First
-                           : [](jobs::GatewayResult<jobs::ExecutorReport>) {});
+              Request,
+              IsAnswered
+                  ? First
+                  : [](const jobs::GatewayResult<jobs::ExecutorReport> &) {});
         },
         [First, Silence] { First(failure(GatewayError(Silence))); });
     // An executor may also fall silent while it waits.
@@ -244,7 +245,7 @@
   Made.Pace = [=, this](const jobs::ExecutorAddress &To,
                         const jobs::PaceOrder &Order, uint64_t Token,
                         TimePoint Deadline,
-                        jobs::GatewayCallback<jobs::ExecutorTime> Done) {
+                        const jobs::GatewayCallback<jobs::ExecutorTime> &Done) {
     this->carryOut(
         Vm, To, Deadline,
         [=](Machine *Of, bool) { Done(Of->Executor->pace(Order, Token)); },
@@ -308,7 +309,7 @@
   Made.Move = [this, After](const jobs::MachineOrderer &By,
                             const jobs::MachineName &Name,
                             const ServiceName &Pool, TimePoint,
-                            jobs::GatewayCallback<void> Done) {
+                            const jobs::GatewayCallback<void> &Done) {
     After([=, this] {
       Machine &Of = *this->Machines.at(Name);
       if (Of.State == MachineState::Up && Of.Setup.Pool == Pool) {
@@ -323,7 +324,8 @@
   };
   Made.Maintain = [this, After](const jobs::MachineOrderer &By,
                                 const jobs::MachineName &Name, uint64_t Wave,
-                                TimePoint, jobs::GatewayCallback<void> Done) {
+                                TimePoint,
+                                const jobs::GatewayCallback<void> &Done) {
     After([=, this] {
       Machine &Of = *this->Machines.at(Name);
       if (Of.WavesDone.contains(Wave)) {
--- a/src/libs/store/include/whintack/store/storecall.h
+++ b/src/libs/store/include/whintack/store/storecall.h
@@ -56,9 +56,12 @@
 void makeCall(const AsyncStore &Store, const StoreCall &Asked,
               StoreCallback<StoreReply> Done);
 
+/// Carries a call out, or passes it on.
+using StoreCallHandler =
+    std::function<void(StoreCall, StoreCallback<StoreReply>)>;
+
 /// Returns a store whose calls all go through \p Call.
-AsyncStore
-storeOver(std::function<void(StoreCall, StoreCallback<StoreReply>)> Call);
+AsyncStore storeOver(const StoreCallHandler &Call);
 
 } // namespace whintack::store
 
--- a/src/libs/store/storecall.cpp
+++ b/src/libs/store/storecall.cpp
@@ -90,8 +90,7 @@
   }
 }
 
-AsyncStore
-storeOver(std::function<void(StoreCall, StoreCallback<StoreReply>)> Call) {
+AsyncStore storeOver(const StoreCallHandler &Call) {
   AsyncStore Store;
   Store.Range = [Call](const std::string &Prefix, const std::string &After,
                        ReadKind Read, StoreCallback<StorePage> Done) {
