--- a/src/libs/dispatch/membership.h
+++ b/src/libs/dispatch/membership.h
@@ -27,7 +27,7 @@
 
   /// All other members.
   std::vector<peers::PeerEndpoint> others() const;
-  /// All members by name, this one included.
+  /// All members, this one included.
   std::vector<Member> all() const;
   /// Whether the list has been read.
   bool isKnown() const { return this->IsKnown; }
--- a/src/libs/dispatch/poolkeeper.h
+++ b/src/libs/dispatch/poolkeeper.h
@@ -25,6 +25,11 @@
     size_t Open = 0;
     std::vector<jobs::PoolDemand> Demands;
   };
+  /// A machine that was just ordered; the list may not show it yet.
+  struct Ordered {
+    ServiceName To;
+    TimePoint Until;
+  };
 
   void tick();
   void ask();
@@ -32,6 +37,9 @@
   void propose(const jobs::MoveProposal &Move);
   /// Sends the order unless it cannot go out by \p SendBy.
   void order(const jobs::MoveProposal &Move, TimePoint SendBy);
+  /// Tells whether the machine still has to arrive in the pool that it was
+  /// ordered to.
+  bool isOnItsWay(const jobs::MachineInfo &Machine, TimePoint Now);
   void send(const jobs::MoveProposal &Move);
   bool mayOrder() const;
 
@@ -42,16 +50,7 @@
   std::function<std::set<jobs::MachineName>()> Reserved;
   jobs::PoolPolicy Policy;
   std::vector<jobs::MachineInfo> Machines;
-  /// A machine that was just ordered; the list may not show it yet.
-  struct Ordered {
-    ServiceName To;
-    TimePoint Until;
-  };
-
-  /// Tells whether the machine still has to arrive in the pool that it was
-  /// ordered to.
-  bool isOnItsWay(const jobs::MachineInfo &Machine, TimePoint Now);
-
+  /// The last order to each machine, until it has been carried out.
   std::map<jobs::MachineName, Ordered> LastOrders;
   bool IsStopped = false;
 };
--- a/src/libs/jobs/include/whintack/jobs/poolpolicy.h
+++ b/src/libs/jobs/include/whintack/jobs/poolpolicy.h
@@ -35,13 +35,13 @@
   ServiceName To;
 };
 
-/// Tasks that last and have no place are served before anything that waits.
 /// Decides which machines change their pool, for the load "demand turns from
 /// queue to queue, each in its turn asks several times what its pool holds and
-/// little in between": pools with more waiting than they can work off in time
-/// or more coming in than they have cores for, get vacant machines, from the
-/// spare pool first; machines that stay vacant go to the spare pool, where they
-/// cost nothing.
+/// little in between". Pools with more waiting than they can work off in time,
+/// or with more coming in than they have cores for, get machines: spare ones
+/// first, then vacant ones of other pools. Tasks that last and have no place go
+/// before anything that waits. Machines that stay vacant go to the spare pool,
+/// where they cost nothing.
 class PoolPolicy {
 public:
   /// \p Spare is the pool whose machines are off. Machines in \p Reserved are
