--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -424,8 +424,12 @@
   case StartOutcome::Malformed:
     Task->NotBefore = Now + MalformedPause;
     break;
-  case StartOutcome::Fenced:
   case StartOutcome::Outdated:
+    // It cannot start there any more, but an earlier copy of the order may have
+    // run and ended. The next report tells.
+    Task->Current->StopConfirmedAt = At;
+    return;
+  case StartOutcome::Fenced:
   case StartOutcome::Late:
     break;
   }
--- a/tests/auto/jobs/tst_planner.cpp
+++ b/tests/auto/jobs/tst_planner.cpp
@@ -154,6 +154,26 @@
   }
 }
 
+TEST_CASE("a start refused as outdated may have run: the next report tells") {
+  PlannerFixture Fixture;
+  Fixture.list({executor("a"), executor("b")});
+  Fixture.Planner.addJob(job("1", {step(1)}));
+  const auto First = Fixture.starts();
+  REQUIRE(First.size() == 1);
+  Fixture.Planner.noteStart(First[0], StartOutcome::Outdated,
+                            ++Fixture.ExecutorClock, Fixture.Time.now());
+  CHECK(Fixture.starts().empty());
+
+  SECTION("it has ended") {
+    Fixture.endRun(First[0], RunEnd::Done);
+    CHECK(Fixture.starts().empty());
+  }
+  SECTION("it never ran") {
+    Fixture.report(First[0].On.text(), {}, {});
+    CHECK(Fixture.starts().size() == 1);
+  }
+}
+
 TEST_CASE("a job fails after as many failed runs as its queue allows") {
   PlannerFixture Fixture;
   Fixture.list({executor("a"), executor("b")});
