Simulation, Commands, Store, Platform: Keep one copy of what the change wrote twice

An executor's entry and a machine's labels are made in one place.
- Commands: both demos share Promises; fleet-demo uses callAndWait instead of a promise around a client; settings are read and parsed by one function.
- Store: the four callbacks of StoreCall share one conversion.
- Jobs: a kept end carries the time at which it was reported, instead of passing the job's acceptance for it.

--- a/src/libs/commands/commanddemo.cpp
+++ b/src/libs/commands/commanddemo.cpp
@@ -3,6 +3,7 @@
 #include "exitcode.h"
 #include "localinput.h"
 #include "operatorclient.h"
+#include "promises.h"
 #include "table.h"
 
 #include "whintack/base/log.h"
@@ -35,8 +36,6 @@
   int run();
 
 private:
-  /// Notes a promise as held or broken.
-  void expect(bool Holds, const std::string &Promise);
   bool waitUntil(const std::function<bool()> &Holds, Duration Longest);
   value call(OperatorClient &Client, const std::string &Path, const value &Body,
              int ExpectedStatus);
@@ -61,7 +60,7 @@
   local::LocalFleet Fleet;
   OperatorClient Ada;
   OperatorClient Ben;
-  std::vector<std::string> Broken;
+  Promises Kept;
   std::map<PoolName, local::AvailabilityLow> Lows;
   Duration PresetTime = Duration::zero();
   Duration InForceTime = Duration::zero();
@@ -96,13 +95,6 @@
       Ada(operatorAddresses(Input.Local), tokenOf(Input, 0), Time, Timers),
       Ben(operatorAddresses(Input.Local), tokenOf(Input, 1), Time, Timers) {}
 
-void Demo::expect(bool Holds, const std::string &Promise) {
-  std::printf("  %s %s\n", Holds ? "held  " : "BROKEN", Promise.c_str());
-  std::fflush(stdout);
-  if (!Holds)
-    this->Broken.push_back(Promise);
-}
-
 bool Demo::waitUntil(const std::function<bool()> &Holds, Duration Longest) {
   const TimePoint Deadline = this->Time.Now() + Longest;
   const StopSignal Pause;
@@ -121,7 +113,7 @@
   const auto Answer = Client.post(Path, Text, randomIdentifier(this->Source));
   const bool IsExpected = Answer && Answer.value().Status == ExpectedStatus;
   if (!IsExpected)
-    this->expect(
+    this->Kept.expect(
         false, Path + " answers " + std::to_string(ExpectedStatus) +
                    (Answer ? ", not " + std::to_string(Answer.value().Status) +
                                  ": " + Answer.value().complaint()
@@ -214,9 +206,9 @@
                                Confirmation, http::status::Ok);
   const value Lost = this->call(this->Ben, "/api/v1/preset/confirm",
                                 Confirmation, http::status::Conflict);
-  this->expect(textAt(Won, "outcome") == "accepted" &&
-                   textAt(Lost, "outcome") == "refused",
-               "exactly one of two racing operators is accepted");
+  this->Kept.expect(textAt(Won, "outcome") == "accepted" &&
+                        textAt(Lost, "outcome") == "refused",
+                    "exactly one of two racing operators is accepted");
   const auto Revision = static_cast<uint64_t>(numberAt(Won, "revision"));
   const bool IsInForce = this->waitUntil(
       [&] {
@@ -227,7 +219,7 @@
       },
       StepTimeout);
   this->InForceTime = this->Time.Now() - Began;
-  this->expect(IsInForce, "the preset is in force at every entry VM");
+  this->Kept.expect(IsInForce, "the preset is in force at every entry VM");
   this->waitForMoves();
   this->PresetTime = this->Time.Now() - Began;
 }
@@ -247,7 +239,7 @@
         return true;
       },
       WaveTimeout);
-  this->expect(HasFollowed, "the fleet follows the preset");
+  this->Kept.expect(HasFollowed, "the fleet follows the preset");
 }
 
 bool Demo::wavesEnded() {
@@ -273,34 +265,35 @@
   const bool HasEnded =
       this->waitUntil([this] { return this->wavesEnded(); }, WaveTimeout);
   this->WaveTime = this->Time.Now() - Began;
-  this->expect(HasEnded, "every wave finishes");
+  this->Kept.expect(HasEnded, "every wave finishes");
 }
 
 void Demo::checkLoad(const load::LoadReport &Load) {
   const standin::ExecutionCounts Counts =
       this->Fleet.platform().ledger().counts();
-  this->expect(Load.Mixed == 0,
-               "every caller gets the whole answer to its own request");
-  this->expect(Load.Failed == 0, "no caller is left without an outcome");
-  this->expect(Load.Unknown == 0, "no request ends with its outcome unknown");
-  this->expect(Counts.Doubled == 0, "no order runs twice");
+  this->Kept.expect(Load.Mixed == 0,
+                    "every caller gets the whole answer to its own request");
+  this->Kept.expect(Load.Failed == 0, "no caller is left without an outcome");
+  this->Kept.expect(Load.Unknown == 0,
+                    "no request ends with its outcome unknown");
+  this->Kept.expect(Counts.Doubled == 0, "no order runs twice");
   bool IsTrue = true;
   for (const std::string &Order : Load.OrdersNotRun)
     if (this->Fleet.platform().ledger().executions(Order) > 0)
       IsTrue = false;
-  this->expect(IsTrue, "what callers are told was not run was not run");
+  this->Kept.expect(IsTrue, "what callers are told was not run was not run");
   int64_t MostSlots = 0;
   for (const auto &[Name, Service] : this->Input.Declared.Services)
     MostSlots = std::max(MostSlots, Service.Slots);
-  this->expect(Counts.MostRunning <= MostSlots,
-               "no server runs more than its slots (most seen " +
-                   std::to_string(Counts.MostRunning) + " of " +
-                   std::to_string(MostSlots) + ")");
+  this->Kept.expect(Counts.MostRunning <= MostSlots,
+                    "no server runs more than its slots (most seen " +
+                        std::to_string(Counts.MostRunning) + " of " +
+                        std::to_string(MostSlots) + ")");
   for (const auto &[Pool, Low] : this->Lows)
-    this->expect(Low.Lowest >= Low.Required,
-                 "budget of pool " + Pool.text() + ": lowest " +
-                     std::to_string(Low.Lowest) + ", required " +
-                     std::to_string(Low.Required));
+    this->Kept.expect(Low.Lowest >= Low.Required,
+                      "budget of pool " + Pool.text() + ": lowest " +
+                          std::to_string(Low.Lowest) + ", required " +
+                          std::to_string(Low.Required));
 }
 
 /// Submits every job of the declaration and waits until one of the urgent ones
@@ -315,7 +308,7 @@
     this->call(this->Ada, "/api/v1/job", Submitted, http::status::Ok);
     this->TasksWanted += static_cast<uint64_t>(Job.Tasks);
   }
-  this->expect(
+  this->Kept.expect(
       this->waitUntil(
           [this] {
             return this->Fleet.platform().machines().counts().TaskStarts > 0;
@@ -336,8 +329,9 @@
     return Done == this->TasksWanted;
   };
   const bool AllDone = this->waitUntil(HasEnded, WaveTimeout);
-  this->expect(AllDone, "every task finishes (" + std::to_string(Done) +
-                            " of " + std::to_string(this->TasksWanted) + ")");
+  this->Kept.expect(AllDone, "every task finishes (" + std::to_string(Done) +
+                                 " of " + std::to_string(this->TasksWanted) +
+                                 ")");
 }
 
 static std::string secondsText(Duration Length) {
@@ -399,14 +393,14 @@
   }
   std::printf("%zu entry VMs and %zu backend server VMs are up\n",
               this->Fleet.size(), local::workerVms(this->Input.Local).size());
-  this->expect(this->applyDeclaration(), "the declaration is in force");
-  this->expect(this->waitForServers(), "every pool gets its VMs");
+  this->Kept.expect(this->applyDeclaration(), "the declaration is in force");
+  this->Kept.expect(this->waitForServers(), "every pool gets its VMs");
   local::AvailabilityWatch Watch(this->Fleet.platform().machines());
   Watch.start(this->required(MaintenancePreset));
   load::LoadGenerator Load(this->loadPlan(), this->Time, this->Source,
                            this->Timers);
   Load.start();
-  if (this->Broken.empty()) {
+  if (this->Kept.allHeld()) {
     this->changePreset();
     this->submitJobs();
     this->runWaves();
@@ -418,10 +412,11 @@
   this->checkLoad(Report);
   this->printSummary(Report);
   const size_t CutOff = this->Fleet.stop();
-  this->expect(CutOff == 0, "the entry VMs stop without cutting off requests");
-  std::printf("\n%s\n", this->Broken.empty() ? "all promises held"
+  this->Kept.expect(CutOff == 0,
+                    "the entry VMs stop without cutting off requests");
+  std::printf("\n%s\n", this->Kept.allHeld() ? "all promises held"
                                              : "SOME PROMISES ARE BROKEN");
-  return static_cast<int>(this->Broken.empty() ? ExitCode::Done
+  return static_cast<int>(this->Kept.allHeld() ? ExitCode::Done
                                                : ExitCode::Refused);
 }
 
--- a/src/libs/commands/commandentry.cpp
+++ b/src/libs/commands/commandentry.cpp
@@ -16,17 +16,19 @@
 /// Largest answer that the platform's services are read of, in bytes.
 static constexpr size_t MostAnswerBytes = 16U << 20U;
 
+static Result<settings::EntrySettings, document::DocumentError>
+readSettings(const std::string &File) {
+  auto Content = document::readFile(File);
+  if (!Content)
+    return failure(std::move(Content).error());
+  return settings::parseEntrySettings(File, Content.value());
+}
+
 /// Reads the settings again after SIGHUP. The log level is taken over at once;
 /// everything else holds from the next start. Settings with errors change
 /// nothing.
 static void reloadSettings(const std::string &File) {
-  const auto Content = document::readFile(File);
-  if (!Content) {
-    logEvent(LogLevel::Error, "reload-failed",
-             {{"file", File}, {"cause", Content.error().text()}});
-    return;
-  }
-  const auto Read = settings::parseEntrySettings(File, Content.value());
+  const auto Read = readSettings(File);
   if (!Read) {
     logEvent(LogLevel::Error, "reload-failed",
              {{"file", File}, {"cause", Read.error().text()}});
@@ -81,12 +83,7 @@
   if (!Given)
     return Exit;
   const std::string File = Given->text("settings");
-  const auto Content = document::readFile(File);
-  if (!Content) {
-    std::fprintf(stderr, "%s\n", Content.error().text().c_str());
-    return static_cast<int>(ExitCode::BadInput);
-  }
-  const auto Settings = settings::parseEntrySettings(File, Content.value());
+  const auto Settings = readSettings(File);
   if (!Settings) {
     std::fprintf(stderr, "%s\n", Settings.error().text().c_str());
     return static_cast<int>(ExitCode::BadInput);
--- a/src/libs/commands/commandfleetdemo.cpp
+++ b/src/libs/commands/commandfleetdemo.cpp
@@ -1,10 +1,11 @@
 #include "arguments.h"
 #include "commands.h"
 #include "exitcode.h"
+#include "promises.h"
 
 #include "whintack/base/log.h"
 #include "whintack/dispatch/fleetnode.h"
-#include "whintack/http/callclient.h"
+#include "whintack/http/httpclient.h"
 #include "whintack/simulation/examplefleet.h"
 
 #include <algorithm>
@@ -20,7 +21,6 @@
 using simulation::StorePath;
 
 static constexpr size_t NodeCount = 3;
-static constexpr size_t MostAnswerBytes = 1U << 20U;
 static constexpr Duration CallTimeout = std::chrono::seconds(4);
 /// Time for entry VMs to find each other and claim the services.
 static constexpr Duration SettleTime = std::chrono::seconds(3);
@@ -33,13 +33,10 @@
 /// lets things go wrong and checks what was promised.
 class FleetDemo {
 public:
-  FleetDemo();
-
   int run();
 
 private:
   void start();
-  void expect(bool Holds, const std::string &Promise);
   /// Calls on the thread on which everything simulated runs.
   void onLoop(const std::function<void()> &Call);
   http::HttpResult call(size_t Node, const std::string &Method,
@@ -56,12 +53,11 @@
   Random Source = systemRandom();
   TimerQueue Timers{this->Time};
   TimerQueue Loop{this->Time};
-  http::CallClient Clients{this->Time, this->Timers, MostAnswerBytes};
   simulation::SimulatedPlatform Platform{this->Time, this->Loop, this->Source};
   std::vector<std::unique_ptr<dispatch::FleetNode>> Nodes;
   std::vector<Address> Doors;
   std::vector<std::string> Accepted;
-  std::vector<std::string> Broken;
+  Promises Kept;
   size_t Refused = 0;
   uint64_t LastJob = 0;
 };
@@ -88,15 +84,6 @@
   return Made;
 }
 
-FleetDemo::FleetDemo() = default;
-
-void FleetDemo::expect(bool Holds, const std::string &Promise) {
-  std::printf("  %s %s\n", Holds ? "held  " : "BROKEN", Promise.c_str());
-  std::fflush(stdout);
-  if (!Holds)
-    this->Broken.push_back(Promise);
-}
-
 void FleetDemo::onLoop(const std::function<void()> &Call) {
   std::promise<void> Called;
   this->Loop.post([&] {
@@ -120,10 +107,10 @@
         Settings, std::move(Connections), this->Time, this->Source, this->Loop,
         this->Timers));
     const auto Started = this->Nodes.back()->start();
-    this->expect(Started.has_value(),
-                 Settings.Name.text() + " listens on " +
-                     Settings.CallerListener.text() +
-                     (Started ? "" : ": " + Started.error().Message));
+    this->Kept.expect(Started.has_value(),
+                      Settings.Name.text() + " listens on " +
+                          Settings.CallerListener.text() +
+                          (Started ? "" : ": " + Started.error().Message));
   }
   std::this_thread::sleep_for(SettleTime);
 }
@@ -136,13 +123,8 @@
   Request.Target = Path;
   Request.Headers.set("Host", simulation::ExampleHost);
   Request.Body = Body;
-  auto Answered = std::make_shared<std::promise<http::HttpResult>>();
-  this->Clients.call(this->Doors[Node % this->Doors.size()], Request,
-                     this->Time.Now() + CallTimeout,
-                     [Answered](http::HttpResult Answer) {
-                       Answered->set_value(std::move(Answer));
-                     });
-  return Answered->get_future().get();
+  return http::callAndWait(this->Doors[Node % this->Doors.size()], Request,
+                           this->Time.Now() + CallTimeout, this->Timers);
 }
 
 void FleetDemo::submit(const std::string &Template) {
@@ -198,14 +180,14 @@
     return Answer ? Answer.value().Status : 0;
   };
   constexpr int Gone = 410;
-  this->expect(StatusOf("POST", "/quotes/00000000000000ff", "?") ==
-                   http::status::BadRequest,
-               "a body that cannot be read is refused with 400");
-  this->expect(StatusOf("POST", "/none/00000000000000ff", "short") ==
-                   http::status::NotFound,
-               "a queue that does not exist is answered 404");
-  this->expect(StatusOf("GET", "/quotes/00000000000000ff", "") == Gone,
-               "a job that nobody handed in is answered 410");
+  this->Kept.expect(StatusOf("POST", "/quotes/00000000000000ff", "?") ==
+                        http::status::BadRequest,
+                    "a body that cannot be read is refused with 400");
+  this->Kept.expect(StatusOf("POST", "/none/00000000000000ff", "short") ==
+                        http::status::NotFound,
+                    "a queue that does not exist is answered 404");
+  this->Kept.expect(StatusOf("GET", "/quotes/00000000000000ff", "") == Gone,
+                    "a job that nobody handed in is answered 410");
 }
 
 void FleetDemo::checkTroubles() {
@@ -216,8 +198,8 @@
   });
   const size_t RefusedBefore = this->Refused;
   this->work(std::chrono::seconds(4));
-  this->expect(this->Refused == RefusedBefore,
-               "it takes jobs in all the while, through its peers");
+  this->Kept.expect(this->Refused == RefusedBefore,
+                    "it takes jobs in all the while, through its peers");
   this->onLoop(
       [this] { this->Platform.store().setPathOfAll(StorePath::Served); });
 
@@ -232,9 +214,10 @@
 
   std::puts("an entry VM stops and hands its services over");
   const size_t Stopped = NodeCount - 1;
+  size_t CutOff = 0;
   std::atomic<bool> IsStopped{false};
   std::thread Stopping([&] {
-    this->expect(this->Nodes[Stopped]->stop() == 0, "it cuts off no request");
+    CutOff = this->Nodes[Stopped]->stop();
     IsStopped = true;
   });
   this->Doors.pop_back();
@@ -243,6 +226,7 @@
     std::this_thread::sleep_for(JobPause);
   }
   Stopping.join();
+  this->Kept.expect(CutOff == 0, "it cuts off no request");
   this->work(std::chrono::seconds(1));
 }
 
@@ -255,9 +239,9 @@
   });
   for (const std::string &Text : Violations)
     std::printf("  BROKEN %s\n", Text.c_str());
-  this->expect(Violations.empty(),
-               "no task ran twice, too early or after its end (" +
-                   std::to_string(Starts) + " starts)");
+  this->Kept.expect(Violations.empty(),
+                    "no task ran twice, too early or after its end (" +
+                        std::to_string(Starts) + " starts)");
 }
 
 int FleetDemo::run() {
@@ -265,20 +249,21 @@
   this->start();
   std::puts("jobs come in for 3 s");
   this->work(std::chrono::seconds(3));
-  this->expect(this->Refused == 0, "every job is accepted (" +
-                                       std::to_string(this->Accepted.size()) +
-                                       ")");
+  this->Kept.expect(this->Refused == 0,
+                    "every job is accepted (" +
+                        std::to_string(this->Accepted.size()) + ")");
   this->checkAnswers();
   this->checkTroubles();
-  this->expect(this->allEnd(), "every accepted job is shown as completed (" +
-                                   std::to_string(this->Accepted.size()) + ")");
+  this->Kept.expect(this->allEnd(),
+                    "every accepted job is shown as completed (" +
+                        std::to_string(this->Accepted.size()) + ")");
   this->checkLedger();
   for (const std::unique_ptr<dispatch::FleetNode> &Node : this->Nodes)
     if (Node != this->Nodes.back())
       Node->stop();
-  std::puts(this->Broken.empty() ? "all promises held" : "promises broken");
+  std::puts(this->Kept.allHeld() ? "all promises held" : "promises broken");
   std::fflush(stdout);
-  return static_cast<int>(this->Broken.empty() ? ExitCode::Done
+  return static_cast<int>(this->Kept.allHeld() ? ExitCode::Done
                                                : ExitCode::Refused);
 }
 
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -166,7 +166,7 @@
                 {"work", Record.Effort.Work},
                 {"chain-ms", toMilliseconds(Record.Effort.Chain)},
                 {"may-have-run", Record.MayHaveRun ? "yes" : "no"}});
-  this->D->takeUnknownEnds(Id, Record.Accepted);
+  this->D->takeUnknownEnds(Id);
 }
 
 void Planner::restoreJob(AcceptedJob Job, const JobProgress &Progress) {
@@ -189,7 +189,7 @@
                                 {"state", nameOf(JobStateNames, Record.State)},
                                 {"tasks", Progress.Tasks.size()}});
   this->D->finishIfDone(Record);
-  this->D->takeUnknownEnds(Id, Record.Accepted);
+  this->D->takeUnknownEnds(Id);
 }
 
 void Planner::restoreFinalJob(const JobId &Job, JobState State) {
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -102,6 +102,13 @@
   TimePoint NextAsk = TimePoint::min();
 };
 
+/// An end of a job that is not known here yet.
+struct UnknownEnd {
+  ExecutorId On;
+  EndReport End;
+  TimePoint ReportedAt;
+};
+
 /// An executor and what is booked on it.
 struct WorkerRecord {
   ExecutorInfo Info;
@@ -161,7 +168,7 @@
   /// Whether the job may be one that has not turned up yet.
   bool mayTurnUp(const JobId &Job) const;
   /// Takes in what ended before the job turned up.
-  void takeUnknownEnds(const JobId &Job, TimePoint Now);
+  void takeUnknownEnds(const JobId &Job);
   void takeDone(Internal::JobRecord &Job, const TaskKey &Key);
   void takeFailure(Internal::JobRecord &Job, const EndReport &End,
                    Internal::WorkerRecord &Worker, TimePoint Now);
@@ -232,7 +239,7 @@
   bool IsInCensus = false;
   bool IsCatchingUp = false;
   /// Ends of jobs that may turn up, by job.
-  std::map<JobId, std::vector<std::pair<ExecutorId, EndReport>>> UnknownEnds;
+  std::map<JobId, std::vector<Internal::UnknownEnd>> UnknownEnds;
   ExecutorJudge Judge;
   /// Mean work of the jobs taken in, by queue, in core-seconds.
   std::map<std::string, std::pair<double, size_t>> WorkOfQueues;
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -129,16 +129,16 @@
          !this->FinalJobs.contains(Job);
 }
 
-void Planner::Private::takeUnknownEnds(const JobId &Job, TimePoint Now) {
+void Planner::Private::takeUnknownEnds(const JobId &Job) {
   const auto Found = this->UnknownEnds.find(Job);
   if (Found == this->UnknownEnds.end())
     return;
-  const auto Ends = std::move(Found->second);
+  const std::vector<UnknownEnd> Ends = std::move(Found->second);
   this->UnknownEnds.erase(Found);
-  for (const auto &[Executor, End] : Ends)
-    if (const auto Worker = this->Workers.find(Executor);
+  for (const UnknownEnd &Each : Ends)
+    if (const auto Worker = this->Workers.find(Each.On);
         Worker != this->Workers.end())
-      this->takeEnd(Worker->second, End, Now);
+      this->takeEnd(Worker->second, Each.End, Each.ReportedAt);
 }
 
 bool Planner::isRecovering() const {
@@ -359,7 +359,7 @@
       continue;
     Worker.LastEnd = End.Number;
     if (this->D->mayTurnUp(End.Task.Of.Job)) {
-      this->D->UnknownEnds[End.Task.Of.Job].emplace_back(From, End);
+      this->D->UnknownEnds[End.Task.Of.Job].push_back({From, End, Now});
       if (Worker.FirstUnknownEnd == 0)
         Worker.FirstUnknownEnd = End.Number;
     } else {
--- a/src/libs/simulation/include/whintack/simulation/simulatedplatform.h
+++ b/src/libs/simulation/include/whintack/simulation/simulatedplatform.h
@@ -72,9 +72,11 @@
              const ServiceName &Pool);
   Machine *machineOf(const jobs::ExecutorId &Id);
   void carryOut(const EntryName &Vm, const jobs::ExecutorAddress &To,
-                TimePoint Deadline,
-                const std::function<void(Machine *, bool IsAnswered)> &Work,
-                const std::function<void()> &NoAnswer);
+                const std::function<void(Machine &, bool IsAnswered)> &Work);
+  template <typename Answer>
+  std::function<void(Answer)> answeredBy(TimePoint Deadline,
+                                         std::function<void(Answer)> Done,
+                                         const Answer &Silence);
   jobs::GatewayResult<void> order(const jobs::MachineOrderer &By, Machine &Of);
 
   Clock Time;
--- a/src/libs/simulation/simulatedplatform.cpp
+++ b/src/libs/simulation/simulatedplatform.cpp
@@ -37,6 +37,23 @@
   std::set<uint64_t> WavesDone;
 };
 
+static std::vector<std::string> labelsOf(const MachineSetup &Setup) {
+  return {"standard", Setup.Rack};
+}
+
+/// An executor as it registers itself.
+static jobs::ExecutorInfo executorOn(const MachineSetup &Setup,
+                                     const jobs::ExecutorId &Id) {
+  jobs::ExecutorInfo Info;
+  Info.Id = Id;
+  Info.Service = Setup.Pool;
+  Info.Server = {"127.0.0.1", 9000};
+  Info.DataCentre = Setup.DataCentre;
+  Info.Capacity = Setup.Capacity;
+  Info.Labels = labelsOf(Setup);
+  return Info;
+}
+
 SimulatedPlatform::SimulatedPlatform(Clock Time, TimerQueue &Loop,
                                      Random Source)
     : Time(std::move(Time)), Loop(Loop), Source(std::move(Source)),
@@ -88,13 +105,8 @@
       }
   if (IsSpare)
     return;
-  jobs::ExecutorInfo Info;
-  Info.Id = jobs::ExecutorId("x" + std::to_string(++this->LastExecutor));
-  Info.Service = Of.Setup.Pool;
-  Info.Server = {"127.0.0.1", 9000};
-  Info.DataCentre = Of.Setup.DataCentre;
-  Info.Capacity = Of.Setup.Capacity;
-  Info.Labels = {"standard", Of.Setup.Rack};
+  const jobs::ExecutorInfo Info = executorOn(
+      Of.Setup, jobs::ExecutorId("x" + std::to_string(++this->LastExecutor)));
   constexpr uint64_t ClockSpread = 1000000;
   Of.Executor = std::make_shared<Internal::SimulatedExecutor>(
       Info, Refuses, static_cast<int64_t>(this->Source() % ClockSpread),
@@ -152,9 +164,8 @@
 
 /// Brings a call to its executor, as far as the network allows.
 void SimulatedPlatform::carryOut(
-    const EntryName &Vm, const jobs::ExecutorAddress &To, TimePoint Deadline,
-    const std::function<void(Machine *, bool IsAnswered)> &Work,
-    const std::function<void()> &NoAnswer) {
+    const EntryName &Vm, const jobs::ExecutorAddress &To,
+    const std::function<void(Machine &, bool IsAnswered)> &Work) {
   const bool IsLate = happens(this->Trouble.CarriedOutLate, this->Source);
   const bool IsLost = IsLate || happens(this->Trouble.AnswerLost, this->Source);
   Duration Travel = TravelTime;
@@ -163,93 +174,84 @@
              std::chrono::milliseconds(this->Source() % 5000);
   this->Loop.schedule(this->Time.Now() + Travel, [=, this] {
     Machine *Found = this->machineOf(To.Id);
-    const bool IsCut =
-        Found && this->Cuts.contains({Vm, Found->Setup.DataCentre});
     // An executor that is gone does not answer.
-    if (IsCut || !Found)
-      return;
-    Work(Found, !IsLost);
+    if (Found && !this->Cuts.contains({Vm, Found->Setup.DataCentre}))
+      Work(*Found, !IsLost);
   });
-  const bool IsCutNow = [&] {
-    const Machine *Found = this->machineOf(To.Id);
-    return !Found || this->Cuts.contains({Vm, Found->Setup.DataCentre});
-  }();
-  if (IsCutNow || IsLost)
-    this->Loop.schedule(Deadline, NoAnswer);
+}
+
+/// Returns a callback of which only the first call counts, and calls it with
+/// \p Silence at the deadline.
+template <typename Answer>
+std::function<void(Answer)>
+SimulatedPlatform::answeredBy(TimePoint Deadline,
+                              std::function<void(Answer)> Done,
+                              const Answer &Silence) {
+  std::function<void(Answer)> First =
+      [Done = std::move(Done),
+       IsOver = std::make_shared<bool>(false)](Answer Given) {
+        if (!std::exchange(*IsOver, true))
+          Done(std::move(Given));
+      };
+  this->Loop.schedule(Deadline, [First, Silence] { First(Silence); });
+  return First;
 }
 
 jobs::ExecutorGateway SimulatedPlatform::executors(const EntryName &Vm) {
-  // Whoever answers first, the work or the deadline, is the answer.
-  const auto Once = [](auto Done) {
-    return [Done, IsOver = std::make_shared<bool>(false)](auto Answer) {
-      if (!std::exchange(*IsOver, true))
-        Done(std::move(Answer));
-    };
+  using Reported = jobs::GatewayResult<jobs::ExecutorReport>;
+  using Confirmed = jobs::GatewayResult<jobs::ExecutorTime>;
+  const auto Silence = [] {
+    return failure(GatewayError{GatewayErrorCode::NoAnswer, "no answer"});
   };
-  const GatewayError Silence{GatewayErrorCode::NoAnswer, "no answer"};
   jobs::ExecutorGateway Made;
   Made.Report = [=, this](const jobs::ExecutorAddress &To,
                           const jobs::ReportRequest &Request,
                           TimePoint Deadline,
                           jobs::GatewayCallback<jobs::ExecutorReport> Done) {
-    const std::function<void(jobs::GatewayResult<jobs::ExecutorReport>)> First =
-        Once(std::move(Done));
-    this->carryOut(
-        Vm, To, Deadline,
-        [Request, First](Machine *Of, bool IsAnswered) {
-          Of->Executor->report(
-              Request,
-              IsAnswered
-                  ? First
-                  : [](const jobs::GatewayResult<jobs::ExecutorReport> &) {});
-        },
-        [First, Silence] { First(failure(GatewayError(Silence))); });
-    // An executor may also fall silent while it waits.
-    this->Loop.schedule(
-        Deadline, [First, Silence] { First(failure(GatewayError(Silence))); });
+    const auto First =
+        this->answeredBy<Reported>(Deadline, std::move(Done), Silence());
+    this->carryOut(Vm, To, [Request, First](Machine &Of, bool IsAnswered) {
+      Of.Executor->report(
+          Request, IsAnswered ? First : [](const Reported &) {});
+    });
   };
   Made.Start = [=, this](const jobs::ExecutorAddress &To,
                          const jobs::StartOrder &Order, uint64_t Token,
                          jobs::ExecutorTime LeaseUntil, TimePoint Deadline,
                          std::function<void(jobs::StartAnswer)> Done) {
-    const std::function<void(jobs::StartAnswer)> First = Once(std::move(Done));
-    this->carryOut(
-        Vm, To, Deadline,
-        [=, this](Machine *Of, bool IsAnswered) {
-          const jobs::StartAnswer Answer =
-              Of->Executor->start(Order, Token, LeaseUntil);
-          if (IsAnswered)
-            this->Loop.schedule(this->Time.Now() + TravelTime,
-                                [First, Answer] { First(Answer); });
-        },
-        [First] { First(jobs::StartAnswer()); });
-    this->Loop.schedule(Deadline, [First] { First(jobs::StartAnswer()); });
+    const auto First = this->answeredBy<jobs::StartAnswer>(
+        Deadline, std::move(Done), jobs::StartAnswer());
+    this->carryOut(Vm, To, [=, this](Machine &Of, bool IsAnswered) {
+      const jobs::StartAnswer Answer =
+          Of.Executor->start(Order, Token, LeaseUntil);
+      if (IsAnswered)
+        this->Loop.schedule(this->Time.Now() + TravelTime,
+                            [First, Answer] { First(Answer); });
+    });
   };
   Made.Stop = [=, this](const jobs::ExecutorAddress &To,
                         const jobs::StopOrder &Order, uint64_t Token,
                         TimePoint Deadline,
                         jobs::GatewayCallback<jobs::ExecutorTime> Done) {
-    const std::function<void(jobs::GatewayResult<jobs::ExecutorTime>)> First =
-        Once(std::move(Done));
-    this->carryOut(
-        Vm, To, Deadline,
-        [=](Machine *Of, bool IsAnswered) {
-          const auto Answer = Of->Executor->stop(Order, Token);
-          if (IsAnswered)
-            First(Answer);
-        },
-        [First, Silence] { First(failure(GatewayError(Silence))); });
-    this->Loop.schedule(
-        Deadline, [First, Silence] { First(failure(GatewayError(Silence))); });
+    const auto First =
+        this->answeredBy<Confirmed>(Deadline, std::move(Done), Silence());
+    this->carryOut(Vm, To, [=](Machine &Of, bool IsAnswered) {
+      const Confirmed Answer = Of.Executor->stop(Order, Token);
+      if (IsAnswered)
+        First(Answer);
+    });
   };
   Made.Pace = [=, this](const jobs::ExecutorAddress &To,
                         const jobs::PaceOrder &Order, uint64_t Token,
                         TimePoint Deadline,
-                        const jobs::GatewayCallback<jobs::ExecutorTime> &Done) {
-    this->carryOut(
-        Vm, To, Deadline,
-        [=](Machine *Of, bool) { Done(Of->Executor->pace(Order, Token)); },
-        [] {});
+                        jobs::GatewayCallback<jobs::ExecutorTime> Done) {
+    const auto First =
+        this->answeredBy<Confirmed>(Deadline, std::move(Done), Silence());
+    this->carryOut(Vm, To, [=](Machine &Of, bool IsAnswered) {
+      const Confirmed Answer = Of.Executor->pace(Order, Token);
+      if (IsAnswered)
+        First(Answer);
+    });
   };
   return Made;
 }
@@ -262,7 +264,7 @@
     Info.Pool = Each->Setup.Pool;
     Info.State = Each->State;
     Info.DataCentre = Each->Setup.DataCentre;
-    Info.Labels = {"standard", Each->Setup.Rack};
+    Info.Labels = labelsOf(Each->Setup);
     Info.Capacity = Each->Setup.Capacity;
     if (Each->Executor)
       Info.Executor = Each->Executor->info().Id;
@@ -397,14 +399,7 @@
     if (Of.Executor && Of.Executor->info().Id == Id)
       return Of.Executor->info();
     // The entry of an executor that is gone stays for a while.
-    jobs::ExecutorInfo Info;
-    Info.Id = Id;
-    Info.Service = Of.Setup.Pool;
-    Info.Server = {"127.0.0.1", 9000};
-    Info.DataCentre = Of.Setup.DataCentre;
-    Info.Capacity = Of.Setup.Capacity;
-    Info.Labels = {"standard", Of.Setup.Rack};
-    return Info;
+    return executorOn(Of.Setup, Id);
   };
   Words.DecodeJob =
       [this](const jobs::JobId &Id,
--- a/src/libs/store/storecall.cpp
+++ b/src/libs/store/storecall.cpp
@@ -2,49 +2,49 @@
 
 namespace whintack::store {
 
+/// Returns a callback that hands on what \p Make makes of a success, and
+/// failures as they are.
+template <typename From, typename To, typename Convert>
+static StoreCallback<From> converted(StoreCallback<To> Done, Convert Make) {
+  return [Done = std::move(Done), Make](StoreResult<From> Answer) {
+    if (Answer)
+      Done(Make(Answer));
+    else
+      Done(failure(std::move(Answer).error()));
+  };
+}
+
 /// Returns a callback that puts its answer into \p Field of the reply.
 template <typename T>
 static StoreCallback<T> replyInto(T StoreReply::*Field,
                                   StoreCallback<StoreReply> Done) {
-  return [Field, Done = std::move(Done)](StoreResult<T> Answer) {
-    if (!Answer) {
-      Done(failure(std::move(Answer).error()));
-      return;
-    }
-    StoreReply Reply;
-    Reply.*Field = std::move(Answer).value();
-    Done(std::move(Reply));
-  };
+  return converted<T, StoreReply>(std::move(Done),
+                                  [Field](StoreResult<T> &Answer) {
+                                    StoreReply Reply;
+                                    Reply.*Field = std::move(Answer).value();
+                                    return Reply;
+                                  });
 }
 
 static StoreCallback<void> emptyReply(StoreCallback<StoreReply> Done) {
-  return [Done = std::move(Done)](StoreResult<void> Answer) {
-    if (Answer)
-      Done(StoreReply());
-    else
-      Done(failure(std::move(Answer).error()));
-  };
+  return converted<void, StoreReply>(
+      std::move(Done), [](const StoreResult<void> &) { return StoreReply(); });
 }
 
 /// Returns a callback that hands on one field of the reply.
 template <typename T>
 static StoreCallback<StoreReply> takeFrom(T StoreReply::*Field,
                                           StoreCallback<T> Done) {
-  return [Field, Done = std::move(Done)](StoreResult<StoreReply> Reply) {
-    if (Reply)
-      Done(std::move(Reply.value().*Field));
-    else
-      Done(failure(std::move(Reply).error()));
-  };
+  return converted<StoreReply, T>(std::move(Done),
+                                  [Field](StoreResult<StoreReply> &Reply) {
+                                    return std::move(Reply.value().*Field);
+                                  });
 }
 
 static StoreCallback<StoreReply> takeNothing(StoreCallback<void> Done) {
-  return [Done = std::move(Done)](StoreResult<StoreReply> Reply) {
-    if (Reply)
-      Done(success());
-    else
-      Done(failure(std::move(Reply).error()));
-  };
+  return converted<StoreReply, void>(
+      std::move(Done),
+      [](const StoreResult<StoreReply> &) { return success(); });
 }
 
 bool isRepeatable(StoreCallKind Kind) {
--- a/tests/auto/dispatch/tst_machineorders.cpp
+++ b/tests/auto/dispatch/tst_machineorders.cpp
@@ -72,6 +72,13 @@
     return Orders;
   }
 
+  /// Has an order to the machine written down.
+  void order(MachineOrders &By, const char *Machine) {
+    By.announce(
+        jobs::MachineName(Machine), TimePoint::max(), [] {}, [] {});
+    this->Loop.settle();
+  }
+
   OrderStore Store;
   tests::SteppedLoop Loop;
   Context Shared{this->Loop.Time.clock(), seededRandom(1), this->Loop.Queue,
@@ -139,9 +146,7 @@
   Fixture Test;
   const auto First = Test.open(7);
   const auto Order = [&](const char *Name) {
-    First->announce(
-        jobs::MachineName(Name), TimePoint::max(), [] {}, [] {});
-    Test.Loop.settle();
+    Test.order(*First, Name);
     Test.Revisions.note(Test.Store.Revision, Test.Loop.Time.now());
   };
   Order("early");
@@ -158,9 +163,7 @@
 TEST_CASE("machines of a process that has ended can be ordered at once") {
   Fixture Test;
   const auto First = Test.open(7);
-  First->announce(
-      jobs::MachineName("m1"), TimePoint::max(), [] {}, [] {});
-  Test.Loop.settle();
+  Test.order(*First, "m1");
   Test.Store.ClaimRevision = 8;
   const auto Second = Test.open(8, "e2");
   CHECK(Second->isHeld(jobs::MachineName("m1")));
@@ -172,14 +175,10 @@
   Fixture Test;
   Test.Store.ClaimRevision = 7;
   const auto First = Test.open(7);
-  First->announce(
-      jobs::MachineName("m1"), TimePoint::max(), [] {}, [] {});
-  Test.Loop.settle();
+  Test.order(*First, "m1");
   Test.Store.ClaimRevision = 8;
   const auto Second = Test.open(8, "e2");
-  Second->announce(
-      jobs::MachineName("m2"), TimePoint::max(), [] {}, [] {});
-  Test.Loop.settle();
+  Test.order(*Second, "m2");
   Test.Store.ClaimRevision = 9;
   const auto Third = Test.open(9, "e3");
   CHECK(Third->isHeld(jobs::MachineName("m1")));
--- a/tests/auto/jobs/tst_policies.cpp
+++ b/tests/auto/jobs/tst_policies.cpp
@@ -90,6 +90,13 @@
   return Info;
 }
 
+/// Adds \p Count machines named by \p Prefix and a number to \p Pool.
+static void addMachines(std::vector<MachineInfo> &To, const std::string &Prefix,
+                        const std::string &Pool, int Count) {
+  for (int Number = 0; Number < Count; ++Number)
+    To.push_back(machine(Prefix + std::to_string(Number), Pool));
+}
+
 TEST_CASE("demand by turns: machines go from idle pools to the spare pool and "
           "from there to the busy one") {
   std::vector<MachineInfo> Machines;
@@ -103,8 +110,7 @@
   PoolDemand Busy;
   Busy.Pool = ServiceName("busy");
   Busy.Cores = 128;
-  for (int Number = 0; Number < 4; ++Number)
-    Machines.push_back(machine("b" + std::to_string(Number), "busy"));
+  addMachines(Machines, "b", "busy", 4);
   PoolPolicy Policy;
   CHECK(Policy.decide(Machines, {Idle, Busy}, ServiceName("spare"), {}, at(0s))
             .empty());
@@ -135,10 +141,8 @@
   Busy.Pool = ServiceName("busy");
   Busy.Cores = 128;
   Busy.ArrivingWork = 300;
-  for (int Number = 0; Number < 4; ++Number)
-    Machines.push_back(machine("b" + std::to_string(Number), "busy"));
-  for (int Number = 0; Number < 10; ++Number)
-    Machines.push_back(machine("s" + std::to_string(Number), "spare"));
+  addMachines(Machines, "b", "busy", 4);
+  addMachines(Machines, "s", "spare", 10);
   PoolPolicy Policy;
   const auto Moves =
       Policy.decide(Machines, {Busy}, ServiceName("spare"), {}, at(0s));
@@ -158,10 +162,8 @@
   Lasting.Cores = 128;
   Lasting.Displaced = 2;
   Lasting.DisplacedLabels = {"big"};
-  for (int Number = 0; Number < 5; ++Number)
-    Machines.push_back(machine("b" + std::to_string(Number), "busy"));
-  for (int Number = 0; Number < 4; ++Number)
-    Machines.push_back(machine("l" + std::to_string(Number), "lasting"));
+  addMachines(Machines, "b", "busy", 5);
+  addMachines(Machines, "l", "lasting", 4);
   Machines.push_back(machine("s0", "spare"));
   Machines.push_back(machine("s1", "spare"));
   Machines.back().Labels = {"big"};
@@ -187,8 +189,7 @@
 TEST_CASE("a pool whose demand is not known keeps its machines") {
   PoolPolicy Policy;
   std::vector<MachineInfo> Machines;
-  for (int Number = 0; Number < 10; ++Number)
-    Machines.push_back(machine("i" + std::to_string(Number), "unknown"));
+  addMachines(Machines, "i", "unknown", 10);
   CHECK(Policy.decide(Machines, {}, ServiceName("spare"), {}, at(0s)).empty());
   CHECK(Policy.decide(Machines, {}, ServiceName("spare"), {}, at(9s)).empty());
 }
