Dispatch: Log what tells the hypotheses of the incident apart

A claim names the members known and the shards held, a page of a shard that cannot be read names its duration and cause, and a late event loop names its delay. No logic changes.

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -12,6 +12,8 @@
 static constexpr Duration CheckInterval = std::chrono::milliseconds(500);
 /// Interval of the reconciliation while this VM is not ready yet.
 static constexpr Duration StartupCheckInterval = std::chrono::milliseconds(200);
+/// Lateness of the reconciliation above which the event loop counts as late.
+static constexpr Duration MaxLoopDelay = std::chrono::milliseconds(250);
 
 FleetCore::FleetCore(CoreIdentity Self, NodeConnections Connections,
                      Context Shared, PeerTransport Transport)
@@ -63,6 +65,7 @@
   this->Executors->start();
   this->OperatorItems->start();
   this->ClaimingAllowedAt = this->Shared.now() + ClaimDelay;
+  this->NextCheck = this->Shared.now();
   this->checkPeriodically();
 }
 
@@ -156,15 +159,26 @@
   this->Lease->end(Done);
 }
 
+/// Logs how late the event loop runs its timers. All work of this process waits
+/// that long.
+void FleetCore::reportLoopDelay() const {
+  const Duration Delay = this->Shared.now() - this->NextCheck;
+  if (Delay > MaxLoopDelay)
+    logEvent(LogLevel::Warning, "event-loop-late",
+             {{"delay-ms", toMilliseconds(Delay)},
+              {"shards", this->OwnClaims.size()}});
+}
+
 void FleetCore::checkPeriodically() {
+  this->reportLoopDelay();
   this->IsReadyNow = this->canServe();
   if (this->IsStopping)
     return;
   if (this->Shared.now() >= this->ClaimingAllowedAt && this->Members->isKnown())
     this->reconcileClaims();
-  scheduleFor(this->Shared.Loop, this->shared_from_this(),
-              this->Shared.now() +
-                  (this->IsReadyNow ? CheckInterval : StartupCheckInterval),
+  this->NextCheck = this->Shared.now() +
+                    (this->IsReadyNow ? CheckInterval : StartupCheckInterval);
+  scheduleFor(this->Shared.Loop, this->shared_from_this(), this->NextCheck,
               [](FleetCore &Owner) { Owner.checkPeriodically(); });
 }
 
--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -73,6 +73,7 @@
   void openClaims();
   void openWatches();
   void checkPeriodically();
+  void reportLoopDelay() const;
   bool canServe() const;
   void handleOperatorItems(const ItemMap &Items);
   void adoptConfiguration(jobs::FleetConfiguration Newest);
@@ -117,6 +118,7 @@
   std::shared_ptr<WaveManager> Maintenance;
   std::shared_ptr<PoolRebalancer> Rebalancer;
   TimePoint ClaimingAllowedAt = TimePoint::max();
+  TimePoint NextCheck = TimePoint::max();
   std::atomic<bool> IsStopping{false};
   std::atomic<bool> IsReadyNow{false};
 };
--- a/src/libs/dispatch/shardclaimer.cpp
+++ b/src/libs/dispatch/shardclaimer.cpp
@@ -141,7 +141,11 @@
                                  uint64_t Generation) {
   this->Pending.erase(Shard);
   logEvent(LogLevel::Info, "shard-claimed",
-           {{"shard", Shard}, {"token", Token}, {"generation", Generation}});
+           {{"shard", Shard},
+            {"token", Token},
+            {"generation", Generation},
+            {"members", this->Members().size()},
+            {"held", this->Tracker->shardCount(this->Self)}});
   this->OnClaimed({Shard, Token, Generation});
 }
 
--- a/src/libs/dispatch/shardstore.cpp
+++ b/src/libs/dispatch/shardstore.cpp
@@ -13,15 +13,23 @@
     const std::string &Prefix, const std::string &After,
     const std::shared_ptr<std::vector<store::StoreItem>> &Found,
     const std::function<void()> &Done) {
+  const TimePoint Sent = this->Shared.now();
   this->Shared.Store.Range(
       Prefix, After, store::ReadKind::Current,
       onLoop<ShardStore, store::StoreResult<store::StorePage>>(
           this->Shared.Loop, this->shared_from_this(),
-          [Prefix, After, Found, Done](
+          [Prefix, After, Found, Done, Sent](
               ShardStore &Self, store::StoreResult<store::StorePage> Answer) {
             if (Self.IsStopped)
               return;
             if (!Answer) {
+              logEvent(LogLevel::Warning, "shard-read-failed",
+                       {{"prefix", Prefix},
+                        {"items-read", Found->size()},
+                        {"took-ms", toMilliseconds(Self.Shared.now() - Sent)},
+                        {"code",
+                         nameOf(store::StoreErrorNames, Answer.error().Code)},
+                        {"cause", Answer.error().Message}});
               scheduleFor(Self.Shared.Loop, Self.shared_from_this(),
                           Self.Shared.now() +
                               Self.Shared.jittered(ReadRetryDelay),
