Dispatch: Test how shards spread over unequal VMs

On grown sites one VM with half a core, or with 0.12 of one, planned all services while 37 others idled, and too little was served.

--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -28,9 +28,11 @@
 }
 
 void SimulatedFleet::startNode(const std::string &Name,
-                               const std::string &DataCentre) {
+                               const std::string &DataCentre,
+                               double ProcessorShare) {
   Node &Started = this->Nodes[Name];
   Started.DataCentre = DataCentre;
+  Started.ProcessorShare = ProcessorShare;
   Started.Incarnation = this->Source();
   const EntryName Vm(Name);
   dispatch::NodeConnections Connections;
@@ -44,7 +46,7 @@
                           DataCentreName(DataCentre),
                           Address{"127.0.0.1", 9000},
                           Started.Incarnation,
-                          1,
+                          ProcessorShare,
                           MaxLease};
   Started.Core = std::make_shared<FleetCore>(Self, Connections, Shared,
                                              this->transportOf(Name));
@@ -60,8 +62,9 @@
 }
 
 void SimulatedFleet::restartNode(const std::string &Name) {
-  if (!this->Nodes.at(Name).Core)
-    this->startNode(Name, std::string(this->Nodes.at(Name).DataCentre));
+  const Node &Known = this->Nodes.at(Name);
+  if (!Known.Core)
+    this->startNode(Name, std::string(Known.DataCentre), Known.ProcessorShare);
 }
 
 void SimulatedFleet::stopNode(const std::string &Name) {
@@ -96,6 +99,10 @@
   return Names;
 }
 
+double SimulatedFleet::processorShareOf(const std::string &Name) const {
+  return this->Nodes.at(Name).ProcessorShare;
+}
+
 std::string SimulatedFleet::plannerOf(const std::string &Service) const {
   const auto Text = this->Platform.store().value("whintack/claim/" + Service);
   if (!Text)
--- a/tests/auto/dispatch/simulatedfleet.h
+++ b/tests/auto/dispatch/simulatedfleet.h
@@ -27,7 +27,8 @@
   /// Sets up the example fleet with two services, a spare pool and three entry
   /// VMs in two data centres, and lets it settle.
   void startAll();
-  void startNode(const std::string &Name, const std::string &DataCentre);
+  void startNode(const std::string &Name, const std::string &DataCentre,
+                 double ProcessorShare = 1);
   /// Ends the process without a shutdown.
   void killNode(const std::string &Name);
   void restartNode(const std::string &Name);
@@ -38,6 +39,8 @@
   void setCut(const std::string &Name, bool IsCut);
 
   std::vector<std::string> nodeNames() const;
+  /// Share of a processor core that the VM was started with.
+  double processorShareOf(const std::string &Name) const;
   /// The VM that plans the service; empty if there is none.
   std::string plannerOf(const std::string &Service) const;
 
@@ -67,6 +70,7 @@
 private:
   struct Node {
     std::string DataCentre;
+    double ProcessorShare = 1;
     uint64_t Incarnation = 0;
     std::shared_ptr<dispatch::Internal::FleetCore> Core;
     std::vector<peers::PeerEndpoint> Known;
