Tests: Simulate links of limited rate and show loads that never end

After all VMs lost power, a VM with a link of 10 Mbit/s claimed several shards and never loaded them; their accepted jobs were lost.

The simulated store can now limit the link of a VM: all answers to it, also those that a peer passes on, share the rate. Its pages end at 1 MB like those of the platform's store.

--- a/src/libs/simulation/include/whintack/simulation/memorystore.h
+++ b/src/libs/simulation/include/whintack/simulation/memorystore.h
@@ -1,12 +1,15 @@
 #ifndef WHINTACK_SIMULATION_MEMORYSTORE_H
 #define WHINTACK_SIMULATION_MEMORYSTORE_H
 
+#include "whintack/simulation/sharedlink.h"
+
 #include "whintack/base/identifier.h"
 #include "whintack/base/timerqueue.h"
 #include "whintack/store/asyncstore.h"
 
 #include <list>
 #include <map>
+#include <memory>
 #include <set>
 #include <vector>
 
@@ -23,6 +26,12 @@
   AnswersLost,
 };
 
+/// Number of bytes that the answer takes on the wire.
+size_t wireSize(const store::StorePage &Page);
+size_t wireSize(const store::WatchAnswer &Answer);
+size_t wireSize(const store::CommitAnswer &Answer);
+size_t wireSize(store::LeaseId Lease);
+
 /// In-memory implementation of the platform's store with fault injection.
 /// Everything runs on the thread of the timer queue \p Loop.
 class MemoryStore {
@@ -39,6 +48,11 @@
   void setFaultModeForAll(StoreFaultMode Mode);
   /// Sets how long each answer takes.
   void setDelay(Duration Delay) { this->Delay = Delay; }
+  /// Limits the link over which \p Vm receives answers. The link of a VM is
+  /// unlimited until this is called.
+  void setLinkRate(const EntryName &Vm, double BytesPerSecond);
+  /// The link of \p Vm; null if it is unlimited.
+  SharedLink *linkOf(const EntryName &Vm);
   /// Drops the history of changes. A watch from an earlier revision then fails
   /// with HistoryLost, and the watcher has to read all items again.
   void dropHistory();
@@ -57,6 +71,7 @@
     TimePoint ExpiresAt;
   };
   struct Watcher {
+    EntryName Vm;
     std::string Prefix;
     uint64_t After = 0;
     TimePoint Deadline;
@@ -68,6 +83,11 @@
   template <typename T>
   void serve(const EntryName &Vm, store::StoreCallback<T> Done,
              std::function<store::StoreResult<T>()> Work);
+  /// Passes an answer on once it has come over the link of \p Vm, or fails if
+  /// that takes until \p Deadline.
+  template <typename T>
+  void deliver(const EntryName &Vm, TimePoint Deadline,
+               store::StoreResult<T> Answer, store::StoreCallback<T> Done);
   store::StoreResult<store::StorePage> range(const std::string &Prefix,
                                              const std::string &After) const;
   store::StoreResult<store::CommitAnswer>
@@ -76,7 +96,7 @@
   store::StoreResult<void> keepAlive(store::LeaseId Id);
   void endLease(store::LeaseId Id);
   void scheduleExpiry(store::LeaseId Id);
-  void watch(const EntryName &Vm, Watcher NewWatcher);
+  void watch(Watcher NewWatcher);
   std::optional<store::WatchAnswer> changesFor(const Watcher &Waiting) const;
   void write(const std::string &Key, const std::string &Value,
              store::LeaseId Lease);
@@ -88,6 +108,7 @@
   Duration Delay = std::chrono::milliseconds(2);
   StoreFaultMode DefaultFaultMode = StoreFaultMode::Served;
   std::map<EntryName, StoreFaultMode> FaultModes;
+  std::map<EntryName, std::unique_ptr<SharedLink>> Links;
   std::map<std::string, store::StoreItem> Items;
   std::vector<store::StoreChange> History;
   /// Changes up to this revision have been dropped from the history.
--- a/src/libs/simulation/memorystore.cpp
+++ b/src/libs/simulation/memorystore.cpp
@@ -13,6 +13,51 @@
 static constexpr Duration CallTimeout = std::chrono::milliseconds(1500);
 static constexpr size_t MaxHistoryEntries = 20000;
 
+/// Added to the wait of a watch to give the time-out of its call, as in the
+/// client of the real platform.
+static constexpr Duration WatchTimeoutMargin = std::chrono::milliseconds(800);
+/// Limits of one page.
+static constexpr size_t MaxPageItems = 500;
+static constexpr size_t MaxPageBytes = 1000 * 1000;
+
+static size_t wireSize(const store::StoreItem &Item) {
+  // Values travel as base64 text, beside the names of the fields.
+  constexpr size_t FieldBytes = 60;
+  return FieldBytes + Item.Key.size() + (Item.Value.size() + 2) / 3 * 4;
+}
+
+static constexpr size_t EnvelopeBytes = 200;
+
+size_t wireSize(const store::StorePage &Page) {
+  size_t Bytes = EnvelopeBytes;
+  for (const store::StoreItem &Item : Page.Items)
+    Bytes += wireSize(Item);
+  return Bytes;
+}
+
+size_t wireSize(const store::WatchAnswer &Answer) {
+  size_t Bytes = EnvelopeBytes;
+  for (const store::StoreChange &Change : Answer.Changes)
+    Bytes += Change.Item ? wireSize(*Change.Item)
+                         : wireSize(store::StoreItem{Change.Key, "", 0, 0});
+  return Bytes;
+}
+
+size_t wireSize(const store::CommitAnswer &Answer) {
+  size_t Bytes = EnvelopeBytes;
+  for (const store::StoreItem &Item : Answer.Current)
+    Bytes += wireSize(Item);
+  return Bytes;
+}
+
+size_t wireSize(store::LeaseId) { return EnvelopeBytes; }
+
+template <typename T> static size_t answerSize(const StoreResult<T> &Answer) {
+  return Answer ? wireSize(Answer.value()) : EnvelopeBytes;
+}
+
+static size_t answerSize(const StoreResult<void> &) { return EnvelopeBytes; }
+
 MemoryStore::MemoryStore(Clock Time, TimerQueue &Loop)
     : Time(std::move(Time)), Loop(Loop) {}
 
@@ -31,6 +76,33 @@
                                          : Found->second;
 }
 
+void MemoryStore::setLinkRate(const EntryName &Vm, double BytesPerSecond) {
+  this->Links[Vm] =
+      std::make_unique<SharedLink>(this->Time, this->Loop, BytesPerSecond);
+}
+
+SharedLink *MemoryStore::linkOf(const EntryName &Vm) {
+  const auto Found = this->Links.find(Vm);
+  return Found == this->Links.end() ? nullptr : Found->second.get();
+}
+
+template <typename T>
+void MemoryStore::deliver(const EntryName &Vm, TimePoint Deadline,
+                          StoreResult<T> Answer, store::StoreCallback<T> Done) {
+  SharedLink *Link = this->linkOf(Vm);
+  if (!Link) {
+    Done(std::move(Answer));
+    return;
+  }
+  const size_t Bytes = answerSize(Answer);
+  const SharedLink::TransferId Id =
+      Link->start(Bytes, [Done, Answer] { Done(Answer); });
+  this->Loop.schedule(Deadline, [Link, Id, Done] {
+    if (Link->abort(Id))
+      Done(failure(StoreError{StoreErrorCode::Ambiguous, "too slow"}));
+  });
+}
+
 template <typename T>
 void MemoryStore::serve(const EntryName &Vm, store::StoreCallback<T> Done,
                         std::function<StoreResult<T>()> Work) {
@@ -38,7 +110,7 @@
   this->Loop.schedule(Now + this->Delay, [this, Vm, Done, Work, Now] {
     switch (this->faultModeFor(Vm)) {
     case StoreFaultMode::Served:
-      Done(Work());
+      this->deliver<T>(Vm, Now + CallTimeout, Work(), Done);
       return;
     case StoreFaultMode::Refused:
       Done(failure(StoreError{StoreErrorCode::Unreachable, "refused"}));
@@ -90,7 +162,7 @@
   Interface.Watch = [this, Vm](const std::string &Prefix, uint64_t After,
                                Duration Wait,
                                store::StoreCallback<store::WatchAnswer> Done) {
-    this->watch(Vm, {Prefix, After, this->Time.Now() + Wait, std::move(Done)});
+    this->watch({Vm, Prefix, After, this->Time.Now() + Wait, std::move(Done)});
   };
   return Interface;
 }
@@ -99,12 +171,14 @@
 MemoryStore::range(const std::string &Prefix, const std::string &After) const {
   store::StorePage Page;
   Page.AsOf = this->Revision;
-  constexpr size_t PageLength = 500;
+  size_t Bytes = 0;
   for (auto Each = this->Items.lower_bound(std::max(Prefix, After));
        Each != this->Items.end() && Each->first.starts_with(Prefix); ++Each) {
     if (Each->first == After)
       continue;
-    if (Page.Items.size() == PageLength) {
+    Bytes += Each->second.Value.size();
+    if (Page.Items.size() == MaxPageItems ||
+        (Bytes > MaxPageBytes && !Page.Items.empty())) {
       Page.HasMore = true;
       break;
     }
@@ -231,11 +305,11 @@
   this->CompactedRevision = this->Revision;
 }
 
-void MemoryStore::watch(const EntryName &Vm, Watcher NewWatcher) {
+void MemoryStore::watch(Watcher NewWatcher) {
   this->Loop.schedule(
       this->Time.Now() + this->Delay,
-      [this, Vm, NewWatcher = std::move(NewWatcher)]() mutable {
-        if (this->faultModeFor(Vm) != StoreFaultMode::Served) {
+      [this, NewWatcher = std::move(NewWatcher)]() mutable {
+        if (this->faultModeFor(NewWatcher.Vm) != StoreFaultMode::Served) {
           NewWatcher.Done(
               failure(StoreError{StoreErrorCode::Unreachable, "refused"}));
           return;
@@ -246,7 +320,9 @@
           return;
         }
         if (const auto Changes = this->changesFor(NewWatcher)) {
-          NewWatcher.Done(*Changes);
+          this->deliver<store::WatchAnswer>(
+              NewWatcher.Vm, NewWatcher.Deadline + WatchTimeoutMargin, *Changes,
+              NewWatcher.Done);
           return;
         }
         const TimePoint Deadline = NewWatcher.Deadline;
@@ -289,9 +365,12 @@
     }
     // The callback is delayed like any answer, and must not run within the
     // write that triggers it.
-    this->Loop.schedule(
-        this->Time.Now() + this->Delay,
-        [Done = std::move(Each->Done), Changes] { Done(*Changes); });
+    this->Loop.schedule(this->Time.Now() + this->Delay,
+                        [this, Waiting = std::move(*Each), Changes] {
+                          this->deliver<store::WatchAnswer>(
+                              Waiting.Vm, Waiting.Deadline + WatchTimeoutMargin,
+                              *Changes, Waiting.Done);
+                        });
     Each = this->Watchers.erase(Each);
   }
 }
--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -13,6 +13,16 @@
 
 static constexpr Duration MaxLease = seconds(6);
 
+/// Number of bytes of an answer of the store that a peer passes on.
+static size_t answerSize(const peers::StoreResponse &Response) {
+  if (!Response.Result)
+    return 0;
+  const store::StoreReply &Reply = Response.Result.value();
+  return simulation::wireSize(Reply.Page) +
+         simulation::wireSize(Reply.Watched) +
+         simulation::wireSize(Reply.Committed);
+}
+
 SimulatedFleet::SimulatedFleet(uint64_t Seed)
     : Source(seededRandom(Seed)),
       Platform(this->Loop.Time.clock(), this->Loop.Queue, this->Source) {}
@@ -122,12 +132,19 @@
                                 const peers::Message &Sent) {
     if (!this->areLinked(Name, To.text()))
       return false;
-    this->Loop.Queue.schedule(this->Loop.Time.now() + milliseconds(1),
-                              [this, Name, To, Sent] {
-                                if (this->areLinked(Name, To.text()))
-                                  this->Nodes.at(To.text()).Core->handleMessage(
-                                      EntryName(Name), Sent);
-                              });
+    const auto Deliver = [this, Name, To, Sent] {
+      if (this->areLinked(Name, To.text()))
+        this->Nodes.at(To.text()).Core->handleMessage(EntryName(Name), Sent);
+    };
+    this->Loop.Queue.schedule(
+        this->Loop.Time.now() + milliseconds(1), [this, To, Sent, Deliver] {
+          const auto *Response = std::get_if<peers::StoreResponse>(&Sent);
+          simulation::SharedLink *Link = this->Platform.store().linkOf(To);
+          if (Link && Response)
+            Link->start(answerSize(*Response), Deliver);
+          else
+            Deliver();
+        });
     return true;
   };
   Transport.SetPeers = [this,
