Dispatch: Assign vacant shards jointly and after the members are known

Callers saw late answers and 503 while one VM planned all services with its whole processor share and 37 others idled. At the start of all processes the configuration triggered claims of all shards at once, before the delay that lets a process learn of the others, and at a time when its list of members held only itself. So each was its own preferred member for every shard. The delay also counted from the start of the process and not from its registration: after an outage of the store or a loss of power it had long passed. Vacant shards were ranked one by one, so that claims of the same moment did not count for each other, and by number of shards before processor share.

A process now claims only once its list of members is settled: it shows the process under its present lease, and no VM has joined for 800 ms. The list is read again when shards become vacant, because dead members are listed for up to a second. rankCandidates() assigns all vacant shards together, each to the VM with the lowest load per processor share. The others follow in the order of their ranks. A VM that stops marks its registration in the transaction that releases a claim; until now it stayed the preferred member of what it released. Registering again no longer starts a further loop of reads.

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -4,10 +4,6 @@
 
 namespace whintack::dispatch::Internal {
 
-/// Delay from the start until shards are claimed. It lets the process read the
-/// list of members first, so that shards spread over the VMs at the first start
-/// of a fleet.
-static constexpr Duration ClaimDelay = std::chrono::milliseconds(800);
 /// Interval at which claims and shards are reconciled even without a change.
 static constexpr Duration CheckInterval = std::chrono::milliseconds(500);
 /// Interval of the reconciliation while this VM is not ready yet.
@@ -64,7 +60,6 @@
   this->Tracker->start();
   this->Executors->start();
   this->OperatorItems->start();
-  this->ClaimingAllowedAt = this->Shared.now() + ClaimDelay;
   this->NextCheck = this->Shared.now();
   this->checkPeriodically();
 }
@@ -90,8 +85,11 @@
                                  this->Self.PeerListener},
              this->Self.ProcessorShare},
       this->Lease, [Weak] {
-        if (const auto Alive = Weak.lock())
-          Alive->Transport.SetPeers(Alive->Members->others());
+        const auto Alive = Weak.lock();
+        if (!Alive)
+          return;
+        Alive->Transport.SetPeers(Alive->Members->others());
+        Alive->reconcileClaims();
       });
   this->Lease->onExpired([Weak] {
     const auto Alive = Weak.lock();
@@ -118,8 +116,7 @@
   this->RequestHandler = std::make_shared<JobRequestHandler>(
       this->Shared, this->Connections.Codec, this->Calls, this->queueSource());
   this->Claimer = std::make_shared<ShardClaimer>(
-      this->Shared, this->Self.Name, this->Tracker, this->Lease,
-      [Members = this->Members] { return Members->all(); },
+      this->Shared, this->Self.Name, this->Tracker, this->Lease, this->Members,
       [Weak](const HeldClaim &Acquired) {
         if (const auto Alive = Weak.lock())
           Alive->handleClaimAcquired(Acquired);
@@ -174,8 +171,7 @@
   this->IsReadyNow = this->canServe();
   if (this->IsStopping)
     return;
-  if (this->Shared.now() >= this->ClaimingAllowedAt && this->Members->isKnown())
-    this->reconcileClaims();
+  this->reconcileClaims();
   this->NextCheck = this->Shared.now() +
                     (this->IsReadyNow ? CheckInterval : StartupCheckInterval);
   scheduleFor(this->Shared.Loop, this->shared_from_this(), this->NextCheck,
@@ -331,7 +327,7 @@
     if (InStore.Holder == this->Self.Name && !this->OwnClaims.contains(Shard) &&
         !this->Claimer->isPending(Shard))
       this->releaseStrayClaim(Shard, InStore);
-  if (this->Shared.now() >= this->ClaimingAllowedAt && !this->IsStopping)
+  if (!this->IsStopping)
     this->Claimer->claimShards();
 }
 
@@ -349,6 +345,10 @@
   store::StoreTransaction Change;
   Change.Expect = {{keys::Claims + Shard, Token}};
   Change.Removals = {keys::Claims + Shard};
+  // The members must not prefer this VM for the shard that it releases.
+  if (const auto Registration = this->Members->registration();
+      Registration && this->IsStopping)
+    Change.Puts = {*Registration};
   this->Shared.Store.Commit(
       Change, [Done](const store::StoreResult<store::CommitAnswer> &) {
         // A claim that could not be removed expires with its lease.
@@ -401,6 +401,7 @@
 /// Releases all claims after storing what is not stored yet.
 void FleetCore::handOver(const std::function<void()> &Done) {
   this->Claimer->stop();
+  this->Members->announceStop();
   auto Remaining = std::make_shared<size_t>(this->OwnClaims.size() + 1);
   const auto Finish = [Remaining, Done, &Loop = this->Shared.Loop] {
     Loop.post([Remaining, Done] {
--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -117,7 +117,6 @@
   std::map<std::string, std::shared_ptr<ServiceShard>> Shards;
   std::shared_ptr<WaveManager> Maintenance;
   std::shared_ptr<PoolRebalancer> Rebalancer;
-  TimePoint ClaimingAllowedAt = TimePoint::max();
   TimePoint NextCheck = TimePoint::max();
   std::atomic<bool> IsStopping{false};
   std::atomic<bool> IsReadyNow{false};
--- a/src/libs/dispatch/membership.cpp
+++ b/src/libs/dispatch/membership.cpp
@@ -2,6 +2,7 @@
 
 #include "storekeys.h"
 
+#include <algorithm>
 #include <cpprest/json.h>
 
 namespace whintack::dispatch::Internal {
@@ -13,13 +14,21 @@
 static constexpr Duration ReadInterval = std::chrono::seconds(1);
 static constexpr Duration RegistrationRetryDelay =
     std::chrono::milliseconds(400);
+/// The list is settled when no VM has joined for this time. VMs that start
+/// together register within less.
+static constexpr Duration SettleTime = std::chrono::milliseconds(800);
+/// Limit of the time to settle, for a fleet in which VMs keep joining.
+static constexpr Duration MaxSettleTime = std::chrono::milliseconds(2400);
+static constexpr Duration MinSettleReadDelay = std::chrono::milliseconds(100);
+static constexpr Duration MaxSettleReadDelay = std::chrono::milliseconds(400);
 
-static std::string encodeMember(const peers::PeerEndpoint &Member,
-                                double ProcessorShare) {
+static std::string encodeMember(const Member &Written) {
   value Body = value::object();
-  Body["strength"] = value::number(ProcessorShare);
-  Body["data-centre"] = value::string(Member.DataCentre.text());
-  Body["link"] = value::string(Member.Link.text());
+  Body["strength"] = value::number(Written.ProcessorShare);
+  Body["data-centre"] = value::string(Written.Endpoint.DataCentre.text());
+  Body["link"] = value::string(Written.Endpoint.Link.text());
+  if (Written.IsStopping)
+    Body["stopping"] = value::boolean(true);
   return Body.serialize();
 }
 
@@ -33,7 +42,7 @@
         peers::PeerEndpoint{EntryName(Item.Key.substr(keys::Members.size())),
                             DataCentreName(Body.at("data-centre").as_string()),
                             *Link},
-        Body.at("strength").as_double()};
+        Body.at("strength").as_double(), Body.has_field("stopping")};
   } catch (const std::exception &Error) {
     logEvent(LogLevel::Error, "member-unreadable",
              {{"key", Item.Key}, {"cause", Error.what()}});
@@ -55,13 +64,18 @@
   this->readMembers();
 }
 
+std::optional<store::StorePut> Membership::registration() const {
+  if (this->Lease->id() == 0)
+    return std::nullopt;
+  return store::StorePut{keys::Members + this->Self.Endpoint.Name.text(),
+                         encodeMember(this->Self), this->Lease->id()};
+}
+
 void Membership::registerSelf() {
   if (this->IsStopped || !this->Lease->isValid())
     return;
   store::StoreTransaction Change;
-  Change.Puts = {{keys::Members + this->Self.Endpoint.Name.text(),
-                  encodeMember(this->Self.Endpoint, this->Self.ProcessorShare),
-                  this->Lease->id()}};
+  Change.Puts = {*this->registration()};
   this->Shared.Store.Commit(
       Change,
       onLoop<Membership, store::StoreResult<store::CommitAnswer>>(
@@ -83,40 +97,102 @@
   if (this->IsStopped)
     return;
   this->Shared.Store.Range(
-      keys::Members, "", store::ReadKind::Stale,
-      onLoop<Membership, store::StoreResult<store::StorePage>>(
+      keys::Members, "",
+      this->hasSettled() ? store::ReadKind::Stale : store::ReadKind::Current,
+      onLoop<Membership, MemberPage>(
           this->Shared.Loop, this->shared_from_this(),
-          [](Membership &Self, store::StoreResult<store::StorePage> Answer) {
-            Self.handleMembers(std::move(Answer));
+          [Sent = this->Shared.now()](Membership &Self,
+                                      const MemberPage &Answer) {
+            Self.adopt(Answer, Sent);
+            Self.scheduleRead(Answer.has_value());
           }));
 }
 
-void Membership::handleMembers(store::StoreResult<store::StorePage> Answer) {
-  if (Answer) {
-    std::map<EntryName, Member> Read;
-    for (const store::StoreItem &Item : Answer.value().Items)
-      if (std::optional<Member> Each = decodeMember(Item))
-        if (Each->Endpoint.Name != this->Self.Endpoint.Name)
-          Read.emplace(Each->Endpoint.Name, std::move(*Each));
-    const bool IsChanged =
-        !this->IsKnown || Read.size() != this->KnownMembers.size() ||
-        !std::equal(Read.begin(), Read.end(), this->KnownMembers.begin(),
-                    [](const auto &First, const auto &Second) {
-                      return First.first == Second.first &&
-                             First.second.Endpoint.Link ==
-                                 Second.second.Endpoint.Link;
-                    });
-    this->IsKnown = true;
-    if (IsChanged) {
-      this->KnownMembers = std::move(Read);
-      logEvent(LogLevel::Info, "members-changed",
-               {{"others", this->KnownMembers.size()}});
-      this->OnChange();
-    }
+void Membership::refresh(std::function<void()> Done) {
+  this->Shared.Store.Range(
+      keys::Members, "", store::ReadKind::Current,
+      onLoop<Membership, MemberPage>(
+          this->Shared.Loop, this->shared_from_this(),
+          [Sent = this->Shared.now(),
+           Done = std::move(Done)](Membership &Self, const MemberPage &Answer) {
+            Self.adopt(Answer, Sent);
+            Done();
+          }));
+}
+
+void Membership::scheduleRead(bool IsAnswered) {
+  const TimePoint Now = this->Shared.now();
+  TimePoint Next = Now + this->Shared.jittered(ReadInterval);
+  if (IsAnswered && !this->hasSettled()) {
+    const bool IsListed = this->ListedLease == this->Lease->id();
+    Next = std::clamp(IsListed ? this->SettledAfter : TimePoint::max(),
+                      Now + MinSettleReadDelay, Now + MaxSettleReadDelay);
+  }
+  if (this->NextRead)
+    this->Shared.Loop.cancel(*this->NextRead);
+  this->NextRead =
+      scheduleFor(this->Shared.Loop, this->shared_from_this(), Next,
+                  [](Membership &Self) { Self.readMembers(); });
+}
+
+/// An earlier process on this VM may have left a registration behind.
+bool Membership::isOwnRegistration(const store::StoreItem &Item) const {
+  return Item.Key == keys::Members + this->Self.Endpoint.Name.text() &&
+         Item.Lease != 0 && Item.Lease == this->Lease->id();
+}
+
+bool Membership::settle(const std::map<EntryName, Member> &Read,
+                        TimePoint Sent) {
+  const TimePoint Now = this->Shared.now();
+  if (this->hasSettled())
+    return false;
+  if (this->ListedLease != this->Lease->id()) {
+    this->ListedLease = this->Lease->id();
+    this->SettledAfter = Now + SettleTime;
+    this->SettledBy = Now + MaxSettleTime;
+    return false;
+  }
+  const bool HasJoined =
+      std::any_of(Read.begin(), Read.end(), [this](const auto &Entry) {
+        return !this->KnownMembers.contains(Entry.first);
+      });
+  if (HasJoined)
+    this->SettledAfter = std::min(Now + SettleTime, this->SettledBy);
+  if (Sent < this->SettledAfter)
+    return false;
+  this->SettledLease = this->ListedLease;
+  logEvent(LogLevel::Info, "members-settled", {{"others", Read.size()}});
+  return true;
+}
+
+void Membership::adopt(const MemberPage &Answer, TimePoint Sent) {
+  if (!Answer || Answer.value().AsOf < this->AsOf)
+    return;
+  this->AsOf = Answer.value().AsOf;
+  std::map<EntryName, Member> Read;
+  bool IsSelfListed = false;
+  for (const store::StoreItem &Item : Answer.value().Items) {
+    IsSelfListed = IsSelfListed || this->isOwnRegistration(Item);
+    if (std::optional<Member> Each = decodeMember(Item))
+      if (Each->Endpoint.Name != this->Self.Endpoint.Name)
+        Read.emplace(Each->Endpoint.Name, std::move(*Each));
   }
-  scheduleFor(this->Shared.Loop, this->shared_from_this(),
-              this->Shared.now() + this->Shared.jittered(ReadInterval),
-              [](Membership &Self) { Self.readMembers(); });
+  const bool IsChanged =
+      !this->IsKnown || Read.size() != this->KnownMembers.size() ||
+      !std::equal(Read.begin(), Read.end(), this->KnownMembers.begin(),
+                  [](const auto &First, const auto &Second) {
+                    return First.first == Second.first &&
+                           First.second.Endpoint.Link ==
+                               Second.second.Endpoint.Link;
+                  });
+  const bool IsSettledNow = IsSelfListed && this->settle(Read, Sent);
+  this->IsKnown = true;
+  this->KnownMembers = std::move(Read);
+  if (IsChanged)
+    logEvent(LogLevel::Info, "members-changed",
+             {{"others", this->KnownMembers.size()}});
+  if (IsChanged || IsSettledNow)
+    this->OnChange();
 }
 
 std::vector<peers::PeerEndpoint> Membership::others() const {
--- a/src/libs/dispatch/membership.h
+++ b/src/libs/dispatch/membership.h
@@ -14,6 +14,8 @@
   peers::PeerEndpoint Endpoint;
   /// Share of a processor core that the VM may use.
   double ProcessorShare = 1;
+  /// The VM hands its shards over and takes no others.
+  bool IsStopping = false;
 };
 
 /// The entry VMs that are alive: each registers itself in the store under its
@@ -32,17 +34,50 @@
   std::vector<Member> all() const;
   /// Whether the list has been read at least once.
   bool isKnown() const { return this->IsKnown; }
+  /// Whether the list holds this VM under its present lease, and those that
+  /// registered at about the same time have been waited for.
+  bool isSettled() const {
+    return this->Lease->isValid() && this->hasSettled();
+  }
+
+  /// Reads the list anew, then calls \p Done, also if the read fails.
+  void refresh(std::function<void()> Done);
+  /// Marks this VM as stopping in its later registrations.
+  void announceStop() { this->Self.IsStopping = true; }
+  /// The registration of this VM, to be written with another change; nothing if
+  /// there is no lease.
+  std::optional<store::StorePut> registration() const;
 
 private:
+  using MemberPage = store::StoreResult<store::StorePage>;
+
+  /// Whether the list was settled under the present lease.
+  bool hasSettled() const {
+    return this->SettledLease != 0 && this->SettledLease == this->Lease->id();
+  }
   void registerSelf();
   void readMembers();
-  void handleMembers(store::StoreResult<store::StorePage> Answer);
+  void scheduleRead(bool IsAnswered);
+  void adopt(const MemberPage &Answer, TimePoint Sent);
+  bool isOwnRegistration(const store::StoreItem &Item) const;
+  /// Settles the list if possible. Returns whether it did.
+  bool settle(const std::map<EntryName, Member> &Read, TimePoint Sent);
 
   Context Shared;
   Member Self;
   std::shared_ptr<NodeLease> Lease;
   std::function<void()> OnChange;
   std::map<EntryName, Member> KnownMembers;
+  /// Store revision up to which the members are known.
+  uint64_t AsOf = 0;
+  /// Lease under which the list has shown this VM.
+  store::LeaseId ListedLease = 0;
+  /// The list is settled by a read that is sent at or after this time.
+  TimePoint SettledAfter = TimePoint::max();
+  /// Latest time for SettledAfter.
+  TimePoint SettledBy = TimePoint::max();
+  store::LeaseId SettledLease = 0;
+  std::optional<TimerId> NextRead;
   bool IsKnown = false;
   bool IsStopped = false;
 };
--- /dev/null
+++ b/src/libs/dispatch/shardassignment.h
@@ -0,0 +1,41 @@
+#ifndef WHINTACK_DISPATCH_SHARDASSIGNMENT_H
+#define WHINTACK_DISPATCH_SHARDASSIGNMENT_H
+
+#include "whintack/base/identifier.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace whintack::dispatch::Internal {
+
+/// An entry VM that may hold shards.
+struct ShardCandidate {
+  EntryName Name;
+  /// Share of a processor core that the VM may use.
+  double ProcessorShare = 1;
+};
+
+/// Which VMs there are, and which of them hold which shards.
+struct ShardLayout {
+  std::vector<ShardCandidate> Candidates;
+  /// The weight of each shard that must have a holder. VMs agree on an
+  /// assignment only if they use the same weights.
+  std::map<std::string, double> Weights;
+  /// The holders of the shards that have one.
+  std::map<std::string, EntryName> Holders;
+};
+
+/// The candidates for each shard without a holder, the preferred one first.
+using ShardRanking = std::map<std::string, std::vector<EntryName>>;
+
+/// Ranks the candidates for the shards without a holder. The shards are
+/// assigned jointly, the heaviest first, each to the VM that has the lowest
+/// load per processor share after taking it. The result depends on nothing but
+/// \p Layout.
+ShardRanking rankCandidates(const ShardLayout &Layout);
+
+} // namespace whintack::dispatch::Internal
+
+#endif // WHINTACK_DISPATCH_SHARDASSIGNMENT_H
--- a/src/libs/dispatch/shardclaimer.cpp
+++ b/src/libs/dispatch/shardclaimer.cpp
@@ -4,18 +4,21 @@
 
 #include <algorithm>
 #include <charconv>
-#include <tuple>
 
 namespace whintack::dispatch::Internal {
 
 /// Delay before a member that is not the preferred one claims a shard; the
 /// preferred member needs two store calls.
 static constexpr Duration FollowerDelay = std::chrono::milliseconds(400);
+/// Further delay for each rank, so that a shard whose preferred member cannot
+/// claim it goes to the next best instead of to any.
+static constexpr Duration RankDelay = std::chrono::milliseconds(200);
+static constexpr int64_t MaxDelayedRanks = 3;
 
 ShardClaimer::ShardClaimer(Context Shared, EntryName Self,
                            std::shared_ptr<ClaimTracker> Tracker,
                            std::shared_ptr<NodeLease> Lease,
-                           std::function<std::vector<Member>()> Members,
+                           std::shared_ptr<Membership> Members,
                            std::function<void(const HeldClaim &)> OnClaimed)
     : Shared(std::move(Shared)), Self(std::move(Self)),
       Tracker(std::move(Tracker)), Lease(std::move(Lease)),
@@ -26,39 +29,56 @@
   this->claimShards();
 }
 
-bool ShardClaimer::isPreferred(const std::string &Shard) const {
-  // Shards are spread over the VMs because each shard needs its own executor
-  // connections. Among VMs with equally many shards, the one with the largest
-  // processor share comes first.
-  const auto Rank = [this, &Shard](const Member &Node) {
-    const EntryName &Name = Node.Endpoint.Name;
-    return std::make_tuple(this->Tracker->shardCount(Name),
-                           -Node.ProcessorShare,
-                           std::hash<std::string>()(Name.text() + "/" + Shard));
-  };
-  const std::vector<Member> Candidates = this->Members();
-  const auto Preferred =
-      std::min_element(Candidates.begin(), Candidates.end(),
-                       [&](const Member &One, const Member &Other) {
-                         return Rank(One) < Rank(Other);
-                       });
-  return Preferred == Candidates.end() ||
-         Preferred->Endpoint.Name == this->Self;
+ShardLayout ShardClaimer::layout() const {
+  ShardLayout Layout;
+  for (const Member &Each : this->Members->all())
+    if (!Each.IsStopping)
+      Layout.Candidates.push_back({Each.Endpoint.Name, Each.ProcessorShare});
+  // No count of executors is known to all members alike.
+  for (const std::string &Shard : this->RequiredShards)
+    Layout.Weights[Shard] = 1;
+  for (const auto &[Shard, Held] : this->Tracker->holders())
+    Layout.Holders.emplace(Shard, Held.Holder);
+  return Layout;
 }
 
 void ShardClaimer::claimShards() {
-  if (this->IsStopped || !this->Tracker->isKnown())
+  if (this->IsStopped || !this->Tracker->isKnown() ||
+      !this->Members->isSettled())
     return;
-  for (const std::string &Shard : this->RequiredShards) {
-    if (this->Tracker->holder(Shard) || !this->Pending.insert(Shard).second)
+  std::set<std::string> Vacant;
+  for (const std::string &Shard : this->RequiredShards)
+    if (!this->Tracker->holder(Shard) && this->Pending.insert(Shard).second)
+      Vacant.insert(Shard);
+  if (Vacant.empty())
+    return;
+  // The holders may have died or be stopping, which the list shows only if it
+  // is read after the shards became vacant.
+  this->Members->refresh([Weak = this->weak_from_this(), Vacant] {
+    if (const auto Self = Weak.lock())
+      Self->claimVacant(Vacant);
+  });
+}
+
+void ShardClaimer::claimVacant(const std::set<std::string> &Vacant) {
+  const ShardRanking Ranking = rankCandidates(this->layout());
+  for (const std::string &Shard : Vacant) {
+    const auto Ranked = Ranking.find(Shard);
+    if (Ranked == Ranking.end()) {
+      this->Pending.erase(Shard);
       continue;
-    if (this->isPreferred(Shard)) {
+    }
+    const std::vector<EntryName> &Order = Ranked->second;
+    const auto Rank =
+        std::find(Order.begin(), Order.end(), this->Self) - Order.begin();
+    if (Rank == 0) {
       this->tryClaim(Shard);
       continue;
     }
     scheduleFor(this->Shared.Loop, this->shared_from_this(),
                 this->Shared.now() + FollowerDelay / 2 +
-                    this->Shared.jittered(FollowerDelay),
+                    this->Shared.jittered(FollowerDelay) +
+                    RankDelay * std::min<int64_t>(Rank - 1, MaxDelayedRanks),
                 [Shard](ShardClaimer &Self) { Self.tryClaim(Shard); });
   }
 }
@@ -66,7 +86,8 @@
 void ShardClaimer::tryClaim(const std::string &Shard) {
   if (this->IsStopped)
     return;
-  if (this->Tracker->holder(Shard) || !this->Lease->isValid()) {
+  // The lease may have been replaced since the attempt was scheduled.
+  if (this->Tracker->holder(Shard) || !this->Members->isSettled()) {
     this->Pending.erase(Shard);
     return;
   }
@@ -144,7 +165,7 @@
            {{"shard", Shard},
             {"token", Token},
             {"generation", Generation},
-            {"members", this->Members().size()},
+            {"members", this->Members->all().size()},
             {"held", this->Tracker->shardCount(this->Self)}});
   this->OnClaimed({Shard, Token, Generation});
 }
--- a/src/libs/dispatch/shardclaimer.h
+++ b/src/libs/dispatch/shardclaimer.h
@@ -4,9 +4,9 @@
 #include "claimtracker.h"
 #include "membership.h"
 #include "nodelease.h"
+#include "shardassignment.h"
 
 #include <set>
-#include <vector>
 
 namespace whintack::dispatch::Internal {
 
@@ -18,19 +18,21 @@
   uint64_t Generation = 1;
 };
 
-/// Claims shards that have no holder. All members compute the same preferred
-/// member, by the number of shards held and a hash; the others follow after a
-/// delay. This spreads the shards and leaves none without a holder.
+/// Claims shards that have no holder, once the list of members is settled. All
+/// members compute the same preferred member for each shard; the others follow
+/// after a delay. This spreads the shards and leaves none without a holder.
 class ShardClaimer : public std::enable_shared_from_this<ShardClaimer> {
 public:
   ShardClaimer(Context Shared, EntryName Self,
                std::shared_ptr<ClaimTracker> Tracker,
                std::shared_ptr<NodeLease> Lease,
-               std::function<std::vector<Member>()> Members,
+               std::shared_ptr<Membership> Members,
                std::function<void(const HeldClaim &)> OnClaimed);
 
   /// Sets the shards that must have a holder.
   void setShards(std::set<std::string> RequiredShards);
+  /// The members, and which of them hold which of the shards.
+  ShardLayout layout() const;
   /// Tries to claim all shards that have no holder.
   void claimShards();
   void stop() { this->IsStopped = true; }
@@ -40,7 +42,7 @@
   }
 
 private:
-  bool isPreferred(const std::string &Shard) const;
+  void claimVacant(const std::set<std::string> &Vacant);
   void tryClaim(const std::string &Shard);
   void handleGeneration(const std::string &Shard,
                         store::StoreResult<store::StorePage> Answer);
@@ -55,7 +57,7 @@
   EntryName Self;
   std::shared_ptr<ClaimTracker> Tracker;
   std::shared_ptr<NodeLease> Lease;
-  std::function<std::vector<Member>()> Members;
+  std::shared_ptr<Membership> Members;
   std::function<void(const HeldClaim &)> OnClaimed;
   std::set<std::string> RequiredShards;
   /// Shards for which an attempt is running or scheduled.
