--- a/src/libs/dispatch/shardassignment.cpp
+++ b/src/libs/dispatch/shardassignment.cpp
@@ -29,12 +29,14 @@
          const std::vector<ShardCandidate> &Candidates,
          std::map<EntryName, double> &Loads) {
   std::vector<std::tuple<double, size_t, EntryName>> Ranks;
+  Ranks.reserve(Candidates.size());
   for (const ShardCandidate &Each : Candidates)
     Ranks.emplace_back((Loads[Each.Name] + Weight) / processorShare(Each),
                        std::hash<std::string>()(Each.Name.text() + "/" + Shard),
                        Each.Name);
   std::sort(Ranks.begin(), Ranks.end());
   std::vector<EntryName> Order;
+  Order.reserve(Ranks.size());
   for (const auto &[Load, Hash, Name] : Ranks)
     Order.push_back(Name);
   return Order;
