Dispatch: Load shards in portions that a slow link carries

Callers saw accepted jobs lost: a VM with a link of 10 Mbit/s that claimed several shards never loaded them, and kept the claims.

Cause: a planner read pages of up to 1 MB (1.3 MB as base64, 1.1 s at 10 Mbit/s). The loads of all its shards ran at the same time, and each page was also requested through a peer after 0.5 s, so that copies of the same bytes shared the link. Each call was given up after 1.5 s and repeated whole, for ever.

LoadQueue lets the shards of a process load one after the other. StoreRelay no longer requests pages through a peer while the direct call is open. Three seconds after a claim, a planner no longer reads all jobs again, but asks for the changes since its load; it reads all only if the store has dropped its history or the changes cannot be read.

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -18,7 +18,8 @@
 FleetCore::FleetCore(CoreIdentity Self, NodeConnections Connections,
                      Context Shared, PeerTransport Transport)
     : Self(std::move(Self)), Connections(std::move(Connections)),
-      Shared(std::move(Shared)), Transport(std::move(Transport)) {}
+      Shared(std::move(Shared)), Transport(std::move(Transport)),
+      Loads(std::make_shared<LoadQueue>(this->Shared.Loop)) {}
 
 std::function<std::shared_ptr<const jobs::QueueTable>()>
 FleetCore::queueSource() {
@@ -284,6 +285,7 @@
   Environment.RefreshExecutors = [Executors = this->Executors] {
     Executors->refresh();
   };
+  Environment.Loads = this->Loads;
   Environment.MaxLease = this->Self.MaxLease;
   Environment.OnLost = this->shardLossHandler();
   auto Shard =
--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -108,6 +108,7 @@
   std::shared_ptr<ShardClaimer> Claimer;
   std::shared_ptr<Membership> Members;
   std::shared_ptr<ExecutorListMonitor> Executors;
+  std::shared_ptr<LoadQueue> Loads;
   std::shared_ptr<ServiceCalls> Calls;
   std::shared_ptr<JobRequestHandler> RequestHandler;
   std::shared_ptr<PrefixWatch> OperatorItems;
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -52,8 +52,9 @@
     this->Planner.beginExecutorDiscovery();
     this->Planner.beginCatchUp();
   }
-  this->Records = std::make_shared<ShardStore>(this->Shared, this->Service,
-                                               this->OwnClaim.Token);
+  this->Records =
+      std::make_shared<ShardStore>(this->Shared, this->Environment.Loads,
+                                   this->Service, this->OwnClaim.Token);
   this->Records->load(
       [Weak = this->weak_from_this()](const ShardStore::Contents &Loaded) {
         if (const auto Self = Weak.lock())
@@ -141,6 +142,7 @@
         Item.Value;
   for (const store::StoreItem &Item : Loaded.Jobs)
     this->restore(Item, Progress);
+  this->LoadedAsOf = Loaded.AsOf;
   this->IsLoaded = true;
   logEvent(LogLevel::Info, "shard-loaded",
            {{"shard", this->OwnClaim.Shard},
@@ -157,7 +159,10 @@
           Self->handleNotices(Items);
       });
   this->Notices->start();
-  if (this->OwnClaim.Generation > 1)
+  if (this->OwnClaim.Generation > 1 &&
+      Loaded.Began >= this->ClaimedAt + RescanDelay)
+    this->endCatchUp();
+  else if (this->OwnClaim.Generation > 1)
     scheduleFor(this->Shared.Loop, this->shared_from_this(),
                 this->ClaimedAt + RescanDelay,
                 [](ServiceShard &Self) { Self.rescan(); });
@@ -384,23 +389,30 @@
 /// Looks for jobs that request handlers announced to an earlier planner while
 /// this one read the records.
 void ServiceShard::rescan() {
-  this->Records->load(
-      [Weak = this->weak_from_this()](const ShardStore::Contents &Loaded) {
+  if (this->IsStopped)
+    return;
+  this->Records->readChangedJobs(
+      this->LoadedAsOf, [Weak = this->weak_from_this()](
+                            const std::vector<store::StoreItem> &Changed) {
         const auto Self = Weak.lock();
         if (!Self || Self->IsStopped)
           return;
         const size_t Prefix = keys::jobs(Self->Service).size();
-        for (const store::StoreItem &Item : Loaded.Jobs) {
+        for (const store::StoreItem &Item : Changed) {
           const jobs::JobId Id(Item.Key.substr(Prefix));
           if (!Self->Planner.shownState(Id))
             Self->restore(Item, {});
         }
-        Self->Planner.endCatchUp();
-        Self->requestFlush();
-        Self->requestPlan();
+        Self->endCatchUp();
       });
 }
 
+void ServiceShard::endCatchUp() {
+  this->Planner.endCatchUp();
+  this->requestFlush();
+  this->requestPlan();
+}
+
 void ServiceShard::openLink(const jobs::ExecutorInfo &Info) {
   LinkSetup Setup;
   Setup.Executor = {Info.Id, Info.Server};
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -21,6 +21,7 @@
   /// Time until which the claim certainly holds.
   std::function<TimePoint()> ClaimValidUntil;
   decltype(jobs::MachineGateway::List) ListMachines;
+  std::shared_ptr<LoadQueue> Loads;
   /// Requests a new list of executors.
   std::function<void()> RefreshExecutors;
   Duration MaxLease = Duration::zero();
@@ -83,6 +84,7 @@
   void handleSilentMachines(
       const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found);
   void rescan();
+  void endCatchUp();
   void requestFlush();
   void flush();
   void handleWriteResult(const std::vector<jobs::JobWrite> &Writes,
@@ -111,6 +113,8 @@
   std::function<void()> OnDrained;
   TimePoint EarlierLeasesEnd = TimePoint::min();
   TimePoint ClaimedAt;
+  /// Revision of the store when the load began.
+  uint64_t LoadedAsOf = 0;
   TimePoint LastPlan = TimePoint::min();
   TimePoint NextFlush = TimePoint::min();
   DiscoveryState Discovery = DiscoveryState::NotNeeded;
--- a/src/libs/dispatch/shardstore.cpp
+++ b/src/libs/dispatch/shardstore.cpp
@@ -5,68 +5,154 @@
 namespace whintack::dispatch::Internal {
 
 static constexpr Duration ReadRetryDelay = std::chrono::milliseconds(200);
+/// Wait of a read of changes, which usually finds some at once.
+static constexpr Duration ChangesWait = std::chrono::milliseconds(300);
+/// Number of failed reads of changes after which all jobs are read instead:
+/// the changes may be too many for the link, and become more.
+static constexpr unsigned MaxChangeFailures = 2;
 
-ShardStore::ShardStore(Context Shared, ServiceName Service, uint64_t Token)
-    : Shared(std::move(Shared)), Service(std::move(Service)), Token(Token) {}
+ShardStore::ShardStore(Context Shared, std::shared_ptr<LoadQueue> Loads,
+                       ServiceName Service, uint64_t Token)
+    : Shared(std::move(Shared)), Loads(std::move(Loads)),
+      Service(std::move(Service)), Token(Token) {}
 
-void ShardStore::readAll(
-    const std::string &Prefix, const std::string &After,
-    const std::shared_ptr<std::vector<store::StoreItem>> &Found,
-    const std::function<void()> &Done) {
-  const TimePoint Sent = this->Shared.now();
+void ShardStore::stop() {
+  this->IsStopped = true;
+  if (this->Reading)
+    this->Reading->stop();
+  // Ends this shard's turn to load.
+  this->Reading.reset();
+}
+
+void ShardStore::read(const std::string &Prefix,
+                      std::function<void(PortionedRead::Contents)> Done) {
+  this->Reading =
+      std::make_shared<PortionedRead>(this->Shared, Prefix, std::move(Done));
+  this->Reading->start();
+}
+
+void ShardStore::load(std::function<void(Contents)> Done) {
+  this->Loads->enter([Weak = this->weak_from_this(),
+                      Done = std::move(Done)](LoadQueue::Turn Turn) {
+    if (const auto Self = Weak.lock(); Self && !Self->IsStopped)
+      Self->readJobs(std::move(Turn), Done);
+  });
+}
+
+void ShardStore::readJobs(LoadQueue::Turn Turn,
+                          std::function<void(Contents)> Done) {
+  auto Loaded = std::make_shared<Contents>();
+  Loaded->Began = this->Shared.now();
+  // Progress is read after the jobs: a job that ends in between leaves a final
+  // record and no progress, which then reads as no progress yet. Under this
+  // planner's claim nobody else writes either kind of record.
+  this->read(keys::jobs(this->Service), [this, Turn = std::move(Turn), Loaded,
+                                         Done = std::move(Done)](
+                                            PortionedRead::Contents Jobs) {
+    Loaded->Jobs = std::move(Jobs.Items);
+    Loaded->AsOf = Jobs.AsOf;
+    this->read(keys::progress(this->Service),
+               [Turn, Loaded, Done](PortionedRead::Contents Progress) {
+                 Loaded->Progress = std::move(Progress.Items);
+                 Done(std::move(*Loaded));
+               });
+  });
+}
+
+void ShardStore::readChangedJobs(uint64_t After, JobsHook Done) {
+  auto Current = std::make_shared<ChangeRead>();
+  Current->After = After;
+  Current->Done = std::move(Done);
+  this->findTarget(Current);
+}
+
+/// Finds out which revision the store has now.
+void ShardStore::findTarget(const std::shared_ptr<ChangeRead> &Current) {
   this->Shared.Store.Range(
-      Prefix, After, store::ReadKind::Current,
+      keys::Claims + this->Service.text(), "", store::ReadKind::Current,
       onLoop<ShardStore, store::StoreResult<store::StorePage>>(
           this->Shared.Loop, this->shared_from_this(),
-          [Prefix, After, Found, Done, Sent](
-              ShardStore &Self, store::StoreResult<store::StorePage> Answer) {
-            if (Self.IsStopped)
-              return;
+          [Current](ShardStore &Self,
+                    const store::StoreResult<store::StorePage> &Answer) {
             if (!Answer) {
-              logEvent(LogLevel::Warning, "shard-read-failed",
-                       {{"prefix", Prefix},
-                        {"items-read", Found->size()},
-                        {"took-ms", toMilliseconds(Self.Shared.now() - Sent)},
-                        {"code",
-                         nameOf(store::StoreErrorNames, Answer.error().Code)},
-                        {"cause", Answer.error().Message}});
-              scheduleFor(Self.Shared.Loop, Self.shared_from_this(),
-                          Self.Shared.now() +
-                              Self.Shared.jittered(ReadRetryDelay),
-                          [Prefix, After, Found, Done](ShardStore &Owner) {
-                            Owner.readAll(Prefix, After, Found, Done);
-                          });
+              Self.retryChanges(Current, Answer.error(),
+                                &ShardStore::findTarget);
               return;
             }
-            std::string Last = After;
-            for (store::StoreItem &Item : Answer.value().Items) {
-              Last = Item.Key;
-              Found->push_back(std::move(Item));
-            }
-            if (Answer.value().HasMore && Last != After)
-              Self.readAll(Prefix, Last, Found, Done);
-            else
-              Done();
+            Current->Target = Answer.value().AsOf;
+            Self.readChanges(Current);
           }));
 }
 
-void ShardStore::load(const std::function<void(Contents)> &Done) {
-  auto Jobs = std::make_shared<std::vector<store::StoreItem>>();
-  auto Progress = std::make_shared<std::vector<store::StoreItem>>();
-  // Progress is read after the jobs: a job that ends in between leaves a final
-  // record and no progress, which then reads as no progress yet. Under this
-  // planner's claim nobody else writes either kind of record.
-  this->readAll(keys::jobs(this->Service), "", Jobs,
-                [Weak = this->weak_from_this(), Jobs, Progress, Done] {
-                  const auto Self = Weak.lock();
-                  if (!Self)
-                    return;
-                  Self->readAll(
-                      keys::progress(Self->Service), "", Progress,
-                      [Jobs, Progress, Done] {
-                        Done({std::move(*Jobs), std::move(*Progress)});
-                      });
-                });
+void ShardStore::readChanges(const std::shared_ptr<ChangeRead> &Current) {
+  if (Current->After >= Current->Target) {
+    std::vector<store::StoreItem> Changed;
+    for (auto &[Key, Item] : Current->Jobs)
+      Changed.push_back(std::move(Item));
+    Current->Done(std::move(Changed));
+    return;
+  }
+  this->Shared.Store.Watch(
+      keys::jobs(this->Service), Current->After, ChangesWait,
+      onLoop<ShardStore, store::StoreResult<store::WatchAnswer>>(
+          this->Shared.Loop, this->shared_from_this(),
+          [Current](ShardStore &Self,
+                    store::StoreResult<store::WatchAnswer> Answer) {
+            Self.handleChanges(Current, std::move(Answer));
+          }));
+}
+
+void ShardStore::handleChanges(const std::shared_ptr<ChangeRead> &Current,
+                               store::StoreResult<store::WatchAnswer> Answer) {
+  if (this->IsStopped)
+    return;
+  if (!Answer) {
+    if (Answer.error().Code == store::StoreErrorCode::HistoryLost ||
+        ++Current->Failures >= MaxChangeFailures)
+      this->readAllJobs(std::move(Current->Done));
+    else
+      this->retryChanges(Current, Answer.error(), &ShardStore::readChanges);
+    return;
+  }
+  // An answer without changes means that there have been none at all.
+  const bool IsLast = Answer.value().Changes.empty();
+  Current->After =
+      IsLast ? Current->Target : std::max(Current->After, Answer.value().AsOf);
+  for (store::StoreChange &Change : Answer.value().Changes)
+    if (Change.Item)
+      Current->Jobs[Change.Key] = std::move(*Change.Item);
+    else
+      Current->Jobs.erase(Change.Key);
+  this->readChanges(Current);
+}
+
+void ShardStore::retryChanges(
+    const std::shared_ptr<ChangeRead> &Current, const store::StoreError &Cause,
+    void (ShardStore::*Step)(const std::shared_ptr<ChangeRead> &)) {
+  logEvent(LogLevel::Warning, "shard-changes-not-read",
+           {{"shard", this->Service},
+            {"after", Current->After},
+            {"code", nameOf(store::StoreErrorNames, Cause.Code)},
+            {"cause", Cause.Message}});
+  scheduleFor(this->Shared.Loop, this->shared_from_this(),
+              this->Shared.now() + this->Shared.jittered(ReadRetryDelay),
+              [Current, Step](ShardStore &Self) {
+                if (!Self.IsStopped)
+                  (Self.*Step)(Current);
+              });
+}
+
+void ShardStore::readAllJobs(JobsHook Done) {
+  this->Loads->enter([Weak = this->weak_from_this(),
+                      Done = std::move(Done)](LoadQueue::Turn Turn) {
+    const auto Self = Weak.lock();
+    if (!Self || Self->IsStopped)
+      return;
+    Self->read(keys::jobs(Self->Service),
+               [Turn = std::move(Turn), Done](PortionedRead::Contents Jobs) {
+                 Done(std::move(Jobs.Items));
+               });
+  });
 }
 
 void ShardStore::write(
--- a/src/libs/dispatch/shardstore.h
+++ b/src/libs/dispatch/shardstore.h
@@ -3,9 +3,13 @@
 
 #include "context.h"
 #include "jobrecords.h"
+#include "loadqueue.h"
+#include "portionedread.h"
 
 #include "whintack/jobs/planner.h"
 
+#include <map>
+
 namespace whintack::dispatch::Internal {
 
 /// Reads and writes the store's records of one service for its planner. Every
@@ -13,15 +17,23 @@
 /// planner has taken over.
 class ShardStore : public std::enable_shared_from_this<ShardStore> {
 public:
-  ShardStore(Context Shared, ServiceName Service, uint64_t Token);
+  ShardStore(Context Shared, std::shared_ptr<LoadQueue> Loads,
+             ServiceName Service, uint64_t Token);
 
   /// All records of the service.
   struct Contents {
     std::vector<store::StoreItem> Jobs;
     std::vector<store::StoreItem> Progress;
+    /// Time and revision of the store when the read began.
+    TimePoint Began;
+    uint64_t AsOf = 0;
   };
   /// Reads all records; retries until that succeeds or stop() is called.
-  void load(const std::function<void(Contents)> &Done);
+  void load(std::function<void(Contents)> Done);
+  /// Reads the jobs that were stored or changed after the revision \p After;
+  /// returns all jobs if the store no longer knows which these are.
+  void readChangedJobs(uint64_t After,
+                       std::function<void(std::vector<store::StoreItem>)> Done);
 
   /// How a write ended.
   enum class WriteOutcome {
@@ -37,14 +49,38 @@
              const std::function<std::string(const jobs::JobId &)> &QueueName,
              const std::function<void(WriteOutcome)> &Done);
 
-  void stop() { this->IsStopped = true; }
+  void stop();
 
 private:
-  void readAll(const std::string &Prefix, const std::string &After,
-               const std::shared_ptr<std::vector<store::StoreItem>> &Found,
-               const std::function<void()> &Done);
+  using JobsHook = std::function<void(std::vector<store::StoreItem>)>;
+
+  /// A read of changed jobs that has not ended.
+  struct ChangeRead {
+    uint64_t After = 0;
+    /// Revision that the read must reach.
+    uint64_t Target = 0;
+    unsigned Failures = 0;
+    /// The newest state of the jobs found so far.
+    std::map<std::string, store::StoreItem> Jobs;
+    JobsHook Done;
+  };
+
+  void read(const std::string &Prefix,
+            std::function<void(PortionedRead::Contents)> Done);
+  void readJobs(LoadQueue::Turn Turn, std::function<void(Contents)> Done);
+  void findTarget(const std::shared_ptr<ChangeRead> &Current);
+  void readChanges(const std::shared_ptr<ChangeRead> &Current);
+  void handleChanges(const std::shared_ptr<ChangeRead> &Current,
+                     store::StoreResult<store::WatchAnswer> Answer);
+  void
+  retryChanges(const std::shared_ptr<ChangeRead> &Current,
+               const store::StoreError &Cause,
+               void (ShardStore::*Step)(const std::shared_ptr<ChangeRead> &));
+  void readAllJobs(JobsHook Done);
 
   Context Shared;
+  std::shared_ptr<LoadQueue> Loads;
+  std::shared_ptr<PortionedRead> Reading;
   ServiceName Service;
   uint64_t Token;
   bool IsStopped = false;
--- a/src/libs/dispatch/storerelay.cpp
+++ b/src/libs/dispatch/storerelay.cpp
@@ -34,6 +34,13 @@
          Error.Code == StoreErrorCode::Ambiguous;
 }
 
+/// Whether a call that is not answered soon is also sent to a peer. A page may
+/// be large: a second copy would share the link with the first.
+static bool mayBeHedged(StoreCallKind Kind) {
+  return store::isRepeatable(Kind) && indicatesReachability(Kind) &&
+         Kind != StoreCallKind::Range;
+}
+
 StoreRelay::StoreRelay(Context Shared, StoreRelayHooks Hooks)
     : Shared(std::move(Shared)), Hooks(std::move(Hooks)) {}
 
@@ -63,7 +70,7 @@
   if (IsBlocked && this->callPeer(Id))
     return;
   this->callDirectly(Id);
-  if (!store::isRepeatable(Kind) || !indicatesReachability(Kind))
+  if (!mayBeHedged(Kind))
     return;
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
               this->Shared.now() + HedgeDelay, [Id](StoreRelay &Self) {
--- a/tests/auto/dispatch/tst_storerelay.cpp
+++ b/tests/auto/dispatch/tst_storerelay.cpp
@@ -102,6 +102,20 @@
     return Outcome;
   }
 
+  /// Reads a page through e1; returns the outcome after \p Wait.
+  std::string readPage(Duration Wait) {
+    auto Outcome = std::make_shared<std::string>("open");
+    this->Vms["e1"].Relay->store().Range(
+        "prefix/", "", store::ReadKind::Current,
+        [Outcome](const store::StoreResult<store::StorePage> &Answer) {
+          *Outcome = Answer ? "read"
+                            : std::string(nameOf(store::StoreErrorNames,
+                                                 Answer.error().Code));
+        });
+    this->Loop.runFor(Wait);
+    return *Outcome;
+  }
+
   tests::SteppedLoop Loop;
   std::map<std::string, Vm> Vms;
   unsigned Commits = 0;
@@ -137,6 +151,17 @@
   CHECK(Test.keepLease(milliseconds(10)) == "kept");
 }
 
+// Guards against second copies of large answers that fill a slow link.
+TEST_CASE("a page is read through a peer only after the direct path failed") {
+  Fixture Test;
+  Test.Vms["e1"].Path = StoreBehaviour::Silent;
+  CHECK(Test.readPage(milliseconds(1400)) == "open");
+  CHECK(Test.Vms["e2"].Calls == 0);
+  Test.Loop.runFor(milliseconds(200));
+  CHECK(Test.Vms["e2"].Calls == 1);
+  CHECK(Test.readPage(milliseconds(10)) == "read");
+}
+
 TEST_CASE("a VM returns to the direct path once the store serves it again") {
   Fixture Test;
   Test.Vms["e1"].Path = StoreBehaviour::Refused;
