Dispatch: Give up shards that are not loaded in time

Callers saw accepted jobs lost: a planner that renewed its lease but could not load its shard kept the claim to the end, although other VMs could have loaded it.

A shard now has a deadline of 5 s from the claim, so that a second holder can load it as well within the 12 s for recovery on the smallest sites. The deadline moves on while the store cannot be reached. A shard that is not loaded by then is dropped and its claim is released, and for 30 s this process claims it only if it stays without a holder for 1.5 s. Each time that a process gives up a shard, it doubles its own time for it, up to 40 s, so that a fleet whose VMs all need longer still loads it.

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -14,6 +14,13 @@
 static constexpr Duration StartupCheckInterval = std::chrono::milliseconds(200);
 /// Lateness of the reconciliation above which the event loop counts as late.
 static constexpr Duration MaxLoopDelay = std::chrono::milliseconds(250);
+/// Time in which a claimed shard must be loaded. Leaves a second holder as much
+/// within the 12 s in which service must have recovered.
+static constexpr Duration LoadTime = std::chrono::seconds(5);
+/// Number of times that a process doubles the time for a shard that it gave up.
+static constexpr unsigned MaxDoublings = 3;
+/// Time for which a shard that was given up is left to the other VMs.
+static constexpr Duration HoldOffTime = std::chrono::seconds(30);
 
 FleetCore::FleetCore(CoreIdentity Self, NodeConnections Connections,
                      Context Shared, PeerTransport Transport)
@@ -288,6 +295,13 @@
   Environment.Loads = this->Loads;
   Environment.MaxLease = this->Self.MaxLease;
   Environment.OnLost = this->shardLossHandler();
+  Environment.LoadTime =
+      LoadTime * (1U << std::min(this->GiveUps[Acquired.Shard], MaxDoublings));
+  Environment.OnOverdue =
+      [Weak = this->weak_from_this()](const std::string &Shard) {
+        if (const auto Alive = Weak.lock())
+          Alive->giveUpShard(Shard);
+      };
   auto Shard =
       std::make_shared<ServiceShard>(this->Shared, Environment, Acquired);
   this->Shards[Acquired.Shard] = Shard;
@@ -317,6 +331,17 @@
   }
 }
 
+void FleetCore::giveUpShard(const std::string &Shard) {
+  const auto Held = this->OwnClaims.find(Shard);
+  if (Held == this->OwnClaims.end())
+    return;
+  const uint64_t Token = Held->second.Token;
+  ++this->GiveUps[Shard];
+  this->Claimer->holdOff(Shard, this->Shared.now() + HoldOffTime);
+  this->dropShard(Shard, "not loaded in time");
+  this->releaseClaim(Shard, Token, [] {});
+}
+
 /// Reconciles the claims under which this process works with those in the
 /// store.
 void FleetCore::reconcileClaims() {
--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -81,6 +81,8 @@
   void openFleetShard(const HeldClaim &Acquired);
   void openServiceShard(const HeldClaim &Acquired);
   void dropShard(const std::string &Shard, const std::string &Cause);
+  /// Releases the claim of a shard that was not loaded in time.
+  void giveUpShard(const std::string &Shard);
   void closeFleetShard();
   void reconcileClaims();
   void releaseStrayClaim(const std::string &Shard, const Claim &Stray);
@@ -116,6 +118,8 @@
   std::vector<jobs::WaveRequest> Waves;
   std::map<std::string, HeldClaim> OwnClaims;
   std::map<std::string, std::shared_ptr<ServiceShard>> Shards;
+  /// How often this process gave up each shard.
+  std::map<std::string, unsigned> GiveUps;
   std::shared_ptr<WaveManager> Maintenance;
   std::shared_ptr<PoolRebalancer> Rebalancer;
   TimePoint ClaimingAllowedAt = TimePoint::max();
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -52,6 +52,8 @@
     this->Planner.beginExecutorDiscovery();
     this->Planner.beginCatchUp();
   }
+  this->LoadDeadline = this->ClaimedAt + this->Environment.LoadTime;
+  this->checkLoaded();
   this->Records =
       std::make_shared<ShardStore>(this->Shared, this->Environment.Loads,
                                    this->Service, this->OwnClaim.Token);
@@ -62,6 +64,25 @@
       });
 }
 
+/// Gives the shard up if it is not loaded by the deadline: another VM may be
+/// able to load it.
+void ServiceShard::checkLoaded() {
+  if (this->IsStopped || this->IsLoaded)
+    return;
+  const TimePoint Now = this->Shared.now();
+  // While the store cannot be reached, nobody can load the shard.
+  if (Now >= this->Environment.ClaimValidUntil())
+    this->LoadDeadline = Now + this->Environment.LoadTime;
+  if (Now >= this->LoadDeadline) {
+    this->Shared.Loop.post(
+        [OnOverdue = this->Environment.OnOverdue,
+         Shard = this->OwnClaim.Shard] { OnOverdue(Shard); });
+    return;
+  }
+  scheduleFor(this->Shared.Loop, this->shared_from_this(), this->LoadDeadline,
+              [](ServiceShard &Self) { Self.checkLoaded(); });
+}
+
 void ServiceShard::stop() {
   this->IsStopped = true;
   this->Records->stop();
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -25,6 +25,10 @@
   /// Requests a new list of executors.
   std::function<void()> RefreshExecutors;
   Duration MaxLease = Duration::zero();
+  /// Time in which the shard must be loaded.
+  Duration LoadTime = Duration::zero();
+  /// The shard was not loaded in time; the claim should be released.
+  std::function<void(const std::string &Shard)> OnOverdue;
   /// The claim is lost and the shard must be dropped.
   std::function<void(const std::string &Shard, const std::string &Cause)>
       OnLost;
@@ -75,6 +79,7 @@
                     const jobs::JobProgress *Earlier);
   void openLink(const jobs::ExecutorInfo &Info);
   LinkHooks linkHooks();
+  void checkLoaded();
   void requestPlan();
   void plan();
   void execute(const jobs::Order &Order);
@@ -113,6 +118,8 @@
   std::function<void()> OnDrained;
   TimePoint EarlierLeasesEnd = TimePoint::min();
   TimePoint ClaimedAt;
+  /// Time by which the shard must be loaded.
+  TimePoint LoadDeadline = TimePoint::max();
   /// Revision of the store when the load began.
   uint64_t LoadedAsOf = 0;
   TimePoint LastPlan = TimePoint::min();
--- a/src/libs/dispatch/shardclaimer.cpp
+++ b/src/libs/dispatch/shardclaimer.cpp
@@ -11,6 +11,9 @@
 /// Delay before a member that is not the preferred one claims a shard; the
 /// preferred member needs two store calls.
 static constexpr Duration FollowerDelay = std::chrono::milliseconds(400);
+/// Delay before a member claims a shard that it leaves to the others; these
+/// need the delay of a follower and one more attempt.
+static constexpr Duration HeldOffDelay = std::chrono::milliseconds(1500);
 
 ShardClaimer::ShardClaimer(Context Shared, EntryName Self,
                            std::shared_ptr<ClaimTracker> Tracker,
@@ -46,20 +49,31 @@
          Preferred->Endpoint.Name == this->Self;
 }
 
+bool ShardClaimer::isHeldOff(const std::string &Shard) const {
+  const auto Found = this->HeldOffUntil.find(Shard);
+  return Found != this->HeldOffUntil.end() &&
+         this->Shared.now() < Found->second;
+}
+
+void ShardClaimer::tryClaimAt(const std::string &Shard, TimePoint When) {
+  scheduleFor(this->Shared.Loop, this->shared_from_this(), When,
+              [Shard](ShardClaimer &Self) { Self.tryClaim(Shard); });
+}
+
 void ShardClaimer::claimShards() {
   if (this->IsStopped || !this->Tracker->isKnown())
     return;
   for (const std::string &Shard : this->RequiredShards) {
     if (this->Tracker->holder(Shard) || !this->Pending.insert(Shard).second)
       continue;
-    if (this->isPreferred(Shard)) {
+    const TimePoint Now = this->Shared.now();
+    if (this->isHeldOff(Shard))
+      this->tryClaimAt(Shard, Now + HeldOffDelay);
+    else if (this->isPreferred(Shard))
       this->tryClaim(Shard);
-      continue;
-    }
-    scheduleFor(this->Shared.Loop, this->shared_from_this(),
-                this->Shared.now() + FollowerDelay / 2 +
-                    this->Shared.jittered(FollowerDelay),
-                [Shard](ShardClaimer &Self) { Self.tryClaim(Shard); });
+    else
+      this->tryClaimAt(Shard, Now + FollowerDelay / 2 +
+                                  this->Shared.jittered(FollowerDelay));
   }
 }
 
--- a/src/libs/dispatch/shardclaimer.h
+++ b/src/libs/dispatch/shardclaimer.h
@@ -5,6 +5,7 @@
 #include "membership.h"
 #include "nodelease.h"
 
+#include <map>
 #include <set>
 #include <vector>
 
@@ -31,6 +32,11 @@
 
   /// Sets the shards that must have a holder.
   void setShards(std::set<std::string> RequiredShards);
+  /// Leaves the shard to the other members until \p Until: claims it only if
+  /// it stays without a holder.
+  void holdOff(const std::string &Shard, TimePoint Until) {
+    this->HeldOffUntil[Shard] = Until;
+  }
   /// Tries to claim all shards that have no holder.
   void claimShards();
   void stop() { this->IsStopped = true; }
@@ -41,6 +47,8 @@
 
 private:
   bool isPreferred(const std::string &Shard) const;
+  bool isHeldOff(const std::string &Shard) const;
+  void tryClaimAt(const std::string &Shard, TimePoint When);
   void tryClaim(const std::string &Shard);
   void handleGeneration(const std::string &Shard,
                         store::StoreResult<store::StorePage> Answer);
@@ -60,6 +68,7 @@
   std::set<std::string> RequiredShards;
   /// Shards for which an attempt is running or scheduled.
   std::set<std::string> Pending;
+  std::map<std::string, TimePoint> HeldOffUntil;
   bool IsStopped = false;
 };
 
