--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -81,6 +81,8 @@
   void openFleetShard(const HeldClaim &Acquired);
   void openServiceShard(const HeldClaim &Acquired);
   void dropShard(const std::string &Shard, const std::string &Cause);
+  /// Releases the claim of a shard that was not loaded in time.
+  void giveUpShard(const std::string &Shard);
   void closeFleetShard();
   void reconcileClaims();
   void releaseStrayClaim(const std::string &Shard, const Claim &Stray);
@@ -108,6 +110,7 @@
   std::shared_ptr<ShardClaimer> Claimer;
   std::shared_ptr<Membership> Members;
   std::shared_ptr<ExecutorListMonitor> Executors;
+  std::shared_ptr<LoadQueue> Loads;
   std::shared_ptr<ServiceCalls> Calls;
   std::shared_ptr<JobRequestHandler> RequestHandler;
   std::shared_ptr<PrefixWatch> OperatorItems;
@@ -115,6 +118,8 @@
   std::vector<jobs::WaveRequest> Waves;
   std::map<std::string, HeldClaim> OwnClaims;
   std::map<std::string, std::shared_ptr<ServiceShard>> Shards;
+  /// How often this process gave up each shard.
+  std::map<std::string, unsigned> GiveUps;
   std::shared_ptr<WaveManager> Maintenance;
   std::shared_ptr<PoolRebalancer> Rebalancer;
   TimePoint NextCheck = TimePoint::max();
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -52,8 +52,11 @@
     this->Planner.beginExecutorDiscovery();
     this->Planner.beginCatchUp();
   }
-  this->Records = std::make_shared<ShardStore>(this->Shared, this->Service,
-                                               this->OwnClaim.Token);
+  this->LoadDeadline = this->ClaimedAt + this->Environment.LoadTime;
+  this->checkLoaded();
+  this->Records =
+      std::make_shared<ShardStore>(this->Shared, this->Environment.Loads,
+                                   this->Service, this->OwnClaim.Token);
   this->Records->load(
       [Weak = this->weak_from_this()](const ShardStore::Contents &Loaded) {
         if (const auto Self = Weak.lock())
@@ -61,6 +64,25 @@
       });
 }
 
+/// Gives the shard up if it is not loaded by the deadline: another VM may be
+/// able to load it.
+void ServiceShard::checkLoaded() {
+  if (this->IsStopped || this->IsLoaded)
+    return;
+  const TimePoint Now = this->Shared.now();
+  // While the store cannot be reached, nobody can load the shard.
+  if (Now >= this->Environment.ClaimValidUntil())
+    this->LoadDeadline = Now + this->Environment.LoadTime;
+  if (Now >= this->LoadDeadline) {
+    this->Shared.Loop.post(
+        [OnOverdue = this->Environment.OnOverdue,
+         Shard = this->OwnClaim.Shard] { OnOverdue(Shard); });
+    return;
+  }
+  scheduleFor(this->Shared.Loop, this->shared_from_this(), this->LoadDeadline,
+              [](ServiceShard &Self) { Self.checkLoaded(); });
+}
+
 void ServiceShard::stop() {
   this->IsStopped = true;
   this->Records->stop();
@@ -141,6 +163,7 @@
         Item.Value;
   for (const store::StoreItem &Item : Loaded.Jobs)
     this->restore(Item, Progress);
+  this->LoadedAsOf = Loaded.AsOf;
   this->IsLoaded = true;
   logEvent(LogLevel::Info, "shard-loaded",
            {{"shard", this->OwnClaim.Shard},
@@ -157,7 +180,10 @@
           Self->handleNotices(Items);
       });
   this->Notices->start();
-  if (this->OwnClaim.Generation > 1)
+  if (this->OwnClaim.Generation > 1 &&
+      Loaded.Began >= this->ClaimedAt + RescanDelay)
+    this->endCatchUp();
+  else if (this->OwnClaim.Generation > 1)
     scheduleFor(this->Shared.Loop, this->shared_from_this(),
                 this->ClaimedAt + RescanDelay,
                 [](ServiceShard &Self) { Self.rescan(); });
@@ -384,23 +410,30 @@
 /// Looks for jobs that request handlers announced to an earlier planner while
 /// this one read the records.
 void ServiceShard::rescan() {
-  this->Records->load(
-      [Weak = this->weak_from_this()](const ShardStore::Contents &Loaded) {
+  if (this->IsStopped)
+    return;
+  this->Records->readChangedJobs(
+      this->LoadedAsOf, [Weak = this->weak_from_this()](
+                            const std::vector<store::StoreItem> &Changed) {
         const auto Self = Weak.lock();
         if (!Self || Self->IsStopped)
           return;
         const size_t Prefix = keys::jobs(Self->Service).size();
-        for (const store::StoreItem &Item : Loaded.Jobs) {
+        for (const store::StoreItem &Item : Changed) {
           const jobs::JobId Id(Item.Key.substr(Prefix));
           if (!Self->Planner.shownState(Id))
             Self->restore(Item, {});
         }
-        Self->Planner.endCatchUp();
-        Self->requestFlush();
-        Self->requestPlan();
+        Self->endCatchUp();
       });
 }
 
+void ServiceShard::endCatchUp() {
+  this->Planner.endCatchUp();
+  this->requestFlush();
+  this->requestPlan();
+}
+
 void ServiceShard::openLink(const jobs::ExecutorInfo &Info) {
   LinkSetup Setup;
   Setup.Executor = {Info.Id, Info.Server};
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -21,9 +21,14 @@
   /// Time until which the claim certainly holds.
   std::function<TimePoint()> ClaimValidUntil;
   decltype(jobs::MachineGateway::List) ListMachines;
+  std::shared_ptr<LoadQueue> Loads;
   /// Requests a new list of executors.
   std::function<void()> RefreshExecutors;
   Duration MaxLease = Duration::zero();
+  /// Time in which the shard must be loaded.
+  Duration LoadTime = Duration::zero();
+  /// The shard was not loaded in time; the claim should be released.
+  std::function<void(const std::string &Shard)> OnOverdue;
   /// The claim is lost and the shard must be dropped.
   std::function<void(const std::string &Shard, const std::string &Cause)>
       OnLost;
@@ -74,6 +79,7 @@
                     const jobs::JobProgress *Earlier);
   void openLink(const jobs::ExecutorInfo &Info);
   LinkHooks linkHooks();
+  void checkLoaded();
   void requestPlan();
   void plan();
   void execute(const jobs::Order &Order);
@@ -83,6 +89,7 @@
   void handleSilentMachines(
       const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found);
   void rescan();
+  void endCatchUp();
   void requestFlush();
   void flush();
   void handleWriteResult(const std::vector<jobs::JobWrite> &Writes,
@@ -111,6 +118,10 @@
   std::function<void()> OnDrained;
   TimePoint EarlierLeasesEnd = TimePoint::min();
   TimePoint ClaimedAt;
+  /// Time by which the shard must be loaded.
+  TimePoint LoadDeadline = TimePoint::max();
+  /// Revision of the store when the load began.
+  uint64_t LoadedAsOf = 0;
   TimePoint LastPlan = TimePoint::min();
   TimePoint NextFlush = TimePoint::min();
   DiscoveryState Discovery = DiscoveryState::NotNeeded;
--- a/src/libs/dispatch/shardclaimer.cpp
+++ b/src/libs/dispatch/shardclaimer.cpp
@@ -14,6 +14,9 @@
 /// claim it goes to the next best instead of to any.
 static constexpr Duration RankDelay = std::chrono::milliseconds(200);
 static constexpr int64_t MaxDelayedRanks = 3;
+/// Delay before a member claims a shard that it leaves to the others; these
+/// need the delay of a follower and one more attempt.
+static constexpr Duration HeldOffDelay = std::chrono::milliseconds(1500);
 
 ShardClaimer::ShardClaimer(Context Shared, EntryName Self,
                            std::shared_ptr<ClaimTracker> Tracker,
@@ -42,6 +45,17 @@
   return Layout;
 }
 
+bool ShardClaimer::isHeldOff(const std::string &Shard) const {
+  const auto Found = this->HeldOffUntil.find(Shard);
+  return Found != this->HeldOffUntil.end() &&
+         this->Shared.now() < Found->second;
+}
+
+void ShardClaimer::tryClaimAt(const std::string &Shard, TimePoint When) {
+  scheduleFor(this->Shared.Loop, this->shared_from_this(), When,
+              [Shard](ShardClaimer &Self) { Self.tryClaim(Shard); });
+}
+
 void ShardClaimer::claimShards() {
   if (this->IsStopped || !this->Tracker->isKnown() ||
       !this->Members->isSettled())
@@ -71,15 +85,16 @@
     const std::vector<EntryName> &Order = Ranked->second;
     const auto Rank =
         std::find(Order.begin(), Order.end(), this->Self) - Order.begin();
-    if (Rank == 0) {
+    const TimePoint Now = this->Shared.now();
+    if (this->isHeldOff(Shard))
+      this->tryClaimAt(Shard, Now + HeldOffDelay);
+    else if (Rank == 0)
       this->tryClaim(Shard);
-      continue;
-    }
-    scheduleFor(this->Shared.Loop, this->shared_from_this(),
-                this->Shared.now() + FollowerDelay / 2 +
-                    this->Shared.jittered(FollowerDelay) +
-                    RankDelay * std::min<int64_t>(Rank - 1, MaxDelayedRanks),
-                [Shard](ShardClaimer &Self) { Self.tryClaim(Shard); });
+    else
+      this->tryClaimAt(
+          Shard, Now + FollowerDelay / 2 +
+                     this->Shared.jittered(FollowerDelay) +
+                     RankDelay * std::min<int64_t>(Rank - 1, MaxDelayedRanks));
   }
 }
 
--- a/src/libs/dispatch/shardclaimer.h
+++ b/src/libs/dispatch/shardclaimer.h
@@ -6,6 +6,7 @@
 #include "nodelease.h"
 #include "shardassignment.h"
 
+#include <map>
 #include <set>
 
 namespace whintack::dispatch::Internal {
@@ -33,6 +34,11 @@
   void setShards(std::set<std::string> RequiredShards);
   /// The members, and which of them hold which of the shards.
   ShardLayout layout() const;
+  /// Leaves the shard to the other members until \p Until: claims it only if
+  /// it stays without a holder.
+  void holdOff(const std::string &Shard, TimePoint Until) {
+    this->HeldOffUntil[Shard] = Until;
+  }
   /// Tries to claim all shards that have no holder.
   void claimShards();
   void stop() { this->IsStopped = true; }
@@ -43,6 +49,8 @@
 
 private:
   void claimVacant(const std::set<std::string> &Vacant);
+  bool isHeldOff(const std::string &Shard) const;
+  void tryClaimAt(const std::string &Shard, TimePoint When);
   void tryClaim(const std::string &Shard);
   void handleGeneration(const std::string &Shard,
                         store::StoreResult<store::StorePage> Answer);
@@ -62,6 +70,7 @@
   std::set<std::string> RequiredShards;
   /// Shards for which an attempt is running or scheduled.
   std::set<std::string> Pending;
+  std::map<std::string, TimePoint> HeldOffUntil;
   bool IsStopped = false;
 };
 
