Dispatch: Test pools whose planner answers late

All that time neither that pool nor the others get or give machines: 17,000 core-seconds of another queue wait at 19 s.

--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -144,7 +144,8 @@
         this->Nodes.at(To.text()).Core->handleMessage(EntryName(Name), Sent);
     };
     this->Loop.Queue.schedule(
-        this->Loop.Time.now() + milliseconds(1), [this, To, Sent, Deliver] {
+        this->Loop.Time.now() + milliseconds(1) + this->SendDelays[Name],
+        [this, To, Sent, Deliver] {
           const auto *Response = std::get_if<peers::StoreResponse>(&Sent);
           simulation::SharedLink *Link = this->Platform.store().linkOf(To);
           if (Link && Response)
--- a/tests/auto/dispatch/simulatedfleet.h
+++ b/tests/auto/dispatch/simulatedfleet.h
@@ -37,6 +37,11 @@
   /// Cuts one VM off from the store, from the other VMs and from the other data
   /// centre, or restores its connections.
   void setCut(const std::string &Name, bool IsCut);
+  /// Delays all messages that one VM sends to the others, as a busy processor
+  /// does.
+  void setSendDelay(const std::string &Name, Duration Delay) {
+    this->SendDelays[Name] = Delay;
+  }
 
   std::vector<std::string> nodeNames() const;
   /// Share of a processor core that the VM was started with.
@@ -83,6 +88,7 @@
 
   std::map<std::string, Node> Nodes;
   std::set<std::string> CutOff;
+  std::map<std::string, Duration> SendDelays;
   uint64_t LastJob = 0;
   std::map<std::string, unsigned> Attempts;
 };
