Dispatch: Keep the demand of pools whose planners answer late

Callers of all services were served late or not at all while one queue was in its turn: the planner of the busiest pool takes up to 1 s to answer, the request for its demand was given up after 300 ms, and a pool without a demand neither gets machines nor gives any back.

Orders under way count as carried out, because with late answers several rounds pass before the list of machines shows them; without that a pool gave away machines below its minimum (seen in the test).

Measured: tst_latedemand failed before (2 of 2 cases) and passes now; tst_fleetcore passes.

--- a/src/libs/dispatch/poolrebalancer.cpp
+++ b/src/libs/dispatch/poolrebalancer.cpp
@@ -7,7 +7,15 @@
 /// Interval between two checks of the demand: a tenth of a queue's turn of 4 s.
 static constexpr Duration TickInterval = std::chrono::milliseconds(400);
 static constexpr Duration ListTimeout = std::chrono::milliseconds(1000);
-static constexpr Duration PlannerTimeout = std::chrono::milliseconds(300);
+/// How long a decision waits for the answers of the planners.
+static constexpr Duration DecisionTimeout = std::chrono::milliseconds(300);
+/// Time after which a planner that has not reported its demand is asked again.
+/// Later answers are out of date.
+static constexpr Duration DemandTimeout = std::chrono::milliseconds(2000);
+/// Time for an evacuation to be confirmed, within the time that an order to the
+/// machine may take to be sent.
+static constexpr Duration EvacuationAnswerTimeout =
+    jobs::EvacuationTimeout / 2 - std::chrono::milliseconds(100);
 static constexpr Duration OrderTimeout = std::chrono::milliseconds(1000);
 /// How long an ordered machine is left alone unless the list shows that it has
 /// arrived; a move takes 1.5 s.
@@ -51,32 +59,55 @@
 void PoolRebalancer::requestDemands() {
   const auto Queues = this->Environment.Queues();
   auto Current = std::make_shared<Round>();
+  // Counts this function itself, so that the round ends only after all calls
+  // are made.
+  Current->OpenCalls = 1;
   for (const jobs::ServicePolicy &Service : Queues->configuration().Services)
-    if (!Service.IsSpare)
-      ++Current->OpenCalls;
-  for (const jobs::ServicePolicy &Service : Queues->configuration().Services) {
-    if (Service.IsSpare)
-      continue;
-    this->Environment.Calls->call(
-        {0, Service.Name, peers::ServiceCallKind::PoolDemand, "", ""},
-        PlannerTimeout,
-        [Weak = this->weak_from_this(), Current,
-         Pool = Service.Name](const CallResult &Answer) {
-          const auto Self = Weak.lock();
-          if (!Self)
-            return;
-          if (Answer.Outcome == CallOutcome::Done) {
-            auto Demand = jobs::decodeDemand(Pool, Answer.Content);
-            if (Demand)
-              Current->Demands.push_back(std::move(Demand).value());
-            else
-              logEvent(LogLevel::Error, "demand-unreadable",
-                       {{"pool", Pool}, {"cause", Demand.error().Message}});
-          }
-          if (--Current->OpenCalls == 0)
-            Self->decide(Current->Demands);
-        });
+    if (!Service.IsSpare && !this->Demands.isRequestOpen(Service.Name))
+      this->requestDemand(Service.Name, Current);
+  scheduleFor(this->Shared.Loop, this->shared_from_this(),
+              this->Shared.now() + DecisionTimeout,
+              [Current](PoolRebalancer &Self) { Self.finishRound(*Current); });
+  if (--Current->OpenCalls == 0)
+    this->finishRound(*Current);
+}
+
+void PoolRebalancer::requestDemand(const ServiceName &Pool,
+                                   const std::shared_ptr<Round> &Current) {
+  ++Current->OpenCalls;
+  this->Demands.noteRequest(Pool);
+  this->Environment.Calls->call(
+      {0, Pool, peers::ServiceCallKind::PoolDemand, "", ""}, DemandTimeout,
+      [Weak = this->weak_from_this(), Current, Pool](const CallResult &Answer) {
+        const auto Self = Weak.lock();
+        if (!Self)
+          return;
+        Self->handleDemand(Pool, Answer);
+        if (--Current->OpenCalls == 0)
+          Self->finishRound(*Current);
+      });
+}
+
+void PoolRebalancer::handleDemand(const ServiceName &Pool,
+                                  const CallResult &Answer) {
+  this->Demands.noteRequestEnd(Pool);
+  if (Answer.Outcome != CallOutcome::Done) {
+    logEvent(LogLevel::Warning, "demand-unknown",
+             {{"pool", Pool},
+              {"outcome", nameOf(CallOutcomeNames, Answer.Outcome)}});
+    return;
   }
+  auto Demand = jobs::decodeDemand(Pool, Answer.Content);
+  if (Demand)
+    this->Demands.note(std::move(Demand).value(), this->Shared.now());
+  else
+    logEvent(LogLevel::Error, "demand-unreadable",
+             {{"pool", Pool}, {"cause", Demand.error().Message}});
+}
+
+void PoolRebalancer::finishRound(Round &Current) {
+  if (!std::exchange(Current.IsDecided, true))
+    this->decide();
 }
 
 bool PoolRebalancer::isInTransit(const jobs::MachineInfo &Machine,
@@ -88,11 +119,27 @@
                           Machine.State == jobs::MachineState::Up;
   if (!HasArrived && Now < Found->second.Until)
     return true;
+  if (HasArrived)
+    this->Demands.noteArrival(Machine.Pool,
+                              static_cast<double>(Machine.Capacity.MilliCores) /
+                                  jobs::MilliCoresPerCore);
   this->LastOrders.erase(Found);
   return false;
 }
 
-void PoolRebalancer::decide(const std::vector<jobs::PoolDemand> &Demands) {
+std::vector<jobs::MachineInfo> PoolRebalancer::expectedMachines() const {
+  std::vector<jobs::MachineInfo> Expected = this->Machines;
+  for (jobs::MachineInfo &Machine : Expected) {
+    const auto Found = this->LastOrders.find(Machine.Name);
+    if (Found == this->LastOrders.end() || Found->second.IsAbandoned)
+      continue;
+    Machine.Pool = Found->second.Pool;
+    Machine.State = jobs::MachineState::Moving;
+  }
+  return Expected;
+}
+
+void PoolRebalancer::decide() {
   if (!this->canOrder())
     return;
   const TimePoint Now = this->Shared.now();
@@ -101,6 +148,7 @@
     if (this->isInTransit(Machine, Now) ||
         this->Environment.Orders->isHeld(Machine.Name))
       Excluded.insert(Machine.Name);
+  const std::vector<jobs::PoolDemand> Demands = this->Demands.current(Now);
   for (const jobs::PoolDemand &Demand : Demands)
     logEvent(LogLevel::Info, "pool-demand",
              {{"pool", Demand.Pool},
@@ -114,8 +162,8 @@
   for (const jobs::ServicePolicy &Service : Queues->configuration().Services)
     if (Service.IsSpare)
       Spare = Service.Name;
-  for (const jobs::MoveProposal &Move :
-       this->Policy.decide(this->Machines, Demands, Spare, Excluded, Now)) {
+  for (const jobs::MoveProposal &Move : this->Policy.decide(
+           this->expectedMachines(), Demands, Spare, Excluded, Now)) {
     this->LastOrders[Move.Machine.Name] = {Move.TargetPool,
                                            Now + ArrivalTimeout};
     this->evacuateAndMove(Move);
@@ -135,14 +183,19 @@
   this->Environment.Calls->call(
       {0, Move.Machine.Pool, peers::ServiceCallKind::EvacuateExecutor,
        Move.Machine.Executor.text(), ""},
-      PlannerTimeout,
+      EvacuationAnswerTimeout,
       [Weak = this->weak_from_this(), Move, Now](const CallResult &Answer) {
         const auto Self = Weak.lock();
+        if (!Self)
+          return;
         const bool IsVacant = Answer.Outcome == CallOutcome::Done &&
                               valueOf(jobs::OccupancyNames, Answer.Content) ==
                                   jobs::Occupancy::Vacant;
-        if (Self && IsVacant && Self->canOrder())
+        if (IsVacant && Self->canOrder())
           Self->order(Move, Now + jobs::EvacuationTimeout / 2);
+        else if (const auto Found = Self->LastOrders.find(Move.Machine.Name);
+                 Found != Self->LastOrders.end())
+          Found->second.IsAbandoned = true;
       });
 }
 
--- a/src/libs/dispatch/poolrebalancer.h
+++ b/src/libs/dispatch/poolrebalancer.h
@@ -1,6 +1,7 @@
 #ifndef WHINTACK_DISPATCH_POOLREBALANCER_H
 #define WHINTACK_DISPATCH_POOLREBALANCER_H
 
+#include "demandtracker.h"
 #include "wavemanager.h"
 
 #include "whintack/jobs/poolpolicy.h"
@@ -20,25 +21,34 @@
   void stop() { this->IsStopped = true; }
 
 private:
-  /// One round of asking all planners for their demand.
+  /// One round of asking the planners for their demand.
   struct Round {
     size_t OpenCalls = 0;
-    std::vector<jobs::PoolDemand> Demands;
+    bool IsDecided = false;
   };
   /// The last order for a machine, which the list may not show yet.
   struct MoveOrder {
     ServiceName Pool;
     TimePoint Until;
+    /// The machine was not vacant after all and stays where it is.
+    bool IsAbandoned = false;
   };
 
   void tick();
   void requestDemands();
-  void decide(const std::vector<jobs::PoolDemand> &Demands);
+  void requestDemand(const ServiceName &Pool,
+                     const std::shared_ptr<Round> &Current);
+  void handleDemand(const ServiceName &Pool, const CallResult &Answer);
+  void finishRound(Round &Current);
+  void decide();
   void evacuateAndMove(const jobs::MoveProposal &Move);
   /// Sends the order unless it cannot be sent by \p SendBy.
   void order(const jobs::MoveProposal &Move, TimePoint SendBy);
   /// Whether the machine has yet to arrive in the pool to which it was ordered.
   bool isInTransit(const jobs::MachineInfo &Machine, TimePoint Now);
+  /// The listed machines, with each order under way as if it were carried out:
+  /// the list may not show it yet.
+  std::vector<jobs::MachineInfo> expectedMachines() const;
   void send(const jobs::MoveProposal &Move);
   bool canOrder() const;
 
@@ -48,6 +58,7 @@
   HeldClaim OwnClaim;
   std::function<std::set<jobs::MachineName>()> Reserved;
   jobs::PoolPolicy Policy;
+  DemandTracker Demands;
   std::vector<jobs::MachineInfo> Machines;
   /// The last order for each machine, until it has been carried out.
   std::map<jobs::MachineName, MoveOrder> LastOrders;
