Dispatch: Hand shards over to VMs with far less load

A VM that started first, or took shards over while others were away, planned them for good: nothing moved a shard that had a holder. Callers of its services were answered late as long as it lived, while other VMs idled.

Every holder now looks twice a second for a shard for which another VM is preferred by rankCandidates() and would have at most two thirds of the holder's load per processor share. What is found must stay so for 2.5 to 5 s and is checked against a new read of the members; then the holder stores what is not stored yet, stops the shard and releases its claim, one shard at a time. The members claim it by the same ranking, so two handovers at once are assigned jointly. Nothing is handed over while the VM stops, while its lease is not surely valid or its list of members not settled, while any shard has no holder, while the shard is not loaded or recovers, before it was held for 8 s, or to a VM without a usable link. The rule lowers the load of the more loaded of two VMs with each move, so moves end (tst_shardassignment).

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -2,12 +2,16 @@
 
 #include "storekeys.h"
 
+#include <algorithm>
+
 namespace whintack::dispatch::Internal {
 
 /// Interval at which claims and shards are reconciled even without a change.
 static constexpr Duration CheckInterval = std::chrono::milliseconds(500);
 /// Interval of the reconciliation while this VM is not ready yet.
 static constexpr Duration StartupCheckInterval = std::chrono::milliseconds(200);
+/// Time to store the last changes of a shard that is handed over.
+static constexpr Duration DrainTimeout = std::chrono::milliseconds(1500);
 /// Lateness of the reconciliation above which the event loop counts as late.
 static constexpr Duration MaxLoopDelay = std::chrono::milliseconds(250);
 
@@ -54,6 +58,7 @@
   this->openStore();
   this->openMembership();
   this->openClaims();
+  this->openBalancer();
   this->openWatches();
   this->Members->start();
   this->Lease->start();
@@ -123,6 +128,29 @@
       });
 }
 
+void FleetCore::openBalancer() {
+  const std::weak_ptr<FleetCore> Weak = this->weak_from_this();
+  ShardBalancerHooks Hooks;
+  Hooks.Movable = [Weak] {
+    const auto Alive = Weak.lock();
+    return Alive ? Alive->movableShards() : std::vector<HeldClaim>();
+  };
+  Hooks.IsLinked = [Weak](const EntryName &Name) {
+    const auto Alive = Weak.lock();
+    if (!Alive)
+      return false;
+    const std::vector<EntryName> Usable = Alive->usablePeers();
+    return std::find(Usable.begin(), Usable.end(), Name) != Usable.end();
+  };
+  Hooks.HandOver = [Weak](const std::string &Shard) {
+    if (const auto Alive = Weak.lock())
+      Alive->handOverShard(Shard);
+  };
+  this->Balancer = std::make_shared<ShardBalancer>(
+      this->Shared, this->Self.Name, this->Claimer, this->Members, this->Lease,
+      std::move(Hooks));
+}
+
 void FleetCore::openWatches() {
   const std::weak_ptr<FleetCore> Weak = this->weak_from_this();
   this->Executors = std::make_shared<ExecutorListMonitor>(
@@ -172,6 +200,7 @@
   if (this->IsStopping)
     return;
   this->reconcileClaims();
+  this->Balancer->check();
   this->NextCheck = this->Shared.now() +
                     (this->IsReadyNow ? CheckInterval : StartupCheckInterval);
   scheduleFor(this->Shared.Loop, this->shared_from_this(), this->NextCheck,
@@ -398,6 +427,56 @@
                      });
 }
 
+std::vector<HeldClaim> FleetCore::movableShards() const {
+  std::vector<HeldClaim> Movable;
+  if (this->IsStopping || this->HandingOver != 0)
+    return Movable;
+  for (const auto &[Name, Claimed] : this->OwnClaims) {
+    const auto Found = this->Shards.find(Name);
+    if (Found == this->Shards.end() || Found->second->isRecovered())
+      Movable.push_back(Claimed);
+  }
+  return Movable;
+}
+
+/// Stores what is not stored yet and releases the claim. A shard whose changes
+/// do not end is released without the last ones, which its next planner learns
+/// from the executors.
+void FleetCore::handOverShard(const std::string &Shard) {
+  const HeldClaim Claimed = this->OwnClaims.at(Shard);
+  this->HandingOver = Claimed.Token;
+  const auto Release = [Weak = this->weak_from_this(), Claimed] {
+    const auto Alive = Weak.lock();
+    if (!Alive || Alive->HandingOver != Claimed.Token)
+      return;
+    Alive->HandingOver = 0;
+    const auto Held = Alive->OwnClaims.find(Claimed.Shard);
+    if (Alive->IsStopping || !Alive->Lease->isValid() ||
+        Held == Alive->OwnClaims.end() || Held->second.Token != Claimed.Token)
+      return;
+    Alive->OwnClaims.erase(Held);
+    if (Claimed.Shard == keys::FleetShard)
+      Alive->closeFleetShard();
+    Alive->releaseShard(Claimed, [] {});
+  };
+  this->Shared.Loop.schedule(this->Shared.now() + DrainTimeout, Release);
+  if (const auto Found = this->Shards.find(Shard); Found != this->Shards.end())
+    Found->second->drain(
+        [Release, &Loop = this->Shared.Loop] { Loop.post(Release); });
+  else
+    Release();
+}
+
+void FleetCore::releaseShard(const HeldClaim &Claimed,
+                             const std::function<void()> &Done) {
+  if (const auto Found = this->Shards.find(Claimed.Shard);
+      Found != this->Shards.end()) {
+    Found->second->stop();
+    this->Shards.erase(Found);
+  }
+  this->releaseClaim(Claimed.Shard, Claimed.Token, Done);
+}
+
 /// Releases all claims after storing what is not stored yet.
 void FleetCore::handOver(const std::function<void()> &Done) {
   this->Claimer->stop();
@@ -414,15 +493,8 @@
     const auto Found = this->Shards.find(Name);
     const auto Release = [Weak = this->weak_from_this(), Claimed = Claimed,
                           Finish] {
-      const auto Alive = Weak.lock();
-      if (!Alive)
-        return;
-      if (const auto Shard = Alive->Shards.find(Claimed.Shard);
-          Shard != Alive->Shards.end()) {
-        Shard->second->stop();
-        Alive->Shards.erase(Shard);
-      }
-      Alive->releaseClaim(Claimed.Shard, Claimed.Token, Finish);
+      if (const auto Alive = Weak.lock())
+        Alive->releaseShard(Claimed, Finish);
     };
     if (Found == this->Shards.end())
       Release();
--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -7,7 +7,7 @@
 #include "membership.h"
 #include "poolrebalancer.h"
 #include "serviceshard.h"
-#include "shardclaimer.h"
+#include "shardbalancer.h"
 #include "storerelay.h"
 #include "wavemanager.h"
 
@@ -89,6 +89,12 @@
   std::vector<EntryName> usablePeers() const;
   /// Whether \p Process has been replaced by another process on its VM.
   bool hasEnded(const OrderingProcess &Process) const;
+  void openBalancer();
+  std::vector<HeldClaim> movableShards() const;
+  void handOverShard(const std::string &Shard);
+  /// Stops planning the shard and releases the claim.
+  void releaseShard(const HeldClaim &Claimed,
+                    const std::function<void()> &Done);
   void releaseClaim(const std::string &Shard, uint64_t Token,
                     const std::function<void()> &Done);
   /// Returns a function that returns the current queues.
@@ -107,6 +113,7 @@
   std::shared_ptr<ClaimTracker> Tracker;
   std::shared_ptr<ShardClaimer> Claimer;
   std::shared_ptr<Membership> Members;
+  std::shared_ptr<ShardBalancer> Balancer;
   std::shared_ptr<ExecutorListMonitor> Executors;
   std::shared_ptr<ServiceCalls> Calls;
   std::shared_ptr<JobRequestHandler> RequestHandler;
@@ -117,6 +124,8 @@
   std::map<std::string, std::shared_ptr<ServiceShard>> Shards;
   std::shared_ptr<WaveManager> Maintenance;
   std::shared_ptr<PoolRebalancer> Rebalancer;
+  /// Token of the claim that is being handed over; 0 for none.
+  uint64_t HandingOver = 0;
   TimePoint NextCheck = TimePoint::max();
   std::atomic<bool> IsStopping{false};
   std::atomic<bool> IsReadyNow{false};
--- a/src/libs/dispatch/membership.cpp
+++ b/src/libs/dispatch/membership.cpp
@@ -108,7 +108,7 @@
           }));
 }
 
-void Membership::refresh(std::function<void()> Done) {
+void Membership::refresh(std::function<void(bool IsRead)> Done) {
   this->Shared.Store.Range(
       keys::Members, "", store::ReadKind::Current,
       onLoop<Membership, MemberPage>(
@@ -116,7 +116,7 @@
           [Sent = this->Shared.now(),
            Done = std::move(Done)](Membership &Self, const MemberPage &Answer) {
             Self.adopt(Answer, Sent);
-            Done();
+            Done(Answer.has_value());
           }));
 }
 
--- a/src/libs/dispatch/membership.h
+++ b/src/libs/dispatch/membership.h
@@ -40,8 +40,8 @@
     return this->Lease->isValid() && this->hasSettled();
   }
 
-  /// Reads the list anew, then calls \p Done, also if the read fails.
-  void refresh(std::function<void()> Done);
+  /// Reads the list anew, then calls \p Done with whether that succeeded.
+  void refresh(std::function<void(bool IsRead)> Done);
   /// Marks this VM as stopping in its later registrations.
   void announceStop() { this->Self.IsStopping = true; }
   /// The registration of this VM, to be written with another change; nothing if
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -45,6 +45,11 @@
   /// Stores what is not stored yet, then calls \p Done.
   void drain(std::function<void()> Done);
 
+  /// Whether the state left by earlier planners is known.
+  bool isRecovered() const {
+    return this->IsLoaded && !this->Planner.isRecovering();
+  }
+
   /// Adopts a new list of executors of all services.
   void setExecutors(const std::vector<jobs::ExecutorInfo> &Listed);
   /// Adopts the queues of a new configuration.
--- a/src/libs/dispatch/shardassignment.cpp
+++ b/src/libs/dispatch/shardassignment.cpp
@@ -8,6 +8,10 @@
 /// Stands in for a processor share that is unknown or given as 0.
 static constexpr double MinProcessorShare = 0.01;
 
+/// Ratio between the load of a holder and that of another VM with the shard
+/// above which the shard moves.
+static constexpr double MinLoadRatio = 1.5;
+
 static double processorShare(const ShardCandidate &Candidate) {
   return std::max(Candidate.ProcessorShare, MinProcessorShare);
 }
@@ -64,4 +68,35 @@
   return Ranking;
 }
 
+static double relativeLoad(const ShardLayout &Layout, const EntryName &Name) {
+  const auto Found =
+      std::find_if(Layout.Candidates.begin(), Layout.Candidates.end(),
+                   [&](const auto &Each) { return Each.Name == Name; });
+  if (Found == Layout.Candidates.end())
+    return 0;
+  return loads(Layout)[Name] / processorShare(*Found);
+}
+
+std::optional<ShardMove>
+findShardMove(const ShardLayout &Layout, const EntryName &From,
+              const std::function<bool(const std::string &Shard)> &IsMovable) {
+  for (const auto &[Shard, Weight] : Layout.Weights)
+    if (!Layout.Holders.contains(Shard))
+      return std::nullopt;
+  const double Present = relativeLoad(Layout, From);
+  for (const auto &[Shard, Weight] : Layout.Weights) {
+    if (Layout.Holders.at(Shard) != From || !IsMovable(Shard))
+      continue;
+    ShardLayout Moved = Layout;
+    Moved.Holders.erase(Shard);
+    const std::vector<EntryName> Order = rankCandidates(Moved).at(Shard);
+    if (Order.empty() || Order.front() == From)
+      continue;
+    Moved.Holders[Shard] = Order.front();
+    if (Present >= MinLoadRatio * relativeLoad(Moved, Order.front()))
+      return ShardMove{Shard, Order.front()};
+  }
+  return std::nullopt;
+}
+
 } // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/shardassignment.h
+++ b/src/libs/dispatch/shardassignment.h
@@ -3,6 +3,7 @@
 
 #include "whintack/base/identifier.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -36,6 +37,22 @@
 /// \p Layout.
 ShardRanking rankCandidates(const ShardLayout &Layout);
 
+/// A shard that should pass from its holder to another VM.
+struct ShardMove {
+  std::string Shard;
+  EntryName To;
+
+  bool operator==(const ShardMove &) const = default;
+};
+
+/// Finds a shard of \p From for which another VM is preferred and which \p
+/// IsMovable. The load per processor share of \p From must be far above the one
+/// that the other VM has afterwards, so that no shard moves back and forth.
+/// Finds nothing while a shard has no holder.
+std::optional<ShardMove>
+findShardMove(const ShardLayout &Layout, const EntryName &From,
+              const std::function<bool(const std::string &Shard)> &IsMovable);
+
 } // namespace whintack::dispatch::Internal
 
 #endif // WHINTACK_DISPATCH_SHARDASSIGNMENT_H
--- a/src/libs/dispatch/shardclaimer.cpp
+++ b/src/libs/dispatch/shardclaimer.cpp
@@ -54,7 +54,7 @@
     return;
   // The holders may have died or be stopping, which the list shows only if it
   // is read after the shards became vacant.
-  this->Members->refresh([Weak = this->weak_from_this(), Vacant] {
+  this->Members->refresh([Weak = this->weak_from_this(), Vacant](bool) {
     if (const auto Self = Weak.lock())
       Self->claimVacant(Vacant);
   });
@@ -167,7 +167,7 @@
             {"generation", Generation},
             {"members", this->Members->all().size()},
             {"held", this->Tracker->shardCount(this->Self)}});
-  this->OnClaimed({Shard, Token, Generation});
+  this->OnClaimed({Shard, Token, Generation, this->Shared.now()});
 }
 
 void ShardClaimer::retryLater(const std::string &Shard,
--- a/src/libs/dispatch/shardclaimer.h
+++ b/src/libs/dispatch/shardclaimer.h
@@ -16,6 +16,7 @@
   uint64_t Token = 0;
   /// Number of times that the shard has been claimed, including this one.
   uint64_t Generation = 1;
+  TimePoint ClaimedAt = TimePoint::min();
 };
 
 /// Claims shards that have no holder, once the list of members is settled. All
--- a/tests/auto/dispatch/tst_shardassignment.cpp
+++ b/tests/auto/dispatch/tst_shardassignment.cpp
@@ -81,3 +81,55 @@
   const ShardRanking Ranking = rankCandidates(Layout);
   CHECK(Ranking.at("s1").empty());
 }
+
+TEST_CASE("a shard moves to a VM that has far less load with it") {
+  ShardLayout Layout = makeLayout(3, 3, 3);
+  const auto All = [](const std::string &) { return true; };
+  for (const auto &[Shard, Weight] : Layout.Weights)
+    Layout.Holders[Shard] = EntryName("a0");
+  for (int Count = 0; Count < 3; ++Count) {
+    const auto Move = findShardMove(Layout, EntryName("a0"), All);
+    REQUIRE(Move);
+    CHECK(Move->To.text().starts_with("v"));
+    Layout.Holders[Move->Shard] = Move->To;
+    CHECK_FALSE(findShardMove(Layout, Move->To, All));
+  }
+  for (const ShardCandidate &Each : Layout.Candidates)
+    CHECK_FALSE(findShardMove(Layout, Each.Name, All));
+}
+
+TEST_CASE("moves end in a layout from which nothing moves") {
+  for (size_t LargeVms = 0; LargeVms < 4; ++LargeVms)
+    for (size_t Shards = 1; Shards < 12; ++Shards) {
+      INFO(LargeVms << " large VMs, " << Shards << " shards");
+      ShardLayout Layout = makeLayout(LargeVms, 5, Shards);
+      for (const auto &[Shard, Weight] : Layout.Weights)
+        Layout.Holders[Shard] = EntryName("a0");
+      const auto MoveAny = [&Layout] {
+        for (const ShardCandidate &Each : Layout.Candidates)
+          if (const auto Move =
+                  findShardMove(Layout, Each.Name,
+                                [](const std::string &) { return true; })) {
+            Layout.Holders[Move->Shard] = Move->To;
+            return true;
+          }
+        return false;
+      };
+      size_t Moves = 0;
+      while (Moves < 100 && MoveAny())
+        ++Moves;
+      CHECK(Moves <= 2 * Shards);
+    }
+}
+
+TEST_CASE(
+    "nothing moves while a shard has no holder, or if the shard may not") {
+  ShardLayout Layout = makeLayout(2, 2, 2);
+  Layout.Holders["s0"] = EntryName("a0");
+  const auto All = [](const std::string &) { return true; };
+  CHECK_FALSE(findShardMove(Layout, EntryName("a0"), All));
+  Layout.Holders["s1"] = EntryName("v0");
+  CHECK(findShardMove(Layout, EntryName("a0"), All));
+  CHECK_FALSE(findShardMove(Layout, EntryName("a0"),
+                            [](const std::string &) { return false; }));
+}
--- a/tests/auto/dispatch/tst_shardbalance.cpp
+++ b/tests/auto/dispatch/tst_shardbalance.cpp
@@ -23,6 +23,8 @@
     Fleet.checkSpread();
     Fleet.finishAndCheck();
     Fleet.checkSpread();
+    // Each shard was claimed once by the first VM and once by its successor.
+    CHECK(Fleet.claimCount() == 2 * UnequalFleet::Shards.size());
   }
 }
 
