--- a/tests/auto/entry/tst_forwarding.cpp
+++ b/tests/auto/entry/tst_forwarding.cpp
@@ -201,3 +201,37 @@
     REQUIRE(Test.call("POST", "/order", "x").Outcome == RequestOutcome::Done);
   REQUIRE(Leaving.executions() <= 1);
 }
+
+// An answer that arrived after the forwarder was gone still went through its
+// router, which used timers, a journal and hooks that were gone as well.
+TEST_CASE("an answer does not reach a forwarder that is gone") {
+  const Address Local = tests::ownAddress(16, 9000);
+  std::promise<void> Release;
+  ScriptedServer Server(Local, [Released = Release.get_future().share()](
+                                   const std::string &, unsigned) {
+    Released.wait();
+    return ScriptedAnswer{answerWith("late")};
+  });
+  REQUIRE(Server.isOpen());
+  std::atomic<unsigned> Reached{0};
+  // Expires when the call in flight has ended and dropped the request.
+  const auto Token = std::make_shared<int>();
+  const std::weak_ptr<int> Held = Token;
+  {
+    Fixture Test({Local});
+    ForwardRequest Request;
+    Request.Id = RequestId("r1");
+    Request.Info = {tests::testService(), CallerName("c"), false,
+                    std::chrono::hours(1)};
+    Request.Content.Method = "POST";
+    Request.Content.Target = "/order";
+    Test.Forwarding->submit(
+        Request, [&Reached, Token](const ForwardResult &) { ++Reached; });
+    while (Server.executions() == 0)
+      std::this_thread::yield();
+  }
+  Release.set_value();
+  while (Held.use_count() > 1)
+    std::this_thread::yield();
+  CHECK(Reached == 0);
+}
--- a/tests/auto/http/tst_callclient.cpp
+++ b/tests/auto/http/tst_callclient.cpp
@@ -66,3 +66,32 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
   CHECK(Backend.resets() == 1);
 }
+
+// A call that ended after its timer queue was gone cancelled its timer there,
+// and an answer went back to the pool of a client that was gone.
+TEST_CASE("a call in flight may outlive its client and its timer queue") {
+  const Address Server = ownAddress(9, 18092);
+  std::promise<void> Release;
+  ScriptedServer Backend(Server, [Released = Release.get_future().share()](
+                                     const std::string &, unsigned) {
+    Released.wait();
+    return ScriptedAnswer{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+                          false, false};
+  });
+  REQUIRE(Backend.isOpen());
+  std::promise<HttpResult> Ended;
+  {
+    TimerQueue Timers(systemClock());
+    CallClient Calls(systemClock(), Timers, 1 << 20);
+    HttpRequest Request;
+    Request.Method = "GET";
+    Request.Target = "/";
+    Calls.call(
+        Server, Request, systemClock().Now() + std::chrono::hours(1),
+        [&Ended](HttpResult Outcome) { Ended.set_value(std::move(Outcome)); });
+    while (Backend.executions() == 0)
+      std::this_thread::yield();
+  }
+  Release.set_value();
+  CHECK(Ended.get_future().get());
+}
