Base, Http: Let calls in flight outlive their timer queue and client

A process crashed when a call ended after the timer queue or the CallClient that it was sent with was gone: Call::finish cancelled its timer through a raw pointer to the queue, the callback of CallClient returned the connection to the pool through a raw pointer to the client, and HttpServer cancelled the timer of a request body through a reference to the queue.

The state of a TimerQueue is now shared, and TimerQueueRef refers to it weakly: whatever may run after the queue is gone cancels and posts through such a reference, which then does nothing. Such a call still reports its outcome once, but its deadline is gone with the queue.

--- a/src/libs/base/include/whintack/base/timerqueue.h
+++ b/src/libs/base/include/whintack/base/timerqueue.h
@@ -22,6 +22,8 @@
   Caller,
 };
 
+class TimerQueueRef;
+
 /// Calls functions at their deadlines, one at a time. The functions must be
 /// short, since they delay those after them. Safe for several threads.
 class TimerQueue {
@@ -40,6 +42,9 @@
   /// Removes a call that has not started; does nothing for any other.
   void cancel(TimerId Id);
 
+  /// Returns a reference for callbacks that may run after the queue is gone.
+  TimerQueueRef ref() const;
+
   /// Returns the deadline of the next call, if there is one.
   std::optional<TimePoint> nextDeadline() const;
   /// Runs the next call if its deadline has passed. Returns whether a call was
@@ -47,8 +52,28 @@
   bool runNext();
 
 private:
+  friend class TimerQueueRef;
   class Private;
-  std::unique_ptr<Private> D;
+  std::shared_ptr<Private> D;
+};
+
+/// Reference to a TimerQueue that may outlive it; its functions do nothing once
+/// the queue is gone. Safe for several threads.
+class TimerQueueRef {
+public:
+  TimerQueueRef() = default;
+
+  /// Like TimerQueue::post().
+  void post(std::function<void()> Call) const;
+  /// Like TimerQueue::cancel().
+  void cancel(TimerId Id) const;
+
+private:
+  friend class TimerQueue;
+  explicit TimerQueueRef(std::weak_ptr<TimerQueue::Private> Queue)
+      : Queue(std::move(Queue)) {}
+
+  std::weak_ptr<TimerQueue::Private> Queue;
 };
 
 } // namespace whintack
--- a/src/libs/base/timerqueue.cpp
+++ b/src/libs/base/timerqueue.cpp
@@ -24,6 +24,8 @@
 public:
   explicit Private(Clock Time) : Time(std::move(Time)) {}
 
+  TimerId schedule(TimePoint Deadline, std::function<void()> Call);
+  void cancel(TimerId Id);
   void run();
   bool runNext(std::unique_lock<std::mutex> &Lock, TimePoint Now);
   void waitForNext(std::unique_lock<std::mutex> &Lock);
@@ -72,8 +74,29 @@
   }
 }
 
+TimerId TimerQueue::Private::schedule(TimePoint Deadline,
+                                      std::function<void()> Call) {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  const TimerId Id = ++this->LastId;
+  const auto Inserted =
+      this->Calls.emplace(Internal::TimerKey{Deadline, Id}, std::move(Call));
+  this->Deadlines.emplace(Id, Deadline);
+  if (Inserted.first == this->Calls.begin())
+    this->Changed.notify_all();
+  return Id;
+}
+
+void TimerQueue::Private::cancel(TimerId Id) {
+  const std::lock_guard<std::mutex> Lock(this->Mutex);
+  const auto Found = this->Deadlines.find(Id);
+  if (Found == this->Deadlines.end())
+    return;
+  this->Calls.erase(Internal::TimerKey{Found->second, Id});
+  this->Deadlines.erase(Found);
+}
+
 TimerQueue::TimerQueue(Clock Time, TimerThread Thread)
-    : D(std::make_unique<Private>(std::move(Time))) {
+    : D(std::make_shared<Private>(std::move(Time))) {
   if (Thread == TimerThread::Own)
     this->D->Thread = std::thread([this] { this->D->run(); });
 }
@@ -89,23 +112,21 @@
 }
 
 TimerId TimerQueue::schedule(TimePoint Deadline, std::function<void()> Call) {
-  const std::lock_guard<std::mutex> Lock(this->D->Mutex);
-  const TimerId Id = ++this->D->LastId;
-  const auto Inserted =
-      this->D->Calls.emplace(Internal::TimerKey{Deadline, Id}, std::move(Call));
-  this->D->Deadlines.emplace(Id, Deadline);
-  if (Inserted.first == this->D->Calls.begin())
-    this->D->Changed.notify_all();
-  return Id;
+  return this->D->schedule(Deadline, std::move(Call));
 }
 
-void TimerQueue::cancel(TimerId Id) {
-  const std::lock_guard<std::mutex> Lock(this->D->Mutex);
-  const auto Found = this->D->Deadlines.find(Id);
-  if (Found == this->D->Deadlines.end())
-    return;
-  this->D->Calls.erase(Internal::TimerKey{Found->second, Id});
-  this->D->Deadlines.erase(Found);
+void TimerQueue::cancel(TimerId Id) { this->D->cancel(Id); }
+
+TimerQueueRef TimerQueue::ref() const { return TimerQueueRef(this->D); }
+
+void TimerQueueRef::post(std::function<void()> Call) const {
+  if (const std::shared_ptr<TimerQueue::Private> Alive = this->Queue.lock())
+    Alive->schedule(TimePoint::min(), std::move(Call));
+}
+
+void TimerQueueRef::cancel(TimerId Id) const {
+  if (const std::shared_ptr<TimerQueue::Private> Alive = this->Queue.lock())
+    Alive->cancel(Id);
 }
 
 std::optional<TimePoint> TimerQueue::nextDeadline() const {
--- a/src/libs/http/callclient.cpp
+++ b/src/libs/http/callclient.cpp
@@ -1,6 +1,9 @@
 #include "whintack/http/callclient.h"
 
 #include <algorithm>
+#include <map>
+#include <mutex>
+#include <vector>
 
 namespace whintack::http {
 
@@ -8,11 +11,43 @@
 /// platform's servers close idle connections.
 static constexpr Duration IdleConnectionRetention = std::chrono::seconds(10);
 
-CallClient::CallClient(Clock Time, TimerQueue &Timers, size_t MaxAnswerBytes)
-    : Time(std::move(Time)), Timers(Timers), MaxAnswerBytes(MaxAnswerBytes) {}
+class CallClient::Private
+    : public std::enable_shared_from_this<CallClient::Private> {
+public:
+  Private(Clock Time, TimerQueue &Timers, size_t MaxAnswerBytes)
+      : Time(std::move(Time)), Timers(Timers), MaxAnswerBytes(MaxAnswerBytes) {}
+
+  /// Takes an idle connection from the pool of \p Server; null if there is
+  /// none. Sets \p Generation to the current generation of the pool.
+  std::shared_ptr<HttpConnection> takeIdle(const Address &Server,
+                                           uint64_t &Generation);
+  void returnToPool(const Address &Server, uint64_t Generation,
+                    std::shared_ptr<HttpConnection> Used);
+  void dropIdle(const Address &Server);
+  void call(const Address &Server, const HttpRequest &Request,
+            TimePoint Deadline, HttpCallback Done);
+
+private:
+  struct IdleConnection {
+    std::shared_ptr<HttpConnection> Connection;
+    TimePoint UsableUntil;
+  };
+  struct ConnectionPool {
+    /// Incremented when idle connections are dropped. A connection that was
+    /// taken under an earlier generation is not returned to the pool.
+    uint64_t Generation = 0;
+    std::vector<IdleConnection> Idle;
+  };
+
+  Clock Time;
+  TimerQueue &Timers;
+  size_t MaxAnswerBytes;
+  std::mutex Mutex;
+  std::map<Address, ConnectionPool> Pools;
+};
 
-std::shared_ptr<HttpConnection> CallClient::takeIdle(const Address &Server,
-                                                     uint64_t &Generation) {
+std::shared_ptr<HttpConnection>
+CallClient::Private::takeIdle(const Address &Server, uint64_t &Generation) {
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   ConnectionPool &ServerPool = this->Pools[Server];
   Generation = ServerPool.Generation;
@@ -28,8 +63,9 @@
   return Reused;
 }
 
-void CallClient::returnToPool(const Address &Server, uint64_t Generation,
-                              std::shared_ptr<HttpConnection> Used) {
+void CallClient::Private::returnToPool(const Address &Server,
+                                       uint64_t Generation,
+                                       std::shared_ptr<HttpConnection> Used) {
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   ConnectionPool &ServerPool = this->Pools[Server];
   if (ServerPool.Generation == Generation)
@@ -37,7 +73,7 @@
         {std::move(Used), this->Time.Now() + IdleConnectionRetention});
 }
 
-void CallClient::dropIdle(const Address &Server) {
+void CallClient::Private::dropIdle(const Address &Server) {
   std::vector<IdleConnection> Dropped;
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   ConnectionPool &ServerPool = this->Pools[Server];
@@ -45,8 +81,9 @@
   Dropped.swap(ServerPool.Idle);
 }
 
-void CallClient::call(const Address &Server, const HttpRequest &Request,
-                      TimePoint Deadline, HttpCallback Done) {
+void CallClient::Private::call(const Address &Server,
+                               const HttpRequest &Request, TimePoint Deadline,
+                               HttpCallback Done) {
   uint64_t Generation = 0;
   std::shared_ptr<HttpConnection> Connection =
       this->takeIdle(Server, Generation);
@@ -56,15 +93,19 @@
   HttpConnection &Used = *Connection;
   const bool WasFresh = Used.isFresh();
   Used.send(Request, Deadline,
-            [this, Server, Generation, WasFresh,
+            [Weak = this->weak_from_this(), Server, Generation, WasFresh,
              Connection = std::move(Connection),
              Done = std::move(Done)](HttpResult Outcome) mutable {
+              const std::shared_ptr<Private> Client = Weak.lock();
               if (Outcome) {
-                this->returnToPool(Server, Generation, std::move(Connection));
+                if (Client)
+                  Client->returnToPool(Server, Generation,
+                                       std::move(Connection));
                 Done(std::move(Outcome));
                 return;
               }
-              this->dropIdle(Server);
+              if (Client)
+                Client->dropIdle(Server);
               HttpError Cause = std::move(Outcome).error();
               // The library sent the request on the reused connection first and
               // failed to connect only when it repeated the request, so the
@@ -75,4 +116,16 @@
             });
 }
 
+CallClient::CallClient(Clock Time, TimerQueue &Timers, size_t MaxAnswerBytes)
+    : D(std::make_shared<Private>(std::move(Time), Timers, MaxAnswerBytes)) {}
+
+CallClient::~CallClient() = default;
+
+void CallClient::call(const Address &Server, const HttpRequest &Request,
+                      TimePoint Deadline, HttpCallback Done) {
+  this->D->call(Server, Request, Deadline, std::move(Done));
+}
+
+void CallClient::dropIdle(const Address &Server) { this->D->dropIdle(Server); }
+
 } // namespace whintack::http
--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -21,13 +21,13 @@
   std::atomic<bool> IsDone{false};
   std::atomic<bool> IsLate{false};
   TimerId Timer = 0;
-  TimerQueue *Timers = nullptr;
+  TimerQueueRef Timers;
   HttpCallback Done;
 
   void finish(HttpResult Outcome) {
     if (this->IsDone.exchange(true))
       return;
-    this->Timers->cancel(this->Timer);
+    this->Timers.cancel(this->Timer);
     this->Done(std::move(Outcome));
   }
 };
@@ -169,9 +169,9 @@
 }
 
 static void armDeadline(const std::shared_ptr<Internal::Call> &Call,
-                        TimePoint Deadline) {
+                        TimePoint Deadline, TimerQueue &Timers) {
   const std::weak_ptr<Internal::Call> Weak = Call;
-  Call->Timer = Call->Timers->schedule(Deadline, [Weak] {
+  Call->Timer = Timers.schedule(Deadline, [Weak] {
     const std::shared_ptr<Internal::Call> Expired = Weak.lock();
     if (!Expired)
       return;
@@ -186,7 +186,7 @@
                           HttpCallback Done) {
   this->D->IsFresh = false;
   auto Call = std::make_shared<Internal::Call>();
-  Call->Timers = &this->D->Timers;
+  Call->Timers = this->D->Timers.ref();
   Call->Done = std::move(Done);
   web::http::http_request Converted;
   try {
@@ -195,7 +195,7 @@
     Call->finish(failure(HttpError{HttpErrorCode::BadRequest, Error.what()}));
     return;
   }
-  armDeadline(Call, Deadline);
+  armDeadline(Call, Deadline, this->D->Timers);
   const size_t MaxBytes = this->D->MaxAnswerBytes;
   // The task chain holds the connection's state, so that the client outlives
   // the call.
--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -225,9 +225,9 @@
                                          "the body did not arrive in time"));
       });
   Internal::readBody(*Exchange->Request._get_impl(), this->Limits.MaxBodyBytes)
-      .then([Self, Exchange,
-             Timer](const pplx::task<Internal::BodyReadResult> &Reading) {
-        Self->Timers.cancel(Timer);
+      .then([Self, Exchange, Timer, Timers = this->Timers.ref()](
+                const pplx::task<Internal::BodyReadResult> &Reading) {
+        Timers.cancel(Timer);
         finishReading(Exchange, Self->Handler, Reading);
       });
 }
--- a/tests/auto/base/tst_base.cpp
+++ b/tests/auto/base/tst_base.cpp
@@ -157,3 +157,24 @@
   Called.get_future().wait();
   REQUIRE_FALSE(WasCancelledCalled);
 }
+
+// A callback of another thread cancelled its timer on a queue that was gone.
+TEST_CASE("a reference to a timer queue that is gone does nothing") {
+  TimerQueueRef Ref;
+  const auto Token = std::make_shared<int>();
+  TimerId Timer = 0;
+  {
+    TimerQueue Timers(systemClock(), TimerThread::Caller);
+    Ref = Timers.ref();
+    Timer = Timers.schedule(TimePoint::max(), [Token] {});
+    Ref.cancel(Timer);
+    CHECK_FALSE(Timers.nextDeadline());
+    bool IsCalled = false;
+    Ref.post([&IsCalled] { IsCalled = true; });
+    CHECK(Timers.runNext());
+    CHECK(IsCalled);
+  }
+  Ref.cancel(Timer);
+  Ref.post([Token] {});
+  CHECK(Token.use_count() == 1);
+}
