Entry: Let no answer reach a forwarder that is gone

In EntryNode the servers that answer the callers are destroyed before the forwarder, so that an answer in between reached them too.

CallbackGate lets callbacks of other threads in until it is closed; closing waits for those that are running. The forwarder takes answers, probes and ticks through it. Forwarder::close(), also called by its destructor and by ~EntryNode, closes the gate and completes what is still pending as unknown, so that each caller has one outcome and no server waits for it.

--- a/src/libs/entry/entrynode.cpp
+++ b/src/libs/entry/entrynode.cpp
@@ -396,7 +396,9 @@
     : D(std::make_unique<Private>(std::move(Settings), std::move(Time),
                                   std::move(Source), Timers)) {}
 
-EntryNode::~EntryNode() = default;
+// Requests cut off by the stop end here, while the servers that answer them
+// exist.
+EntryNode::~EntryNode() { this->D->Forwarding->close(); }
 
 Result<void, EntryError> EntryNode::start() {
   if (auto Opened = this->D->Network->open(); !Opened)
--- a/src/libs/entry/forwarder.cpp
+++ b/src/libs/entry/forwarder.cpp
@@ -2,6 +2,8 @@
 
 #include "connectionpool.h"
 
+#include "whintack/base/callbackgate.h"
+
 #include <mutex>
 #include <unordered_map>
 
@@ -45,6 +47,7 @@
                   http::HttpResult Answer);
   void probe(const routing::ProbeAction &Ordered);
   void complete(RequestHandle Handle, ForwardResult Result);
+  void giveUpPending();
   std::shared_ptr<Internal::PendingRequest>
   findPending(RequestHandle Handle) const;
   AttemptResult classify(const Internal::PendingRequest &Pending,
@@ -62,6 +65,8 @@
   std::unordered_map<RequestHandle, std::shared_ptr<Internal::PendingRequest>>
       Requests;
   Internal::ConnectionPool Connections;
+  /// Closed before the owner destroys what the references and hooks refer to.
+  CallbackGate Gate;
 };
 
 void Forwarder::Private::runRouter(const RouterStep &Step) {
@@ -84,9 +89,11 @@
     const std::shared_ptr<Private> Self = Weak.lock();
     if (!Self)
       return;
-    Self->runRouter([&Self](Router &RequestRouter, TimePoint Now) {
-      Self->NextTick = TimePoint::max();
-      return RequestRouter.tick(Now);
+    Self->Gate.run([&Self] {
+      Self->runRouter([&Self](Router &RequestRouter, TimePoint Now) {
+        Self->NextTick = TimePoint::max();
+        return RequestRouter.tick(Now);
+      });
     });
   });
 }
@@ -146,6 +153,20 @@
   Pending->Done(std::move(Result));
 }
 
+void Forwarder::Private::giveUpPending() {
+  std::vector<RequestHandle> Handles;
+  {
+    const std::lock_guard<std::mutex> Lock(this->Mutex);
+    for (const auto &[Handle, Pending] : this->Requests)
+      Handles.push_back(Handle);
+  }
+  ForwardResult GivenUp;
+  GivenUp.Outcome = routing::RequestOutcome::Unknown;
+  GivenUp.Reason = routing::OutcomeReason::Stopping;
+  for (const RequestHandle Handle : Handles)
+    this->complete(Handle, GivenUp);
+}
+
 void Forwarder::Private::send(const routing::SendAction &Sent) {
   const std::shared_ptr<Internal::PendingRequest> Pending =
       this->findPending(Sent.Request);
@@ -176,7 +197,9 @@
   const Internal::PooledConnection Used = *Acquired;
   Used.Connection->send(Content, Sent.Deadline,
                         [Self, Handle, Used](http::HttpResult Answer) {
-                          Self->endAttempt(Handle, Used, std::move(Answer));
+                          Self->Gate.run([&] {
+                            Self->endAttempt(Handle, Used, std::move(Answer));
+                          });
                         });
 }
 
@@ -273,8 +296,10 @@
   const Internal::PooledConnection Used = *Acquired;
   Used.Connection->send(
       Request, Ordered.Deadline, [Self, Used, Finish](http::HttpResult Answer) {
-        Self->Connections.release(Used, Answer.has_value());
-        Finish(Answer && Answer.value().Status < FirstServerError);
+        Self->Gate.run([&] {
+          Self->Connections.release(Used, Answer.has_value());
+          Finish(Answer && Answer.value().Status < FirstServerError);
+        });
       });
 }
 
@@ -287,7 +312,12 @@
                                   std::move(Hooks), Time, Source, Timers,
                                   Journal)) {}
 
-Forwarder::~Forwarder() = default;
+Forwarder::~Forwarder() { this->close(); }
+
+void Forwarder::close() {
+  this->D->Gate.close();
+  this->D->giveUpPending();
+}
 
 void Forwarder::submit(ForwardRequest Request, ForwardDone Done) {
   auto Pending = std::make_shared<Internal::PendingRequest>(
--- a/src/libs/entry/include/whintack/entry/forwarder.h
+++ b/src/libs/entry/include/whintack/entry/forwarder.h
@@ -80,6 +80,10 @@
   void submit(ForwardRequest Request, ForwardDone Done);
   /// Refuses all new requests.
   void stop();
+  /// Waits until no callback is running, then completes the requests still
+  /// pending as unknown; later answers and timers are ignored. Must not be
+  /// called by a callback.
+  void close();
 
   /// Sets the limits of all services.
   void setServices(const std::vector<routing::ServiceLimits> &Services);
