Http: Read a body in a loop, without a copy of it for each chunk

An answer of 8 MB over loopback took 1.3 to 5 s, and beside other work it was given up at the deadline of 10 s, with an unknown outcome. Request bodies are read by the same code.

readBody() read chunks of 16 KiB, and each chunk's task returned the task of the next one. The chain of 512 tasks for 8 MB unwound from its end, and each of them copied the result, and with it the whole body. The time grew with the square of the size. The chunks are now read in a loop, which completes one event at the end.

--- a/src/libs/http/bodyreader.cpp
+++ b/src/libs/http/bodyreader.cpp
@@ -9,27 +9,46 @@
 namespace {
 
 /// Reads one message body in chunks.
+///
+/// The chunks are read in a loop that completes one event at the end. A chain
+/// of tasks, each returning the next, would copy the whole body once or more
+/// for each chunk when it unwinds.
 class BodyReader : public std::enable_shared_from_this<BodyReader> {
 public:
   BodyReader(const concurrency::streams::istream &Stream, size_t MaxBytes)
       : Stream(Stream), MaxBytes(MaxBytes), Chunk(ChunkBytes) {}
 
-  pplx::task<BodyReadResult> readNextChunk() {
+  pplx::task<BodyReadResult> read() {
+    this->readNextChunk();
+    return pplx::task<void>(this->Ended)
+        .then([Self = this->shared_from_this()] {
+          return std::move(Self->Body);
+        });
+  }
+
+private:
+  void readNextChunk() {
     auto Self = this->shared_from_this();
-    return this->Stream.streambuf()
+    this->Stream.streambuf()
         .getn(this->Chunk.data(), this->Chunk.size())
-        .then([Self](size_t Count) { return Self->processChunk(Count); });
+        .then([Self](const pplx::task<size_t> &Reading) {
+          try {
+            Self->processChunk(Reading.get());
+          } catch (...) {
+            Self->Ended.set_exception(std::current_exception());
+          }
+        });
   }
 
-private:
-  pplx::task<BodyReadResult> processChunk(size_t Count) {
+  void processChunk(size_t Count) {
     this->Body.Bytes.append(reinterpret_cast<const char *>(this->Chunk.data()),
                             Count);
     if (this->Body.Bytes.size() > this->MaxBytes)
       this->Body.Status = BodyReadStatus::TooLarge;
     if (Count == 0 || this->Body.Status == BodyReadStatus::TooLarge)
-      return pplx::task_from_result(std::move(this->Body));
-    return this->readNextChunk();
+      this->Ended.set();
+    else
+      this->readNextChunk();
   }
 
   static constexpr size_t ChunkBytes = 16U << 10U;
@@ -38,14 +57,14 @@
   size_t MaxBytes;
   std::vector<uint8_t> Chunk;
   BodyReadResult Body;
+  pplx::task_completion_event<void> Ended;
 };
 
 } // namespace
 
 pplx::task<BodyReadResult> readBody(web::http::details::http_msg_base &Message,
                                     size_t MaxBytes) {
-  auto Reader = std::make_shared<BodyReader>(Message.instream(), MaxBytes);
-  return Reader->readNextChunk();
+  return std::make_shared<BodyReader>(Message.instream(), MaxBytes)->read();
 }
 
 } // namespace whintack::http::Internal
