Bench: Measure the planner of a full service with a backlog

The benchmark of the planner had one job at a time and no backlog. Add a service whose executors are full, where each ended run is reported and leads to a pass and a flush, with the processor time of a report, a pass, a flush, a list and a demand. The label depends on all orders, so that two builds can be compared.

--- a/bench/bench_planner.cpp
+++ b/bench/bench_planner.cpp
@@ -2,6 +2,11 @@
 
 #include <benchmark/benchmark.h>
 
+#include <ctime>
+#include <iomanip>
+#include <map>
+#include <sstream>
+
 using namespace whintack;
 using namespace whintack::jobs;
 
@@ -64,3 +69,256 @@
   }
 }
 BENCHMARK(decideOneJob)->Arg(50)->Arg(350)->Arg(16000);
+
+namespace {
+
+/// Mean processor time of one kind of call to the planner. Other processes on
+/// the machine do not add to it.
+class CallTimer {
+public:
+  template <typename Call> auto measure(Call Run) {
+    const double Began = processorMicros();
+    auto Returned = Run();
+    this->TotalMicros += processorMicros() - Began;
+    ++this->Calls;
+    return Returned;
+  }
+  double meanMicros() const {
+    return this->Calls == 0
+               ? 0
+               : this->TotalMicros / static_cast<double>(this->Calls);
+  }
+
+private:
+  static double processorMicros() {
+    timespec Used{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Used);
+    return static_cast<double>(Used.tv_sec) * 1e6 +
+           static_cast<double>(Used.tv_nsec) / 1e3;
+  }
+
+  double TotalMicros = 0;
+  int64_t Calls = 0;
+};
+
+/// A service whose executors are full and whose backlog is kept at a constant
+/// number of jobs: each job that ends is replaced.
+class LoadedService {
+public:
+  LoadedService(int64_t Executors, int64_t Jobs);
+
+  /// One report of one executor and everything that follows from it.
+  void handleNextReport();
+  void handleList();
+  void handleDemand();
+
+  CallTimer Reports;
+  CallTimer Passes;
+  CallTimer Flushes;
+  CallTimer Lists;
+  CallTimer Demands;
+  /// Depends on all orders so far, to compare the decisions of two builds.
+  size_t OrdersDigest = 0;
+  size_t Starts = 0;
+
+private:
+  struct ActiveRun {
+    TaskKey Task;
+    uint64_t Run;
+    TimePoint EndsAt;
+    bool IsLongRunning;
+  };
+  struct Simulated {
+    std::vector<ActiveRun> Runs;
+    uint64_t Ends = 0;
+  };
+
+  void addJob();
+  void plan();
+  void flush();
+  void start(const StartOrder &Order);
+
+  TimePoint Now{std::chrono::seconds(100)};
+  Planner Planning{{Service, 1, nullptr}};
+  std::vector<ExecutorInfo> Listed;
+  std::map<ExecutorId, Simulated> Fleet;
+  std::map<JobId, JobSpec> Specs;
+  uint64_t NextJob = 0;
+};
+
+} // namespace
+
+/// Four of five jobs have one or two steps of 8 tasks on 6 cores, the others
+/// two steps of 8 tasks on 13 cores; each hundredth runs until it is cancelled.
+static JobSpec mixedJob(uint64_t Number) {
+  constexpr uint64_t Spread = 0x9e3779b97f4a7c15;
+  std::ostringstream Id;
+  Id << std::hex << std::setw(16) << std::setfill('0') << Number * Spread;
+  JobSpec Spec;
+  Spec.Id = JobId(Id.str());
+  StepSpec Step;
+  if (Number % 100 == 0) {
+    Step.Count = 2;
+    Step.Need = {2000, 2048, 0};
+    Step.IsLongRunning = true;
+    Spec.Steps = {Step};
+    return Spec;
+  }
+  const bool IsLarge = Number % 5 == 4;
+  Step.Count = 8;
+  Step.Need = {IsLarge ? 13000 : 6000, IsLarge ? 8192 : 4096, 0};
+  Step.Estimate = std::chrono::milliseconds(800);
+  Spec.Steps = {Step};
+  if (IsLarge || Number % 2 == 0) {
+    Step.Dependencies = {0};
+    Spec.Steps.push_back(Step);
+  }
+  return Spec;
+}
+
+LoadedService::LoadedService(int64_t Executors, int64_t Jobs) {
+  for (int64_t Number = 0; Number < Executors; ++Number)
+    this->Listed.push_back(executor(Number));
+  this->Planning.setExecutors(this->Listed);
+  ExecutorReport Report;
+  Report.At = 1;
+  for (const ExecutorInfo &Info : this->Listed) {
+    this->Fleet[Info.Id];
+    this->Planning.noteReport(Info.Id, Report, this->Now);
+  }
+  while (this->Specs.size() < static_cast<size_t>(Jobs)) {
+    this->addJob();
+    this->Now += std::chrono::milliseconds(1);
+  }
+  this->plan();
+}
+
+void LoadedService::addJob() {
+  AcceptedJob Job;
+  Job.Spec = mixedJob(++this->NextJob);
+  Job.Policy.Name = "q" + std::to_string(this->NextJob % 3);
+  Job.Policy.Service = Service;
+  Job.Policy.Priority = static_cast<int64_t>(this->NextJob % 3);
+  Job.Policy.Stretch = 2;
+  Job.Policy.Objective = std::chrono::milliseconds(600);
+  Job.Accepted = this->Now;
+  this->Specs[Job.Spec.Id] = Job.Spec;
+  this->Planning.addJob(std::move(Job));
+}
+
+void LoadedService::start(const StartOrder &Order) {
+  const StepSpec &Step =
+      this->Specs.at(Order.Task.Step.Job).Steps[Order.Task.Step.Index];
+  // Half to one and a half of the estimate.
+  const Duration Length =
+      Step.Estimate / 2 + Step.Estimate * (this->Starts % 17) / 16;
+  this->Fleet[Order.Executor].Runs.push_back(
+      {Order.Task, Order.Run, this->Now + Length, Step.IsLongRunning});
+  ++this->Starts;
+  this->OrdersDigest =
+      this->OrdersDigest * 31 +
+      std::hash<std::string>()(Order.Executor.text() + Order.Task.text());
+  this->Planning.noteStart(Order, StartOutcome::Started,
+                           toMilliseconds(this->Now.time_since_epoch()),
+                           this->Now);
+}
+
+void LoadedService::plan() {
+  const std::vector<Order> Orders = this->Passes.measure([this] {
+    this->Planning.plan(this->Now, WallTime{std::chrono::seconds(100)});
+    return this->Planning.takeOrders();
+  });
+  for (const Order &Given : Orders)
+    if (const auto *Start = std::get_if<StartOrder>(&Given))
+      this->start(*Start);
+}
+
+void LoadedService::flush() {
+  constexpr size_t WritesPerCommit = 15;
+  const std::vector<JobWrite> Writes = this->Flushes.measure([this] {
+    const std::vector<JobWrite> Taken =
+        this->Planning.takeWrites(WritesPerCommit);
+    this->Planning.noteWritten(Taken);
+    return Taken;
+  });
+  for (const JobWrite &Write : Writes)
+    if (isFinal(Write.Progress.State)) {
+      this->Specs.erase(Write.Job);
+      this->addJob();
+    }
+}
+
+void LoadedService::handleNextReport() {
+  // The executor whose run ends next reports.
+  Simulated *Next = nullptr;
+  ExecutorId Id;
+  TimePoint EndsAt = TimePoint::max();
+  for (auto &[Each, Executor] : this->Fleet)
+    for (const ActiveRun &Run : Executor.Runs)
+      if (!Run.IsLongRunning && Run.EndsAt < EndsAt) {
+        EndsAt = Run.EndsAt;
+        Next = &Executor;
+        Id = Each;
+      }
+  if (!Next)
+    return;
+  this->Now = std::max(this->Now, EndsAt);
+  ExecutorReport Report;
+  Report.At = toMilliseconds(this->Now.time_since_epoch()) + 1;
+  std::erase_if(Next->Runs, [&](const ActiveRun &Run) {
+    const bool HasEnded = !Run.IsLongRunning && Run.EndsAt <= this->Now;
+    if (HasEnded)
+      Report.Ended.push_back(
+          {++Next->Ends, Run.Task, Run.Run, RunEnd::Done, ""});
+    else
+      Report.Running.push_back({Run.Task, Run.Run, "", 50, 0});
+    return HasEnded;
+  });
+  this->Reports.measure([&] {
+    this->Planning.noteReport(Id, Report, this->Now);
+    return this->Planning.lastDiscardableEnd(Id);
+  });
+  this->plan();
+  this->flush();
+}
+
+void LoadedService::handleList() {
+  this->Lists.measure([this] {
+    this->Planning.setExecutors(this->Listed);
+    return 0;
+  });
+}
+
+void LoadedService::handleDemand() {
+  benchmark::DoNotOptimize(this->Demands.measure(
+      [this] { return this->Planning.demand(this->Now); }));
+}
+
+/// Measures what the planner of one full service with a backlog does for each
+/// report of an executor; each 400 reports, the list is read and the demand
+/// asked for.
+static void serveBacklog(benchmark::State &State) {
+  constexpr size_t ReportsPerList = 400;
+  LoadedService Loaded(State.range(0), State.range(1));
+  size_t Reports = 0;
+  for (auto Step : State) {
+    if (++Reports % ReportsPerList == 0) {
+      Loaded.handleList();
+      Loaded.handleDemand();
+    }
+    Loaded.handleNextReport();
+  }
+  State.counters["report_us"] = Loaded.Reports.meanMicros();
+  State.counters["pass_us"] = Loaded.Passes.meanMicros();
+  State.counters["flush_us"] = Loaded.Flushes.meanMicros();
+  State.counters["list_us"] = Loaded.Lists.meanMicros();
+  State.counters["demand_us"] = Loaded.Demands.meanMicros();
+  State.counters["starts"] = static_cast<double>(Loaded.Starts);
+  State.SetLabel("orders " + std::to_string(Loaded.OrdersDigest));
+}
+BENCHMARK(serveBacklog)
+    ->ArgNames({"executors", "jobs"})
+    ->Args({20, 300})
+    ->Args({85, 300})
+    ->Args({85, 1000})
+    ->Iterations(20000);
