Jobs: End the pass over a gang that needs no resources

A gang without needs (cpu and mem-mb are optional) with more members than its limit per executor allows kept the planner, and so the entry VM, in one pass for good: an executor at its limit was marked full by setting its room to 0, which still covers a need of 0, so it was chosen again. Mark it with room that covers no need.

Without the change the new test does not end (killed after 10 s, exit 124): timeout 10 build/tests/auto/tst_jobs 'a gang without*'. With it: build/tests/auto/tst_jobs passes.

--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -16,6 +16,8 @@
 static constexpr Duration ArrivalWindow = std::chrono::seconds(1);
 /// Maximum time between two planning passes.
 static constexpr Duration PlanInterval = std::chrono::milliseconds(100);
+/// Does not cover any need, not even one of 0.
+static constexpr ComputeResources NoResources = {-1, -1, -1};
 
 std::vector<Candidate> Planner::Private::candidates(TimePoint Now) {
   std::vector<Candidate> Healthy;
@@ -226,7 +228,7 @@
     Candidate *Place = this->chooseCandidate(Job, {Step, Index}, Trial, Now);
     while (Place && Spec.MaxTasksPerExecutor > 0 &&
            Taken[Place->Executor->Info.Id] >= Spec.MaxTasksPerExecutor) {
-      Place->Free = {};
+      Place->Free = NoResources;
       Place = this->chooseCandidate(Job, {Step, Index}, Trial, Now);
     }
     if (!Place)
--- a/tests/auto/jobs/tst_planner.cpp
+++ b/tests/auto/jobs/tst_planner.cpp
@@ -237,6 +237,21 @@
   CHECK(Fixture.starts().empty());
 }
 
+// Guards against a pass that never ends: the members need nothing, so that an
+// executor that has its limit of them still has room for more.
+TEST_CASE("a gang without needs does not fit beyond its limit per executor") {
+  PlannerFixture Fixture;
+  Fixture.list({executor("a"), executor("b")});
+  StepSpec Gang = step(3);
+  Gang.Need = {};
+  Gang.IsGang = true;
+  Gang.MaxTasksPerExecutor = 1;
+  Fixture.Planner.addJob(job("1", {Gang}));
+  CHECK(Fixture.starts().empty());
+  Fixture.list({executor("a"), executor("b"), executor("c")});
+  CHECK(Fixture.starts().size() == 3);
+}
+
 TEST_CASE("labels, anti-affinity and draining restrict where a task may run") {
   PlannerFixture Fixture;
   ExecutorInfo Draining = executor("c");
