Jobs: Keep a reserved place when a task starts beside it

A pass reserves the new place of a long-running task that is being moved. A start on the same executor set the room of the pass to all that was not booked there, so that the rest of the pass gave the reserved place away and the moved task waited for the next place. Subtract what the start needs.

--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -196,7 +196,7 @@
                            {"free", Target.Free.MilliCores},
                            {"waited-ms", toMilliseconds(Now - Job.Accepted)}});
   this->bookRun(Key, Task, std::move(Record));
-  Target.Free = Target.Executor->free();
+  Target.Free -= Spec.bookedResources();
   this->Orders.push_back(std::move(Start));
 }
 
--- a/tests/auto/jobs/tst_planner.cpp
+++ b/tests/auto/jobs/tst_planner.cpp
@@ -348,6 +348,25 @@
   CHECK(Fixture.starts().empty());
 }
 
+// Guards against giving away a reserved place: a start on the executor made the
+// pass forget what was reserved there.
+TEST_CASE("a place stays reserved when another task starts beside it") {
+  PlannerFixture Fixture;
+  Fixture.list({executor("a", 2000)});
+  StepSpec LongRunning = step(1, 2000);
+  LongRunning.IsLongRunning = true;
+  Fixture.Planner.addJob(job("1", {LongRunning}));
+  const auto Starts = Fixture.starts();
+  REQUIRE(Starts.size() == 1);
+  Fixture.confirm(Starts[0]);
+  Fixture.Planner.setExecutors({executor("a", 2000), executor("b", 3000)});
+  Fixture.report("b", {}, {});
+  Fixture.Planner.evacuate(ExecutorId("a"), Fixture.Time.now());
+  REQUIRE(Fixture.takeOrders<StopOrder>().size() == 1);
+  Fixture.Planner.addJob(job("2", {step(3, 1000)}));
+  CHECK(Fixture.starts().size() == 1);
+}
+
 TEST_CASE("an executor is reserved for a long-running task that fits nowhere") {
   PlannerFixture Fixture;
   Fixture.list({executor("a", 2000)});
