Jobs: Plan only the jobs that have something to start

A planner with a backlog spent its processor on passes: each report leads to one, and each pass ranked and sorted all jobs and looked at all of their tasks, also of those that run or do not fit. Keep a list of the jobs that may have tasks to start, reviewed after each change of a run, a step or a policy. A pass leaves out jobs that need more than is free on any executor, takes the others from a heap in the order of their rank, and drops those that cannot fit once a smaller need did not. While a long-running task may have to be reserved an executor, none is left out.

--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -73,6 +73,29 @@
   return *this->findTask({Step, 0});
 }
 
+/// Whether a job ranks as if it were no larger than its queue's mean. This
+/// applies to every second job, chosen by the hash of its identifier, so that
+/// large jobs are served at least half as often as others.
+static bool isRankedByMeanWork(const JobId &Id) {
+  return std::hash<std::string>()(Id.text()) % 2 == 0;
+}
+
+/// The rank of a job, without the remaining work.
+static JobRank initialRank(const JobRecord &Job) {
+  JobRank Rank;
+  Rank.Priority = Job.Policy.Priority;
+  Rank.Accepted = Job.Accepted;
+  Rank.IsLongRunning =
+      std::any_of(Job.Spec.Steps.begin(), Job.Spec.Steps.end(),
+                  [](const StepSpec &Step) { return Step.IsLongRunning; });
+  const auto CriticalPath =
+      static_cast<double>(Job.Effort.CriticalPath.count());
+  Rank.Objective =
+      Job.Accepted + Job.Policy.Objective +
+      Duration(static_cast<int64_t>(Job.Policy.Stretch * CriticalPath));
+  return Rank;
+}
+
 JobRecord &Planner::Private::insertJob(AcceptedJob Given) {
   JobRecord Job;
   Job.Spec = std::move(Given.Spec);
@@ -90,7 +113,13 @@
   ++Count;
   Mean += (Job.Effort.Work - Mean) / static_cast<double>(Count);
   const JobId Id = Job.Spec.Id;
-  return this->Jobs.insert_or_assign(Id, std::move(Job)).first->second;
+  JobRecord &Inserted =
+      this->Jobs.insert_or_assign(Id, std::move(Job)).first->second;
+  Inserted.Rank = initialRank(Inserted);
+  if (isRankedByMeanWork(Id))
+    Inserted.QueueWork = &this->MeanWorkByQueue[Inserted.Policy.Name];
+  this->markForReview(Inserted);
+  return Inserted;
 }
 
 void Planner::Private::setFirstUnstored(JobRecord &Job, uint64_t Change) {
@@ -111,6 +140,7 @@
 
 void Planner::Private::endJob(JobRecord &Job, JobState State) {
   Job.State = State;
+  this->markForReview(Job);
   this->recordChange(Job);
   this->log("job-ended", {{"job", Job.Spec.Id},
                           {"state", nameOf(JobStateNames, State)},
@@ -134,6 +164,7 @@
       Job->FirstUnstored != 0 || Job->IsBeingWritten)
     return;
   this->FinalJobs[Id] = Job->ShownState;
+  this->removeStartable(*Job);
   this->Advice.erase(this->Advice.lower_bound(StepKey{Id, 0, 0}),
                      this->Advice.upper_bound(StepKey{Id, INT64_MAX, 0}));
   this->Jobs.erase(Id);
@@ -241,8 +272,11 @@
   for (const ServicePolicy &Service : Queues.configuration().Services)
     this->D->Services[Service.Name] = Service;
   for (auto &[Id, Job] : this->D->Jobs)
-    if (const Queue *Current = Queues.named(Job.Policy.Name))
+    if (const Queue *Current = Queues.named(Job.Policy.Name)) {
       Job.Policy = *Current;
+      Job.Rank = initialRank(Job);
+      this->D->markForReview(Job);
+    }
 }
 
 std::vector<JobWrite> Planner::takeWrites(size_t MaxCount) {
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -89,6 +89,15 @@
   size_t OpenRuns = 0;
   /// Estimated when the job is added; the steps do not change.
   JobEffort Effort;
+  /// All but RemainingWork, which depends on the queue's other jobs.
+  JobRank Rank;
+  /// Entry of MeanWorkByQueue, if the job ranks as if it were no larger than
+  /// its queue's mean.
+  const std::pair<double, size_t> *QueueWork = nullptr;
+  /// Position in the list of startable jobs, if the job is in it.
+  std::optional<size_t> StartablePosition;
+  /// Whether tasks can start must be determined anew.
+  bool NeedsReview = false;
 
   StepRecord &step(const StepKey &Key);
   const StepRecord &step(const StepKey &Key) const;
@@ -136,6 +145,21 @@
   ComputeResources free() const;
 };
 
+/// A job that may have tasks to start.
+struct StartableJob {
+  JobRecord *Job = nullptr;
+  /// The least that any of the tasks needs, separately for each resource.
+  ComputeResources LeastNeed;
+  /// Planning the job may have an effect even if no task fits anywhere.
+  bool IsAlwaysPlanned = false;
+};
+
+/// A startable job in one planning pass.
+struct RankedJob {
+  JobRank Rank;
+  StartableJob Startable;
+};
+
 /// An executor that may get tasks, and the resources left on it during one
 /// planning pass.
 struct Candidate {
@@ -231,6 +255,18 @@
   std::vector<std::string> displacedTaskLabels(TimePoint Now);
   double startableWork(const Internal::JobRecord &Job) const;
   JobRank rankOf(const Internal::JobRecord &Job) const;
+  /// Must be called after each change that may make tasks of the job startable.
+  void markForReview(Internal::JobRecord &Job);
+  void removeStartable(Internal::JobRecord &Job);
+  /// Determines what the job can start. Returns std::nullopt if it is nothing
+  /// until the job is marked for review again.
+  std::optional<Internal::StartableJob> review(Internal::JobRecord &Job);
+  std::vector<Internal::RankedJob> rankStartable(bool IsRecovering);
+  void planInOrder(std::vector<Internal::RankedJob> Waiting,
+                   std::vector<Internal::Candidate> &Candidates, TimePoint Now,
+                   WallTime WallNow);
+  /// Whether planning the job has no effect, because its tasks do not fit.
+  bool isUnplaceable(const Internal::StartableJob &Job) const;
 
   void log(std::string_view Event, std::initializer_list<LogField> Fields) {
     if (this->Setup.Log)
@@ -239,6 +275,8 @@
 
   PlannerSetup Setup;
   std::map<JobId, Internal::JobRecord> Jobs;
+  /// All jobs that may have tasks to start, in no particular order.
+  std::vector<Internal::StartableJob> Startable;
   /// Final states of jobs whose end has been stored.
   std::unordered_map<JobId, JobState> FinalJobs;
   std::map<ExecutorId, Internal::ExecutorRecord> Executors;
@@ -259,6 +297,9 @@
   /// Resources that did not fit anywhere in this planning pass. Steps that need
   /// at least as much are skipped.
   std::optional<ComputeResources> UnplaceableNeed;
+  /// The most that was free on any executor when the pass began, separately for
+  /// each resource.
+  ComputeResources MostFree;
 };
 
 } // namespace whintack::jobs
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -29,6 +29,7 @@
   Task.LastRun = std::max(Task.LastRun, Run.Number);
   Task.Current = std::move(Run);
   ++Job.OpenRuns;
+  this->markForReview(Job);
 }
 
 void Planner::Private::releaseRun(const TaskKey &Key, TaskRecord &Task) {
@@ -38,12 +39,14 @@
   Executor.Runs.erase(Key);
   Task.Current.reset();
   --Job.OpenRuns;
+  this->markForReview(Job);
 }
 
 void Planner::Private::orderStop(const TaskKey &Key, TaskRecord &Task) {
   if (Task.Current->Phase == RunPhase::Stopping)
     return;
   Task.Current->Phase = RunPhase::Stopping;
+  this->markForReview(*this->findJob(Key.Step.Job));
   this->Orders.push_back(
       StopOrder{Task.Current->Executor, Key, Task.Current->Number});
 }
@@ -165,6 +168,7 @@
     if (Task.Current && !IsGang)
       this->orderStop({Key.Step, Index}, Task);
   }
+  this->markForReview(Job);
   this->recordChange(Job);
   this->completeIfDone(Job);
 }
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -40,34 +40,95 @@
   return Healthy.empty() ? Suspect : Healthy;
 }
 
-/// Whether a job ranks as if it were no larger than its queue's mean. This
-/// applies to every second job, chosen by the hash of its identifier, so that
-/// large jobs are served at least half as often as others.
-static bool isRankedByMeanWork(const JobId &Id) {
-  return std::hash<std::string>()(Id.text()) % 2 == 0;
-}
-
 JobRank Planner::Private::rankOf(const JobRecord &Job) const {
-  JobRank Rank;
-  Rank.Priority = Job.Policy.Priority;
-  Rank.Accepted = Job.Accepted;
-  Rank.IsLongRunning =
-      std::any_of(Job.Spec.Steps.begin(), Job.Spec.Steps.end(),
-                  [](const StepSpec &Step) { return Step.IsLongRunning; });
+  JobRank Rank = Job.Rank;
   Rank.RemainingWork = Job.Effort.Work;
-  if (isRankedByMeanWork(Job.Spec.Id)) {
-    const auto Queue = this->MeanWorkByQueue.find(Job.Policy.Name);
-    if (Queue != this->MeanWorkByQueue.end())
-      Rank.RemainingWork = std::min(Rank.RemainingWork, Queue->second.first);
-  }
-  const auto CriticalPath =
-      static_cast<double>(Job.Effort.CriticalPath.count());
-  Rank.Objective =
-      Job.Accepted + Job.Policy.Objective +
-      Duration(static_cast<int64_t>(Job.Policy.Stretch * CriticalPath));
+  if (Job.QueueWork)
+    Rank.RemainingWork = std::min(Rank.RemainingWork, Job.QueueWork->first);
   return Rank;
 }
 
+void Planner::Private::markForReview(JobRecord &Job) {
+  Job.NeedsReview = true;
+  if (Job.StartablePosition)
+    return;
+  Job.StartablePosition = this->Startable.size();
+  this->Startable.push_back({&Job, {}, true});
+}
+
+void Planner::Private::removeStartable(JobRecord &Job) {
+  if (!Job.StartablePosition)
+    return;
+  const size_t Position = *Job.StartablePosition;
+  this->Startable[Position] = this->Startable.back();
+  this->Startable[Position].Job->StartablePosition = Position;
+  this->Startable.pop_back();
+  Job.StartablePosition.reset();
+}
+
+/// Whether a pass may start or reserve something for the task, now or later.
+static bool isTaskOpen(const StepSpec &Spec, const TaskRecord &Task) {
+  if (Task.Current)
+    return Spec.IsLongRunning && Task.Current->Phase == RunPhase::Stopping;
+  return !Task.Stored.IsDone;
+}
+
+static bool isStepOpen(const StepSpec &Spec, const StepRecord &Step) {
+  if (Step.isDone())
+    return false;
+  const bool MayChooseRack = Spec.IsOnOneRack && Step.Rack.empty();
+  return MayChooseRack || std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
+                                      [&Spec](const TaskRecord &Task) {
+                                        return isTaskOpen(Spec, Task);
+                                      });
+}
+
+static void takeLesser(ComputeResources &Least, const ComputeResources &Need) {
+  Least.MilliCores = std::min(Least.MilliCores, Need.MilliCores);
+  Least.MemoryMb = std::min(Least.MemoryMb, Need.MemoryMb);
+  Least.Gpus = std::min(Least.Gpus, Need.Gpus);
+}
+
+std::optional<StartableJob> Planner::Private::review(JobRecord &Job) {
+  if (isFinal(Job.State))
+    return std::nullopt;
+  // The occurrences of a periodic job become due, and advice expires, without
+  // any event.
+  if (Job.Spec.isPeriodic() || Job.Policy.Advice)
+    return StartableJob{&Job, {}, true};
+  std::optional<ComputeResources> Least;
+  for (size_t Index = 0; Index < Job.Spec.Steps.size(); ++Index) {
+    const StepSpec &Spec = Job.Spec.Steps[Index];
+    const StepKey Key{Job.Spec.Id, 0, Index};
+    if (!isStepOpen(Spec, Job.step(Key)) || !this->canStart(Job, Key))
+      continue;
+    if (!Least)
+      Least = Spec.bookedResources();
+    takeLesser(*Least, Spec.bookedResources());
+  }
+  if (!Least)
+    return std::nullopt;
+  return StartableJob{&Job, *Least, false};
+}
+
+bool Planner::Private::isUnplaceable(const StartableJob &Job) const {
+  if (Job.IsAlwaysPlanned)
+    return false;
+  return !this->MostFree.covers(Job.LeastNeed) ||
+         (this->UnplaceableNeed &&
+          Job.LeastNeed.covers(*this->UnplaceableNeed));
+}
+
+static ComputeResources mostFree(const std::vector<Candidate> &Candidates) {
+  ComputeResources Most;
+  for (const Candidate &Each : Candidates) {
+    Most.MilliCores = std::max(Most.MilliCores, Each.Free.MilliCores);
+    Most.MemoryMb = std::max(Most.MemoryMb, Each.Free.MemoryMb);
+    Most.Gpus = std::max(Most.Gpus, Each.Free.Gpus);
+  }
+  return Most;
+}
+
 bool Planner::Private::canStart(const JobRecord &Job,
                                 const StepKey &Step) const {
   const auto &Steps =
@@ -322,24 +383,86 @@
   }
 }
 
+std::vector<RankedJob> Planner::Private::rankStartable(bool IsRecovering) {
+  std::vector<StartableJob> Waiting;
+  Waiting.reserve(this->Startable.size());
+  for (size_t Position = 0; Position < this->Startable.size();) {
+    StartableJob &Each = this->Startable[Position];
+    JobRecord &Job = *Each.Job;
+    if (std::exchange(Job.NeedsReview, false)) {
+      const std::optional<StartableJob> Reviewed = this->review(Job);
+      if (!Reviewed) {
+        this->removeStartable(Job);
+        continue;
+      }
+      Each = *Reviewed;
+    }
+    ++Position;
+    const bool IsHeldBack = Job.MayHaveRun && IsRecovering;
+    if (!IsHeldBack)
+      Waiting.push_back(Each);
+  }
+  const bool MayReserve =
+      std::any_of(Waiting.begin(), Waiting.end(), [](const StartableJob &Each) {
+        return Each.Job->Rank.IsLongRunning;
+      });
+  std::vector<RankedJob> Ranked;
+  for (const StartableJob &Each : Waiting)
+    if (MayReserve || !this->isUnplaceable(Each))
+      Ranked.push_back({this->rankOf(*Each.Job), Each});
+  return Ranked;
+}
+
+static bool isPlannedBefore(const RankedJob &First, const RankedJob &Second,
+                            TimePoint Now) {
+  if (ranksBefore(First.Rank, Second.Rank, Now))
+    return true;
+  return !ranksBefore(Second.Rank, First.Rank, Now) &&
+         First.Startable.Job->Spec.Id < Second.Startable.Job->Spec.Id;
+}
+
+void Planner::Private::planInOrder(std::vector<RankedJob> Waiting,
+                                   std::vector<Candidate> &Candidates,
+                                   TimePoint Now, WallTime WallNow) {
+  // Few jobs fit into what becomes free between two passes, so a heap is
+  // cheaper than sorting all of them.
+  const auto IsLater = [Now](const RankedJob &First, const RankedJob &Second) {
+    return isPlannedBefore(Second, First, Now);
+  };
+  std::make_heap(Waiting.begin(), Waiting.end(), IsLater);
+  auto LongRunning =
+      std::count_if(Waiting.begin(), Waiting.end(), [](const RankedJob &Each) {
+        return Each.Rank.IsLongRunning;
+      });
+  while (!Waiting.empty()) {
+    std::pop_heap(Waiting.begin(), Waiting.end(), IsLater);
+    const RankedJob Next = Waiting.back();
+    Waiting.pop_back();
+    const std::optional<ComputeResources> EarlierNeed = this->UnplaceableNeed;
+    this->planJob(*Next.Startable.Job, Candidates, Now, WallNow);
+    if (Next.Rank.IsLongRunning)
+      --LongRunning;
+    // What does not fit anywhere determines whether an executor is reserved for
+    // a long-running task, so all jobs that rank before it are planned.
+    const bool HasLessRoom = this->UnplaceableNeed != EarlierNeed;
+    const bool MayDrop =
+        LongRunning == 0 && (HasLessRoom || Next.Rank.IsLongRunning);
+    if (MayDrop && std::erase_if(Waiting, [this](const RankedJob &Each) {
+                     return this->isUnplaceable(Each.Startable);
+                   }) > 0)
+      std::make_heap(Waiting.begin(), Waiting.end(), IsLater);
+  }
+}
+
 void Planner::plan(TimePoint Now, WallTime WallNow) {
   this->D->resendStops(Now);
   std::vector<Candidate> Candidates = this->D->candidates(Now);
   if (Candidates.empty())
     return;
   this->D->UnplaceableNeed.reset();
-  std::vector<std::pair<JobRank, JobRecord *>> Waiting;
-  for (auto &[Id, Job] : this->D->Jobs) {
-    const bool IsHeldBack = Job.MayHaveRun && this->isRecovering();
-    if (!isFinal(Job.State) && !IsHeldBack)
-      Waiting.emplace_back(this->D->rankOf(Job), &Job);
-  }
-  std::stable_sort(Waiting.begin(), Waiting.end(),
-                   [Now](const auto &First, const auto &Second) {
-                     return ranksBefore(First.first, Second.first, Now);
-                   });
-  for (const auto &[Rank, Job] : Waiting)
-    this->D->planJob(*Job, Candidates, Now, WallNow);
+  this->D->MostFree = mostFree(Candidates);
+  this->D->planInOrder(this->D->rankStartable(this->isRecovering()), Candidates,
+                       Now, WallNow);
 }
 
 /// Estimated work of the job's tasks that could start now, in core-seconds.
--- a/tests/auto/jobs/tst_planner.cpp
+++ b/tests/auto/jobs/tst_planner.cpp
@@ -405,6 +405,19 @@
   CHECK(Second[0].Task.Step.Occurrence == 1);
 }
 
+TEST_CASE("a cancelled job starts nothing and asks for no advice") {
+  PlannerFixture Fixture;
+  Fixture.list({executor("a", 1000)});
+  AcceptedJob Advised = job("1", {step(1)});
+  Advised.Policy.Advice = AdvicePolicy();
+  Fixture.Planner.addJob(Advised);
+  Fixture.Planner.addJob(job("2", {step(1)}));
+  Fixture.Planner.cancel(JobId("1"));
+  Fixture.Planner.cancel(JobId("2"));
+  Fixture.Planner.plan(Fixture.Time.now(), WallTime());
+  CHECK(Fixture.Planner.takeOrders().empty());
+}
+
 TEST_CASE("a job is shown as cancelled only once that is stored") {
   PlannerFixture Fixture;
   Fixture.Planner.addJob(job("1", {step(1)}));
--- a/tests/auto/jobs/tst_plannerproperties.cpp
+++ b/tests/auto/jobs/tst_plannerproperties.cpp
@@ -37,7 +37,9 @@
 /// may be lost, delayed or reordered.
 class SimulatedCluster {
 public:
-  SimulatedCluster() {
+  /// If \p ReviewsAll is set, the planner determines anew before each pass what
+  /// every job can start.
+  explicit SimulatedCluster(bool ReviewsAll = false) : ReviewsAll(ReviewsAll) {
     for (int Number = 0; Number < 3; ++Number)
       this->addExecutor();
     this->replacePlanner();
@@ -83,6 +85,9 @@
     }
   }
 
+  /// Text of all orders so far.
+  const std::string &orders() const { return this->Orders; }
+
 private:
   void addExecutor() {
     SimulatedExecutor Added;
@@ -122,16 +127,32 @@
     this->Planner->endExecutorDiscovery();
   }
 
+  /// Adopting the policies makes the planner review all jobs.
+  void reviewAll() {
+    FleetConfiguration Unchanged;
+    Unchanged.Queues = {this->Accepted.front().Policy};
+    this->Planner->setQueues(QueueTable(Unchanged));
+  }
+
   void plan() {
+    if (this->ReviewsAll)
+      this->reviewAll();
     this->Planner->plan(this->Time.now(), WallTime());
     for (const Order &Given : this->Planner->takeOrders()) {
       if (const auto *Start = std::get_if<StartOrder>(&Given))
         this->InFlight.push_back({*Start, this->Token});
       else if (const auto *Stop = std::get_if<StopOrder>(&Given))
         this->InFlight.push_back({*Stop, this->Token});
+      std::visit([this](const auto &Each) { this->record(Each); }, Given);
     }
   }
 
+  template <typename OrderType> void record(const OrderType &Given) {
+    if constexpr (requires { Given.Run; })
+      this->Orders += Given.Executor.text() + " " + Given.Task.text() + " " +
+                      std::to_string(Given.Run) + "\n";
+  }
+
   SimulatedExecutor *find(const ExecutorId &Id) {
     for (SimulatedExecutor &Each : this->Executors)
       if (Each.Info.Id == Id)
@@ -290,6 +311,8 @@
     this->Planner->setExecutors(this->list());
   }
 
+  bool ReviewsAll = false;
+  std::string Orders;
   ManualClock Time;
   std::unique_ptr<jobs::Planner> Planner;
   std::vector<AcceptedJob> Accepted;
@@ -318,3 +341,20 @@
       Cluster.perform(Action, Choice);
   }));
 }
+
+// Guards against a job that waits for good because the planner does not look at
+// it again after a change.
+TEST_CASE("passes over changed jobs give the same orders as passes over all") {
+  CHECK(rc::check("same orders", [] {
+    SimulatedCluster Changed;
+    SimulatedCluster All(true);
+    const auto Actions =
+        *rc::gen::container<std::vector<std::pair<uint8_t, uint16_t>>>(
+            400, rc::gen::arbitrary<std::pair<uint8_t, uint16_t>>());
+    for (const auto &[Action, Choice] : Actions) {
+      Changed.perform(Action, Choice);
+      All.perform(Action, Choice);
+      RC_ASSERT(Changed.orders() == All.orders());
+    }
+  }));
+}
