Jobs: Look for stops to repeat only when one is due

Each pass looked at all runs of all executors, each with a search for its job, to find stops that were not answered. Keep the time of the earliest.

--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -211,6 +211,7 @@
                       const ExecutorReport &Report, TimePoint Now);
   void drain(Internal::ExecutorRecord &Executor);
   void stopGang(const StepKey &Step);
+  void setNextStop(Internal::RunRecord &Run, TimePoint At);
   void resendStops(TimePoint Now);
 
   // Placement.
@@ -291,6 +292,8 @@
   /// Mean work of the added jobs in core-seconds, and their number, by queue.
   std::map<std::string, std::pair<double, size_t>> MeanWorkByQueue;
   std::vector<Order> Orders;
+  /// The earliest NextStopAt of all runs, or earlier.
+  TimePoint NextStopAt = TimePoint::max();
   uint64_t Changes = 0;
   /// FirstUnstored of all jobs that have unstored changes.
   std::multiset<uint64_t> UnstoredChanges;
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -461,15 +461,25 @@
   if (At)
     Task->Current->StopConfirmedAt = At;
   else
-    Task->Current->NextStopAt = Now + StopRetryDelay;
+    this->D->setNextStop(*Task->Current, Now + StopRetryDelay);
+}
+
+void Planner::Private::setNextStop(RunRecord &Run, TimePoint At) {
+  Run.NextStopAt = At;
+  this->NextStopAt = std::min(this->NextStopAt, At);
 }
 
 void Planner::Private::resendStops(TimePoint Now) {
+  if (this->NextStopAt > Now)
+    return;
+  this->NextStopAt = TimePoint::max();
   for (auto &[Id, Executor] : this->Executors)
     for (const auto &[Key, Number] : Executor.Runs) {
       RunRecord &Run = *this->findTask(Key)->Current;
-      if (Run.NextStopAt > Now)
+      if (Run.NextStopAt > Now) {
+        this->NextStopAt = std::min(this->NextStopAt, Run.NextStopAt);
         continue;
+      }
       Run.NextStopAt = TimePoint::max();
       this->Orders.push_back(StopOrder{Id, Key, Number});
     }
--- a/tests/auto/jobs/tst_planner.cpp
+++ b/tests/auto/jobs/tst_planner.cpp
@@ -405,6 +405,35 @@
   CHECK(Second[0].Task.Step.Occurrence == 1);
 }
 
+TEST_CASE("each stop that was not answered is repeated until it is") {
+  PlannerFixture Fixture;
+  Fixture.list({executor("a")});
+  Fixture.Planner.addJob(job("1", {step(2)}));
+  for (const auto &Order : Fixture.starts())
+    Fixture.confirm(Order);
+  Fixture.Planner.cancel(JobId("1"));
+  const auto Stops = Fixture.takeOrders<StopOrder>();
+  REQUIRE(Stops.size() == 2);
+  const auto RepeatedStops = [&Fixture] {
+    Fixture.Planner.plan(Fixture.Time.now(), WallTime());
+    return Fixture.takeOrders<StopOrder>();
+  };
+  Fixture.Planner.noteStop(Stops[1], std::nullopt, Fixture.Time.now());
+  Fixture.Time.advance(std::chrono::milliseconds(200));
+  Fixture.Planner.noteStop(Stops[0], std::nullopt, Fixture.Time.now());
+  CHECK(RepeatedStops().empty());
+  Fixture.Time.advance(std::chrono::milliseconds(300));
+  const auto First = RepeatedStops();
+  REQUIRE(First.size() == 1);
+  CHECK(First[0].Task == Stops[1].Task);
+  Fixture.Planner.noteStop(First[0], std::nullopt, Fixture.Time.now());
+  Fixture.Time.advance(std::chrono::milliseconds(200));
+  CHECK(RepeatedStops().size() == 1);
+  Fixture.Time.advance(std::chrono::milliseconds(300));
+  CHECK(RepeatedStops().size() == 1);
+  CHECK(RepeatedStops().empty());
+}
+
 TEST_CASE("a cancelled job starts nothing and asks for no advice") {
   PlannerFixture Fixture;
   Fixture.list({executor("a", 1000)});
