--- a/tests/auto/jobs/tst_planner.cpp
+++ b/tests/auto/jobs/tst_planner.cpp
@@ -237,6 +237,21 @@
   CHECK(Fixture.starts().empty());
 }
 
+// Guards against a pass that never ends: the members need nothing, so that an
+// executor that has its limit of them still has room for more.
+TEST_CASE("a gang without needs does not fit beyond its limit per executor") {
+  PlannerFixture Fixture;
+  Fixture.list({executor("a"), executor("b")});
+  StepSpec Gang = step(3);
+  Gang.Need = {};
+  Gang.IsGang = true;
+  Gang.MaxTasksPerExecutor = 1;
+  Fixture.Planner.addJob(job("1", {Gang}));
+  CHECK(Fixture.starts().empty());
+  Fixture.list({executor("a"), executor("b"), executor("c")});
+  CHECK(Fixture.starts().size() == 3);
+}
+
 TEST_CASE("labels, anti-affinity and draining restrict where a task may run") {
   PlannerFixture Fixture;
   ExecutorInfo Draining = executor("c");
@@ -333,6 +348,25 @@
   CHECK(Fixture.starts().empty());
 }
 
+// Guards against giving away a reserved place: a start on the executor made the
+// pass forget what was reserved there.
+TEST_CASE("a place stays reserved when another task starts beside it") {
+  PlannerFixture Fixture;
+  Fixture.list({executor("a", 2000)});
+  StepSpec LongRunning = step(1, 2000);
+  LongRunning.IsLongRunning = true;
+  Fixture.Planner.addJob(job("1", {LongRunning}));
+  const auto Starts = Fixture.starts();
+  REQUIRE(Starts.size() == 1);
+  Fixture.confirm(Starts[0]);
+  Fixture.Planner.setExecutors({executor("a", 2000), executor("b", 3000)});
+  Fixture.report("b", {}, {});
+  Fixture.Planner.evacuate(ExecutorId("a"), Fixture.Time.now());
+  REQUIRE(Fixture.takeOrders<StopOrder>().size() == 1);
+  Fixture.Planner.addJob(job("2", {step(3, 1000)}));
+  CHECK(Fixture.starts().size() == 1);
+}
+
 TEST_CASE("an executor is reserved for a long-running task that fits nowhere") {
   PlannerFixture Fixture;
   Fixture.list({executor("a", 2000)});
@@ -371,6 +405,48 @@
   CHECK(Second[0].Task.Step.Occurrence == 1);
 }
 
+TEST_CASE("each stop that was not answered is repeated until it is") {
+  PlannerFixture Fixture;
+  Fixture.list({executor("a")});
+  Fixture.Planner.addJob(job("1", {step(2)}));
+  for (const auto &Order : Fixture.starts())
+    Fixture.confirm(Order);
+  Fixture.Planner.cancel(JobId("1"));
+  const auto Stops = Fixture.takeOrders<StopOrder>();
+  REQUIRE(Stops.size() == 2);
+  const auto RepeatedStops = [&Fixture] {
+    Fixture.Planner.plan(Fixture.Time.now(), WallTime());
+    return Fixture.takeOrders<StopOrder>();
+  };
+  Fixture.Planner.noteStop(Stops[1], std::nullopt, Fixture.Time.now());
+  Fixture.Time.advance(std::chrono::milliseconds(200));
+  Fixture.Planner.noteStop(Stops[0], std::nullopt, Fixture.Time.now());
+  CHECK(RepeatedStops().empty());
+  Fixture.Time.advance(std::chrono::milliseconds(300));
+  const auto First = RepeatedStops();
+  REQUIRE(First.size() == 1);
+  CHECK(First[0].Task == Stops[1].Task);
+  Fixture.Planner.noteStop(First[0], std::nullopt, Fixture.Time.now());
+  Fixture.Time.advance(std::chrono::milliseconds(200));
+  CHECK(RepeatedStops().size() == 1);
+  Fixture.Time.advance(std::chrono::milliseconds(300));
+  CHECK(RepeatedStops().size() == 1);
+  CHECK(RepeatedStops().empty());
+}
+
+TEST_CASE("a cancelled job starts nothing and asks for no advice") {
+  PlannerFixture Fixture;
+  Fixture.list({executor("a", 1000)});
+  AcceptedJob Advised = job("1", {step(1)});
+  Advised.Policy.Advice = AdvicePolicy();
+  Fixture.Planner.addJob(Advised);
+  Fixture.Planner.addJob(job("2", {step(1)}));
+  Fixture.Planner.cancel(JobId("1"));
+  Fixture.Planner.cancel(JobId("2"));
+  Fixture.Planner.plan(Fixture.Time.now(), WallTime());
+  CHECK(Fixture.Planner.takeOrders().empty());
+}
+
 TEST_CASE("a job is shown as cancelled only once that is stored") {
   PlannerFixture Fixture;
   Fixture.Planner.addJob(job("1", {step(1)}));
