--- a/src/libs/dispatch/portionedread.cpp
+++ b/src/libs/dispatch/portionedread.cpp
@@ -10,8 +10,8 @@
 static constexpr size_t IdLength = 16;
 /// Takes a quarter of a second at 10 Mbit/s, so that the renewals of leases are
 /// not held up.
-static constexpr size_t MaxPortionBytes = 256 * 1000;
-static constexpr size_t MinPortionBytes = 4 * 1000;
+static constexpr size_t MaxPortionBytes = 256000;
+static constexpr size_t MinPortionBytes = 4000;
 /// Bytes that all items are assumed to have before any is read; limits the
 /// first portion to two digits.
 static constexpr double AssumedBytes = 256.0 * MaxPortionBytes;
--- a/src/libs/simulation/memorystore.cpp
+++ b/src/libs/simulation/memorystore.cpp
@@ -18,7 +18,7 @@
 static constexpr Duration WatchTimeoutMargin = std::chrono::milliseconds(800);
 /// Limits of one page.
 static constexpr size_t MaxPageItems = 500;
-static constexpr size_t MaxPageBytes = 1000 * 1000;
+static constexpr size_t MaxPageBytes = 1000000;
 
 static size_t wireSize(const store::StoreItem &Item) {
   // Values travel as base64 text, beside the names of the fields.
--- a/tests/auto/dispatch/tst_portionedread.cpp
+++ b/tests/auto/dispatch/tst_portionedread.cpp
@@ -46,10 +46,10 @@
   std::vector<std::string> read(Duration Length) {
     store::AsyncStore Direct = this->Store.interface(EntryName("e1"));
     store::AsyncStore Counting = Direct;
-    Counting.Range = [this,
-                      Direct](const std::string &Digits,
-                              const std::string &After, store::ReadKind Kind,
-                              store::StoreCallback<store::StorePage> Done) {
+    Counting.Range = [this, Direct](
+                         const std::string &Digits, const std::string &After,
+                         store::ReadKind Kind,
+                         const store::StoreCallback<store::StorePage> &Done) {
       ++this->Calls;
       Direct.Range(Digits, After, Kind,
                    [this, Done](store::StoreResult<store::StorePage> Answer) {
@@ -123,7 +123,7 @@
   for (int Count = 0; Count < 3000; ++Count)
     Test.add(Test.numberedId(Test.Source()));
   CHECK(Test.read(seconds(20)) == Test.sortedKeys());
-  constexpr size_t HalfPage = 500 * 1000;
+  constexpr size_t HalfPage = 500000;
   CHECK(Test.LargestAnswer < HalfPage);
 }
 
