Tests: Show notices that planners on a slow link never read

The notices of new jobs are read in pages of up to 1 MB like the jobs were, and from the beginning after each failure.

--- a/tests/auto/dispatch/slowfleet.h
+++ b/tests/auto/dispatch/slowfleet.h
@@ -56,7 +56,35 @@
     return Completed;
   }
 
+  /// Leaves a notice for each stored job, as a request handler does that cannot
+  /// reach the planner.
+  void leaveNotices() {
+    for (const auto &[Service, Keys] : this->StoredJobs) {
+      const size_t Prefix =
+          dispatch::Internal::keys::jobs(ServiceName(Service)).size();
+      for (const std::string &Key : Keys)
+        this->Platform.store().put(noticePrefix(Service) + Key.substr(Prefix),
+                                   *this->Platform.store().value(Key));
+    }
+  }
+
+  /// Returns how many of the notices of the service are left.
+  size_t noticesLeft(const std::string &Service) const {
+    const size_t Prefix =
+        dispatch::Internal::keys::jobs(ServiceName(Service)).size();
+    size_t Left = 0;
+    for (const std::string &Key : this->StoredJobs.at(Service))
+      if (this->Platform.store().value(noticePrefix(Service) +
+                                       Key.substr(Prefix)))
+        ++Left;
+    return Left;
+  }
+
 private:
+  static std::string noticePrefix(const std::string &Service) {
+    return dispatch::Internal::keys::newJobs(ServiceName(Service));
+  }
+
   void storeJob(const std::string &Service, const std::string &Payload) {
     std::ostringstream Id;
     Id << std::hex << std::setfill('0') << std::setw(16) << this->Source();
