Dispatch: Keep the portions small when the first ones are empty

A read in portions that found nothing among the first ids assumed that there is nothing at all, and read the rest in full pages. The estimate now starts from one large item.

Measured: the new case of tst_portionedread failed before (an answer of 1.36 MB, the bound is 0.5 MB) and passes now.

--- a/src/libs/dispatch/portionedread.cpp
+++ b/src/libs/dispatch/portionedread.cpp
@@ -15,6 +15,9 @@
 /// Bytes that all items are assumed to have before any is read; limits the
 /// first portion to two digits.
 static constexpr double AssumedBytes = 256.0 * MaxPortionBytes;
+/// One large item that the estimate of the density adds, because the first
+/// portions may be empty by chance.
+static constexpr double ItemBytes = 4000;
 static constexpr Duration MinRetryDelay = std::chrono::milliseconds(200);
 static constexpr Duration MaxRetryDelay = std::chrono::milliseconds(800);
 
@@ -55,9 +58,10 @@
 /// Returns the digits with which the ids of the next call begin.
 std::string PortionedRead::nextPortion() const {
   const double Fraction = this->fractionRead();
-  const double Total = Fraction > 0
-                           ? static_cast<double>(this->BytesFound) / Fraction
-                           : AssumedBytes;
+  const double Total =
+      Fraction > 0
+          ? (static_cast<double>(this->BytesFound) + ItemBytes) / Fraction
+          : AssumedBytes;
   const double Portions =
       std::max(1.0, Total / static_cast<double>(this->PortionBytes));
   constexpr double BitsPerDigit = 4;
--- a/tests/auto/dispatch/tst_portionedread.cpp
+++ b/tests/auto/dispatch/tst_portionedread.cpp
@@ -127,6 +127,18 @@
   CHECK(Test.LargestAnswer < HalfPage);
 }
 
+// Guards against a first full page because the first portion was empty.
+TEST_CASE(
+    "a read in portions keeps answers small if the first ids are unused") {
+  Fixture Test;
+  constexpr uint64_t FirstUsed = 0x0100000000000000;
+  for (int Count = 0; Count < 400; ++Count)
+    Test.add(Test.numberedId(std::max(Test.Source(), FirstUsed)));
+  CHECK(Test.read(seconds(20)) == Test.sortedKeys());
+  constexpr size_t HalfPage = 500000;
+  CHECK(Test.LargestAnswer < HalfPage);
+}
+
 TEST_CASE("a read in portions continues where it was after the store was "
           "silent") {
   Fixture Test;
