Dispatch: Read notices in portions

Notices of new jobs carry the jobs, and were read in full pages. Two planners on one VM with a slow link shared it, so that no page arrived in time, and each started again. The jobs whose request handlers could not reach the planner were then not planned until the next change of the planner.

The watch of the notices reads them with PortionedRead, and reads them again after three failed watches, whose answers would only become larger.

--- a/src/libs/dispatch/prefixwatch.cpp
+++ b/src/libs/dispatch/prefixwatch.cpp
@@ -7,6 +7,9 @@
 static constexpr Duration WatchTimeout = std::chrono::seconds(1);
 /// Maximum delay before a failed call is retried.
 static constexpr Duration RetryDelay = std::chrono::milliseconds(400);
+/// Number of failed watches after which everything is read again if that is
+/// done in portions: the changes may be too many for the link, and become more.
+static constexpr unsigned MaxWatchFailures = 3;
 
 PrefixWatch::PrefixWatch(Context Shared, std::string Prefix, ItemHook OnChange,
                          std::function<void(uint64_t Revision)> OnRevision)
@@ -16,7 +19,38 @@
 void PrefixWatch::start() {
   this->NewItems.clear();
   this->NewItemsAsOf = 0;
-  this->readPage("");
+  this->WatchFailures = 0;
+  if (this->PortionPrefixes.empty())
+    this->readPage("");
+  else
+    this->readPortions(0);
+}
+
+void PrefixWatch::stop() {
+  this->IsStopped = true;
+  if (this->Portions)
+    this->Portions->stop();
+}
+
+void PrefixWatch::readPortions(size_t Index) {
+  if (Index == this->PortionPrefixes.size()) {
+    if (this->OnRevision)
+      this->OnRevision(this->NewItemsAsOf);
+    this->replaceAll();
+    if (!this->IsStopped)
+      this->watch();
+    return;
+  }
+  this->Portions = std::make_shared<PortionedRead>(
+      this->Shared, this->PortionPrefixes[Index],
+      [this, Index](PortionedRead::Contents Found) {
+        if (this->NewItemsAsOf == 0)
+          this->NewItemsAsOf = Found.AsOf;
+        for (store::StoreItem &Item : Found.Items)
+          this->NewItems[Item.Key] = std::move(Item);
+        this->readPortions(Index + 1);
+      });
+  this->Portions->start();
 }
 
 void PrefixWatch::readPage(const std::string &After) {
@@ -86,10 +120,14 @@
   if (this->IsStopped)
     return;
   if (!Answer) {
-    this->retry(Answer.error(),
-                Answer.error().Code == store::StoreErrorCode::HistoryLost);
+    const bool IsLost =
+        Answer.error().Code == store::StoreErrorCode::HistoryLost;
+    const bool IsOverdue = ++this->WatchFailures >= MaxWatchFailures &&
+                           !this->PortionPrefixes.empty();
+    this->retry(Answer.error(), IsLost || IsOverdue);
     return;
   }
+  this->WatchFailures = 0;
   std::set<std::string> Changed;
   for (store::StoreChange &Change : Answer.value().Changes) {
     const auto Known = this->Items.find(Change.Key);
--- a/src/libs/dispatch/prefixwatch.h
+++ b/src/libs/dispatch/prefixwatch.h
@@ -2,6 +2,7 @@
 #define WHINTACK_DISPATCH_PREFIXWATCH_H
 
 #include "context.h"
+#include "portionedread.h"
 
 #include <map>
 #include <set>
@@ -27,14 +28,20 @@
   PrefixWatch(Context Shared, std::string Prefix, ItemHook OnChange,
               std::function<void(uint64_t Revision)> OnRevision = nullptr);
 
+  /// Reads all items in portions that a slow link carries. All keys must be one
+  /// of \p Prefixes and a job id. Must be called before start().
+  void readInPortions(std::vector<std::string> Prefixes) {
+    this->PortionPrefixes = std::move(Prefixes);
+  }
   void start();
-  void stop() { this->IsStopped = true; }
+  void stop();
   /// Whether the last call to the store was answered.
   bool isCurrent() const { return this->IsCurrent; }
   /// Store revision up to which the items are known.
   uint64_t asOf() const { return this->AsOf; }
 
 private:
+  void readPortions(size_t Index);
   void readPage(const std::string &After);
   void handlePage(store::StoreResult<store::StorePage> Answer);
   void watch();
@@ -50,6 +57,9 @@
   ItemMap NewItems;
   uint64_t AsOf = 0;
   uint64_t NewItemsAsOf = 0;
+  std::vector<std::string> PortionPrefixes;
+  std::shared_ptr<PortionedRead> Portions;
+  unsigned WatchFailures = 0;
   bool IsCurrent = false;
   bool IsStopped = false;
 };
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -179,6 +179,8 @@
         if (const auto Self = Weak.lock())
           Self->handleNotices(Items);
       });
+  this->Notices->readInPortions(
+      {keys::newJobs(this->Service), keys::cancellations(this->Service)});
   this->Notices->start();
   if (this->OwnClaim.Generation > 1 &&
       Loaded.Began >= this->ClaimedAt + RescanDelay)
