Dispatch: Log how many notices a planner handles

Callers had a cancellation acknowledged whose job was started later. The logs did not tell whether the notice of the cancellation was deferred, left over for the next transaction, or never read.

--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -177,6 +177,7 @@
   Cleanup->Expect = {
       {keys::Claims + this->OwnClaim.Shard, this->OwnClaim.Token}};
   uint64_t LastChange = 0;
+  size_t Deferred = 0;
   const auto IsFull = [&Cleanup] {
     return Cleanup->Removals.size() + 2 > store::MaxTransactionEntries;
   };
@@ -193,11 +194,20 @@
         this->Planner.cancel(jobs::JobId(Key.substr(Cancels.size())));
     // The job itself may be announced later; its cancellation stays in the
     // store until then.
-    if (!Change)
+    if (!Change) {
+      ++Deferred;
+      logEvent(LogLevel::Info, "cancel-deferred",
+               {{"job", Key.substr(Cancels.size())}});
       continue;
+    }
     LastChange = std::max(LastChange, *Change);
     Cleanup->Removals.push_back(Key);
   }
+  logEvent(LogLevel::Info, "notices-handled",
+           {{"shard", this->OwnClaim.Shard},
+            {"items", Items.size()},
+            {"deferred", Deferred},
+            {"handled", Cleanup->Removals.size()}});
   if (Cleanup->Removals.empty())
     return;
   this->AwaitingStore.emplace(
