--- a/src/libs/simulation/include/whintack/simulation/memorystore.h
+++ b/src/libs/simulation/include/whintack/simulation/memorystore.h
@@ -21,6 +21,8 @@
   Silent,
   /// Calls are carried out, but time out because their answers are lost.
   AnswersLost,
+  /// Watch calls time out, and all others are served.
+  WatchesSilent,
 };
 
 /// In-memory implementation of the platform's store with fault injection.
--- a/src/libs/simulation/memorystore.cpp
+++ b/src/libs/simulation/memorystore.cpp
@@ -38,6 +38,7 @@
   this->Loop.schedule(Now + this->Delay, [this, Vm, Done, Work, Now] {
     switch (this->faultModeFor(Vm)) {
     case StoreFaultMode::Served:
+    case StoreFaultMode::WatchesSilent:
       Done(Work());
       return;
     case StoreFaultMode::Refused:
@@ -235,6 +236,14 @@
   this->Loop.schedule(
       this->Time.Now() + this->Delay,
       [this, Vm, NewWatcher = std::move(NewWatcher)]() mutable {
+        if (this->faultModeFor(Vm) == StoreFaultMode::WatchesSilent) {
+          this->Loop.schedule(this->Time.Now() + CallTimeout, [Done =
+                                                                   NewWatcher
+                                                                       .Done] {
+            Done(failure(StoreError{StoreErrorCode::Ambiguous, "no answer"}));
+          });
+          return;
+        }
         if (this->faultModeFor(Vm) != StoreFaultMode::Served) {
           NewWatcher.Done(
               failure(StoreError{StoreErrorCode::Unreachable, "refused"}));
--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -89,6 +89,12 @@
       this->Platform.setCut(Vm, DataCentreName(DataCentre), IsCut);
 }
 
+void SimulatedFleet::breakWatches(const std::string &Name) {
+  this->CutOff.insert(Name);
+  this->Platform.store().setFaultMode(
+      EntryName(Name), simulation::StoreFaultMode::WatchesSilent);
+}
+
 std::vector<std::string> SimulatedFleet::nodeNames() const {
   std::vector<std::string> Names;
   for (const auto &[Name, Each] : this->Nodes)
--- a/tests/auto/dispatch/simulatedfleet.h
+++ b/tests/auto/dispatch/simulatedfleet.h
@@ -36,6 +36,9 @@
   /// Cuts one VM off from the store, from the other VMs and from the other data
   /// centre, or restores its connections.
   void setCut(const std::string &Name, bool IsCut);
+  /// Breaks the watches of one VM and its connections to the other VMs. It can
+  /// still renew its lease, write to the store and reach all executors.
+  void breakWatches(const std::string &Name);
 
   std::vector<std::string> nodeNames() const;
   /// The VM that plans the service; empty if there is none.
