Dispatch: Handle every notice as soon as it is read

Callers had cancellations acknowledged whose jobs were started later, and accepted jobs that waited for seconds before a planner knew of them.

The number of notices handled at once was limited to what one transaction can remove, and the rest was looked at only when a notice changed. If the removal failed, that could be never.

All notices that changed are now handled when they are read, new jobs before cancellations. Handled notices are removed in as many transactions as needed, and a removal that fails is repeated. Because only changes are handled, a cancellation whose job is not known yet is kept until the job is added; before, it was carried out only if another notice changed later.

--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -16,6 +16,8 @@
 /// How old the knowledge of the notices may be when a task is started. Request
 /// handlers acknowledge a cancellation once its notice is stored.
 static constexpr Duration MaxNoticeAge = std::chrono::milliseconds(2000);
+/// Maximum delay before a failed removal of notices is retried.
+static constexpr Duration NoticeRetryDelay = std::chrono::milliseconds(400);
 /// Interval between two checks of the machines while executors are silent.
 static constexpr Duration SilentCheckInterval = std::chrono::milliseconds(600);
 /// Time after which an earlier planner's claim has certainly expired.
@@ -102,6 +104,7 @@
   this->QueueNames[Id] = Stored.value().QueueName;
   if (Stored.value().End) {
     this->Planner.restoreFinalJob(Id, *Stored.value().End);
+    this->cancelIfPending(Id);
     return true;
   }
   const auto Spec = this->Environment.DecodeJob(Id, Stored.value().Body);
@@ -124,6 +127,7 @@
     this->Planner.restoreJob(std::move(Job), *Earlier);
   else
     this->Planner.addJob(std::move(Job));
+  this->cancelIfPending(Id);
   return true;
 }
 
@@ -164,9 +168,9 @@
   this->Notices = std::make_shared<PrefixWatch>(
       this->Shared, keys::notices(this->Service),
       [Weak = this->weak_from_this()](const ItemMap &Items,
-                                      const std::set<std::string> &) {
+                                      const std::set<std::string> &Changed) {
         if (const auto Self = Weak.lock())
-          Self->handleNotices(Items);
+          Self->handleNotices(Items, Changed);
       });
   this->Notices->start();
   if (this->OwnClaim.Generation > 1)
@@ -180,59 +184,93 @@
 
 /// Handles the notices that request handlers left in the store because they
 /// could not reach the planner. A notice is removed once its effect is stored.
-void ServiceShard::handleNotices(const ItemMap &Items) {
+void ServiceShard::handleNotices(const ItemMap &Items,
+                                 const std::set<std::string> &Changed) {
   if (this->IsStopped || Items.empty())
     return;
   const std::string Jobs = keys::newJobs(this->Service);
   const std::string Cancels = keys::cancellations(this->Service);
-  auto Cleanup = std::make_shared<store::StoreTransaction>();
-  Cleanup->Expect = {
-      {keys::Claims + this->OwnClaim.Shard, this->OwnClaim.Token}};
-  uint64_t LastChange = 0;
-  size_t Deferred = 0;
-  const auto IsFull = [&Cleanup] {
-    return Cleanup->Removals.size() + 2 > store::MaxTransactionEntries;
-  };
-  for (const auto &[Key, Item] : Items)
-    if (Key.starts_with(Jobs) && !IsFull()) {
-      this->addStoredJob(jobs::JobId(Key.substr(Jobs.size())), Item.Value,
-                         nullptr);
-      Cleanup->Removals.push_back(Key);
-    }
-  for (const auto &[Key, Item] : Items) {
-    if (!Key.starts_with(Cancels) || IsFull())
-      continue;
-    const auto Change =
-        this->Planner.cancel(jobs::JobId(Key.substr(Cancels.size())));
-    // The job itself may be announced later; its cancellation stays in the
-    // store until then.
-    if (!Change) {
-      ++Deferred;
-      logEvent(LogLevel::Info, "cancel-deferred",
-               {{"job", Key.substr(Cancels.size())}});
+  for (const std::string &Key : Changed) {
+    const auto Found = Items.find(Key);
+    if (Found == Items.end())
       continue;
+    if (Key.starts_with(Jobs)) {
+      this->addStoredJob(jobs::JobId(Key.substr(Jobs.size())),
+                         Found->second.Value, nullptr);
+      this->HandledNotices.insert(Key);
+    } else if (Key.starts_with(Cancels)) {
+      this->cancelByNotice(jobs::JobId(Key.substr(Cancels.size())));
     }
-    LastChange = std::max(LastChange, *Change);
-    Cleanup->Removals.push_back(Key);
   }
   logEvent(LogLevel::Info, "notices-handled",
            {{"shard", this->OwnClaim.Shard},
             {"items", Items.size()},
-            {"deferred", Deferred},
-            {"handled", Cleanup->Removals.size()}});
-  if (Cleanup->Removals.empty())
+            {"changed", Changed.size()},
+            {"pending", this->PendingCancellations.size()}});
+  this->removeHandledNotices();
+  this->flush();
+  this->requestPlan();
+}
+
+/// Cancels the job now, or when it is added if it is not known yet.
+void ServiceShard::cancelByNotice(const jobs::JobId &Id) {
+  const std::optional<uint64_t> Change = this->Planner.cancel(Id);
+  if (!Change) {
+    this->PendingCancellations.insert(Id);
     return;
+  }
   this->AwaitingStore.emplace(
-      LastChange, [Weak = this->weak_from_this(), Cleanup] {
-        if (const auto Self = Weak.lock())
-          Self->Shared.Store.Commit(
-              *Cleanup, [](const store::StoreResult<store::CommitAnswer> &) {
-                // A notice that was not removed is handled again, which has no
-                // effect.
-              });
+      *Change, [this, Key = keys::cancellations(this->Service) + Id.text()] {
+        this->HandledNotices.insert(Key);
+        this->removeHandledNotices();
       });
-  this->flush();
-  this->requestPlan();
+}
+
+void ServiceShard::cancelIfPending(const jobs::JobId &Id) {
+  if (this->PendingCancellations.erase(Id) > 0)
+    this->cancelByNotice(Id);
+}
+
+void ServiceShard::removeHandledNotices() {
+  if (this->IsRemovingNotices || this->IsStopped ||
+      this->HandledNotices.empty())
+    return;
+  store::StoreTransaction Change;
+  Change.Expect = {{keys::Claims + this->OwnClaim.Shard, this->OwnClaim.Token}};
+  for (const std::string &Key : this->HandledNotices) {
+    if (Change.Expect.size() + Change.Removals.size() >=
+        store::MaxTransactionEntries)
+      break;
+    Change.Removals.push_back(Key);
+  }
+  this->IsRemovingNotices = true;
+  this->Shared.Store.Commit(
+      Change, onLoop<ServiceShard, store::StoreResult<store::CommitAnswer>>(
+                  this->Shared.Loop, this->shared_from_this(),
+                  [Removed = Change.Removals](
+                      ServiceShard &Self,
+                      const store::StoreResult<store::CommitAnswer> &Answer) {
+                    Self.handleNoticesRemoved(Removed, Answer);
+                  }));
+}
+
+void ServiceShard::handleNoticesRemoved(
+    const std::vector<std::string> &Removed,
+    const store::StoreResult<store::CommitAnswer> &Answer) {
+  this->IsRemovingNotices = false;
+  if (!Answer) {
+    scheduleFor(this->Shared.Loop, this->shared_from_this(),
+                this->Shared.now() + this->Shared.jittered(NoticeRetryDelay),
+                [](ServiceShard &Self) { Self.removeHandledNotices(); });
+    return;
+  }
+  if (!Answer.value().IsCommitted) {
+    this->reportLoss("another planner holds the claim");
+    return;
+  }
+  for (const std::string &Key : Removed)
+    this->HandledNotices.erase(Key);
+  this->removeHandledNotices();
 }
 
 void ServiceShard::setQueues(const jobs::QueueTable &Queues) {
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -66,7 +66,15 @@
   void handleContents(const ShardStore::Contents &Loaded);
   void restore(const store::StoreItem &Item,
                const std::unordered_map<std::string, std::string> &Progress);
-  void handleNotices(const ItemMap &Items);
+  /// Handles the notices whose keys are in \p Changed.
+  void handleNotices(const ItemMap &Items,
+                     const std::set<std::string> &Changed);
+  void cancelByNotice(const jobs::JobId &Id);
+  void cancelIfPending(const jobs::JobId &Id);
+  void removeHandledNotices();
+  void
+  handleNoticesRemoved(const std::vector<std::string> &Removed,
+                       const store::StoreResult<store::CommitAnswer> &Answer);
   /// Adds a job from its record. \p Earlier is the progress that an earlier
   /// planner stored for it, or null if no earlier planner can have started it.
   /// Returns false if the record cannot be read.
@@ -110,6 +118,10 @@
   std::set<jobs::ExecutorId> Silent;
   /// Executors that were silent when the machines were last requested.
   std::set<jobs::ExecutorId> SilentAtRequest;
+  /// Jobs not known yet whose cancellation is in the store.
+  std::set<jobs::JobId> PendingCancellations;
+  /// Keys of the notices whose effect is stored.
+  std::set<std::string> HandledNotices;
   /// Answers that wait until a change is stored, by the number of the change.
   std::multimap<uint64_t, std::function<void()>> AwaitingStore;
   std::function<void()> OnDrained;
@@ -122,6 +134,7 @@
   bool IsPlanRequested = false;
   bool IsFlushRequested = false;
   bool IsWriting = false;
+  bool IsRemovingNotices = false;
   bool IsStopped = false;
 };
 
--- a/tests/auto/dispatch/tst_cancellation.cpp
+++ b/tests/auto/dispatch/tst_cancellation.cpp
@@ -88,3 +88,60 @@
   CHECK(Fleet.plannerOf("quotes") == Planner);
   Fleet.checkViolations();
 }
+
+// Guards against tasks of cancelled jobs that a planner starts because it has
+// handled only the first of the notices in the store (issue 20).
+TEST_CASE("cancellations acknowledged without a planner are all handled before "
+          "the next planner starts anything") {
+  constexpr size_t JobCount = 120;
+  CancellingFleet Fleet;
+  const auto Jobs = Fleet.submitMany(JobCount, "lasting");
+  Fleet.runFor(seconds(4));
+  const std::string Planner = Fleet.plannerOf("quotes");
+  const std::string Other = Fleet.nodeBeside(Planner);
+  Fleet.killNode(Planner);
+  CHECK(Fleet.cancelAt(Other, Jobs, milliseconds(1000)) == JobCount);
+  Fleet.killAll();
+  Fleet.runFor(seconds(6));
+  Fleet.Platform.store().setDelay(milliseconds(150));
+  Fleet.restartAll();
+  Fleet.runFor(seconds(15));
+  Fleet.checkViolations();
+}
+
+// Guards against a cancellation that stays in the store unhandled, because its
+// notice reaches the planner before the job itself.
+TEST_CASE("a cancellation that reaches the planner before its job is carried "
+          "out once the job is known") {
+  CancellingFleet Fleet;
+  Fleet.Platform.store().put("whintack/notice/quotes/cancel/1000000000000001",
+                             "{}");
+  Fleet.runFor(seconds(1));
+  const std::string Job = Fleet.submit("quotes", "lasting");
+  Fleet.runFor(seconds(4));
+  CHECK(Fleet.stateOf(Job) == "cancelled");
+}
+
+// Guards against accepted jobs that wait for seconds in the store because a
+// planner handles a few notices for each call to the store (issue 20).
+TEST_CASE("a planner knows hundreds of jobs within 3 s after it can read their "
+          "notices") {
+  constexpr size_t JobCount = 1200;
+  // Each of the 192 cores of the fleet may run a task of another job.
+  constexpr size_t MaxStarted = 192;
+  CancellingFleet Fleet;
+  const std::string Planner = Fleet.plannerOf("quotes");
+  Fleet.breakWatches(Planner);
+  Fleet.runFor(seconds(2));
+  Fleet.submitMany(JobCount, "lasting");
+  Fleet.runFor(seconds(8));
+  REQUIRE(Fleet.Accepted.size() == JobCount);
+  Fleet.Platform.store().setDelay(milliseconds(150));
+  Fleet.Platform.store().setFaultModeForAll(simulation::StoreFaultMode::Served);
+  Fleet.runFor(seconds(3));
+  const auto Waiting = Fleet.send(Planner, "GET", "/quotes/");
+  Fleet.runFor(seconds(1));
+  REQUIRE(Waiting->Status == Ok);
+  INFO(Waiting->Body);
+  CHECK(std::stoul(Waiting->Body) >= JobCount - MaxStarted);
+}
