--- a/src/libs/dispatch/prefixwatch.cpp
+++ b/src/libs/dispatch/prefixwatch.cpp
@@ -5,6 +5,9 @@
 /// How long one watch call waits for a change. It bounds how long a silent
 /// connection stays unnoticed; a configuration must be in force within 2 s.
 static constexpr Duration WatchTimeout = std::chrono::seconds(1);
+/// Wait of the first watch call after a failure. Its answer tells at once that
+/// the items are current again.
+static constexpr Duration ProbeTimeout = std::chrono::milliseconds(10);
 /// Maximum delay before a failed call is retried.
 static constexpr Duration RetryDelay = std::chrono::milliseconds(400);
 /// Number of failed watches after which everything is read again if that is
@@ -19,6 +22,7 @@
 void PrefixWatch::start() {
   this->NewItems.clear();
   this->NewItemsAsOf = 0;
+  this->NewItemsKnownThrough = this->Shared.now();
   this->WatchFailures = 0;
   if (this->PortionPrefixes.empty())
     this->readPage("");
@@ -38,7 +42,7 @@
       this->OnRevision(this->NewItemsAsOf);
     this->replaceAll();
     if (!this->IsStopped)
-      this->watch();
+      this->watch(WatchTimeout);
     return;
   }
   this->Portions = std::make_shared<PortionedRead>(
@@ -87,7 +91,7 @@
     return;
   }
   this->replaceAll();
-  this->watch();
+  this->watch(WatchTimeout);
 }
 
 void PrefixWatch::replaceAll() {
@@ -102,21 +106,25 @@
   }
   this->Items = std::move(this->NewItems);
   this->AsOf = this->NewItemsAsOf;
+  this->KnownThrough = this->NewItemsKnownThrough;
   this->IsCurrent = true;
   this->OnChange(this->Items, Changed);
 }
 
-void PrefixWatch::watch() {
+void PrefixWatch::watch(Duration Wait) {
+  const TimePoint Sent = this->Shared.now();
   this->Shared.Store.Watch(
-      this->Prefix, this->AsOf, WatchTimeout,
+      this->Prefix, this->AsOf, Wait,
       onLoop<PrefixWatch, store::StoreResult<store::WatchAnswer>>(
           this->Shared.Loop, this->shared_from_this(),
-          [](PrefixWatch &Self, store::StoreResult<store::WatchAnswer> Answer) {
-            Self.handleChanges(std::move(Answer));
+          [Sent](PrefixWatch &Self,
+                 store::StoreResult<store::WatchAnswer> Answer) {
+            Self.handleChanges(Sent, std::move(Answer));
           }));
 }
 
-void PrefixWatch::handleChanges(store::StoreResult<store::WatchAnswer> Answer) {
+void PrefixWatch::handleChanges(TimePoint Sent,
+                                store::StoreResult<store::WatchAnswer> Answer) {
   if (this->IsStopped)
     return;
   if (!Answer) {
@@ -140,13 +148,14 @@
     Changed.insert(Change.Key);
   }
   this->AsOf = std::max(this->AsOf, Answer.value().AsOf);
+  this->KnownThrough = Sent;
   if (this->OnRevision)
     this->OnRevision(this->AsOf);
   this->IsCurrent = true;
   if (!Changed.empty())
     this->OnChange(this->Items, Changed);
   if (!this->IsStopped)
-    this->watch();
+    this->watch(WatchTimeout);
 }
 
 void PrefixWatch::retry(const store::StoreError &Cause, bool ReadsAll) {
@@ -165,7 +174,7 @@
                 if (ReadsAll)
                   Self.start();
                 else
-                  Self.watch();
+                  Self.watch(ProbeTimeout);
               });
 }
 
--- a/src/libs/dispatch/prefixwatch.h
+++ b/src/libs/dispatch/prefixwatch.h
@@ -39,13 +39,17 @@
   bool isCurrent() const { return this->IsCurrent; }
   /// Store revision up to which the items are known.
   uint64_t asOf() const { return this->AsOf; }
+  /// Time up to which all changes are known; TimePoint::min() before the first
+  /// complete read.
+  TimePoint knownThrough() const { return this->KnownThrough; }
 
 private:
   void readPortions(size_t Index);
   void readPage(const std::string &After);
   void handlePage(store::StoreResult<store::StorePage> Answer);
-  void watch();
-  void handleChanges(store::StoreResult<store::WatchAnswer> Answer);
+  void watch(Duration Wait);
+  void handleChanges(TimePoint Sent,
+                     store::StoreResult<store::WatchAnswer> Answer);
   void replaceAll();
   void retry(const store::StoreError &Cause, bool ReadsAll);
 
@@ -60,6 +64,8 @@
   std::vector<std::string> PortionPrefixes;
   std::shared_ptr<PortionedRead> Portions;
   unsigned WatchFailures = 0;
+  TimePoint KnownThrough = TimePoint::min();
+  TimePoint NewItemsKnownThrough = TimePoint::min();
   bool IsCurrent = false;
   bool IsStopped = false;
 };
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -453,9 +453,10 @@
       std::make_heap(Waiting.begin(), Waiting.end(), IsLater);
   }
 }
+void Planner::repeatStops(TimePoint Now) { this->D->resendStops(Now); }
 
 void Planner::plan(TimePoint Now, WallTime WallNow) {
-  this->D->resendStops(Now);
+  this->repeatStops(Now);
   std::vector<Candidate> Candidates = this->D->candidates(Now);
   if (Candidates.empty())
     return;
--- a/src/libs/simulation/include/whintack/simulation/memorystore.h
+++ b/src/libs/simulation/include/whintack/simulation/memorystore.h
@@ -24,6 +24,8 @@
   Silent,
   /// Calls are carried out, but time out because their answers are lost.
   AnswersLost,
+  /// Watch calls time out, and all others are served.
+  WatchesSilent,
 };
 
 /// Number of bytes that the answer takes on the wire.
--- a/src/libs/simulation/memorystore.cpp
+++ b/src/libs/simulation/memorystore.cpp
@@ -110,6 +110,7 @@
   this->Loop.schedule(Now + this->Delay, [this, Vm, Done, Work, Now] {
     switch (this->faultModeFor(Vm)) {
     case StoreFaultMode::Served:
+    case StoreFaultMode::WatchesSilent:
       this->deliver<T>(Vm, Now + CallTimeout, Work(), Done);
       return;
     case StoreFaultMode::Refused:
@@ -309,7 +310,16 @@
   this->Loop.schedule(
       this->Time.Now() + this->Delay,
       [this, NewWatcher = std::move(NewWatcher)]() mutable {
-        if (this->faultModeFor(NewWatcher.Vm) != StoreFaultMode::Served) {
+        const StoreFaultMode Mode = this->faultModeFor(NewWatcher.Vm);
+        if (Mode == StoreFaultMode::WatchesSilent) {
+          this->Loop.schedule(this->Time.Now() + CallTimeout, [Done =
+                                                                   NewWatcher
+                                                                       .Done] {
+            Done(failure(StoreError{StoreErrorCode::Ambiguous, "no answer"}));
+          });
+          return;
+        }
+        if (Mode != StoreFaultMode::Served) {
           NewWatcher.Done(
               failure(StoreError{StoreErrorCode::Unreachable, "refused"}));
           return;
--- a/tests/auto/dispatch/simulatedfleet.h
+++ b/tests/auto/dispatch/simulatedfleet.h
@@ -42,6 +42,9 @@
   void setSendDelay(const std::string &Name, Duration Delay) {
     this->SendDelays[Name] = Delay;
   }
+  /// Breaks the watches of one VM and its connections to the other VMs. It can
+  /// still renew its lease, write to the store and reach all executors.
+  void breakWatches(const std::string &Name);
 
   std::vector<std::string> nodeNames() const;
   /// Share of a processor core that the VM was started with.
