--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -126,8 +126,12 @@
   if (Job.FirstUnstored != 0)
     this->UnstoredChanges.erase(this->UnstoredChanges.find(Job.FirstUnstored));
   Job.FirstUnstored = Change;
-  if (Change != 0)
-    this->UnstoredChanges.insert(Change);
+  if (Change == 0) {
+    this->UnstoredJobs.erase(Job.Spec.Id);
+    return;
+  }
+  this->UnstoredChanges.insert(Change);
+  this->UnstoredJobs.emplace(Job.Spec.Id, &Job);
 }
 
 uint64_t Planner::Private::recordChange(JobRecord &Job) {
@@ -282,9 +286,9 @@
 std::vector<JobWrite> Planner::takeWrites(size_t MaxCount) {
   std::vector<JobWrite> Writes;
   const auto Collect = [&](bool WantsFinal) {
-    for (auto &[Id, Job] : this->D->Jobs) {
-      if (Job.FirstUnstored == 0 || Job.IsBeingWritten ||
-          isFinal(Job.State) != WantsFinal)
+    for (const auto &[Id, Unstored] : this->D->UnstoredJobs) {
+      JobRecord &Job = *Unstored;
+      if (Job.IsBeingWritten || isFinal(Job.State) != WantsFinal)
         continue;
       if (Writes.size() >= MaxCount)
         return;
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -297,6 +297,8 @@
   uint64_t Changes = 0;
   /// FirstUnstored of all jobs that have unstored changes.
   std::multiset<uint64_t> UnstoredChanges;
+  /// All jobs that have unstored changes. Entries of Jobs do not move.
+  std::map<JobId, Internal::JobRecord *> UnstoredJobs;
   /// Resources that did not fit anywhere in this planning pass. Steps that need
   /// at least as much are skipped.
   std::optional<ComputeResources> UnplaceableNeed;
