Jobs: Count waiting work only of jobs that can start tasks

The demand of a pool walked the tasks of all jobs and looked up the mean work of their queues, which does not enter the demand.

--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -541,7 +541,8 @@
     if (!Job.Spec.isPeriodic()) {
       if (Job.Accepted > Now - ArrivalWindow)
         Demand.ArrivingWork += Job.Effort.Work / WindowSeconds;
-      if (!isFinal(Job.State) && hasRemainingValue(this->D->rankOf(Job), Now))
+      if (Job.StartablePosition && !isFinal(Job.State) &&
+          hasRemainingValue(Job.Rank, Now))
         Demand.WaitingWork += this->D->startableWork(Job);
     }
   for (const auto &[Id, Executor] : this->D->Executors) {
