Jobs: Find jobs by hash

The rows of a report lead to about six searches each for the job, which compared texts along a tree. Keep a hash index beside the ordered map.

--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -45,8 +45,8 @@
 }
 
 JobRecord *Planner::Private::findJob(const JobId &Id) {
-  const auto Found = this->Jobs.find(Id);
-  return Found == this->Jobs.end() ? nullptr : &Found->second;
+  const auto Found = this->JobIndex.find(Id);
+  return Found == this->JobIndex.end() ? nullptr : Found->second;
 }
 
 TaskRecord *Planner::Private::findTask(const TaskKey &Key) {
@@ -115,6 +115,7 @@
   const JobId Id = Job.Spec.Id;
   JobRecord &Inserted =
       this->Jobs.insert_or_assign(Id, std::move(Job)).first->second;
+  this->JobIndex[Id] = &Inserted;
   Inserted.Rank = initialRank(Inserted);
   if (isRankedByMeanWork(Id))
     Inserted.QueueWork = &this->MeanWorkByQueue[Inserted.Policy.Name];
@@ -171,6 +172,7 @@
   this->removeStartable(*Job);
   this->Advice.erase(this->Advice.lower_bound(StepKey{Id, 0, 0}),
                      this->Advice.upper_bound(StepKey{Id, INT64_MAX, 0}));
+  this->JobIndex.erase(Id);
   this->Jobs.erase(Id);
 }
 
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -276,6 +276,8 @@
 
   PlannerSetup Setup;
   std::map<JobId, Internal::JobRecord> Jobs;
+  /// Entries of Jobs, which do not move, for the many searches of each report.
+  std::unordered_map<JobId, Internal::JobRecord *> JobIndex;
   /// All jobs that may have tasks to start, in no particular order.
   std::vector<Internal::StartableJob> Startable;
   /// Final states of jobs whose end has been stored.
