--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -45,8 +45,8 @@
 }
 
 JobRecord *Planner::Private::findJob(const JobId &Id) {
-  const auto Found = this->Jobs.find(Id);
-  return Found == this->Jobs.end() ? nullptr : &Found->second;
+  const auto Found = this->JobIndex.find(Id);
+  return Found == this->JobIndex.end() ? nullptr : Found->second;
 }
 
 TaskRecord *Planner::Private::findTask(const TaskKey &Key) {
@@ -115,6 +115,7 @@
   const JobId Id = Job.Spec.Id;
   JobRecord &Inserted =
       this->Jobs.insert_or_assign(Id, std::move(Job)).first->second;
+  this->JobIndex[Id] = &Inserted;
   Inserted.Rank = initialRank(Inserted);
   if (isRankedByMeanWork(Id))
     Inserted.QueueWork = &this->MeanWorkByQueue[Inserted.Policy.Name];
@@ -126,8 +127,12 @@
   if (Job.FirstUnstored != 0)
     this->UnstoredChanges.erase(this->UnstoredChanges.find(Job.FirstUnstored));
   Job.FirstUnstored = Change;
-  if (Change != 0)
-    this->UnstoredChanges.insert(Change);
+  if (Change == 0) {
+    this->UnstoredJobs.erase(Job.Spec.Id);
+    return;
+  }
+  this->UnstoredChanges.insert(Change);
+  this->UnstoredJobs.emplace(Job.Spec.Id, &Job);
 }
 
 uint64_t Planner::Private::recordChange(JobRecord &Job) {
@@ -167,6 +172,7 @@
   this->removeStartable(*Job);
   this->Advice.erase(this->Advice.lower_bound(StepKey{Id, 0, 0}),
                      this->Advice.upper_bound(StepKey{Id, INT64_MAX, 0}));
+  this->JobIndex.erase(Id);
   this->Jobs.erase(Id);
 }
 
@@ -282,9 +288,9 @@
 std::vector<JobWrite> Planner::takeWrites(size_t MaxCount) {
   std::vector<JobWrite> Writes;
   const auto Collect = [&](bool WantsFinal) {
-    for (auto &[Id, Job] : this->D->Jobs) {
-      if (Job.FirstUnstored == 0 || Job.IsBeingWritten ||
-          isFinal(Job.State) != WantsFinal)
+    for (const auto &[Id, Unstored] : this->D->UnstoredJobs) {
+      JobRecord &Job = *Unstored;
+      if (Job.IsBeingWritten || isFinal(Job.State) != WantsFinal)
         continue;
       if (Writes.size() >= MaxCount)
         return;
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -276,6 +276,8 @@
 
   PlannerSetup Setup;
   std::map<JobId, Internal::JobRecord> Jobs;
+  /// Entries of Jobs, which do not move, for the many searches of each report.
+  std::unordered_map<JobId, Internal::JobRecord *> JobIndex;
   /// All jobs that may have tasks to start, in no particular order.
   std::vector<Internal::StartableJob> Startable;
   /// Final states of jobs whose end has been stored.
@@ -297,6 +299,8 @@
   uint64_t Changes = 0;
   /// FirstUnstored of all jobs that have unstored changes.
   std::multiset<uint64_t> UnstoredChanges;
+  /// All jobs that have unstored changes. Entries of Jobs do not move.
+  std::map<JobId, Internal::JobRecord *> UnstoredJobs;
   /// Resources that did not fit anywhere in this planning pass. Steps that need
   /// at least as much are skipped.
   std::optional<ComputeResources> UnplaceableNeed;
