Dispatch: Tell the planner of a job until it is told

A job could be accepted and never run. A VM that stored a job but reached neither its planner nor, for 20 attempts (about 4 s), the store gave up. No planner learned of the job until somebody asked for its state or the shard changed hands.

After the last attempt the VM now starts over with a call to the planner.

--- a/src/libs/dispatch/jobrequesthandler.cpp
+++ b/src/libs/dispatch/jobrequesthandler.cpp
@@ -192,8 +192,14 @@
         logEvent(LogLevel::Info, "planner-not-told",
                  {{"job", Job->Id},
                   {"outcome", nameOf(CallOutcomeNames, Answer.Outcome)}});
+        // The job is accepted, so a planner must learn of it at some time.
         Self->writeNotice(Job, keys::newJobs(Job->Service) + Job->Id.text(),
-                          Job->Record, MaxNoticeAttempts, [](bool) {});
+                          Job->Record, MaxNoticeAttempts,
+                          [Weak, Job](bool IsStored) {
+                            const auto Owner = Weak.lock();
+                            if (Owner && !IsStored)
+                              Owner->notifyPlanner(Job);
+                          });
       });
 }
 
