Dispatch: Drop answers that arrive after the end of the loop

The callbacks of store calls, executor calls and the hand-over of claims held a reference to the event loop and posted to it from the threads of the HTTP library, also when it was gone. The product ends with _Exit and so was spared; whoever destroys a FleetNode's loop with calls in flight was not. They now post through a TimerQueueRef.

--- a/src/libs/dispatch/context.h
+++ b/src/libs/dispatch/context.h
@@ -30,18 +30,18 @@
 };
 
 /// Wraps \p Function so that it runs on the thread of \p Loop, and only if \p
-/// Object still exists then.
+/// Object still exists then. The result may be called after \p Loop is gone.
 template <typename Owner, typename Argument, typename Call>
 std::function<void(Argument)>
 onLoop(TimerQueue &Loop, const std::shared_ptr<Owner> &Object, Call Function) {
-  return
-      [&Loop, Weak = std::weak_ptr<Owner>(Object), Function](Argument Value) {
-        Loop.post([Weak, Function,
-                   Held = std::make_shared<Argument>(std::move(Value))] {
+  return [Ref = Loop.ref(), Weak = std::weak_ptr<Owner>(Object),
+          Function](Argument Value) {
+    Ref.post(
+        [Weak, Function, Held = std::make_shared<Argument>(std::move(Value))] {
           if (const std::shared_ptr<Owner> Alive = Weak.lock())
             Function(*Alive, std::move(*Held));
         });
-      };
+  };
 }
 
 /// Schedules \p Function on \p Loop at \p Deadline; it runs only if \p Object
--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -402,7 +402,7 @@
 void FleetCore::handOver(const std::function<void()> &Done) {
   this->Claimer->stop();
   auto Remaining = std::make_shared<size_t>(this->OwnClaims.size() + 1);
-  const auto Finish = [Remaining, Done, &Loop = this->Shared.Loop] {
+  const auto Finish = [Remaining, Done, Loop = this->Shared.Loop.ref()] {
     Loop.post([Remaining, Done] {
       if (--*Remaining == 0)
         Done();
@@ -427,7 +427,7 @@
       Release();
     else
       Found->second->drain(
-          [Release, &Loop = this->Shared.Loop] { Loop.post(Release); });
+          [Release, Loop = this->Shared.Loop.ref()] { Loop.post(Release); });
   }
   Finish();
 }
