Standin, Docs: Log each new peak of requests on one server

The processes test tells that a server ran 9 requests at once with 8 slots, but not when or on which one. The stand-in now logs time, server and order whenever a server runs more requests than any server did before: at most one line for each number of requests.

--- a/src/libs/standin/executioncounter.cpp
+++ b/src/libs/standin/executioncounter.cpp
@@ -2,8 +2,6 @@
 
 #include "whintack/base/log.h"
 
-#include <algorithm>
-
 namespace whintack::standin {
 
 void ExecutionCounter::begin(const std::string &Server,
@@ -11,7 +9,11 @@
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   ++this->Counts.Executions;
   const int64_t Now = ++this->Running[Server];
-  this->Counts.MaxRunning = std::max(this->Counts.MaxRunning, Now);
+  if (Now > this->Counts.MaxRunning) {
+    this->Counts.MaxRunning = Now;
+    logEvent(LogLevel::Info, "most-running",
+             {{"server", Server}, {"running", Now}, {"order", Order}});
+  }
   if (Order.empty())
     return;
   if (++this->Orders[Order] != 2)
--- a/src/libs/standin/include/whintack/standin/executioncounter.h
+++ b/src/libs/standin/include/whintack/standin/executioncounter.h
@@ -17,8 +17,9 @@
   int64_t MaxRunning = 0;
 };
 
-/// Counts the executions at the backend servers by order identifier, and logs
-/// each order that runs twice. Thread-safe.
+/// Counts the executions at the backend servers by order identifier. Logs each
+/// order that runs twice, and each time that a server runs more requests at
+/// once than any server did before. Thread-safe.
 class ExecutionCounter {
 public:
   /// Records that a server begins to run a request; \p Order is empty if the
