--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -509,7 +509,7 @@
   this->Claimer->stop();
   this->Members->announceStop();
   auto Remaining = std::make_shared<size_t>(this->OwnClaims.size() + 1);
-  const auto Finish = [Remaining, Done, &Loop = this->Shared.Loop] {
+  const auto Finish = [Remaining, Done, Loop = this->Shared.Loop.ref()] {
     Loop.post([Remaining, Done] {
       if (--*Remaining == 0)
         Done();
@@ -527,7 +527,7 @@
       Release();
     else
       Found->second->drain(
-          [Release, &Loop = this->Shared.Loop] { Loop.post(Release); });
+          [Release, Loop = this->Shared.Loop.ref()] { Loop.post(Release); });
   }
   Finish();
 }
