Dispatch: Settle the lists of members at nearly the same time

With a store that answers after 150 ms and VMs that start up to 0.8 s apart, a VM that already held a shard took another one although a VM of the same share held none: that one's list of members settled up to 400 ms later, after the followers' delay had passed for the others. While its list is not settled, a process now reads it every 200 ms at most instead of 400 ms.

--- a/src/libs/dispatch/membership.cpp
+++ b/src/libs/dispatch/membership.cpp
@@ -20,7 +20,7 @@
 /// Limit of the time to settle, for a fleet in which VMs keep joining.
 static constexpr Duration MaxSettleTime = std::chrono::milliseconds(2400);
 static constexpr Duration MinSettleReadDelay = std::chrono::milliseconds(100);
-static constexpr Duration MaxSettleReadDelay = std::chrono::milliseconds(400);
+static constexpr Duration MaxSettleReadDelay = std::chrono::milliseconds(200);
 
 static std::string encodeMember(const Member &Written) {
   value Body = value::object();
--- a/tests/auto/dispatch/tst_shardspread.cpp
+++ b/tests/auto/dispatch/tst_shardspread.cpp
@@ -1,6 +1,8 @@
 #include "unequalfleet.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <random>
 
 // Which VMs claim the shards that have no holder.
 
@@ -99,3 +101,26 @@
     CHECK(Fleet.processorShareOf(Fleet.plannerOf("quotes")) == 0.5);
   }
 }
+
+// Guards against the first of many VMs claiming before the last has registered,
+// on a store that answers slowly.
+TEST_CASE("VMs that start one after the other spread the shards") {
+  const int StoreDelay = GENERATE(2, 50, 150);
+  for (uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    INFO("store answers after " << StoreDelay << " ms, seed " << Seed);
+    UnequalFleet Fleet(Seed);
+    Fleet.addPlatform();
+    Fleet.Platform.store().setDelay(milliseconds(StoreDelay));
+    std::vector<std::string> Names = UnequalFleet::SmallVms;
+    Names.insert(Names.end(), UnequalFleet::LargeVms.begin(),
+                 UnequalFleet::LargeVms.end());
+    std::shuffle(Names.begin(), Names.end(), std::mt19937_64(Seed));
+    for (const std::string &Name : Names) {
+      Fleet.startVm(Name);
+      Fleet.runFor(milliseconds(Fleet.source()() % 120));
+    }
+    Fleet.runFor(seconds(5));
+    Fleet.checkSpread();
+    CHECK(Fleet.claimCount() == UnequalFleet::Shards.size());
+  }
+}
--- a/tests/auto/dispatch/unequalfleet.cpp
+++ b/tests/auto/dispatch/unequalfleet.cpp
@@ -26,17 +26,23 @@
   simulation::addExampleFleet(this->Platform);
 }
 
+void UnequalFleet::startVm(const std::string &Name) {
+  const std::vector<std::string> Known = this->nodeNames();
+  if (std::count(Known.begin(), Known.end(), Name) > 0) {
+    this->restartNode(Name);
+    return;
+  }
+  const bool IsLarge = std::count(LargeVms.begin(), LargeVms.end(), Name) > 0;
+  const bool IsInFirst = (Name.back() - '0') % 2 == 1;
+  this->startNode(Name, IsInFirst ? "d1" : "d2",
+                  IsLarge ? LargeShare : SmallShare);
+}
+
 void UnequalFleet::startVms() {
-  const std::vector<std::string> Started = this->nodeNames();
-  const auto Start = [&](const std::vector<std::string> &Names, double Share) {
-    for (size_t Index = 0; Index < Names.size(); ++Index)
-      if (std::count(Started.begin(), Started.end(), Names[Index]) > 0)
-        this->restartNode(Names[Index]);
-      else
-        this->startNode(Names[Index], Index % 2 == 0 ? "d1" : "d2", Share);
-  };
-  Start(SmallVms, SmallShare);
-  Start(LargeVms, LargeShare);
+  for (const std::string &Name : SmallVms)
+    this->startVm(Name);
+  for (const std::string &Name : LargeVms)
+    this->startVm(Name);
 }
 
 void UnequalFleet::killVms() {
--- a/tests/auto/dispatch/unequalfleet.h
+++ b/tests/auto/dispatch/unequalfleet.h
@@ -13,6 +13,8 @@
 
   /// Adds the machines and the configuration, but starts no VM.
   void addPlatform();
+  /// Starts one of the VMs, with its processor share.
+  void startVm(const std::string &Name);
   /// Starts all VMs, or those that do not run, at once.
   void startVms();
   void killVms();
