Dispatch: Look for jobs that a lost request handler did not announce

An accepted job was never run: the VM that answered 200 died before the planner or a notice in the store knew of the job, which lay queued until its shard was claimed anew or somebody asked for its state (LOST). Nothing made a planner look at the records again.

A planner now reads the jobs stored since its last read when a process leaves the list of members, or is replaced there, without having announced its stop.

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -104,6 +104,13 @@
         Alive->Transport.SetPeers(Alive->Members->others());
         Alive->reconcileClaims();
       });
+  this->Members->onLost([Weak] {
+    const auto Alive = Weak.lock();
+    if (!Alive)
+      return;
+    for (const auto &[Name, Shard] : Alive->Shards)
+      Shard->handleLostHandler();
+  });
   this->Lease->onExpired([Weak] {
     const auto Alive = Weak.lock();
     if (!Alive)
--- a/src/libs/dispatch/membership.cpp
+++ b/src/libs/dispatch/membership.cpp
@@ -42,7 +42,8 @@
         peers::PeerEndpoint{EntryName(Item.Key.substr(keys::Members.size())),
                             DataCentreName(Body.at("data-centre").as_string()),
                             *Link},
-        Body.at("strength").as_double(), Body.has_field("stopping")};
+        Body.at("strength").as_double(), Body.has_field("stopping"),
+        Item.Lease};
   } catch (const std::exception &Error) {
     logEvent(LogLevel::Error, "member-unreadable",
              {{"key", Item.Key}, {"cause", Error.what()}});
@@ -165,6 +166,17 @@
   return true;
 }
 
+bool Membership::hasLostProcess(const std::map<EntryName, Member> &Read) const {
+  return std::any_of(this->KnownMembers.begin(), this->KnownMembers.end(),
+                     [&Read](const auto &Known) {
+                       const auto Found = Read.find(Known.first);
+                       const bool IsListed =
+                           Found != Read.end() &&
+                           Found->second.Lease == Known.second.Lease;
+                       return !IsListed && !Known.second.IsStopping;
+                     });
+}
+
 void Membership::adopt(const MemberPage &Answer, TimePoint Sent) {
   if (!Answer || Answer.value().AsOf < this->AsOf)
     return;
@@ -186,6 +198,7 @@
                                Second.second.Endpoint.Link;
                   });
   const bool IsSettledNow = IsSelfListed && this->settle(Read, Sent);
+  const bool HasLostProcess = this->hasLostProcess(Read);
   this->IsKnown = true;
   this->KnownMembers = std::move(Read);
   if (IsChanged)
@@ -193,6 +206,8 @@
              {{"others", this->KnownMembers.size()}});
   if (IsChanged || IsSettledNow)
     this->OnChange();
+  if (HasLostProcess && this->OnLost)
+    this->OnLost();
 }
 
 std::vector<peers::PeerEndpoint> Membership::others() const {
--- a/src/libs/dispatch/membership.h
+++ b/src/libs/dispatch/membership.h
@@ -16,6 +16,8 @@
   double ProcessorShare = 1;
   /// The VM hands its shards over and takes no others.
   bool IsStopping = false;
+  /// Store lease of the process on the VM.
+  store::LeaseId Lease = 0;
 };
 
 /// The entry VMs that are alive: each registers itself in the store under its
@@ -42,6 +44,9 @@
 
   /// Reads the list anew, then calls \p Done with whether that succeeded.
   void refresh(std::function<void(bool IsRead)> Done);
+  /// Calls \p Hook when a process that did not announce its stop is no longer
+  /// listed.
+  void onLost(std::function<void()> Hook) { this->OnLost = std::move(Hook); }
   /// Marks this VM as stopping in its later registrations.
   void announceStop() { this->Self.IsStopping = true; }
   /// The registration of this VM, to be written with another change; nothing if
@@ -60,6 +65,9 @@
   void scheduleRead(bool IsAnswered);
   void adopt(const MemberPage &Answer, TimePoint Sent);
   bool isOwnRegistration(const store::StoreItem &Item) const;
+  /// Whether a known process is missing from \p Read although it did not
+  /// announce its stop.
+  bool hasLostProcess(const std::map<EntryName, Member> &Read) const;
   /// Settles the list if possible. Returns whether it did.
   bool settle(const std::map<EntryName, Member> &Read, TimePoint Sent);
 
@@ -67,6 +75,7 @@
   Member Self;
   std::shared_ptr<NodeLease> Lease;
   std::function<void()> OnChange;
+  std::function<void()> OnLost;
   std::map<EntryName, Member> KnownMembers;
   /// Store revision up to which the members are known.
   uint64_t AsOf = 0;
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -179,7 +179,7 @@
         Item.Value;
   for (const store::StoreItem &Item : Loaded.Jobs)
     this->restore(Item, Progress);
-  this->LoadedAsOf = Loaded.AsOf;
+  this->KnownAsOf = Loaded.AsOf;
   this->IsLoaded = true;
   logEvent(LogLevel::Info, "shard-loaded",
            {{"shard", this->OwnClaim.Shard},
@@ -470,21 +470,58 @@
 /// Looks for jobs that request handlers announced to an earlier planner while
 /// this one read the records.
 void ServiceShard::rescan() {
+  this->readMissedJobs([](ServiceShard &Self) { Self.endCatchUp(); });
+}
+
+void ServiceShard::handleLostHandler() {
+  if (this->IsStopped || !this->IsLoaded)
+    return;
+  // A read that has begun may predate what the handler stored last.
+  if (std::exchange(this->IsHandlerLost, true))
+    return;
+  this->readLostAnnouncements();
+}
+
+void ServiceShard::readLostAnnouncements() {
+  if (this->IsReadingMissed)
+    return;
+  this->IsReadingMissed = true;
+  this->IsHandlerLost = false;
+  this->readMissedJobs([](ServiceShard &Self) {
+    Self.IsReadingMissed = false;
+    if (Self.IsHandlerLost)
+      Self.readLostAnnouncements();
+  });
+}
+
+/// Adds the jobs that are stored and were not announced to this planner, then
+/// calls \p Done.
+void ServiceShard::readMissedJobs(std::function<void(ServiceShard &)> Done) {
   if (this->IsStopped)
     return;
   this->Records->readChangedJobs(
-      this->LoadedAsOf, [Weak = this->weak_from_this()](
-                            const std::vector<store::StoreItem> &Changed) {
+      this->KnownAsOf,
+      [Weak = this->weak_from_this(), Done = std::move(Done)](
+          const std::vector<store::StoreItem> &Changed, uint64_t Through) {
         const auto Self = Weak.lock();
         if (!Self || Self->IsStopped)
           return;
         const size_t Prefix = keys::jobs(Self->Service).size();
+        size_t Missed = 0;
         for (const store::StoreItem &Item : Changed) {
           const jobs::JobId Id(Item.Key.substr(Prefix));
-          if (!Self->Planner.shownState(Id))
-            Self->restore(Item, {});
+          if (Self->Planner.shownState(Id))
+            continue;
+          Self->restore(Item, {});
+          ++Missed;
         }
-        Self->endCatchUp();
+        logEvent(LogLevel::Info, "missed-jobs-read",
+                 {{"shard", Self->OwnClaim.Shard},
+                  {"changed", Changed.size()},
+                  {"missed", Missed}});
+        Self->KnownAsOf = std::max(Self->KnownAsOf, Through);
+        Self->requestPlan();
+        Done(*Self);
       });
 }
 
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -55,6 +55,10 @@
     return this->IsLoaded && !this->Planner.isRecovering();
   }
 
+  /// A request handler is gone that may have accepted jobs without announcing
+  /// them: looks for these in the store.
+  void handleLostHandler();
+
   /// Adopts a new list of executors of all services.
   void setExecutors(const std::vector<jobs::ExecutorInfo> &Listed);
   /// Adopts the queues of a new configuration.
@@ -106,6 +110,8 @@
   void handleSilentMachines(
       const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found);
   void rescan();
+  void readLostAnnouncements();
+  void readMissedJobs(std::function<void(ServiceShard &)> Done);
   void endCatchUp();
   void requestFlush();
   void flush();
@@ -141,8 +147,8 @@
   TimePoint ClaimedAt;
   /// Time by which the shard must be loaded.
   TimePoint LoadDeadline = TimePoint::max();
-  /// Revision of the store when the load began.
-  uint64_t LoadedAsOf = 0;
+  /// Revision of the store through which all jobs have been read.
+  uint64_t KnownAsOf = 0;
   TimePoint LastPlan = TimePoint::min();
   TimePoint NextFlush = TimePoint::min();
   DiscoveryState Discovery = DiscoveryState::NotNeeded;
@@ -152,6 +158,9 @@
   bool IsWriting = false;
   bool IsRemovingNotices = false;
   bool IsStopped = false;
+  /// A request handler was lost since the last read of missed jobs began.
+  bool IsHandlerLost = false;
+  bool IsReadingMissed = false;
 };
 
 } // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/shardstore.cpp
+++ b/src/libs/dispatch/shardstore.cpp
@@ -89,7 +89,7 @@
     std::vector<store::StoreItem> Changed;
     for (auto &[Key, Item] : Current->Jobs)
       Changed.push_back(std::move(Item));
-    Current->Done(std::move(Changed));
+    Current->Done(std::move(Changed), Current->Target);
     return;
   }
   this->Shared.Store.Watch(
@@ -150,7 +150,7 @@
       return;
     Self->read(keys::jobs(Self->Service),
                [Turn = std::move(Turn), Done](PortionedRead::Contents Jobs) {
-                 Done(std::move(Jobs.Items));
+                 Done(std::move(Jobs.Items), Jobs.AsOf);
                });
   });
 }
--- a/src/libs/dispatch/shardstore.h
+++ b/src/libs/dispatch/shardstore.h
@@ -30,10 +30,12 @@
   };
   /// Reads all records; retries until that succeeds or stop() is called.
   void load(std::function<void(Contents)> Done);
+  /// Called with jobs and the revision through which they are complete.
+  using JobsHook =
+      std::function<void(std::vector<store::StoreItem> Jobs, uint64_t Through)>;
   /// Reads the jobs that were stored or changed after the revision \p After;
   /// returns all jobs if the store no longer knows which these are.
-  void readChangedJobs(uint64_t After,
-                       std::function<void(std::vector<store::StoreItem>)> Done);
+  void readChangedJobs(uint64_t After, JobsHook Done);
 
   /// How a write ended.
   enum class WriteOutcome {
@@ -52,8 +54,6 @@
   void stop();
 
 private:
-  using JobsHook = std::function<void(std::vector<store::StoreItem>)>;
-
   /// A read of changed jobs that has not ended.
   struct ChangeRead {
     uint64_t After = 0;
