Dispatch: Read missed jobs only after the catch-up

While a planner catches up, runs that an earlier planner started may not be known yet, and the read at the end of the catch-up finds the same jobs.

--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -59,6 +59,7 @@
     this->Discovery = DiscoveryState::Needed;
     this->Planner.beginExecutorDiscovery();
     this->Planner.beginCatchUp();
+    this->IsCatchingUp = true;
   }
   this->LoadDeadline = this->ClaimedAt + this->Environment.LoadTime;
   this->checkLoaded();
@@ -478,11 +479,11 @@
 }
 
 void ServiceShard::handleLostHandler() {
-  if (this->IsStopped || !this->IsLoaded)
-    return;
-  // A read that has begun may predate what the handler stored last.
-  if (std::exchange(this->IsHandlerLost, true))
+  // The read that ends the catch-up finds what was stored until then. Before
+  // it, runs of a job that an earlier planner started may not be known yet.
+  if (this->IsStopped || !this->IsLoaded || this->IsCatchingUp)
     return;
+  this->IsHandlerLost = true;
   this->readLostAnnouncements();
 }
 
@@ -493,6 +494,7 @@
   this->IsHandlerLost = false;
   this->readMissedJobs([](ServiceShard &Self) {
     Self.IsReadingMissed = false;
+    // A read that had begun may predate what the handler stored last.
     if (Self.IsHandlerLost)
       Self.readLostAnnouncements();
   });
@@ -530,6 +532,7 @@
 }
 
 void ServiceShard::endCatchUp() {
+  this->IsCatchingUp = false;
   this->Planner.endCatchUp();
   this->requestFlush();
   this->requestPlan();
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -161,6 +161,8 @@
   bool IsRemovingNotices = false;
   bool IsStopped = false;
   bool IsStartPaused = false;
+  /// Jobs that were announced to an earlier planner may be missing.
+  bool IsCatchingUp = false;
   /// A request handler was lost since the last read of missed jobs began.
   bool IsHandlerLost = false;
   bool IsReadingMissed = false;
