--- a/src/libs/base/include/whintack/base/log.h
+++ b/src/libs/base/include/whintack/base/log.h
@@ -1,10 +1,12 @@
 #ifndef WHINTACK_BASE_LOG_H
 #define WHINTACK_BASE_LOG_H
 
+#include <concepts>
 #include <initializer_list>
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <type_traits>
 
 namespace whintack {
 
@@ -15,9 +17,22 @@
 struct LogField {
   template <typename T>
   LogField(std::string_view Key, const T &FieldValue) : Key(Key) {
-    std::ostringstream Stream;
-    Stream << FieldValue;
-    this->Value = Stream.str();
+    // Streams are slow, and most fields are texts or whole numbers.
+    if constexpr (std::is_convertible_v<T, std::string_view>) {
+      this->Value = std::string_view(FieldValue);
+    } else if constexpr (std::is_integral_v<T> && sizeof(T) > 1) {
+      this->Value = std::to_string(FieldValue);
+    } else if constexpr (requires {
+                           {
+                             FieldValue.text()
+                             } -> std::convertible_to<std::string>;
+                         }) {
+      this->Value = FieldValue.text();
+    } else {
+      std::ostringstream Stream;
+      Stream << FieldValue;
+      this->Value = Stream.str();
+    }
   }
 
   std::string Key;
