--- a/src/libs/dispatch/demandtracker.cpp
+++ b/src/libs/dispatch/demandtracker.cpp
@@ -27,6 +27,14 @@
     Found->second.Demand.Cores += Cores;
 }
 
+bool DemandTracker::isVacant(const ServiceName &Pool,
+                             const jobs::ExecutorId &Executor,
+                             TimePoint Now) const {
+  const auto Found = this->Reports.find(Pool);
+  return Found != this->Reports.end() && Now < Found->second.ValidUntil &&
+         Found->second.Demand.Vacant.contains(Executor);
+}
+
 std::vector<jobs::PoolDemand> DemandTracker::current(TimePoint Now) const {
   std::vector<jobs::PoolDemand> Valid;
   for (const auto &[Pool, Known] : this->Reports)
--- a/src/libs/dispatch/demandtracker.h
+++ b/src/libs/dispatch/demandtracker.h
@@ -24,6 +24,9 @@
   /// A machine has arrived in the pool. It counts until the planner reports
   /// again.
   void noteArrival(const ServiceName &Pool, double Cores);
+  /// Whether the pool's planner reports that nothing runs on the executor.
+  bool isVacant(const ServiceName &Pool, const jobs::ExecutorId &Executor,
+                TimePoint Now) const;
   /// The demands that are still valid.
   std::vector<jobs::PoolDemand> current(TimePoint Now) const;
 
--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -297,10 +297,14 @@
       store::ExpectedRevision{keys::Claims + Acquired.Shard, Acquired.Token},
       std::move(Hooks));
   Orders->load();
-  const FleetShardEnvironment Environment{
-      this->Connections.Machines, this->Connections.Codec, this->Calls,
-      this->queueSource(),        this->claimValidity(),   Orders,
-      this->shardLossHandler()};
+  const FleetShardEnvironment Environment{this->Connections.Machines,
+                                          this->Connections.Codec,
+                                          this->Calls,
+                                          this->queueSource(),
+                                          this->claimValidity(),
+                                          Orders,
+                                          std::make_shared<DemandTracker>(),
+                                          this->shardLossHandler()};
   this->Maintenance = std::make_shared<WaveManager>(this->Shared, Environment,
                                                     this->Self.Name, Acquired);
   this->Maintenance->start();
--- a/src/libs/dispatch/poolrebalancer.cpp
+++ b/src/libs/dispatch/poolrebalancer.cpp
@@ -4,8 +4,11 @@
 
 namespace whintack::dispatch::Internal {
 
-/// Interval between two checks of the demand: a tenth of a queue's turn of 4 s.
-static constexpr Duration TickInterval = std::chrono::milliseconds(400);
+/// Interval between two reads of the list of machines, which is a priced call.
+static constexpr Duration ListInterval = std::chrono::milliseconds(400);
+/// Interval between two checks of the demand. Every interval is one by which a
+/// pool gets its machines later.
+static constexpr Duration DemandInterval = std::chrono::milliseconds(150);
 static constexpr Duration ListTimeout = std::chrono::milliseconds(1000);
 /// How long a decision waits for the answers of the planners.
 static constexpr Duration DecisionTimeout = std::chrono::milliseconds(300);
@@ -20,6 +23,9 @@
 /// How long an ordered machine is left alone unless the list shows that it has
 /// arrived; a move takes 1.5 s.
 static constexpr Duration ArrivalTimeout = std::chrono::milliseconds(2500);
+/// How long a pool's planner is told that a machine has arrived. By then it has
+/// read the executor's entry, or the executor never registered.
+static constexpr Duration AnnounceTime = std::chrono::milliseconds(2000);
 
 PoolRebalancer::PoolRebalancer(
     Context Shared, FleetShardEnvironment Environment, EntryName Self,
@@ -28,14 +34,17 @@
       Self(std::move(Self)), OwnClaim(std::move(OwnClaim)),
       Reserved(std::move(Reserved)) {}
 
-void PoolRebalancer::start() { this->tick(); }
+void PoolRebalancer::start() {
+  this->listMachines();
+  this->checkDemand();
+}
 
 bool PoolRebalancer::canOrder() const {
   return !this->IsStopped && this->Environment.Orders->isLoaded() &&
          this->Shared.now() < this->Environment.ClaimValidUntil();
 }
 
-void PoolRebalancer::tick() {
+void PoolRebalancer::listMachines() {
   if (this->IsStopped)
     return;
   if (this->canOrder())
@@ -46,14 +55,32 @@
             this->Shared.Loop, this->shared_from_this(),
             [](PoolRebalancer &Self,
                jobs::GatewayResult<std::vector<jobs::MachineInfo>> Found) {
-              if (!Found)
-                return;
-              Self.Machines = std::move(Found).value();
-              Self.requestDemands();
+              if (Found)
+                Self.handleMachines(std::move(Found).value());
             }));
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
-              this->Shared.now() + TickInterval,
-              [](PoolRebalancer &Owner) { Owner.tick(); });
+              this->Shared.now() + ListInterval,
+              [](PoolRebalancer &Owner) { Owner.listMachines(); });
+}
+
+void PoolRebalancer::handleMachines(std::vector<jobs::MachineInfo> Listed) {
+  const TimePoint Now = this->Shared.now();
+  this->Machines = std::move(Listed);
+  for (const jobs::MachineInfo &Machine : this->Machines)
+    this->noteIfArrived(Machine, Now);
+  std::erase_if(this->Arrivals, [Now](const auto &Entry) {
+    return Now >= Entry.second.AnnouncedUntil;
+  });
+}
+
+void PoolRebalancer::checkDemand() {
+  if (this->IsStopped)
+    return;
+  if (this->canOrder() && !this->Machines.empty())
+    this->requestDemands();
+  scheduleFor(this->Shared.Loop, this->shared_from_this(),
+              this->Shared.now() + DemandInterval,
+              [](PoolRebalancer &Owner) { Owner.checkDemand(); });
 }
 
 void PoolRebalancer::requestDemands() {
@@ -63,7 +90,8 @@
   // are made.
   Current->OpenCalls = 1;
   for (const jobs::ServicePolicy &Service : Queues->configuration().Services)
-    if (!Service.IsSpare && !this->Demands.isRequestOpen(Service.Name))
+    if (!Service.IsSpare &&
+        !this->Environment.Demands->isRequestOpen(Service.Name))
       this->requestDemand(Service.Name, Current);
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
               this->Shared.now() + DecisionTimeout,
@@ -75,9 +103,18 @@
 void PoolRebalancer::requestDemand(const ServiceName &Pool,
                                    const std::shared_ptr<Round> &Current) {
   ++Current->OpenCalls;
-  this->Demands.noteRequest(Pool);
+  this->Environment.Demands->noteRequest(Pool);
+  jobs::DemandRequest Request;
+  for (const auto &[Name, Each] : this->Arrivals)
+    if (Each.Pool == Pool)
+      Request.Arrived.push_back(Each.Executor);
+  if (const auto Found = this->Releases.find(Pool);
+      Found != this->Releases.end())
+    Request.Release = Found->second;
   this->Environment.Calls->call(
-      {0, Pool, peers::ServiceCallKind::PoolDemand, "", ""}, DemandTimeout,
+      {0, Pool, peers::ServiceCallKind::PoolDemand, "",
+       jobs::encodeDemandRequest(Request)},
+      DemandTimeout,
       [Weak = this->weak_from_this(), Current, Pool](const CallResult &Answer) {
         const auto Self = Weak.lock();
         if (!Self)
@@ -90,7 +127,7 @@
 
 void PoolRebalancer::handleDemand(const ServiceName &Pool,
                                   const CallResult &Answer) {
-  this->Demands.noteRequestEnd(Pool);
+  this->Environment.Demands->noteRequestEnd(Pool);
   if (Answer.Outcome != CallOutcome::Done) {
     logEvent(LogLevel::Warning, "demand-unknown",
              {{"pool", Pool},
@@ -99,7 +136,8 @@
   }
   auto Demand = jobs::decodeDemand(Pool, Answer.Content);
   if (Demand)
-    this->Demands.note(std::move(Demand).value(), this->Shared.now());
+    this->Environment.Demands->note(std::move(Demand).value(),
+                                    this->Shared.now());
   else
     logEvent(LogLevel::Error, "demand-unreadable",
              {{"pool", Pool}, {"cause", Demand.error().Message}});
@@ -110,21 +148,25 @@
     this->decide();
 }
 
-bool PoolRebalancer::isInTransit(const jobs::MachineInfo &Machine,
-                                 TimePoint Now) {
+void PoolRebalancer::noteIfArrived(const jobs::MachineInfo &Machine,
+                                   TimePoint Now) {
   const auto Found = this->LastOrders.find(Machine.Name);
-  if (Found == this->LastOrders.end())
-    return false;
-  const bool HasArrived = Machine.Pool == Found->second.Pool &&
-                          Machine.State == jobs::MachineState::Up;
-  if (!HasArrived && Now < Found->second.Until)
-    return true;
-  if (HasArrived)
-    this->Demands.noteArrival(Machine.Pool,
-                              static_cast<double>(Machine.Capacity.MilliCores) /
-                                  jobs::MilliCoresPerCore);
+  if (Found == this->LastOrders.end() || Machine.Pool != Found->second.Pool ||
+      Machine.State != jobs::MachineState::Up)
+    return;
   this->LastOrders.erase(Found);
-  return false;
+  const double Cores = static_cast<double>(Machine.Capacity.MilliCores) /
+                       jobs::MilliCoresPerCore;
+  this->Environment.Demands->noteArrival(Machine.Pool, Cores);
+  if (!Machine.Executor.isEmpty())
+    this->Arrivals[Machine.Name] = {
+        Machine.Pool, {Machine.Executor, Cores}, Now + AnnounceTime};
+}
+
+bool PoolRebalancer::isInTransit(const jobs::MachineInfo &Machine,
+                                 TimePoint Now) const {
+  const auto Found = this->LastOrders.find(Machine.Name);
+  return Found != this->LastOrders.end() && Now < Found->second.Until;
 }
 
 std::vector<jobs::MachineInfo> PoolRebalancer::expectedMachines() const {
@@ -143,17 +185,21 @@
   if (!this->canOrder())
     return;
   const TimePoint Now = this->Shared.now();
+  std::erase_if(this->LastOrders,
+                [Now](const auto &Entry) { return Now >= Entry.second.Until; });
   std::set<jobs::MachineName> Excluded = this->Reserved();
   for (const jobs::MachineInfo &Machine : this->Machines)
     if (this->isInTransit(Machine, Now) ||
         this->Environment.Orders->isHeld(Machine.Name))
       Excluded.insert(Machine.Name);
-  const std::vector<jobs::PoolDemand> Demands = this->Demands.current(Now);
+  const std::vector<jobs::PoolDemand> Demands =
+      this->Environment.Demands->current(Now);
   for (const jobs::PoolDemand &Demand : Demands)
     logEvent(LogLevel::Info, "pool-demand",
              {{"pool", Demand.Pool},
               {"cores", Demand.Cores},
               {"waiting-work", Demand.WaitingWork},
+              {"late-work", Demand.LateWork},
               {"arriving-work", Demand.ArrivingWork},
               {"displaced", Demand.Displaced},
               {"vacant", Demand.Vacant.size()}});
@@ -162,8 +208,13 @@
   for (const jobs::ServicePolicy &Service : Queues->configuration().Services)
     if (Service.IsSpare)
       Spare = Service.Name;
-  for (const jobs::MoveProposal &Move : this->Policy.decide(
-           this->expectedMachines(), Demands, Spare, Excluded, Now)) {
+  jobs::PoolDecision Decision = this->Policy.decide(
+      this->expectedMachines(), Demands, Spare, Excluded, Now);
+  this->Releases = std::move(Decision.Releases);
+  for (const auto &[Pool, Machines] : this->Releases)
+    logEvent(LogLevel::Info, "release-requested",
+             {{"pool", Pool}, {"machines", Machines}});
+  for (const jobs::MoveProposal &Move : Decision.Moves) {
     this->LastOrders[Move.Machine.Name] = {Move.TargetPool,
                                            Now + ArrivalTimeout};
     this->evacuateAndMove(Move);
--- a/src/libs/dispatch/poolrebalancer.h
+++ b/src/libs/dispatch/poolrebalancer.h
@@ -1,7 +1,6 @@
 #ifndef WHINTACK_DISPATCH_POOLREBALANCER_H
 #define WHINTACK_DISPATCH_POOLREBALANCER_H
 
-#include "demandtracker.h"
 #include "wavemanager.h"
 
 #include "whintack/jobs/poolpolicy.h"
@@ -34,7 +33,16 @@
     bool IsAbandoned = false;
   };
 
-  void tick();
+  /// An executor that its pool's planner is told of.
+  struct Arrival {
+    ServiceName Pool;
+    jobs::ArrivedExecutor Executor;
+    TimePoint AnnouncedUntil;
+  };
+
+  void listMachines();
+  void handleMachines(std::vector<jobs::MachineInfo> Listed);
+  void checkDemand();
   void requestDemands();
   void requestDemand(const ServiceName &Pool,
                      const std::shared_ptr<Round> &Current);
@@ -44,8 +52,10 @@
   void evacuateAndMove(const jobs::MoveProposal &Move);
   /// Sends the order unless it cannot be sent by \p SendBy.
   void order(const jobs::MoveProposal &Move, TimePoint SendBy);
+  /// Ends the order for the machine if the list shows that it was carried out.
+  void noteIfArrived(const jobs::MachineInfo &Machine, TimePoint Now);
   /// Whether the machine has yet to arrive in the pool to which it was ordered.
-  bool isInTransit(const jobs::MachineInfo &Machine, TimePoint Now);
+  bool isInTransit(const jobs::MachineInfo &Machine, TimePoint Now) const;
   /// The listed machines, with each order under way as if it were carried out:
   /// the list may not show it yet.
   std::vector<jobs::MachineInfo> expectedMachines() const;
@@ -58,10 +68,13 @@
   HeldClaim OwnClaim;
   std::function<std::set<jobs::MachineName>()> Reserved;
   jobs::PoolPolicy Policy;
-  DemandTracker Demands;
   std::vector<jobs::MachineInfo> Machines;
   /// The last order for each machine, until it has been carried out.
   std::map<jobs::MachineName, MoveOrder> LastOrders;
+  /// Number of machines that pools were last asked to empty.
+  std::map<ServiceName, size_t> Releases;
+  /// Machines that arrived recently.
+  std::map<jobs::MachineName, Arrival> Arrivals;
   bool IsStopped = false;
 };
 
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -739,6 +739,30 @@
   this->requestPlan();
 }
 
+void ServiceShard::answerDemand(const peers::ServiceCall &Call,
+                                const AnswerCallback &Respond) {
+  const auto Request = jobs::decodeDemandRequest(Call.Content);
+  if (!Request) {
+    logEvent(
+        LogLevel::Error, "demand-request-unreadable",
+        {{"shard", this->OwnClaim.Shard}, {"cause", Request.error().Message}});
+    Respond({Call.Id, peers::ServiceOutcome::Failed, ""});
+    return;
+  }
+  const TimePoint Now = this->Shared.now();
+  const std::vector<jobs::ArrivedExecutor> &Arrived = Request.value().Arrived;
+  if (Request.value().Release > 0)
+    this->Planner.release(Request.value().Release, Now);
+  Respond({Call.Id, peers::ServiceOutcome::Done,
+           jobs::encodeDemand(this->Planner.demand(Now, Arrived))});
+  const bool IsListOutdated =
+      std::any_of(Arrived.begin(), Arrived.end(), [this](const auto &Each) {
+        return !this->Planner.isKnownExecutor(Each.Id);
+      });
+  if (IsListOutdated)
+    this->Environment.RefreshExecutors();
+}
+
 void ServiceShard::answer(const peers::ServiceCall &Call,
                           const AnswerCallback &Respond) {
   using peers::ServiceOutcome;
@@ -772,8 +796,7 @@
              std::to_string(this->Planner.waitingJobs(Call.Subject))});
     return;
   case peers::ServiceCallKind::PoolDemand:
-    Respond({Call.Id, ServiceOutcome::Done,
-             jobs::encodeDemand(this->Planner.demand(this->Shared.now()))});
+    this->answerDemand(Call, Respond);
     return;
   case peers::ServiceCallKind::EvacuateExecutor: {
     const jobs::ExecutorId Id(Call.Subject);
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -124,6 +124,11 @@
   std::string queueName(const jobs::JobId &Job) const;
   void answerCancel(const peers::ServiceCall &Call,
                     const AnswerCallback &Respond);
+  /// Reports the demand of the pool and releases machines for other pools.
+  /// Reads the list of executors anew if the caller knows of one that is
+  /// missing.
+  void answerDemand(const peers::ServiceCall &Call,
+                    const AnswerCallback &Respond);
 
   Context Shared;
   ShardEnvironment Environment;
--- a/src/libs/dispatch/wavemanager.cpp
+++ b/src/libs/dispatch/wavemanager.cpp
@@ -205,17 +205,24 @@
   if (!this->canOrder() || !Current.IsStored)
     return;
   const uint64_t Number = Current.Scheduler->request().Number;
-  for (const jobs::MachineInfo &Machine :
-       Current.Scheduler->machinesToEvacuate(this->Shared.now()))
+  for (const jobs::MachineInfo &Machine : Current.Scheduler->machinesToEvacuate(
+           this->Shared.now(),
+           [this](const jobs::MachineInfo &Each) { return this->useOf(Each); }))
     if (this->InFlight.insert(Machine.Name).second)
       this->vacate(Number, Machine);
 }
 
+jobs::MachineUse WaveManager::useOf(const jobs::MachineInfo &Machine) const {
+  const auto Queues = this->Environment.Queues();
+  const jobs::ServicePolicy *Policy = Queues->service(Machine.Pool);
+  if (Machine.Executor.isEmpty() || (Policy && Policy->IsSpare))
+    return jobs::MachineUse::Unused;
+  const bool IsVacant = this->Environment.Demands->isVacant(
+      Machine.Pool, Machine.Executor, this->Shared.now());
+  return IsVacant ? jobs::MachineUse::Vacant : jobs::MachineUse::Busy;
+}
+
 void WaveManager::vacate(uint64_t Number, const jobs::MachineInfo &Machine) {
-  const jobs::ServicePolicy *Policy =
-      this->Environment.Queues()->service(Machine.Pool);
-  const bool IsUnused =
-      Machine.Executor.isEmpty() || (Policy && Policy->IsSpare);
   const TimePoint SendBy = this->Shared.now() + jobs::EvacuationTimeout / 2;
   const auto OrderIfAllowed = [this, Number, Machine,
                                SendBy](jobs::Occupancy Remaining) {
@@ -225,7 +232,7 @@
         Scheduler.canOrder(Machine.Name, Remaining, this->Shared.now()))
       this->order(Number, Machine, SendBy);
   };
-  if (IsUnused) {
+  if (this->useOf(Machine) == jobs::MachineUse::Unused) {
     OrderIfAllowed(jobs::Occupancy::Vacant);
     return;
   }
--- a/src/libs/dispatch/wavemanager.h
+++ b/src/libs/dispatch/wavemanager.h
@@ -1,6 +1,7 @@
 #ifndef WHINTACK_DISPATCH_WAVEMANAGER_H
 #define WHINTACK_DISPATCH_WAVEMANAGER_H
 
+#include "demandtracker.h"
 #include "machineorders.h"
 #include "servicecalls.h"
 #include "shardclaimer.h"
@@ -17,6 +18,7 @@
   std::function<std::shared_ptr<const jobs::QueueTable>()> Queues;
   std::function<TimePoint()> ClaimValidUntil;
   std::shared_ptr<MachineOrders> Orders;
+  std::shared_ptr<DemandTracker> Demands;
   std::function<void(const std::string &Shard, const std::string &Cause)>
       OnLost;
 };
@@ -53,6 +55,7 @@
   void advance(Wave &Current);
   void
   handleMachines(jobs::GatewayResult<std::vector<jobs::MachineInfo>> Found);
+  jobs::MachineUse useOf(const jobs::MachineInfo &Machine) const;
   void vacate(uint64_t Number, const jobs::MachineInfo &Machine);
   /// Sends the order unless it cannot be sent by \p SendBy.
   void order(uint64_t Number, const jobs::MachineInfo &Machine,
--- a/src/libs/jobs/include/whintack/jobs/jobrank.h
+++ b/src/libs/jobs/include/whintack/jobs/jobrank.h
@@ -23,9 +23,10 @@
   Duration RemainingCriticalPath = Duration::zero();
 };
 
-/// Whether a job that starts now can still end on time, or late but with some
-/// value.
-bool hasRemainingValue(const JobRank &Job, TimePoint Now);
+/// Value that a job can still reach if it starts now.
+enum class ExpectedOutcome { OnTime, Late, Worthless };
+
+ExpectedOutcome expectedOutcome(const JobRank &Job, TimePoint Now);
 
 /// Whether \p First gets resources before \p Second. The queues take turns in
 /// submitting several times what their pool can hold, so the order matters:
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -131,6 +131,11 @@
   /// long-running tasks away as far as the MaxUnavailable of their steps
   /// allows. Tasks with checkpoints are stopped, to continue elsewhere.
   void evacuate(const ExecutorId &Id, TimePoint Now);
+  /// Places no new tasks on \p Count executors for a while, so that their
+  /// machines can move to a pool that needs them more. Chooses those with the
+  /// least work on them and without long-running tasks. What runs there goes
+  /// on.
+  void release(size_t Count, TimePoint Now);
   /// What still runs on an executor.
   Occupancy occupancy(const ExecutorId &Id) const;
 
@@ -158,8 +163,10 @@
   /// Number of the last end that the executor may discard.
   uint64_t lastDiscardableEnd(const ExecutorId &Id) const;
 
-  /// Demand of the pool, for the policy that moves machines.
-  PoolDemand demand(TimePoint Now) const;
+  /// Demand of the pool, for the policy that moves machines. The cores of
+  /// executors in \p Arrived that are not listed yet count as the pool's.
+  PoolDemand demand(TimePoint Now,
+                    const std::vector<ArrivedExecutor> &Arrived = {}) const;
 
 private:
   class Private;
--- a/src/libs/jobs/include/whintack/jobs/wavescheduler.h
+++ b/src/libs/jobs/include/whintack/jobs/wavescheduler.h
@@ -40,10 +40,24 @@
     {Occupancy::Protected, "protected"},
 }};
 
+/// What would be lost if a machine went down now.
+enum class MachineUse {
+  /// Switched off, or without an executor.
+  Unused,
+  /// Nothing runs on its executor.
+  Vacant,
+  Busy,
+};
+
+using MachineUseHook = std::function<MachineUse(const MachineInfo &)>;
+
 /// Decides in what order and when the machines of a wave are maintained. It
 /// handles many machines of a busy pool being due at the same time: the wave
 /// ends in time, no more than the allowed number of machines are down at once,
-/// and no protected task is ended.
+/// and no protected task is ended. Half of a fleet may be due while a queue
+/// asks for all the room there is, so machines that nothing runs on are
+/// maintained first, and machines in use only as fast as the end of the wave
+/// requires.
 class WaveScheduler {
 public:
   /// \p Begun are the machines whose maintenance is known to have begun.
@@ -55,8 +69,10 @@
   void noteMachines(const std::vector<MachineInfo> &Listed,
                     TimePoint RequestedAt);
   /// Returns the machines to evacuate now, including those that are being
-  /// evacuated already.
-  std::vector<MachineInfo> machinesToEvacuate(TimePoint Now);
+  /// evacuated already. \p UseOf tells the use of a machine; without it, all
+  /// machines count as unused.
+  std::vector<MachineInfo> machinesToEvacuate(TimePoint Now,
+                                              const MachineUseHook &UseOf = {});
   /// Whether the machine may be ordered into maintenance now.
   /// \p Remaining says what still runs on it.
   bool canOrder(const MachineName &Machine, Occupancy Remaining,
@@ -93,7 +109,13 @@
     bool HasUnansweredOrder = false;
   };
 
+  /// Number of machines that are not yet ordered.
+  size_t unordered() const;
   Duration maxTaskWait(TimePoint Now) const;
+  /// Number of machines to keep in progress so that the wave ends in time, if
+  /// each takes \p TimePerMachine.
+  size_t requiredConcurrency(TimePoint Now, Duration TimePerMachine) const;
+  std::vector<Machine *> waitingMachines();
 
   WaveRequest Request;
   TimePoint Deadline;
--- a/src/libs/jobs/jobrank.cpp
+++ b/src/libs/jobs/jobrank.cpp
@@ -2,13 +2,6 @@
 
 namespace whintack::jobs {
 
-namespace {
-
-/// Value that a job can still reach if it starts now.
-enum class ExpectedOutcome { OnTime, Late, Worthless };
-
-} // namespace
-
 /// How long a late job still has some value, as a multiple of the time within
 /// which it would be on time; specified by the platform.
 static constexpr int64_t LateDeadlineFactor = 3;
@@ -17,7 +10,7 @@
   return Job.Accepted + (Job.Objective - Job.Accepted) * LateDeadlineFactor;
 }
 
-static ExpectedOutcome expectedOutcome(const JobRank &Job, TimePoint Now) {
+ExpectedOutcome expectedOutcome(const JobRank &Job, TimePoint Now) {
   if (Now + Job.RemainingCriticalPath <= Job.Objective)
     return ExpectedOutcome::OnTime;
   if (Now + Job.RemainingCriticalPath <= lateDeadline(Job))
@@ -25,10 +18,6 @@
   return ExpectedOutcome::Worthless;
 }
 
-bool hasRemainingValue(const JobRank &Job, TimePoint Now) {
-  return expectedOutcome(Job, Now) != ExpectedOutcome::Worthless;
-}
-
 bool ranksBefore(const JobRank &First, const JobRank &Second, TimePoint Now) {
   if (First.Priority != Second.Priority)
     return First.Priority < Second.Priority;
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -80,9 +80,12 @@
   return std::hash<std::string>()(Id.text()) % 2 == 0;
 }
 
-/// The rank of a job, without the remaining work.
+/// The rank of a job of which nothing has started.
 static JobRank initialRank(const JobRecord &Job) {
   JobRank Rank;
+  Rank.RemainingWork = Job.Effort.Work;
+  if (!Job.Spec.isPeriodic())
+    Rank.RemainingCriticalPath = Job.Effort.CriticalPath;
   Rank.Priority = Job.Policy.Priority;
   Rank.Accepted = Job.Accepted;
   Rank.IsLongRunning =
@@ -112,6 +115,8 @@
   auto &[Mean, Count] = this->MeanWorkByQueue[Job.Policy.Name];
   ++Count;
   Mean += (Job.Effort.Work - Mean) / static_cast<double>(Count);
+  if (!Job.Spec.isPeriodic())
+    this->Arrivals.note(Job.Effort.Work, Job.Accepted);
   const JobId Id = Job.Spec.Id;
   JobRecord &Inserted =
       this->Jobs.insert_or_assign(Id, std::move(Job)).first->second;
@@ -209,6 +214,8 @@
                 {"queue", Record.Policy.Name},
                 {"work", Record.Effort.Work},
                 {"chain-ms", toMilliseconds(Record.Effort.CriticalPath)},
+                {"objective-ms",
+                 toMilliseconds(Record.Rank.Objective - Record.Accepted)},
                 {"may-have-run", Record.MayHaveRun ? "yes" : "no"}});
   this->D->handleDeferredEnds(Id);
 }
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -2,6 +2,7 @@
 #define WHINTACK_JOBS_PLANNER_P_H
 
 #include "stepplacement.h"
+#include "whintack/jobs/arrivalmeter.h"
 #include "whintack/jobs/besteffortthrottle.h"
 #include "whintack/jobs/executorhealthtracker.h"
 #include "whintack/jobs/jobrank.h"
@@ -31,6 +32,11 @@
   uint64_t Number = 0;
   ExecutorId Executor;
   RunPhase Phase = RunPhase::Starting;
+  /// When the run was placed; not known if an earlier planner placed it.
+  TimePoint PlacedAt = TimePoint::min();
+  /// When the executor's answer to the start order arrived; TimePoint::max() if
+  /// none did.
+  TimePoint AnsweredAt = TimePoint::max();
   /// When the executor confirmed the start, by the executor's clock.
   std::optional<ExecutorTime> ConfirmedAt;
   /// When the executor confirmed a stop, by the executor's clock.
@@ -41,6 +47,9 @@
   /// When to repeat a stop order that was not confirmed.
   TimePoint NextStopAt = TimePoint::max();
   int64_t Percent = 0;
+  /// The long-running task is to leave an executor that is being evacuated, and
+  /// has found no other place yet.
+  bool IsAwaitingPlace = false;
 };
 
 /// State of a task.
@@ -89,7 +98,8 @@
   size_t OpenRuns = 0;
   /// Estimated when the job is added; the steps do not change.
   JobEffort Effort;
-  /// All but RemainingWork, which depends on the queue's other jobs.
+  /// The remaining effort is that of the last review. rankOf() bounds it by the
+  /// queue's mean.
   JobRank Rank;
   /// Entry of MeanWorkByQueue, if the job ranks as if it were no larger than
   /// its queue's mean.
@@ -130,6 +140,8 @@
   /// duplicate a known run.
   bool HasUnknownRuns = false;
   ComputeResources Booked;
+  /// The part of Booked that belongs to long-running tasks.
+  int64_t LongRunningMilliCores = 0;
   std::map<TaskKey, uint64_t> Runs;
   uint64_t LastEnd = 0;
   /// Numbers of the ends that the executor still keeps, each with the number of
@@ -221,6 +233,13 @@
                WallTime WallNow);
   void planStep(Internal::JobRecord &Job, const StepKey &Step,
                 std::vector<Internal::Candidate> &Candidates, TimePoint Now);
+  /// Holds a place for a long-running task that leaves its executor, and stops
+  /// it there once it has one.
+  void planLeavingTask(Internal::JobRecord &Job, const TaskKey &Key,
+                       std::vector<Internal::Candidate> &Candidates,
+                       TimePoint Now);
+  /// Whether the system may make one more task of the step unavailable.
+  bool mayMakeUnavailable(const Internal::JobRecord &Job, const StepKey &Step);
   void planGang(Internal::JobRecord &Job, const StepKey &Step,
                 std::vector<Internal::Candidate> &Candidates, TimePoint Now);
   bool canStart(const Internal::JobRecord &Job, const StepKey &Step) const;
@@ -262,6 +281,8 @@
   /// Determines what the job can start. Returns std::nullopt if it is nothing
   /// until the job is marked for review again.
   std::optional<Internal::StartableJob> review(Internal::JobRecord &Job);
+  /// Determines the effort of the steps that are not done, for the job's rank.
+  static void updateRemainingEffort(Internal::JobRecord &Job);
   std::vector<Internal::RankedJob> rankStartable(bool IsRecovering);
   void planInOrder(std::vector<Internal::RankedJob> Waiting,
                    std::vector<Internal::Candidate> &Candidates, TimePoint Now,
@@ -293,6 +314,8 @@
   ExecutorHealthTracker HealthTracker;
   /// Mean work of the added jobs in core-seconds, and their number, by queue.
   std::map<std::string, std::pair<double, size_t>> MeanWorkByQueue;
+  /// Work of the accepted jobs that are not periodic.
+  ArrivalMeter Arrivals;
   std::vector<Order> Orders;
   /// The earliest NextStopAt of all runs, or earlier.
   TimePoint NextStopAt = TimePoint::max();
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -24,7 +24,10 @@
                                RunRecord Run) {
   JobRecord &Job = *this->findJob(Key.Step.Job);
   ExecutorRecord &Executor = this->Executors[Run.Executor];
-  Executor.Booked += this->stepSpec(Job, Key.Step).bookedResources();
+  const StepSpec &Spec = this->stepSpec(Job, Key.Step);
+  Executor.Booked += Spec.bookedResources();
+  if (Spec.IsLongRunning)
+    Executor.LongRunningMilliCores += Spec.bookedResources().MilliCores;
   Executor.Runs[Key] = Run.Number;
   Task.LastRun = std::max(Task.LastRun, Run.Number);
   Task.Current = std::move(Run);
@@ -35,7 +38,10 @@
 void Planner::Private::releaseRun(const TaskKey &Key, TaskRecord &Task) {
   JobRecord &Job = *this->findJob(Key.Step.Job);
   ExecutorRecord &Executor = this->Executors[Task.Current->Executor];
-  Executor.Booked -= this->stepSpec(Job, Key.Step).bookedResources();
+  const StepSpec &Spec = this->stepSpec(Job, Key.Step);
+  Executor.Booked -= Spec.bookedResources();
+  if (Spec.IsLongRunning)
+    Executor.LongRunningMilliCores -= Spec.bookedResources().MilliCores;
   Executor.Runs.erase(Key);
   Task.Current.reset();
   --Job.OpenRuns;
@@ -190,21 +196,45 @@
     this->endJob(Job, JobState::Failed);
 }
 
+namespace {
+
+/// Durations of a run in milliseconds; -1 for those that are not known.
+struct RunTimes {
+  /// From the placement to the answer to the start order.
+  int64_t OrderMs = -1;
+  /// From that answer to the report of the end.
+  int64_t RunMs = -1;
+};
+
+} // namespace
+
+static RunTimes timesOf(const RunRecord &Run, TimePoint Now) {
+  RunTimes Times;
+  if (Run.AnsweredAt == TimePoint::max())
+    return Times;
+  Times.OrderMs = toMilliseconds(Run.AnsweredAt - Run.PlacedAt);
+  Times.RunMs = toMilliseconds(Now - Run.AnsweredAt);
+  return Times;
+}
+
 void Planner::Private::handleEnd(ExecutorRecord &Executor, const EndReport &End,
                                  TimePoint Now) {
   JobRecord *Job = this->findJob(End.Task.Step.Job);
   TaskRecord *Task = this->findTask(End.Task);
   if (!Job || !Task)
     return;
+  const bool IsCurrent = Task->Current && Task->Current->Number == End.Run &&
+                         Task->Current->Executor == Executor.Info.Id;
+  const RunTimes Times = IsCurrent ? timesOf(*Task->Current, Now) : RunTimes();
   this->log("run-ended", {{"task", End.Task.text()},
                           {"run", End.Run},
                           {"executor", Executor.Info.Id},
                           {"how", nameOf(RunEndNames, End.Outcome)},
-                          {"number", End.Number}});
+                          {"number", End.Number},
+                          {"order-ms", Times.OrderMs},
+                          {"run-ms", Times.RunMs}});
   Job->HasStarted = true;
   Task->LastRun = std::max(Task->LastRun, End.Run);
-  const bool IsCurrent = Task->Current && Task->Current->Number == End.Run &&
-                         Task->Current->Executor == Executor.Info.Id;
   if (IsCurrent)
     this->releaseRun(End.Task, *Task);
   const StepSpec &Spec = this->stepSpec(*Job, End.Task.Step);
@@ -409,6 +439,7 @@
   switch (Outcome) {
   case StartOutcome::Started:
     Task->Current->ConfirmedAt = At;
+    Task->Current->AnsweredAt = Now;
     if (Task->Current->Phase == RunPhase::Starting)
       Task->Current->Phase = RunPhase::Running;
     Job.HasStarted = true;
@@ -555,6 +586,13 @@
   return Unavailable;
 }
 
+bool Planner::Private::mayMakeUnavailable(const JobRecord &Job,
+                                          const StepKey &Step) {
+  const StepSpec &Spec = this->stepSpec(Job, Step);
+  return !Spec.HasMaxUnavailable ||
+         this->countUnavailableTasks(Job, Step) < Spec.MaxUnavailable;
+}
+
 void Planner::evacuate(const ExecutorId &Id, TimePoint Now) {
   const auto Found = this->D->Executors.find(Id);
   if (Found == this->D->Executors.end())
@@ -570,11 +608,13 @@
       continue;
     const bool CanMove =
         Spec.IsLongRunning
-            ? (!Spec.HasMaxUnavailable ||
-               this->D->countUnavailableTasks(Job, Key.Step) <
-                   Spec.MaxUnavailable) &&
+            ? this->D->mayMakeUnavailable(Job, Key.Step) &&
                   this->D->takeOtherCandidate(Job, Key, Places, Now)
             : Spec.IsCheckpointing && !Spec.IsGang;
+    if (Spec.IsLongRunning && !CanMove) {
+      Task.Current->IsAwaitingPlace = true;
+      this->D->markForReview(Job);
+    }
     if (CanMove) {
       this->D->log("run-moved",
                    {{"task", Key.text()}, {"run", Number}, {"executor", Id}});
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -3,6 +3,7 @@
 #include "stepplacement.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace whintack::jobs {
 
@@ -11,11 +12,10 @@
 /// Maximum number of executors in one request for advice. The response time
 /// grows with each executor.
 static constexpr size_t MaxAdviceCandidates = 30;
-/// Window over which arriving work is counted: a fifth of a queue's turn of 4
-/// to 5 s.
-static constexpr Duration ArrivalWindow = std::chrono::seconds(1);
 /// Maximum time between two planning passes.
 static constexpr Duration PlanInterval = std::chrono::milliseconds(100);
+/// How long a released executor gets no new tasks, unless it is released again.
+static constexpr Duration ReleaseTime = std::chrono::milliseconds(600);
 /// Does not cover any need, not even one of 0.
 static constexpr ComputeResources NoResources = {-1, -1, -1};
 
@@ -42,7 +42,6 @@
 
 JobRank Planner::Private::rankOf(const JobRecord &Job) const {
   JobRank Rank = Job.Rank;
-  Rank.RemainingWork = Job.Effort.Work;
   if (Job.QueueWork)
     Rank.RemainingWork = std::min(Rank.RemainingWork, Job.QueueWork->first);
   return Rank;
@@ -69,7 +68,8 @@
 /// Whether a pass may start or reserve something for the task, now or later.
 static bool isTaskOpen(const StepSpec &Spec, const TaskRecord &Task) {
   if (Task.Current)
-    return Spec.IsLongRunning && Task.Current->Phase == RunPhase::Stopping;
+    return Spec.IsLongRunning && (Task.Current->Phase == RunPhase::Stopping ||
+                                  Task.Current->IsAwaitingPlace);
   return !Task.Stored.IsDone;
 }
 
@@ -89,9 +89,26 @@
   Least.Gpus = std::min(Least.Gpus, Need.Gpus);
 }
 
+void Planner::Private::updateRemainingEffort(JobRecord &Job) {
+  std::vector<RemainingStep> Left;
+  Left.reserve(Job.Spec.Steps.size());
+  for (const StepRecord &Step : Job.Occurrences.front().Steps) {
+    const auto Waiting = std::count_if(
+        Step.Tasks.begin(), Step.Tasks.end(), [](const TaskRecord &Task) {
+          return !Task.Stored.IsDone && !Task.Current;
+        });
+    Left.push_back({static_cast<size_t>(Waiting), Step.isDone()});
+  }
+  const JobEffort Effort = estimateRemainingEffort(Job.Spec, Left);
+  Job.Rank.RemainingWork = Effort.Work;
+  Job.Rank.RemainingCriticalPath = Effort.CriticalPath;
+}
+
 std::optional<StartableJob> Planner::Private::review(JobRecord &Job) {
   if (isFinal(Job.State))
     return std::nullopt;
+  if (!Job.Spec.isPeriodic())
+    updateRemainingEffort(Job);
   // The occurrences of a periodic job become due, and advice expires, without
   // any event.
   if (Job.Spec.isPeriodic() || Job.Policy.Advice)
@@ -251,6 +268,7 @@
   RunRecord Record;
   Record.Number = Run;
   Record.Executor = Start.Executor;
+  Record.PlacedAt = Now;
   this->log("run-placed", {{"task", Key.text()},
                            {"run", Run},
                            {"executor", Start.Executor},
@@ -321,12 +339,8 @@
   for (size_t Index = 0; Index < Record.Tasks.size(); ++Index) {
     TaskRecord &Task = Record.Tasks[Index];
     const TaskKey Key{Step, Index};
-    if (Spec.IsLongRunning && Task.Current &&
-        Task.Current->Phase == RunPhase::Stopping) {
-      // The task is being moved and will start again shortly. Reserve its new
-      // place, so that no other task takes it.
-      if (Candidate *Next = this->chooseCandidate(Job, Key, Candidates, Now))
-        Next->Free -= Spec.bookedResources();
+    if (Spec.IsLongRunning && Task.Current) {
+      this->planLeavingTask(Job, Key, Candidates, Now);
       continue;
     }
     if (Task.Stored.IsDone || Task.Current || Now < Task.EarliestStart)
@@ -348,6 +362,34 @@
   }
 }
 
+void Planner::Private::planLeavingTask(JobRecord &Job, const TaskKey &Key,
+                                       std::vector<Candidate> &Candidates,
+                                       TimePoint Now) {
+  TaskRecord &Task = *this->findTask(Key);
+  RunRecord &Run = *Task.Current;
+  const bool IsStopping = Run.Phase == RunPhase::Stopping;
+  if (Run.IsAwaitingPlace &&
+      Now >= this->Executors[Run.Executor].EvacuatingUntil) {
+    Run.IsAwaitingPlace = false;
+    this->markForReview(Job);
+  }
+  if (!IsStopping && !Run.IsAwaitingPlace)
+    return;
+  Candidate *Next = this->chooseCandidate(Job, Key, Candidates, Now);
+  if (!Next) {
+    this->reserveCandidate(Job, Key, Candidates, Now);
+    return;
+  }
+  // The task will start again shortly. No other task may take its new place.
+  Next->Free -= this->stepSpec(Job, Key.Step).bookedResources();
+  if (IsStopping || !this->mayMakeUnavailable(Job, Key.Step))
+    return;
+  this->log(
+      "run-moved",
+      {{"task", Key.text()}, {"run", Run.Number}, {"executor", Run.Executor}});
+  this->orderStop(Key, Task);
+}
+
 void Planner::Private::reserveCandidate(const JobRecord &Job,
                                         const TaskKey &Key,
                                         std::vector<Candidate> &Candidates,
@@ -528,38 +570,65 @@
   return Displaced;
 }
 
-PoolDemand Planner::demand(TimePoint Now) const {
-  const double WindowSeconds =
-      std::chrono::duration<double>(ArrivalWindow).count();
+PoolDemand Planner::demand(TimePoint Now,
+                           const std::vector<ArrivedExecutor> &Arrived) const {
   PoolDemand Demand;
   Demand.Pool = this->D->Setup.Service;
+  Demand.ArrivingWork = this->D->Arrivals.rate(Now);
   for (std::string &Label : this->D->displacedTaskLabels(Now)) {
     ++Demand.Displaced;
     if (!Label.empty())
       Demand.DisplacedLabels.push_back(std::move(Label));
   }
-  for (const auto &[Id, Job] : this->D->Jobs)
-    if (!Job.Spec.isPeriodic()) {
-      if (Job.Accepted > Now - ArrivalWindow)
-        Demand.ArrivingWork += Job.Effort.Work / WindowSeconds;
-      if (Job.StartablePosition && !isFinal(Job.State) &&
-          hasRemainingValue(Job.Rank, Now))
-        Demand.WaitingWork += this->D->startableWork(Job);
+  for (const auto &[Id, Job] : this->D->Jobs) {
+    if (Job.Spec.isPeriodic() || !Job.StartablePosition || isFinal(Job.State))
+      continue;
+    switch (expectedOutcome(Job.Rank, Now)) {
+    case ExpectedOutcome::OnTime:
+      Demand.WaitingWork += this->D->startableWork(Job);
+      break;
+    case ExpectedOutcome::Late:
+      Demand.LateWork += this->D->startableWork(Job);
+      break;
+    case ExpectedOutcome::Worthless:
+      break;
     }
+  }
   for (const auto &[Id, Executor] : this->D->Executors) {
     if (!Executor.IsListed || Executor.Info.IsDraining || !Executor.IsReachable)
       continue;
     // An executor that has not reported yet counts, because it will either
     // report or become unreachable.
-    Demand.Cores += static_cast<double>(Executor.Info.Capacity.MilliCores) /
+    Demand.Cores += static_cast<double>(Executor.Info.Capacity.MilliCores -
+                                        Executor.LongRunningMilliCores) /
                     MilliCoresPerCore;
     if (Executor.HasReported && Executor.Runs.empty() &&
         !Executor.HasUnknownRuns)
       Demand.Vacant.insert(Id);
   }
+  for (const ArrivedExecutor &Each : Arrived)
+    if (!this->isKnownExecutor(Each.Id))
+      Demand.Cores += Each.Cores;
   return Demand;
 }
 
+void Planner::release(size_t Count, TimePoint Now) {
+  std::vector<std::tuple<bool, int64_t, ExecutorRecord *>> Candidates;
+  for (auto &[Id, Executor] : this->D->Executors) {
+    const bool IsInUse = Executor.IsListed && Executor.IsReachable &&
+                         !Executor.Info.IsDraining && Executor.HasReported;
+    if (IsInUse && this->occupancy(Id) == Occupancy::Interruptible)
+      Candidates.emplace_back(Now >= Executor.EvacuatingUntil,
+                              Executor.Booked.MilliCores, &Executor);
+  }
+  // Executors that were released before come first, so that they get empty.
+  std::sort(Candidates.begin(), Candidates.end());
+  Candidates.resize(std::min(Count, Candidates.size()));
+  for (const auto &[IsNew, MilliCores, Executor] : Candidates)
+    Executor->EvacuatingUntil =
+        std::max(Executor->EvacuatingUntil, Now + ReleaseTime);
+}
+
 std::vector<Order> Planner::takeOrders() {
   return std::exchange(this->D->Orders, {});
 }
--- a/src/libs/jobs/poolpolicy.cpp
+++ b/src/libs/jobs/poolpolicy.cpp
@@ -9,12 +9,12 @@
 
 using web::json::value;
 
-/// Waiting work that a pool can complete without more machines, in seconds of
-/// all its cores. About half of a short job's time to its objective.
-static constexpr double TolerableWaitSeconds = 0.7;
-/// Time for which an added machine is still useful, in seconds. A queue's turn
-/// lasts 4 s, of which detecting the demand and moving the machine take 2 s.
-static constexpr double UsefulSeconds = 2.5;
+/// Time in which a pool should complete its waiting work beside what arrives,
+/// in seconds: about what a short job can wait and still be on time.
+static constexpr double ClearSeconds = 1.5;
+/// Time in which it should complete late work, which has little value, in
+/// seconds.
+static constexpr double LateSeconds = 8;
 /// How long a machine may be vacant before it goes to the spare pool. Keeping
 /// it longer costs as much as moving it there and back.
 static constexpr Duration IdleMachineRetention =
@@ -28,6 +28,7 @@
 std::string encodeDemand(const PoolDemand &Demand) {
   value Body = value::object();
   Body["waiting"] = value::number(Demand.WaitingWork);
+  Body["late"] = value::number(Demand.LateWork);
   Body["arriving"] = value::number(Demand.ArrivingWork);
   Body["displaced"] = value::number(static_cast<uint64_t>(Demand.Displaced));
   value Labels = value::array();
@@ -50,6 +51,7 @@
   try {
     const value Body = value::parse(Text);
     Demand.WaitingWork = Body.at("waiting").as_double();
+    Demand.LateWork = Body.at("late").as_double();
     Demand.ArrivingWork = Body.at("arriving").as_double();
     Demand.Displaced = Body.at("displaced").as_number().to_uint64();
     for (const value &Label : Body.at("displaced-labels").as_array())
@@ -63,6 +65,34 @@
   return Demand;
 }
 
+std::string encodeDemandRequest(const DemandRequest &Request) {
+  value Body = value::object();
+  Body["release"] = value::number(static_cast<uint64_t>(Request.Release));
+  value Rows = value::array();
+  for (size_t Index = 0; Index < Request.Arrived.size(); ++Index) {
+    Rows[Index]["id"] = value::string(Request.Arrived[Index].Id.text());
+    Rows[Index]["cores"] = value::number(Request.Arrived[Index].Cores);
+  }
+  Body["arrived"] = Rows;
+  return Body.serialize();
+}
+
+DecodeResult<DemandRequest> decodeDemandRequest(const std::string &Text) {
+  DemandRequest Request;
+  if (Text.empty())
+    return Request;
+  try {
+    const value Body = value::parse(Text);
+    Request.Release = Body.at("release").as_number().to_uint64();
+    for (const value &Row : Body.at("arrived").as_array())
+      Request.Arrived.push_back(
+          {ExecutorId(Row.at("id").as_string()), Row.at("cores").as_double()});
+  } catch (const std::exception &Error) {
+    return failure(DecodeError{Error.what()});
+  }
+  return Request;
+}
+
 void PoolPolicy::updateVacancies(const std::vector<MachineInfo> &Machines,
                                  const std::vector<PoolDemand> &Demands,
                                  TimePoint Now) {
@@ -83,6 +113,19 @@
 
 namespace {
 
+double coresOf(const MachineInfo &Machine) {
+  return static_cast<double>(Machine.Capacity.MilliCores) / MilliCoresPerCore;
+}
+
+double meanCoresOf(const std::vector<MachineInfo> &Machines) {
+  double Sum = 0;
+  for (const MachineInfo &Machine : Machines)
+    Sum += coresOf(Machine);
+  return Machines.empty()
+             ? 1
+             : std::max(Sum / static_cast<double>(Machines.size()), 1.0);
+}
+
 /// State of a pool during one rebalancing pass.
 struct PoolState {
   const PoolDemand *Demand = nullptr;
@@ -91,6 +134,8 @@
   /// Number of machines on their way to the pool, and their cores.
   size_t IncomingMachines = 0;
   double IncomingCores = 0;
+  /// Cores of the machines that the pool gives away in this pass.
+  double GivenCores = 0;
 
   void addIncoming(double Cores) {
     ++this->IncomingMachines;
@@ -105,17 +150,42 @@
                : 0;
   }
 
-  /// Number of additional machines of this size that the pool can use.
+  /// Cores of the pool once all machines have arrived and left.
+  double cores() const {
+    return this->Demand->Cores + this->IncomingCores - this->GivenCores;
+  }
+
+  /// Cores that keep up with the work that can be on time.
+  double requiredCores() const {
+    return this->Demand->ArrivingWork +
+           this->Demand->WaitingWork / ClearSeconds;
+  }
+
+  double surplusCores() const {
+    return this->unplacedTasks() > 0
+               ? 0
+               : std::max(this->cores() - this->requiredCores(), 0.0);
+  }
+
+  /// Number of additional machines of this size that the pool needs for work
+  /// that can be on time and for long-running tasks.
+  size_t neededMachines(double CoresOfMachine) const {
+    return this->machinesFor(this->requiredCores(), CoresOfMachine);
+  }
+
+  /// Number of additional machines of this size that the pool can use, also for
+  /// late work.
   size_t wantedMachines(double CoresOfMachine) const {
-    const double Cores = this->Demand->Cores + this->IncomingCores;
-    const double Excess =
-        this->Demand->WaitingWork - Cores * TolerableWaitSeconds;
-    const size_t ForUnplaced = this->unplacedTasks();
-    const double ForWaiting = Excess / (CoresOfMachine * UsefulSeconds);
-    const double ForArriving =
-        (this->Demand->ArrivingWork - Cores) / CoresOfMachine;
-    const double Wanted = std::ceil(std::max({ForWaiting, ForArriving, 0.0}));
-    return std::max(ForUnplaced, static_cast<size_t>(Wanted));
+    return this->machinesFor(this->requiredCores() +
+                                 this->Demand->LateWork / LateSeconds,
+                             CoresOfMachine);
+  }
+
+private:
+  size_t machinesFor(double Required, double CoresOfMachine) const {
+    const double Missing = std::max(Required - this->cores(), 0.0);
+    return std::max(this->unplacedTasks(),
+                    static_cast<size_t>(std::ceil(Missing / CoresOfMachine)));
   }
 };
 
@@ -123,8 +193,9 @@
 /// them.
 class RebalancingPass {
 public:
-  RebalancingPass(const std::vector<PoolDemand> &Demands, ServiceName Spare)
-      : Spare(std::move(Spare)) {
+  RebalancingPass(const std::vector<MachineInfo> &Machines,
+                  const std::vector<PoolDemand> &Demands, ServiceName Spare)
+      : Spare(std::move(Spare)), MeanCores(meanCoresOf(Machines)) {
     for (const PoolDemand &Demand : Demands)
       this->Pools[Demand.Pool].Demand = &Demand;
   }
@@ -142,6 +213,9 @@
   /// Sends a vacant machine to the spare pool if its own pool does not need it.
   void returnToSpare(const MachineInfo &Machine);
   std::vector<MoveProposal> takeMoves() { return std::move(this->Moves); }
+  /// Number of machines that each pool should empty for those that need more
+  /// than is available.
+  std::map<ServiceName, size_t> releases() const;
 
 private:
   bool canGive(const MachineInfo &Machine, const ServiceName &To,
@@ -151,16 +225,14 @@
   void proposeMove(const MachineInfo &Machine, const ServiceName &To);
 
   ServiceName Spare;
+  /// Cores of a machine, on average.
+  double MeanCores = 1;
   std::map<ServiceName, PoolState> Pools;
   std::vector<const MachineInfo *> SpareMachines;
   std::vector<const MachineInfo *> VacantMachines;
   std::vector<MoveProposal> Moves;
 };
 
-double coresOf(const MachineInfo &Machine) {
-  return static_cast<double>(Machine.Capacity.MilliCores) / MilliCoresPerCore;
-}
-
 void RebalancingPass::add(const MachineInfo &Machine, bool IsVacant,
                           bool IsReserved) {
   const auto Pool = this->Pools.find(Machine.Pool);
@@ -203,7 +275,7 @@
     return false;
   if (IsForUnplaced)
     return Pool.unplacedTasks() == 0;
-  return Pool.Vacant > MinVacantMachines && Pool.wantedMachines(1) == 0;
+  return Pool.Vacant > MinVacantMachines && Pool.neededMachines(1) == 0;
 }
 
 /// Removes and returns an available machine, spare ones first. If \p Label is
@@ -242,6 +314,7 @@
     return;
   --From->second.Machines;
   --From->second.Vacant;
+  From->second.GivenCores += coresOf(Machine);
 }
 
 void RebalancingPass::assignMachines(const ServiceName &Name) {
@@ -269,6 +342,30 @@
   }
 }
 
+std::map<ServiceName, size_t> RebalancingPass::releases() const {
+  size_t Lacking = 0;
+  for (const auto &[Name, Pool] : this->Pools)
+    Lacking += Pool.neededMachines(this->MeanCores);
+  std::vector<std::pair<size_t, ServiceName>> Surplus;
+  for (const auto &[Name, Pool] : this->Pools) {
+    const auto Machines =
+        static_cast<size_t>(Pool.surplusCores() / this->MeanCores);
+    // Vacant machines are given away without being emptied first.
+    const size_t Kept = MinMachines + Pool.Vacant;
+    if (Machines > Kept)
+      Surplus.emplace_back(Machines - Kept, Name);
+  }
+  std::sort(Surplus.rbegin(), Surplus.rend());
+  std::map<ServiceName, size_t> Releases;
+  for (const auto &[Machines, Name] : Surplus) {
+    const size_t Released = std::min(Machines, Lacking);
+    Lacking -= Released;
+    if (Released > 0)
+      Releases[Name] = Released;
+  }
+  return Releases;
+}
+
 void RebalancingPass::returnToSpare(const MachineInfo &Machine) {
   if (this->canGive(Machine, this->Spare, false))
     this->proposeMove(Machine, this->Spare);
@@ -276,23 +373,26 @@
 
 } // namespace
 
-std::vector<MoveProposal>
-PoolPolicy::decide(const std::vector<MachineInfo> &Machines,
-                   const std::vector<PoolDemand> &Demands,
-                   const ServiceName &Spare,
-                   const std::set<MachineName> &Reserved, TimePoint Now) {
+PoolDecision PoolPolicy::decide(const std::vector<MachineInfo> &Machines,
+                                const std::vector<PoolDemand> &Demands,
+                                const ServiceName &Spare,
+                                const std::set<MachineName> &Reserved,
+                                TimePoint Now) {
   this->updateVacancies(Machines, Demands, Now);
-  RebalancingPass Pass(Demands, Spare);
+  RebalancingPass Pass(Machines, Demands, Spare);
   for (const MachineInfo &Machine : Machines)
     Pass.add(Machine, this->Vacancies.contains(Machine.Name),
              Reserved.contains(Machine.Name));
   for (const ServiceName &Name : Pass.poolsByNeed())
     Pass.assignMachines(Name);
+  PoolDecision Decision;
+  Decision.Releases = Pass.releases();
   if (!Spare.isEmpty())
     for (const MachineInfo *Machine : Pass.vacantMachines())
       if (Now - this->Vacancies[Machine->Name].Since >= IdleMachineRetention)
         Pass.returnToSpare(*Machine);
-  return Pass.takeMoves();
+  Decision.Moves = Pass.takeMoves();
+  return Decision;
 }
 
 } // namespace whintack::jobs
--- a/src/libs/jobs/stepplacement.cpp
+++ b/src/libs/jobs/stepplacement.cpp
@@ -53,10 +53,21 @@
 }
 
 JobEffort estimateEffort(const JobSpec &Spec) {
+  std::vector<RemainingStep> All;
+  All.reserve(Spec.Steps.size());
+  for (const StepSpec &Step : Spec.Steps)
+    All.push_back({Step.Count, false});
+  return estimateRemainingEffort(Spec, All);
+}
+
+JobEffort estimateRemainingEffort(const JobSpec &Spec,
+                                  const std::vector<RemainingStep> &Left) {
   constexpr double MillisPerSecond = 1000;
   JobEffort Effort;
   std::vector<Duration> Ends(Spec.Steps.size(), Duration::zero());
   for (size_t Index = 0; Index < Spec.Steps.size(); ++Index) {
+    if (Left[Index].IsDone)
+      continue;
     const StepSpec &Step = Spec.Steps[Index];
     Duration Begin = Duration::zero();
     for (const size_t Earlier : Step.Dependencies)
@@ -64,7 +75,7 @@
     Ends[Index] = Begin + Step.Estimate;
     Effort.CriticalPath = std::max(Effort.CriticalPath, Ends[Index]);
     Effort.Work +=
-        static_cast<double>(Step.Count) *
+        static_cast<double>(Left[Index].WaitingTasks) *
         (static_cast<double>(Step.Need.MilliCores) / MilliCoresPerCore) *
         (static_cast<double>(toMilliseconds(Step.Estimate)) / MillisPerSecond);
   }
--- a/src/libs/jobs/stepplacement.h
+++ b/src/libs/jobs/stepplacement.h
@@ -55,6 +55,19 @@
 
 JobEffort estimateEffort(const JobSpec &Spec);
 
+/// What is left of a step.
+struct RemainingStep {
+  /// Number of tasks that are neither done nor running.
+  size_t WaitingTasks = 0;
+  bool IsDone = false;
+};
+
+/// Estimates the effort of what is left of a job, with one entry of \p Left for
+/// each step. The work is that of the waiting tasks only; the critical path
+/// also contains steps whose tasks all run.
+JobEffort estimateRemainingEffort(const JobSpec &Spec,
+                                  const std::vector<RemainingStep> &Left);
+
 } // namespace whintack::jobs::Internal
 
 #endif // WHINTACK_JOBS_STEPPLACEMENT_H
--- a/src/libs/jobs/wavescheduler.cpp
+++ b/src/libs/jobs/wavescheduler.cpp
@@ -12,6 +12,11 @@
 /// Maximum wait for interruptible tasks to end, even if the wave has time to
 /// spare.
 static constexpr Duration MaxTaskWait = std::chrono::seconds(4);
+/// Usual wait for the tasks of a machine in use to end or move away.
+static constexpr Duration UsualTaskWait = std::chrono::seconds(2);
+/// How many times faster than required unused machines are maintained: few may
+/// be unused later.
+static constexpr size_t UnusedHeadStart = 2;
 
 WaveScheduler::WaveScheduler(WaveRequest Given, TimePoint Deadline,
                              const std::set<MachineName> &Begun)
@@ -60,14 +65,30 @@
       }));
 }
 
-/// How long a machine may wait for its interruptible tasks to end, so that the
-/// rest of the wave can still end in time.
-Duration WaveScheduler::maxTaskWait(TimePoint Now) const {
-  const auto Remaining = static_cast<size_t>(std::count_if(
+size_t WaveScheduler::unordered() const {
+  return static_cast<size_t>(std::count_if(
       this->Machines.begin(), this->Machines.end(), [](const auto &Entry) {
         return Entry.second.State == WaveMachineState::Waiting ||
                Entry.second.State == WaveMachineState::Evacuating;
       }));
+}
+
+size_t WaveScheduler::requiredConcurrency(TimePoint Now,
+                                          Duration TimePerMachine) const {
+  const Duration Left = this->Deadline - Now;
+  if (Left <= TimePerMachine)
+    return this->Request.MaxConcurrent;
+  const auto Total =
+      TimePerMachine * static_cast<int64_t>(this->unordered() + this->down());
+  const auto Required =
+      static_cast<size_t>((Total + Left - Duration(1)) / Left);
+  return std::min(Required, this->Request.MaxConcurrent);
+}
+
+/// How long a machine may wait for its interruptible tasks to end, so that the
+/// rest of the wave can still end in time.
+Duration WaveScheduler::maxTaskWait(TimePoint Now) const {
+  const size_t Remaining = this->unordered();
   const size_t MaxDown = std::max<size_t>(this->Request.MaxConcurrent, 1);
   const auto Rounds = static_cast<int64_t>(
       std::max<size_t>((Remaining + MaxDown - 1) / MaxDown, 1));
@@ -75,7 +96,8 @@
   return std::clamp(PerRound, Duration::zero(), MaxTaskWait);
 }
 
-std::vector<MachineInfo> WaveScheduler::machinesToEvacuate(TimePoint Now) {
+std::vector<MachineInfo>
+WaveScheduler::machinesToEvacuate(TimePoint Now, const MachineUseHook &UseOf) {
   std::vector<MachineInfo> Chosen;
   if (!this->HasList)
     return Chosen;
@@ -89,20 +111,40 @@
       Chosen.push_back(Each.Info);
     }
   }
-  for (auto &[Name, Each] : this->Machines) {
-    if (ActiveMachines >= this->Request.MaxConcurrent)
+  const size_t MaxUnused =
+      UseOf ? std::min(UnusedHeadStart *
+                           this->requiredConcurrency(Now, MaintenanceTime),
+                       this->Request.MaxConcurrent)
+            : this->Request.MaxConcurrent;
+  const size_t MaxInUse =
+      this->requiredConcurrency(Now, MaintenanceTime + UsualTaskWait);
+  std::vector<std::pair<MachineUse, Machine *>> Waiting;
+  for (Machine *Each : this->waitingMachines())
+    Waiting.emplace_back(UseOf ? UseOf(Each->Info) : MachineUse::Unused, Each);
+  std::stable_sort(Waiting.begin(), Waiting.end(),
+                   [](const auto &First, const auto &Second) {
+                     return First.first < Second.first;
+                   });
+  for (const auto &[Use, Each] : Waiting) {
+    if (ActiveMachines >= (Use == MachineUse::Busy ? MaxInUse : MaxUnused))
       break;
-    if (Each.State != WaveMachineState::Waiting ||
-        Each.Info.State != MachineState::Up)
-      continue;
-    Each.State = WaveMachineState::Evacuating;
-    Each.EvacuatingSince = Now;
-    Chosen.push_back(Each.Info);
+    Each->State = WaveMachineState::Evacuating;
+    Each->EvacuatingSince = Now;
+    Chosen.push_back(Each->Info);
     ++ActiveMachines;
   }
   return Chosen;
 }
 
+std::vector<WaveScheduler::Machine *> WaveScheduler::waitingMachines() {
+  std::vector<Machine *> Found;
+  for (auto &[Name, Each] : this->Machines)
+    if (Each.State == WaveMachineState::Waiting &&
+        Each.Info.State == MachineState::Up)
+      Found.push_back(&Each);
+  return Found;
+}
+
 bool WaveScheduler::canOrder(const MachineName &Name, Occupancy Remaining,
                              TimePoint Now) const {
   const Machine &Each = this->Machines.at(Name);
--- a/src/libs/peers/include/whintack/peers/message.h
+++ b/src/libs/peers/include/whintack/peers/message.h
@@ -122,8 +122,7 @@
   /// The request expires after some seconds.
   EvacuateExecutor,
   /// Report the waiting and arriving work of the service's pool and which of
-  /// its
-  /// executors are vacant.
+  /// its executors are vacant. The content lists executors that have arrived.
   PoolDemand,
 };
 
--- /dev/null
+++ b/tests/auto/jobs/tst_leavingtasks.cpp
@@ -0,0 +1,85 @@
+// Guards against maintenance that waits without end for a long-running task: in
+// a busy pool, short tasks took whatever room became free before the task could
+// move there.
+
+#include "plannerfixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace whintack;
+using namespace whintack::jobs;
+using namespace whintack::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+AcceptedJob lastingJob(const std::string &Id) {
+  AcceptedJob Job = job(Id, {step(1, 2000)});
+  Job.Spec.Steps[0].IsLongRunning = true;
+  return Job;
+}
+
+/// A long-running task on one executor, and another one full of short tasks.
+class BusyPool : public PlannerFixture {
+public:
+  BusyPool() {
+    this->list({executor("leaving", 2000)});
+    this->Planner.addJob(lastingJob("lasting"));
+    this->startAll();
+    this->list({executor("leaving", 2000), executor("other")});
+    this->report("leaving", {{this->Confirmed[0].Task, 1, "", 100, 0}}, {});
+    for (int Number = 0; Number < 8; ++Number)
+      this->Planner.addJob(job("a" + std::to_string(Number), {step(1, 1000)}));
+    this->startAll();
+    this->Planner.evacuate(ExecutorId("leaving"), this->Time.now());
+    for (int Number = 0; Number < 8; ++Number)
+      this->Planner.addJob(job("b" + std::to_string(Number), {step(1, 1000)}));
+  }
+
+  /// Lets the planner plan, and confirms all starts.
+  void startAll() {
+    this->Planner.plan(this->Time.now(), WallTime());
+    for (const Order &Given : this->Planner.takeOrders()) {
+      if (const auto *Start = std::get_if<StartOrder>(&Given))
+        this->confirm(*Start);
+      else if (const auto *Stop = std::get_if<StopOrder>(&Given))
+        this->Stops.push_back(*Stop);
+    }
+  }
+
+  /// Ends a short task and lets the planner use the room.
+  void endShortTask() {
+    const auto Short = std::find_if(
+        this->Confirmed.begin(), this->Confirmed.end(),
+        [](const auto &Each) { return Each.Executor == ExecutorId("other"); });
+    REQUIRE(Short != this->Confirmed.end());
+    this->endRun(StartOrder(*Short), RunEnd::Done);
+    this->startAll();
+  }
+
+  std::vector<StopOrder> Stops;
+};
+
+} // namespace
+
+TEST_CASE("a long-running task gets the room that it needs to leave its "
+          "executor") {
+  BusyPool Pool;
+  const size_t Before = Pool.Confirmed.size();
+  Pool.endShortTask();
+  CHECK(Pool.Confirmed.size() == Before - 1);
+  CHECK(Pool.Stops.empty());
+  Pool.endShortTask();
+  CHECK(Pool.Confirmed.size() == Before - 2);
+  REQUIRE(Pool.Stops.size() == 1);
+  CHECK(Pool.Stops[0].Executor == ExecutorId("leaving"));
+}
+
+TEST_CASE("an evacuation that has run out holds no room") {
+  BusyPool Pool;
+  Pool.Time.advance(EvacuationTimeout + 1s);
+  const size_t Before = Pool.Confirmed.size();
+  Pool.endShortTask();
+  CHECK(Pool.Confirmed.size() >= Before);
+  CHECK(Pool.Stops.empty());
+}
--- a/tests/auto/jobs/tst_policies.cpp
+++ b/tests/auto/jobs/tst_policies.cpp
@@ -117,9 +117,10 @@
   addMachines(Machines, "b", "busy", 4);
   PoolPolicy Policy;
   CHECK(Policy.decide(Machines, {Idle, Busy}, ServiceName("spare"), {}, at(0s))
-            .empty());
+            .Moves.empty());
   const auto ToSpare =
-      Policy.decide(Machines, {Idle, Busy}, ServiceName("spare"), {}, at(2s));
+      Policy.decide(Machines, {Idle, Busy}, ServiceName("spare"), {}, at(2s))
+          .Moves;
   CHECK(ToSpare.size() == 6);
   for (const MoveProposal &Move : ToSpare)
     CHECK(Move.TargetPool == ServiceName("spare"));
@@ -127,13 +128,16 @@
   Machines.push_back(machine("s0", "spare"));
   Busy.WaitingWork = 250;
   const auto ToBusy =
-      Policy.decide(Machines, {Idle, Busy}, ServiceName("spare"), {}, at(2s));
+      Policy.decide(Machines, {Idle, Busy}, ServiceName("spare"), {}, at(2s))
+          .Moves;
   REQUIRE_FALSE(ToBusy.empty());
   CHECK(ToBusy[0].Machine.Name == MachineName("s0"));
   CHECK(ToBusy[0].TargetPool == ServiceName("busy"));
   const auto Reserved =
-      Policy.decide(Machines, {Idle, Busy}, ServiceName("spare"),
-                    {MachineName("s0")}, at(2s));
+      Policy
+          .decide(Machines, {Idle, Busy}, ServiceName("spare"),
+                  {MachineName("s0")}, at(2s))
+          .Moves;
   for (const MoveProposal &Move : Reserved)
     CHECK(Move.Machine.Name != MachineName("s0"));
 }
@@ -148,7 +152,7 @@
   addMachines(Machines, "s", "spare", 10);
   PoolPolicy Policy;
   const auto Moves =
-      Policy.decide(Machines, {Busy}, ServiceName("spare"), {}, at(0s));
+      Policy.decide(Machines, {Busy}, ServiceName("spare"), {}, at(0s)).Moves;
   // 300 cores are needed and 128 present; a machine has 32.
   CHECK(Moves.size() == 6);
 }
@@ -171,8 +175,9 @@
   Machines.push_back(machine("s1", "spare"));
   Machines.back().Labels = {"big"};
   PoolPolicy Policy;
-  const auto Moves = Policy.decide(Machines, {Busy, Lasting},
-                                   ServiceName("spare"), {}, at(0s));
+  const auto Moves =
+      Policy.decide(Machines, {Busy, Lasting}, ServiceName("spare"), {}, at(0s))
+          .Moves;
   REQUIRE(Moves.size() == 2);
   CHECK(Moves[0].Machine.Name == MachineName("s1"));
   for (const MoveProposal &Move : Moves)
@@ -183,8 +188,9 @@
   Busy.Vacant = {Machines[0].Executor};
   Lasting.DisplacedLabels.clear();
   Lasting.Displaced = 1;
-  const auto Given = Policy.decide(Machines, {Busy, Lasting},
-                                   ServiceName("spare"), {}, at(1s));
+  const auto Given =
+      Policy.decide(Machines, {Busy, Lasting}, ServiceName("spare"), {}, at(1s))
+          .Moves;
   REQUIRE(Given.size() == 1);
   CHECK(Given[0].Machine.Name == MachineName("b0"));
 }
@@ -193,8 +199,10 @@
   PoolPolicy Policy;
   std::vector<MachineInfo> Machines;
   addMachines(Machines, "i", "unknown", 10);
-  CHECK(Policy.decide(Machines, {}, ServiceName("spare"), {}, at(0s)).empty());
-  CHECK(Policy.decide(Machines, {}, ServiceName("spare"), {}, at(9s)).empty());
+  CHECK(Policy.decide(Machines, {}, ServiceName("spare"), {}, at(0s))
+            .Moves.empty());
+  CHECK(Policy.decide(Machines, {}, ServiceName("spare"), {}, at(9s))
+            .Moves.empty());
 }
 
 TEST_CASE("pool demand is encoded and decoded") {
