Jobs, Dispatch: Expect a rise to go on, rescue few late jobs, ask idle executors less

Cause: machines take 1.8 s from the order to their first task, so a queue whose demand rises for seconds was always behind; late jobs from the beginning of a turn got nothing until they had no value; a planner asked each idle executor each second and planned once for each report.

--- a/bench/bench_planner.cpp
+++ b/bench/bench_planner.cpp
@@ -321,4 +321,5 @@
     ->Args({20, 300})
     ->Args({85, 300})
     ->Args({85, 1000})
+    ->Args({340, 1500})
     ->Iterations(20000);
--- a/src/libs/dispatch/executorlink.cpp
+++ b/src/libs/dispatch/executorlink.cpp
@@ -6,6 +6,10 @@
 /// the maximum that executors accept, so that a silent connection is noticed
 /// within 2 s.
 static constexpr Duration ReportWait = std::chrono::milliseconds(1000);
+/// The same for an executor on which nothing runs: an order to it notices a
+/// silent connection, and calls to idle executors are most of all calls of a
+/// planner between two turns of its queues.
+static constexpr Duration IdleReportWait = std::chrono::milliseconds(1900);
 /// Time-out margin of a report call on top of ReportWait, for the network and a
 /// slow executor.
 static constexpr Duration ReportMargin = std::chrono::milliseconds(700);
@@ -44,6 +48,10 @@
               [](ExecutorLink &Self) { Self.report(); });
 }
 
+bool ExecutorLink::isIdle() const {
+  return !this->HasRuns && this->OpenStarts == 0 && this->QueuedStarts.empty();
+}
+
 void ExecutorLink::report() {
   if (this->IsClosed)
     return;
@@ -65,7 +73,7 @@
   // ended before they are started elsewhere.
   if (this->Clocks.isKnown() && this->IsReachable) {
     Request.LeaseUntil = this->nextLease();
-    Request.Wait = ReportWait;
+    Request.Wait = this->isIdle() ? IdleReportWait : ReportWait;
   }
   this->Gateway.Report(
       this->Setup.Executor, Request,
@@ -93,6 +101,7 @@
     this->IsReachable = true;
     this->Hooks.OnReachable(this->Setup.Executor.Id, true);
   }
+  this->HasRuns = !Answer.value().Running.empty();
   this->LastEnd =
       Answer.value().Ended.empty() ? 0 : Answer.value().Ended.back().Number;
   this->Hooks.OnReport(this->Setup.Executor.Id, Answer.value());
--- a/src/libs/dispatch/executorlink.h
+++ b/src/libs/dispatch/executorlink.h
@@ -75,6 +75,8 @@
   void handleReport(jobs::GatewayResult<jobs::ExecutorReport> Answer);
   void handleFailure(const jobs::GatewayError &Cause);
   bool canAcknowledge() const;
+  /// Whether nothing runs on the executor and nothing is being started.
+  bool isIdle() const;
   void sendStarts();
   void handleStartAnswer(const jobs::StartOrder &Order,
                          const jobs::StartAnswer &Answer);
@@ -89,6 +91,8 @@
   jobs::ExecutorClock Clocks;
   std::deque<jobs::StartOrder> QueuedStarts;
   size_t OpenStarts = 0;
+  /// The last report listed runs.
+  bool HasRuns = false;
   /// Number of the last end in the last report; 0 if it contained none.
   uint64_t LastEnd = 0;
   TimePoint AcknowledgeDeadline = TimePoint::min();
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -7,6 +7,10 @@
 /// Time over which changes are collected before they are stored. Executor links
 /// wait for the write before they ask for the next ends.
 static constexpr Duration FlushInterval = std::chrono::milliseconds(15);
+/// Minimum time between two planning passes. A pass looks at all executors and
+/// waiting jobs; one for each report would take most of a busy planner's
+/// processor time.
+static constexpr Duration MinPlanInterval = std::chrono::milliseconds(5);
 /// Delay before a failed write is retried.
 static constexpr Duration FlushRetryDelay = std::chrono::milliseconds(100);
 /// Time for the advice service on top of the queue's policy, because calls
@@ -555,10 +559,9 @@
     return;
   this->IsPlanRequested = true;
   // Events that are already queued on the loop are handled first.
-  this->Shared.Loop.post([Weak = this->weak_from_this()] {
-    if (const auto Self = Weak.lock())
-      Self->plan();
-  });
+  scheduleFor(this->Shared.Loop, this->shared_from_this(),
+              std::max(this->Shared.now(), this->LastPlan + MinPlanInterval),
+              [](ServiceShard &Self) { Self.plan(); });
 }
 
 void ServiceShard::reportStartPause() {
--- a/src/libs/jobs/include/whintack/jobs/arrivalmeter.h
+++ b/src/libs/jobs/include/whintack/jobs/arrivalmeter.h
@@ -19,12 +19,23 @@
 
   /// Core-seconds of work that arrive per second.
   double rate(TimePoint Now) const;
+  /// The rate to expect after \p Lead if a rise that chance does not explain
+  /// goes on; at most half as much again as the rate.
+  double expectedRate(TimePoint Now, Duration Lead) const;
 
 private:
   struct Arrival {
     TimePoint At;
     double Work = 0;
   };
+  /// Work that arrived in a span of time.
+  struct Sum {
+    double Work = 0;
+    /// Variance of the work of jobs that arrive independently of each other.
+    double Variance = 0;
+  };
+
+  Sum sumBetween(TimePoint Begin, TimePoint End) const;
 
   std::deque<Arrival> Arrivals;
 };
--- a/src/libs/jobs/include/whintack/jobs/jobrank.h
+++ b/src/libs/jobs/include/whintack/jobs/jobrank.h
@@ -14,6 +14,8 @@
   /// The job has tasks that run until it is cancelled. Such a job needs few
   /// resources and earns value all the time, so it ranks before jobs that end.
   bool IsLongRunning = false;
+  /// The job will be late and would soon have no value at all.
+  bool IsLastChance = false;
   TimePoint Accepted;
   /// Until when a job that ends still has its full value.
   TimePoint Objective;
@@ -33,7 +35,9 @@
 /// jobs that can still be on time come first, least work first, so that as many
 /// as possible are on time. Jobs that can only be late but still have value
 /// follow, earliest deadline first, so that large jobs do not starve. All
-/// others come last, oldest first.
+/// others come last, oldest first. A few of the late jobs that would soon have
+/// no value go before all that (see IsLastChance), so that a long turn does not
+/// leave those without any answer that came at its beginning.
 bool ranksBefore(const JobRank &First, const JobRank &Second, TimePoint Now);
 
 } // namespace whintack::jobs
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -50,6 +50,8 @@
   /// The long-running task is to leave an executor that is being evacuated, and
   /// has found no other place yet.
   bool IsAwaitingPlace = false;
+  /// The run counts for the share of jobs that would soon have had no value.
+  bool IsLastChance = false;
 };
 
 /// State of a task.
@@ -274,7 +276,10 @@
   /// evacuated and fits on no other.
   std::vector<std::string> displacedTaskLabels(TimePoint Now);
   double startableWork(const Internal::JobRecord &Job) const;
-  JobRank rankOf(const Internal::JobRecord &Job) const;
+  JobRank rankOf(const Internal::JobRecord &Job, TimePoint Now) const;
+  /// Whether the jobs that would soon have no value may take more resources
+  /// before those that can be on time.
+  bool mayStartLastChance() const;
   /// Must be called after each change that may make tasks of the job startable.
   void markForReview(Internal::JobRecord &Job);
   void removeStartable(Internal::JobRecord &Job);
@@ -283,7 +288,8 @@
   std::optional<Internal::StartableJob> review(Internal::JobRecord &Job);
   /// Determines the effort of the steps that are not done, for the job's rank.
   static void updateRemainingEffort(Internal::JobRecord &Job);
-  std::vector<Internal::RankedJob> rankStartable(bool IsRecovering);
+  std::vector<Internal::RankedJob> rankStartable(TimePoint Now,
+                                                 bool IsRecovering);
   void planInOrder(std::vector<Internal::RankedJob> Waiting,
                    std::vector<Internal::Candidate> &Candidates, TimePoint Now,
                    WallTime WallNow);
@@ -324,6 +330,13 @@
   std::multiset<uint64_t> UnstoredChanges;
   /// All jobs that have unstored changes. Entries of Jobs do not move.
   std::map<JobId, Internal::JobRecord *> UnstoredJobs;
+  /// Processor capacity of the executors that may get tasks, and the part of it
+  /// that the runs with IsLastChance have booked.
+  int64_t TotalMilliCores = 0;
+  int64_t LastChanceMilliCores = 0;
+  /// The job that is being planned was chosen because it would soon have no
+  /// value.
+  bool IsPlanningLastChance = false;
   /// Resources that did not fit anywhere in this planning pass. Steps that need
   /// at least as much are skipped.
   std::optional<ComputeResources> UnplaceableNeed;
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -28,6 +28,8 @@
   Executor.Booked += Spec.bookedResources();
   if (Spec.IsLongRunning)
     Executor.LongRunningMilliCores += Spec.bookedResources().MilliCores;
+  if (Run.IsLastChance)
+    this->LastChanceMilliCores += Spec.bookedResources().MilliCores;
   Executor.Runs[Key] = Run.Number;
   Task.LastRun = std::max(Task.LastRun, Run.Number);
   Task.Current = std::move(Run);
@@ -42,6 +44,8 @@
   Executor.Booked -= Spec.bookedResources();
   if (Spec.IsLongRunning)
     Executor.LongRunningMilliCores -= Spec.bookedResources().MilliCores;
+  if (Task.Current->IsLastChance)
+    this->LastChanceMilliCores -= Spec.bookedResources().MilliCores;
   Executor.Runs.erase(Key);
   Task.Current.reset();
   --Job.OpenRuns;
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -3,6 +3,7 @@
 #include "stepplacement.h"
 
 #include <algorithm>
+#include <numeric>
 #include <tuple>
 
 namespace whintack::jobs {
@@ -14,6 +15,13 @@
 static constexpr size_t MaxAdviceCandidates = 30;
 /// Maximum time between two planning passes.
 static constexpr Duration PlanInterval = std::chrono::milliseconds(100);
+/// Time until a machine that is asked for now runs its first task.
+static constexpr Duration MoveTime = std::chrono::milliseconds(1800);
+/// Share of a pool's processor capacity for jobs that run late and would soon
+/// have no value.
+static constexpr double LastChanceShare = 0.05;
+/// How long before it has no value a late job takes part in that share.
+static constexpr Duration LastChanceTime = std::chrono::milliseconds(1000);
 /// How long a released executor gets no new tasks, unless it is released again.
 static constexpr Duration ReleaseTime = std::chrono::milliseconds(600);
 /// Does not cover any need, not even one of 0.
@@ -40,8 +48,11 @@
   return Healthy.empty() ? Suspect : Healthy;
 }
 
-JobRank Planner::Private::rankOf(const JobRecord &Job) const {
+JobRank Planner::Private::rankOf(const JobRecord &Job, TimePoint Now) const {
   JobRank Rank = Job.Rank;
+  Rank.IsLastChance =
+      expectedOutcome(Rank, Now) == ExpectedOutcome::Late &&
+      expectedOutcome(Rank, Now + LastChanceTime) == ExpectedOutcome::Worthless;
   if (Job.QueueWork)
     Rank.RemainingWork = std::min(Rank.RemainingWork, Job.QueueWork->first);
   return Rank;
@@ -269,6 +280,7 @@
   Record.Number = Run;
   Record.Executor = Start.Executor;
   Record.PlacedAt = Now;
+  Record.IsLastChance = this->IsPlanningLastChance;
   this->log("run-placed", {{"task", Key.text()},
                            {"run", Run},
                            {"executor", Start.Executor},
@@ -425,7 +437,8 @@
   }
 }
 
-std::vector<RankedJob> Planner::Private::rankStartable(bool IsRecovering) {
+std::vector<RankedJob> Planner::Private::rankStartable(TimePoint Now,
+                                                       bool IsRecovering) {
   std::vector<StartableJob> Waiting;
   Waiting.reserve(this->Startable.size());
   for (size_t Position = 0; Position < this->Startable.size();) {
@@ -451,7 +464,7 @@
   std::vector<RankedJob> Ranked;
   for (const StartableJob &Each : Waiting)
     if (MayReserve || !this->isUnplaceable(Each))
-      Ranked.push_back({this->rankOf(*Each.Job), Each});
+      Ranked.push_back({this->rankOf(*Each.Job, Now), Each});
   return Ranked;
 }
 
@@ -463,6 +476,11 @@
          First.Startable.Job->Spec.Id < Second.Startable.Job->Spec.Id;
 }
 
+bool Planner::Private::mayStartLastChance() const {
+  return static_cast<double>(this->LastChanceMilliCores) <
+         LastChanceShare * static_cast<double>(this->TotalMilliCores);
+}
+
 void Planner::Private::planInOrder(std::vector<RankedJob> Waiting,
                                    std::vector<Candidate> &Candidates,
                                    TimePoint Now, WallTime WallNow) {
@@ -478,8 +496,14 @@
       });
   while (!Waiting.empty()) {
     std::pop_heap(Waiting.begin(), Waiting.end(), IsLater);
+    if (Waiting.back().Rank.IsLastChance && !this->mayStartLastChance()) {
+      Waiting.back().Rank.IsLastChance = false;
+      std::push_heap(Waiting.begin(), Waiting.end(), IsLater);
+      continue;
+    }
     const RankedJob Next = Waiting.back();
     Waiting.pop_back();
+    this->IsPlanningLastChance = Next.Rank.IsLastChance;
     const std::optional<ComputeResources> EarlierNeed = this->UnplaceableNeed;
     this->planJob(*Next.Startable.Job, Candidates, Now, WallNow);
     if (Next.Rank.IsLongRunning)
@@ -504,8 +528,13 @@
     return;
   this->D->UnplaceableNeed.reset();
   this->D->MostFree = mostFree(Candidates);
-  this->D->planInOrder(this->D->rankStartable(this->isRecovering()), Candidates,
-                       Now, WallNow);
+  this->D->TotalMilliCores =
+      std::accumulate(Candidates.begin(), Candidates.end(), int64_t{0},
+                      [](int64_t Sum, const Candidate &Each) {
+                        return Sum + Each.Executor->Info.Capacity.MilliCores;
+                      });
+  this->D->planInOrder(this->D->rankStartable(Now, this->isRecovering()),
+                       Candidates, Now, WallNow);
 }
 
 /// Estimated work of the job's tasks that could start now, in core-seconds.
@@ -574,7 +603,7 @@
                            const std::vector<ArrivedExecutor> &Arrived) const {
   PoolDemand Demand;
   Demand.Pool = this->D->Setup.Service;
-  Demand.ArrivingWork = this->D->Arrivals.rate(Now);
+  Demand.ArrivingWork = this->D->Arrivals.expectedRate(Now, MoveTime);
   for (std::string &Label : this->D->displacedTaskLabels(Now)) {
     ++Demand.Displaced;
     if (!Label.empty())
--- a/tests/auto/jobs/tst_arrivalmeter.cpp
+++ b/tests/auto/jobs/tst_arrivalmeter.cpp
@@ -64,3 +64,31 @@
   }
   CHECK(Sum / Count < 1.15 * 40 * MeanWork);
 }
+
+TEST_CASE("a rise that goes on is expected to go on while machines move") {
+  ArrivalMeter Meter;
+  // The distance of arrivals falls, so that the rate rises by 1,000 a second.
+  Duration When = 0s;
+  double Rate = 1000;
+  while (When < 4s) {
+    Meter.note(MeanWork, at(When));
+    const double Gap = MeanWork / Rate;
+    When += std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(Gap));
+    Rate += 1000 * Gap;
+  }
+  const double Now = Meter.rate(at(4s));
+  const double Expected = Meter.expectedRate(at(4s), 2s);
+  CHECK(Expected > Now + 1000);
+  CHECK(Expected < Now + 2500);
+}
+
+TEST_CASE("no rise is expected of an even queue, and no more than half as much "
+          "again of any") {
+  ArrivalMeter Even;
+  noteEvenly(Even, 0s, 4s, 10ms);
+  CHECK(Even.expectedRate(at(4s), 2s) == Even.rate(at(4s)));
+  ArrivalMeter Begun;
+  noteEvenly(Begun, 3s, 4s, 7ms);
+  CHECK(Begun.expectedRate(at(4s), 2s) == 1.5 * Begun.rate(at(4s)));
+}
--- a/tests/auto/jobs/tst_joborder.cpp
+++ b/tests/auto/jobs/tst_joborder.cpp
@@ -50,6 +50,32 @@
   CHECK(Next[0].Task.Step.Job == JobId("begun"));
 }
 
+TEST_CASE("few late jobs that would soon have no value go first") {
+  PlannerFixture Fixture;
+  // 5 % of the capacity is 2 cores.
+  Fixture.list({executor("e", 40000)});
+  const TimePoint Begin = Fixture.Time.now();
+  const auto Small = [](const std::string &Id, TimePoint Accepted) {
+    AcceptedJob Job = job(Id, {step(1, 1000)});
+    Job.Accepted = Accepted;
+    return Job;
+  };
+  for (int Number = 0; Number < 10; ++Number)
+    Fixture.Planner.addJob(Small("old" + std::to_string(Number), Begin));
+  // On time until 1.4 s after it was accepted, of value until 4.2 s.
+  Fixture.Time.advance(3s);
+  for (int Number = 0; Number < 50; ++Number)
+    Fixture.Planner.addJob(
+        Small("new" + std::to_string(Number), Fixture.Time.now()));
+  const auto Starts = Fixture.starts();
+  REQUIRE(Starts.size() == 40);
+  const auto Old =
+      std::count_if(Starts.begin(), Starts.end(), [](const auto &Each) {
+        return Each.Task.Step.Job.text().starts_with("old");
+      });
+  CHECK(Old == 2);
+}
+
 TEST_CASE("an executor that has arrived counts for its pool before it is "
           "listed") {
   PlannerFixture Fixture;
