--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <numeric>
-#include <tuple>
 
 namespace whintack::jobs {
 
@@ -642,18 +641,23 @@
 }
 
 void Planner::release(size_t Count, TimePoint Now) {
-  std::vector<std::tuple<bool, int64_t, ExecutorRecord *>> Candidates;
+  std::vector<ExecutorRecord *> InUse;
   for (auto &[Id, Executor] : this->D->Executors) {
-    const bool IsInUse = Executor.IsListed && Executor.IsReachable &&
-                         !Executor.Info.IsDraining && Executor.HasReported;
-    if (IsInUse && this->occupancy(Id) == Occupancy::Interruptible)
-      Candidates.emplace_back(Now >= Executor.EvacuatingUntil,
-                              Executor.Booked.MilliCores, &Executor);
+    const bool CanGetTasks = Executor.IsListed && Executor.IsReachable &&
+                             !Executor.Info.IsDraining && Executor.HasReported;
+    if (CanGetTasks && this->occupancy(Id) == Occupancy::Interruptible)
+      InUse.push_back(&Executor);
   }
   // Executors that were released before come first, so that they get empty.
-  std::sort(Candidates.begin(), Candidates.end());
-  Candidates.resize(std::min(Count, Candidates.size()));
-  for (const auto &[IsNew, MilliCores, Executor] : Candidates)
+  const auto OrderOf = [Now](const ExecutorRecord *Each) {
+    return std::pair(Now >= Each->EvacuatingUntil, Each->Booked.MilliCores);
+  };
+  std::stable_sort(InUse.begin(), InUse.end(),
+                   [&OrderOf](const auto *First, const auto *Second) {
+                     return OrderOf(First) < OrderOf(Second);
+                   });
+  InUse.resize(std::min(Count, InUse.size()));
+  for (ExecutorRecord *Executor : InUse)
     Executor->EvacuatingUntil =
         std::max(Executor->EvacuatingUntil, Now + ReleaseTime);
 }
