--- a/src/libs/dispatch/executorlink.cpp
+++ b/src/libs/dispatch/executorlink.cpp
@@ -6,9 +6,8 @@
 /// the maximum that executors accept, so that a silent connection is noticed
 /// within 2 s.
 static constexpr Duration ReportWait = std::chrono::milliseconds(1000);
-/// The same for an executor on which nothing runs: an order to it notices a
-/// silent connection, and calls to idle executors are most of all calls of a
-/// planner between two turns of its queues.
+/// The same for an executor on which nothing runs. Its next start order notices
+/// a silent connection as well. Executors accept at most 2 s.
 static constexpr Duration IdleReportWait = std::chrono::milliseconds(1900);
 /// Time-out margin of a report call on top of ReportWait, for the network and a
 /// slow executor.
--- a/src/libs/dispatch/poolrebalancer.cpp
+++ b/src/libs/dispatch/poolrebalancer.cpp
@@ -163,12 +163,6 @@
         Machine.Pool, {Machine.Executor, Cores}, Now + AnnounceTime};
 }
 
-bool PoolRebalancer::isInTransit(const jobs::MachineInfo &Machine,
-                                 TimePoint Now) const {
-  const auto Found = this->LastOrders.find(Machine.Name);
-  return Found != this->LastOrders.end() && Now < Found->second.Until;
-}
-
 std::vector<jobs::MachineInfo> PoolRebalancer::expectedMachines() const {
   std::vector<jobs::MachineInfo> Expected = this->Machines;
   for (jobs::MachineInfo &Machine : Expected) {
@@ -189,7 +183,7 @@
                 [Now](const auto &Entry) { return Now >= Entry.second.Until; });
   std::set<jobs::MachineName> Excluded = this->Reserved();
   for (const jobs::MachineInfo &Machine : this->Machines)
-    if (this->isInTransit(Machine, Now) ||
+    if (this->LastOrders.contains(Machine.Name) ||
         this->Environment.Orders->isHeld(Machine.Name))
       Excluded.insert(Machine.Name);
   const std::vector<jobs::PoolDemand> Demands =
--- a/src/libs/dispatch/poolrebalancer.h
+++ b/src/libs/dispatch/poolrebalancer.h
@@ -54,8 +54,6 @@
   void order(const jobs::MoveProposal &Move, TimePoint SendBy);
   /// Ends the order for the machine if the list shows that it was carried out.
   void noteIfArrived(const jobs::MachineInfo &Machine, TimePoint Now);
-  /// Whether the machine has yet to arrive in the pool to which it was ordered.
-  bool isInTransit(const jobs::MachineInfo &Machine, TimePoint Now) const;
   /// The listed machines, with each order under way as if it were carried out:
   /// the list may not show it yet.
   std::vector<jobs::MachineInfo> expectedMachines() const;
@@ -69,7 +67,8 @@
   std::function<std::set<jobs::MachineName>()> Reserved;
   jobs::PoolPolicy Policy;
   std::vector<jobs::MachineInfo> Machines;
-  /// The last order for each machine, until it has been carried out.
+  /// The last order for each machine, until it has been carried out or is too
+  /// old.
   std::map<jobs::MachineName, MoveOrder> LastOrders;
   /// Number of machines that pools were last asked to empty.
   std::map<ServiceName, size_t> Releases;
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -8,8 +8,7 @@
 /// wait for the write before they ask for the next ends.
 static constexpr Duration FlushInterval = std::chrono::milliseconds(15);
 /// Minimum time between two planning passes. A pass looks at all executors and
-/// waiting jobs; one for each report would take most of a busy planner's
-/// processor time.
+/// waiting jobs, so reports that arrive together share one.
 static constexpr Duration MinPlanInterval = std::chrono::milliseconds(5);
 /// Delay before a failed write is retried.
 static constexpr Duration FlushRetryDelay = std::chrono::milliseconds(100);
@@ -726,91 +725,4 @@
                           Cause] { Environment.OnLost(Shard, Cause); });
 }
 
-void ServiceShard::answerCancel(const peers::ServiceCall &Call,
-                                const AnswerCallback &Respond) {
-  const std::optional<uint64_t> Change =
-      this->Planner.cancel(jobs::JobId(Call.Subject));
-  if (!Change) {
-    Respond({Call.Id, peers::ServiceOutcome::Unknown, ""});
-    return;
-  }
-  this->AwaitingStore.emplace(*Change, [Id = Call.Id, Respond] {
-    Respond({Id, peers::ServiceOutcome::Done, ""});
-  });
-  this->flush();
-  this->sendStoredAnswers();
-  this->requestPlan();
-}
-
-void ServiceShard::answerDemand(const peers::ServiceCall &Call,
-                                const AnswerCallback &Respond) {
-  const auto Request = jobs::decodeDemandRequest(Call.Content);
-  if (!Request) {
-    logEvent(
-        LogLevel::Error, "demand-request-unreadable",
-        {{"shard", this->OwnClaim.Shard}, {"cause", Request.error().Message}});
-    Respond({Call.Id, peers::ServiceOutcome::Failed, ""});
-    return;
-  }
-  const TimePoint Now = this->Shared.now();
-  const std::vector<jobs::ArrivedExecutor> &Arrived = Request.value().Arrived;
-  if (Request.value().Release > 0)
-    this->Planner.release(Request.value().Release, Now);
-  Respond({Call.Id, peers::ServiceOutcome::Done,
-           jobs::encodeDemand(this->Planner.demand(Now, Arrived))});
-  const bool IsListOutdated =
-      std::any_of(Arrived.begin(), Arrived.end(), [this](const auto &Each) {
-        return !this->Planner.isKnownExecutor(Each.Id);
-      });
-  if (IsListOutdated)
-    this->Environment.RefreshExecutors();
-}
-
-void ServiceShard::answer(const peers::ServiceCall &Call,
-                          const AnswerCallback &Respond) {
-  using peers::ServiceOutcome;
-  if (this->IsStopped || !this->IsLoaded || !this->isClaimValid()) {
-    Respond({Call.Id, ServiceOutcome::NotPlanner, ""});
-    return;
-  }
-  switch (Call.Kind) {
-  case peers::ServiceCallKind::SubmitJob: {
-    const bool IsAdded =
-        this->addStoredJob(jobs::JobId(Call.Subject), Call.Content, nullptr);
-    Respond(
-        {Call.Id, IsAdded ? ServiceOutcome::Done : ServiceOutcome::Failed, ""});
-    this->requestPlan();
-    return;
-  }
-  case peers::ServiceCallKind::CancelJob:
-    this->answerCancel(Call, Respond);
-    return;
-  case peers::ServiceCallKind::JobState: {
-    const auto State = this->Planner.shownState(jobs::JobId(Call.Subject));
-    if (State)
-      Respond({Call.Id, ServiceOutcome::Done,
-               std::string(nameOf(jobs::JobStateNames, *State))});
-    else
-      Respond({Call.Id, ServiceOutcome::Unknown, ""});
-    return;
-  }
-  case peers::ServiceCallKind::WaitingJobs:
-    Respond({Call.Id, ServiceOutcome::Done,
-             std::to_string(this->Planner.waitingJobs(Call.Subject))});
-    return;
-  case peers::ServiceCallKind::PoolDemand:
-    this->answerDemand(Call, Respond);
-    return;
-  case peers::ServiceCallKind::EvacuateExecutor: {
-    const jobs::ExecutorId Id(Call.Subject);
-    this->Planner.evacuate(Id, this->Shared.now());
-    Respond({Call.Id, ServiceOutcome::Done,
-             std::string(
-                 nameOf(jobs::OccupancyNames, this->Planner.occupancy(Id)))});
-    this->requestPlan();
-    return;
-  }
-  }
-}
-
 } // namespace whintack::dispatch::Internal
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -50,7 +50,7 @@
   /// The long-running task is to leave an executor that is being evacuated, and
   /// has found no other place yet.
   bool IsAwaitingPlace = false;
-  /// The run counts for the share of jobs that would soon have had no value.
+  /// What the run has booked counts as LastChanceMilliCores.
   bool IsLastChance = false;
 };
 
@@ -334,8 +334,7 @@
   /// that the runs with IsLastChance have booked.
   int64_t TotalMilliCores = 0;
   int64_t LastChanceMilliCores = 0;
-  /// The job that is being planned was chosen because it would soon have no
-  /// value.
+  /// Whether runs that are placed now count as LastChanceMilliCores.
   bool IsPlanningLastChance = false;
   /// Resources that did not fit anywhere in this planning pass. Steps that need
   /// at least as much are skipped.
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -14,15 +14,11 @@
 static constexpr size_t MaxAdviceCandidates = 30;
 /// Maximum time between two planning passes.
 static constexpr Duration PlanInterval = std::chrono::milliseconds(100);
-/// Time until a machine that is asked for now runs its first task.
-static constexpr Duration MoveTime = std::chrono::milliseconds(1800);
 /// Share of a pool's processor capacity for jobs that run late and would soon
 /// have no value.
 static constexpr double LastChanceShare = 0.05;
 /// How long before it has no value a late job takes part in that share.
 static constexpr Duration LastChanceTime = std::chrono::milliseconds(1000);
-/// How long a released executor gets no new tasks, unless it is released again.
-static constexpr Duration ReleaseTime = std::chrono::milliseconds(600);
 /// Does not cover any need, not even one of 0.
 static constexpr ComputeResources NoResources = {-1, -1, -1};
 
@@ -373,50 +369,6 @@
   }
 }
 
-void Planner::Private::planLeavingTask(JobRecord &Job, const TaskKey &Key,
-                                       std::vector<Candidate> &Candidates,
-                                       TimePoint Now) {
-  TaskRecord &Task = *this->findTask(Key);
-  RunRecord &Run = *Task.Current;
-  const bool IsStopping = Run.Phase == RunPhase::Stopping;
-  if (Run.IsAwaitingPlace &&
-      Now >= this->Executors[Run.Executor].EvacuatingUntil) {
-    Run.IsAwaitingPlace = false;
-    this->markForReview(Job);
-  }
-  if (!IsStopping && !Run.IsAwaitingPlace)
-    return;
-  Candidate *Next = this->chooseCandidate(Job, Key, Candidates, Now);
-  if (!Next) {
-    this->reserveCandidate(Job, Key, Candidates, Now);
-    return;
-  }
-  // The task will start again shortly. No other task may take its new place.
-  Next->Free -= this->stepSpec(Job, Key.Step).bookedResources();
-  if (IsStopping || !this->mayMakeUnavailable(Job, Key.Step))
-    return;
-  this->log(
-      "run-moved",
-      {{"task", Key.text()}, {"run", Run.Number}, {"executor", Run.Executor}});
-  this->orderStop(Key, Task);
-}
-
-void Planner::Private::reserveCandidate(const JobRecord &Job,
-                                        const TaskKey &Key,
-                                        std::vector<Candidate> &Candidates,
-                                        TimePoint Now) {
-  Candidate *Best = nullptr;
-  for (Candidate &Each : Candidates) {
-    Candidate Emptied = Each;
-    Emptied.Free = Each.Executor->Info.Capacity;
-    if (this->canRunOn(Job, Key, Emptied, Now) &&
-        (!Best || Each.Free.MilliCores > Best->Free.MilliCores))
-      Best = &Each;
-  }
-  if (Best)
-    Best->Free = {};
-}
-
 void Planner::Private::planJob(JobRecord &Job,
                                std::vector<Candidate> &Candidates,
                                TimePoint Now, WallTime WallNow) {
@@ -518,6 +470,7 @@
       std::make_heap(Waiting.begin(), Waiting.end(), IsLater);
   }
 }
+
 void Planner::repeatStops(TimePoint Now) { this->D->resendStops(Now); }
 
 void Planner::plan(TimePoint Now, WallTime WallNow) {
@@ -536,132 +489,6 @@
                        Candidates, Now, WallNow);
 }
 
-/// Estimated work of the job's tasks that could start now, in core-seconds.
-double Planner::Private::startableWork(const JobRecord &Job) const {
-  constexpr double MicrosPerSecond = 1e6;
-  double Work = 0;
-  for (size_t Occurrence = 0; Occurrence < Job.Occurrences.size(); ++Occurrence)
-    for (size_t Step = 0; Step < Job.Spec.Steps.size(); ++Step) {
-      const StepSpec &Spec = Job.Spec.Steps[Step];
-      if (Spec.IsLongRunning ||
-          !this->canStart(
-              Job, {Job.Spec.Id, static_cast<int64_t>(Occurrence), Step}))
-        continue;
-      const auto &Tasks = Job.Occurrences[Occurrence].Steps[Step].Tasks;
-      const auto Waiting =
-          std::count_if(Tasks.begin(), Tasks.end(), [](const TaskRecord &Task) {
-            return !Task.Stored.IsDone && !Task.Current;
-          });
-      Work += static_cast<double>(Waiting) *
-              static_cast<double>(Spec.Need.MilliCores) / MilliCoresPerCore *
-              static_cast<double>(Spec.Estimate.count()) / MicrosPerSecond;
-    }
-  return Work;
-}
-
-bool Planner::Private::takeOtherCandidate(const JobRecord &Job,
-                                          const TaskKey &Key,
-                                          std::vector<Candidate> &Places,
-                                          TimePoint Now) {
-  const ExecutorId &Current = this->findTask(Key)->Current->Executor;
-  for (Candidate &Each : Places) {
-    if (Each.Executor->Info.Id == Current ||
-        !this->canRunOn(Job, Key, Each, Now))
-      continue;
-    Each.Free -= this->stepSpec(Job, Key.Step).bookedResources();
-    return true;
-  }
-  return false;
-}
-
-std::vector<std::string> Planner::Private::displacedTaskLabels(TimePoint Now) {
-  std::vector<std::string> Displaced;
-  std::vector<Candidate> Places = this->candidates(Now);
-  for (const auto &[Id, Job] : this->Jobs) {
-    if (isFinal(Job.State) || Job.Spec.isPeriodic())
-      continue;
-    for (size_t Step = 0; Step < Job.Spec.Steps.size(); ++Step) {
-      const StepKey Key{Id, 0, Step};
-      if (!Job.Spec.Steps[Step].IsLongRunning || !this->canStart(Job, Key))
-        continue;
-      const auto &Tasks = Job.Occurrences[0].Steps[Step].Tasks;
-      for (size_t Index = 0; Index < Tasks.size(); ++Index) {
-        const auto &Current = Tasks[Index].Current;
-        const bool IsLeaving =
-            Current && Now < this->Executors[Current->Executor].EvacuatingUntil;
-        if (!Current || (IsLeaving && !this->takeOtherCandidate(
-                                          Job, {Key, Index}, Places, Now)))
-          Displaced.push_back(Job.Spec.Steps[Step].RequiredLabel);
-      }
-    }
-  }
-  return Displaced;
-}
-
-PoolDemand Planner::demand(TimePoint Now,
-                           const std::vector<ArrivedExecutor> &Arrived) const {
-  PoolDemand Demand;
-  Demand.Pool = this->D->Setup.Service;
-  Demand.ArrivingWork = this->D->Arrivals.expectedRate(Now, MoveTime);
-  for (std::string &Label : this->D->displacedTaskLabels(Now)) {
-    ++Demand.Displaced;
-    if (!Label.empty())
-      Demand.DisplacedLabels.push_back(std::move(Label));
-  }
-  for (const auto &[Id, Job] : this->D->Jobs) {
-    if (Job.Spec.isPeriodic() || !Job.StartablePosition || isFinal(Job.State))
-      continue;
-    switch (expectedOutcome(Job.Rank, Now)) {
-    case ExpectedOutcome::OnTime:
-      Demand.WaitingWork += this->D->startableWork(Job);
-      break;
-    case ExpectedOutcome::Late:
-      Demand.LateWork += this->D->startableWork(Job);
-      break;
-    case ExpectedOutcome::Worthless:
-      break;
-    }
-  }
-  for (const auto &[Id, Executor] : this->D->Executors) {
-    if (!Executor.IsListed || Executor.Info.IsDraining || !Executor.IsReachable)
-      continue;
-    // An executor that has not reported yet counts, because it will either
-    // report or become unreachable.
-    Demand.Cores += static_cast<double>(Executor.Info.Capacity.MilliCores -
-                                        Executor.LongRunningMilliCores) /
-                    MilliCoresPerCore;
-    if (Executor.HasReported && Executor.Runs.empty() &&
-        !Executor.HasUnknownRuns)
-      Demand.Vacant.insert(Id);
-  }
-  for (const ArrivedExecutor &Each : Arrived)
-    if (!this->isKnownExecutor(Each.Id))
-      Demand.Cores += Each.Cores;
-  return Demand;
-}
-
-void Planner::release(size_t Count, TimePoint Now) {
-  std::vector<ExecutorRecord *> InUse;
-  for (auto &[Id, Executor] : this->D->Executors) {
-    const bool CanGetTasks = Executor.IsListed && Executor.IsReachable &&
-                             !Executor.Info.IsDraining && Executor.HasReported;
-    if (CanGetTasks && this->occupancy(Id) == Occupancy::Interruptible)
-      InUse.push_back(&Executor);
-  }
-  // Executors that were released before come first, so that they get empty.
-  const auto OrderOf = [Now](const ExecutorRecord *Each) {
-    return std::pair(Now >= Each->EvacuatingUntil, Each->Booked.MilliCores);
-  };
-  std::stable_sort(InUse.begin(), InUse.end(),
-                   [&OrderOf](const auto *First, const auto *Second) {
-                     return OrderOf(First) < OrderOf(Second);
-                   });
-  InUse.resize(std::min(Count, InUse.size()));
-  for (ExecutorRecord *Executor : InUse)
-    Executor->EvacuatingUntil =
-        std::max(Executor->EvacuatingUntil, Now + ReleaseTime);
-}
-
 std::vector<Order> Planner::takeOrders() {
   return std::exchange(this->D->Orders, {});
 }
--- a/src/libs/jobs/wavescheduler.cpp
+++ b/src/libs/jobs/wavescheduler.cpp
@@ -111,11 +111,9 @@
       Chosen.push_back(Each.Info);
     }
   }
-  const size_t MaxUnused =
-      UseOf ? std::min(UnusedHeadStart *
-                           this->requiredConcurrency(Now, MaintenanceTime),
-                       this->Request.MaxConcurrent)
-            : this->Request.MaxConcurrent;
+  const size_t MaxUnused = std::min(
+      UnusedHeadStart * this->requiredConcurrency(Now, MaintenanceTime),
+      this->Request.MaxConcurrent);
   const size_t MaxInUse =
       this->requiredConcurrency(Now, MaintenanceTime + UsualTaskWait);
   std::vector<std::pair<MachineUse, Machine *>> Waiting;
