Jobs, Dispatch: Log how far the store is behind the planner

Change: the planner keeps the time of each job's first unstored change and of each unacknowledged end, and gives them as jobs::StoreBacklog. ServiceShard::storeBacklog() adds the open commits. Planner::cancel() and restoreJob() take the time, because they can change a job.

--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -10,6 +10,8 @@
 /// Minimum time between two planning passes. A pass looks at all executors and
 /// waiting jobs, so reports that arrive together share one.
 static constexpr Duration MinPlanInterval = std::chrono::milliseconds(5);
+/// Minimum time between two looks at what is not stored yet.
+static constexpr Duration BacklogCheckInterval = std::chrono::milliseconds(100);
 /// Delay before a failed write is retried.
 static constexpr Duration FlushRetryDelay = std::chrono::milliseconds(100);
 /// Time for the advice service on top of the queue's policy, because calls
@@ -46,7 +48,11 @@
            [Service = this->Service](std::string_view Event,
                                      std::initializer_list<LogField> Fields) {
              logEvent(LogLevel::Info, Event, Fields);
-           }}) {}
+           }}),
+      BacklogMonitor(this->Service, [](std::string_view Event,
+                                       std::initializer_list<LogField> Fields) {
+        logEvent(LogLevel::Warning, Event, Fields);
+      }) {}
 
 void ServiceShard::start() {
   this->ClaimedAt = this->Shared.now();
@@ -153,7 +159,7 @@
   Job.Accepted = this->Shared.now() - std::max(Age, Duration::zero());
   Job.MayHaveRun = Earlier != nullptr || this->mayHaveRunEarlier(Age);
   if (Earlier)
-    this->Planner.restoreJob(std::move(Job), *Earlier);
+    this->Planner.restoreJob(std::move(Job), *Earlier, this->Shared.now());
   else
     this->Planner.addJob(std::move(Job));
   this->cancelIfPending(Id);
@@ -250,7 +256,8 @@
 
 /// Cancels the job now, or when it is added if it is not known yet.
 void ServiceShard::cancelByNotice(const jobs::JobId &Id) {
-  const std::optional<uint64_t> Change = this->Planner.cancel(Id);
+  const std::optional<uint64_t> Change =
+      this->Planner.cancel(Id, this->Shared.now());
   if (!Change) {
     this->PendingCancellations.insert(Id);
     return;
@@ -583,6 +590,7 @@
     this->Planner.repeatStops(Now);
   for (const jobs::Order &Order : this->Planner.takeOrders())
     this->execute(Order);
+  this->checkBacklog();
   this->requestFlush();
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
               this->Planner.nextPlan(Now), [Now](ServiceShard &Self) {
@@ -685,12 +693,27 @@
     break;
   case ShardStore::WriteOutcome::Written:
     this->Planner.noteWritten(Writes);
+    this->BacklogMonitor.noteWritten(Writes.size());
     this->sendStoredAnswers();
     break;
   }
+  this->checkBacklog();
   this->requestFlush();
 }
 
+BacklogSample ServiceShard::storeBacklog() const {
+  const ShardStore::OpenWrites Open = this->Records->openWrites();
+  return {this->Planner.storeBacklog(), Open.Count, Open.OldestSentAt};
+}
+
+void ServiceShard::checkBacklog() {
+  const TimePoint Now = this->Shared.now();
+  if (Now < this->NextBacklogCheck)
+    return;
+  this->NextBacklogCheck = Now + BacklogCheckInterval;
+  this->BacklogMonitor.update(this->storeBacklog(), Now);
+}
+
 void ServiceShard::sendStoredAnswers() {
   const uint64_t StoredThrough = this->Planner.storedThrough();
   while (!this->AwaitingStore.empty() &&
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -5,6 +5,7 @@
 #include "servicecalls.h"
 #include "shardclaimer.h"
 #include "shardstore.h"
+#include "storebacklogmonitor.h"
 
 #include "whintack/jobs/planner.h"
 
@@ -55,6 +56,9 @@
     return this->IsLoaded && !this->Planner.isRecovering();
   }
 
+  /// How far the store is behind the planner.
+  BacklogSample storeBacklog() const;
+
   /// A request handler is gone that may have accepted jobs without announcing
   /// them: looks for these in the store.
   void handleLostHandler();
@@ -120,6 +124,7 @@
   void handleWriteResult(const std::vector<jobs::JobWrite> &Writes,
                          ShardStore::WriteOutcome Outcome);
   void sendStoredAnswers();
+  void checkBacklog();
   void reportLoss(const std::string &Cause);
   std::string queueName(const jobs::JobId &Job) const;
   void answerCancel(const peers::ServiceCall &Call,
@@ -136,6 +141,7 @@
   ServiceName Service;
   jobs::Planner Planner;
   std::shared_ptr<ShardStore> Records;
+  StoreBacklogMonitor BacklogMonitor;
   std::shared_ptr<PrefixWatch> Notices;
   std::map<jobs::ExecutorId, std::shared_ptr<ExecutorLink>> Links;
   std::unordered_map<jobs::JobId, std::string> QueueNames;
@@ -158,6 +164,7 @@
   uint64_t KnownAsOf = 0;
   TimePoint LastPlan = TimePoint::min();
   TimePoint NextFlush = TimePoint::min();
+  TimePoint NextBacklogCheck = TimePoint::min();
   DiscoveryState Discovery = DiscoveryState::NotNeeded;
   bool IsLoaded = false;
   bool IsPlanRequested = false;
--- a/src/libs/dispatch/serviceshardanswers.cpp
+++ b/src/libs/dispatch/serviceshardanswers.cpp
@@ -7,7 +7,7 @@
 void ServiceShard::answerCancel(const peers::ServiceCall &Call,
                                 const AnswerCallback &Respond) {
   const std::optional<uint64_t> Change =
-      this->Planner.cancel(jobs::JobId(Call.Subject));
+      this->Planner.cancel(jobs::JobId(Call.Subject), this->Shared.now());
   if (!Change) {
     Respond({Call.Id, peers::ServiceOutcome::Unknown, ""});
     return;
--- a/src/libs/dispatch/shardstore.cpp
+++ b/src/libs/dispatch/shardstore.cpp
@@ -2,6 +2,8 @@
 
 #include "storekeys.h"
 
+#include <utility>
+
 namespace whintack::dispatch::Internal {
 
 static constexpr Duration ReadRetryDelay = std::chrono::milliseconds(200);
@@ -10,6 +12,8 @@
 /// Number of failed reads of changes after which all jobs are read instead:
 /// the changes may be too many for the link, and become more.
 static constexpr unsigned MaxChangeFailures = 2;
+/// Minimum time between two log lines about failed writes.
+static constexpr Duration FailureLogInterval = std::chrono::seconds(1);
 
 ShardStore::ShardStore(Context Shared, std::shared_ptr<LoadQueue> Loads,
                        ServiceName Service, uint64_t Token)
@@ -155,6 +159,29 @@
   });
 }
 
+ShardStore::OpenWrites ShardStore::openWrites() const {
+  if (this->WritesSentAt.empty())
+    return {};
+  return {this->WritesSentAt.size(), *this->WritesSentAt.begin()};
+}
+
+void ShardStore::logFailedWrite(const store::StoreError &Cause, size_t Jobs,
+                                TimePoint SentAt) {
+  const TimePoint Now = this->Shared.now();
+  if (Now < this->NextFailureLogAt) {
+    ++this->UnloggedFailures;
+    return;
+  }
+  this->NextFailureLogAt = Now + FailureLogInterval;
+  logEvent(LogLevel::Warning, "commit-failed",
+           {{"shard", this->Service},
+            {"code", nameOf(store::StoreErrorNames, Cause.Code)},
+            {"cause", Cause.Message},
+            {"jobs", Jobs},
+            {"took-ms", toMilliseconds(Now - SentAt)},
+            {"not-logged", std::exchange(this->UnloggedFailures, 0)}});
+}
+
 void ShardStore::write(
     const std::vector<jobs::JobWrite> &Writes,
     const std::function<std::string(const jobs::JobId &)> &QueueName,
@@ -175,21 +202,26 @@
         {keys::jobs(this->Service) + Id, encodeStoredJob(Final), 0});
     Change.Removals.push_back(keys::progress(this->Service) + Id);
   }
+  const TimePoint SentAt = this->Shared.now();
+  this->WritesSentAt.insert(SentAt);
   this->Shared.Store.Commit(
-      Change,
-      onLoop<ShardStore, store::StoreResult<store::CommitAnswer>>(
-          this->Shared.Loop, this->shared_from_this(),
-          [Done](ShardStore &Self,
-                 const store::StoreResult<store::CommitAnswer> &Answer) {
-            if (Self.IsStopped)
-              return;
-            if (!Answer)
-              Done(WriteOutcome::Failed);
-            else if (Answer.value().IsCommitted)
-              Done(WriteOutcome::Written);
-            else
-              Done(WriteOutcome::Superseded);
-          }));
+      Change, onLoop<ShardStore, store::StoreResult<store::CommitAnswer>>(
+                  this->Shared.Loop, this->shared_from_this(),
+                  [Done, SentAt, Jobs = Writes.size()](
+                      ShardStore &Self,
+                      const store::StoreResult<store::CommitAnswer> &Answer) {
+                    Self.WritesSentAt.erase(Self.WritesSentAt.find(SentAt));
+                    if (!Answer)
+                      Self.logFailedWrite(Answer.error(), Jobs, SentAt);
+                    if (Self.IsStopped)
+                      return;
+                    if (!Answer)
+                      Done(WriteOutcome::Failed);
+                    else if (Answer.value().IsCommitted)
+                      Done(WriteOutcome::Written);
+                    else
+                      Done(WriteOutcome::Superseded);
+                  }));
 }
 
 } // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/shardstore.h
+++ b/src/libs/dispatch/shardstore.h
@@ -9,6 +9,7 @@
 #include "whintack/jobs/planner.h"
 
 #include <map>
+#include <set>
 
 namespace whintack::dispatch::Internal {
 
@@ -28,6 +29,14 @@
     TimePoint Began;
     uint64_t AsOf = 0;
   };
+  /// Writes that have been sent and not answered.
+  struct OpenWrites {
+    size_t Count = 0;
+    /// When the oldest of them was sent; TimePoint::max() if there is none.
+    TimePoint OldestSentAt = TimePoint::max();
+  };
+  OpenWrites openWrites() const;
+
   /// Reads all records; retries until that succeeds or stop() is called.
   void load(std::function<void(Contents)> Done);
   /// Called with jobs and the revision through which they are complete.
@@ -77,12 +86,18 @@
                const store::StoreError &Cause,
                void (ShardStore::*Step)(const std::shared_ptr<ChangeRead> &));
   void readAllJobs(JobsHook Done);
+  void logFailedWrite(const store::StoreError &Cause, size_t Jobs,
+                      TimePoint SentAt);
 
   Context Shared;
   std::shared_ptr<LoadQueue> Loads;
   std::shared_ptr<PortionedRead> Reading;
   ServiceName Service;
   uint64_t Token;
+  std::multiset<TimePoint> WritesSentAt;
+  /// Failed writes are not logged before this time, but counted.
+  TimePoint NextFailureLogAt = TimePoint::min();
+  uint64_t UnloggedFailures = 0;
   bool IsStopped = false;
 };
 
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -54,6 +54,21 @@
   uint64_t Through = 0;
 };
 
+/// What the planner has recorded and the store does not have yet.
+struct StoreBacklog {
+  /// Number of jobs with changes that are not stored.
+  size_t Jobs = 0;
+  /// Time of the oldest change that is not stored; TimePoint::max() if all are.
+  TimePoint OldestChangeAt = TimePoint::max();
+  /// Number of executors with ends that were reported and may not be discarded.
+  size_t Executors = 0;
+  /// Number of these ends.
+  size_t Ends = 0;
+  /// When the oldest of these ends was reported; TimePoint::max() if there is
+  /// none.
+  TimePoint OldestEndAt = TimePoint::max();
+};
+
 /// Decides which task of a service's jobs runs where, and when.
 ///
 /// Does no I/O and reads no clock: callers pass in events and the time, and
@@ -70,13 +85,13 @@
   /// Adds a job. Does nothing if the job is known already.
   void addJob(AcceptedJob Job);
   /// Adds a job that an earlier planner has worked on.
-  void restoreJob(AcceptedJob Job, const JobProgress &Progress);
+  void restoreJob(AcceptedJob Job, const JobProgress &Progress, TimePoint Now);
   /// Records the final state of a job that ended earlier.
   void restoreFinalJob(const JobId &Job, JobState State);
   /// Cancels a job and stops its tasks. Returns the number of the change that
   /// must be stored before the caller is answered, or std::nullopt if the job
   /// is not known.
-  std::optional<uint64_t> cancel(const JobId &Job);
+  std::optional<uint64_t> cancel(const JobId &Job, TimePoint Now);
 
   /// The state of a job as clients may see it: a final state is shown only once
   /// it is stored. std::nullopt if the job is not known.
@@ -160,6 +175,8 @@
   uint64_t storedThrough() const;
   /// Number of the last change.
   uint64_t lastChange() const;
+  /// How far the store is behind. Looks at all executors.
+  StoreBacklog storeBacklog() const;
   /// Number of the last end that the executor may discard.
   uint64_t lastDiscardableEnd(const ExecutorId &Id) const;
 
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -128,10 +128,12 @@
   return Inserted;
 }
 
-void Planner::Private::setFirstUnstored(JobRecord &Job, uint64_t Change) {
+void Planner::Private::setFirstUnstored(JobRecord &Job, uint64_t Change,
+                                        TimePoint At) {
   if (Job.FirstUnstored != 0)
     this->UnstoredChanges.erase(this->UnstoredChanges.find(Job.FirstUnstored));
   Job.FirstUnstored = Change;
+  Job.FirstUnstoredAt = At;
   if (Change == 0) {
     this->UnstoredJobs.erase(Job.Spec.Id);
     return;
@@ -140,30 +142,31 @@
   this->UnstoredJobs.emplace(Job.Spec.Id, &Job);
 }
 
-uint64_t Planner::Private::recordChange(JobRecord &Job) {
+uint64_t Planner::Private::recordChange(JobRecord &Job, TimePoint Now) {
   ++this->Changes;
   Job.LastChange = this->Changes;
+  Job.ChangedSinceWriteAt = std::min(Job.ChangedSinceWriteAt, Now);
   if (Job.FirstUnstored == 0)
-    this->setFirstUnstored(Job, this->Changes);
+    this->setFirstUnstored(Job, this->Changes, Now);
   return this->Changes;
 }
 
-void Planner::Private::endJob(JobRecord &Job, JobState State) {
+void Planner::Private::endJob(JobRecord &Job, JobState State, TimePoint Now) {
   Job.State = State;
   this->markForReview(Job);
-  this->recordChange(Job);
+  this->recordChange(Job, Now);
   this->log("job-ended", {{"job", Job.Spec.Id},
                           {"state", nameOf(JobStateNames, State)},
                           {"queue", Job.Policy.Name}});
   this->stopAllRuns(Job);
 }
 
-void Planner::Private::completeIfDone(JobRecord &Job) {
+void Planner::Private::completeIfDone(JobRecord &Job, TimePoint Now) {
   const bool IsDone = std::all_of(
       Job.Occurrences.begin(), Job.Occurrences.end(),
       [](const OccurrenceRecord &Occurrence) { return Occurrence.isDone(); });
   if (IsDone && !isFinal(Job.State))
-    this->endJob(Job, JobState::Completed);
+    this->endJob(Job, JobState::Completed, Now);
 }
 
 /// Removes a job that has ended, whose end is stored and that has no open runs.
@@ -220,7 +223,8 @@
   this->D->handleDeferredEnds(Id);
 }
 
-void Planner::restoreJob(AcceptedJob Job, const JobProgress &Progress) {
+void Planner::restoreJob(AcceptedJob Job, const JobProgress &Progress,
+                         TimePoint Now) {
   const JobId Id = Job.Spec.Id;
   if (this->D->Jobs.contains(Id) || this->D->FinalJobs.contains(Id))
     return;
@@ -239,7 +243,7 @@
   this->D->log("job-restored", {{"job", Id},
                                 {"state", nameOf(JobStateNames, Record.State)},
                                 {"tasks", Progress.Tasks.size()}});
-  this->D->completeIfDone(Record);
+  this->D->completeIfDone(Record, Now);
   this->D->handleDeferredEnds(Id);
 }
 
@@ -247,14 +251,14 @@
   this->D->FinalJobs[Job] = State;
 }
 
-std::optional<uint64_t> Planner::cancel(const JobId &Job) {
+std::optional<uint64_t> Planner::cancel(const JobId &Job, TimePoint Now) {
   if (this->D->FinalJobs.contains(Job))
     return 0;
   JobRecord *Record = this->D->findJob(Job);
   if (!Record)
     return std::nullopt;
   if (!isFinal(Record->State))
-    this->D->endJob(*Record, JobState::Cancelled);
+    this->D->endJob(*Record, JobState::Cancelled, Now);
   return Record->LastChange;
 }
 
@@ -312,6 +316,7 @@
           Write.Progress.Tasks.emplace(Key, Stored);
       });
       Job.IsBeingWritten = true;
+      Job.ChangedSinceWriteAt = TimePoint::max();
       Writes.push_back(std::move(Write));
     }
   };
@@ -329,7 +334,8 @@
     Job->IsBeingWritten = false;
     Job->ShownState = Write.Progress.State;
     const bool IsCurrent = Job->LastChange <= Write.Through;
-    this->D->setFirstUnstored(*Job, IsCurrent ? 0 : Write.Through + 1);
+    this->D->setFirstUnstored(*Job, IsCurrent ? 0 : Write.Through + 1,
+                              Job->ChangedSinceWriteAt);
     this->D->removeIfFinished(Write.Job);
   }
 }
@@ -348,6 +354,26 @@
 
 uint64_t Planner::lastChange() const { return this->D->Changes; }
 
+StoreBacklog Planner::storeBacklog() const {
+  StoreBacklog Backlog;
+  for (const auto &[Id, Job] : this->D->UnstoredJobs) {
+    ++Backlog.Jobs;
+    Backlog.OldestChangeAt =
+        std::min(Backlog.OldestChangeAt, Job->FirstUnstoredAt);
+  }
+  for (const auto &[Id, Executor] : this->D->Executors) {
+    // Removes the ends that have become discardable.
+    this->lastDiscardableEnd(Id);
+    if (Executor.UnacknowledgedEnds.empty())
+      continue;
+    ++Backlog.Executors;
+    Backlog.Ends += Executor.UnacknowledgedEnds.size();
+    Backlog.OldestEndAt = std::min(
+        Backlog.OldestEndAt, Executor.UnacknowledgedEnds.front().ReportedAt);
+  }
+  return Backlog;
+}
+
 bool Planner::isKnownExecutor(const ExecutorId &Id) const {
   return this->D->Executors.contains(Id);
 }
@@ -358,12 +384,12 @@
     return 0;
   ExecutorRecord &Executor = Found->second;
   const uint64_t Through = this->storedThrough();
-  while (
-      !Executor.UnacknowledgedEnds.empty() &&
-      Executor.UnacknowledgedEnds.front().second <= Through &&
-      (Executor.FirstDeferredEnd == 0 ||
-       Executor.UnacknowledgedEnds.front().first < Executor.FirstDeferredEnd)) {
-    Executor.LastDiscardableEnd = Executor.UnacknowledgedEnds.front().first;
+  while (!Executor.UnacknowledgedEnds.empty() &&
+         Executor.UnacknowledgedEnds.front().Change <= Through &&
+         (Executor.FirstDeferredEnd == 0 ||
+          Executor.UnacknowledgedEnds.front().Number <
+              Executor.FirstDeferredEnd)) {
+    Executor.LastDiscardableEnd = Executor.UnacknowledgedEnds.front().Number;
     Executor.UnacknowledgedEnds.pop_front();
   }
   return Executor.LastDiscardableEnd;
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -95,6 +95,11 @@
   /// Number of the first change that is not stored; 0 if all are.
   uint64_t FirstUnstored = 0;
   uint64_t LastChange = 0;
+  /// Time of the first change that is not stored; TimePoint::max() if all are.
+  TimePoint FirstUnstoredAt = TimePoint::max();
+  /// Time of the first change since the last write was taken;
+  /// TimePoint::max() if there has been none.
+  TimePoint ChangedSinceWriteAt = TimePoint::max();
   bool IsBeingWritten = false;
   /// Number of runs not known to be over.
   size_t OpenRuns = 0;
@@ -131,6 +136,14 @@
   TimePoint ReportedAt;
 };
 
+/// An end that an executor has reported and still keeps.
+struct UnacknowledgedEnd {
+  uint64_t Number = 0;
+  /// Number of the last change made when the end was handled.
+  uint64_t Change = 0;
+  TimePoint ReportedAt;
+};
+
 /// State of an executor, and the resources booked on it.
 struct ExecutorRecord {
   ExecutorInfo Info;
@@ -146,9 +159,7 @@
   int64_t LongRunningMilliCores = 0;
   std::map<TaskKey, uint64_t> Runs;
   uint64_t LastEnd = 0;
-  /// Numbers of the ends that the executor still keeps, each with the number of
-  /// the last change made when it was handled.
-  std::deque<std::pair<uint64_t, uint64_t>> UnacknowledgedEnds;
+  std::deque<UnacknowledgedEnd> UnacknowledgedEnds;
   /// Number of the first end whose job is not known yet; 0 if there is none.
   /// This end and later ones must be kept by the executor.
   uint64_t FirstDeferredEnd = 0;
@@ -194,10 +205,12 @@
   Internal::TaskRecord *findTask(const TaskKey &Key);
   const StepSpec &stepSpec(const Internal::JobRecord &Job, const StepKey &Step);
   Internal::TaskRecord &gangLeader(const StepKey &Step);
-  uint64_t recordChange(Internal::JobRecord &Job);
-  void setFirstUnstored(Internal::JobRecord &Job, uint64_t Change);
-  void endJob(Internal::JobRecord &Job, JobState State);
-  void completeIfDone(Internal::JobRecord &Job);
+  uint64_t recordChange(Internal::JobRecord &Job, TimePoint Now);
+  /// \p At is the time of the change; \p Change is 0 if all are stored.
+  void setFirstUnstored(Internal::JobRecord &Job, uint64_t Change,
+                        TimePoint At);
+  void endJob(Internal::JobRecord &Job, JobState State, TimePoint Now);
+  void completeIfDone(Internal::JobRecord &Job, TimePoint Now);
   void removeIfFinished(const JobId &Id);
   void stopAllRuns(Internal::JobRecord &Job);
 
@@ -212,7 +225,8 @@
   bool mayBeAddedLater(const JobId &Job) const;
   /// Handles the ends that were reported before the job was added.
   void handleDeferredEnds(const JobId &Job);
-  void handleSuccess(Internal::JobRecord &Job, const TaskKey &Key);
+  void handleSuccess(Internal::JobRecord &Job, const TaskKey &Key,
+                     TimePoint Now);
   void handleFailure(Internal::JobRecord &Job, const EndReport &End,
                      Internal::ExecutorRecord &Executor, TimePoint Now);
   void handleRunning(Internal::ExecutorRecord &Executor, const RunReport &Row,
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -162,7 +162,8 @@
   return this->D->IsDiscoveringExecutors || !this->D->AwaitedExecutors.empty();
 }
 
-void Planner::Private::handleSuccess(JobRecord &Job, const TaskKey &Key) {
+void Planner::Private::handleSuccess(JobRecord &Job, const TaskKey &Key,
+                                     TimePoint Now) {
   const bool IsGang = this->stepSpec(Job, Key.Step).IsGang;
   StepRecord &Step = Job.step(Key.Step);
   for (size_t Index = 0; Index < Step.Tasks.size(); ++Index) {
@@ -179,8 +180,8 @@
       this->orderStop({Key.Step, Index}, Task);
   }
   this->markForReview(Job);
-  this->recordChange(Job);
-  this->completeIfDone(Job);
+  this->recordChange(Job, Now);
+  this->completeIfDone(Job, Now);
 }
 
 void Planner::Private::handleFailure(JobRecord &Job, const EndReport &End,
@@ -197,7 +198,7 @@
     this->stopGang(End.Task.Step);
   const auto Failed = static_cast<int64_t>(Task.Stored.FailedRuns.size());
   if (!Spec.IsLongRunning && Failed >= Job.Policy.MaxAttempts)
-    this->endJob(Job, JobState::Failed);
+    this->endJob(Job, JobState::Failed, Now);
 }
 
 namespace {
@@ -250,13 +251,13 @@
   if (!isFinal(Job->State)) {
     if (End.Outcome == RunEnd::Done && !Spec.IsLongRunning) {
       this->HealthTracker.noteSuccess(Executor.Info.Id);
-      this->handleSuccess(*Job, End.Task);
+      this->handleSuccess(*Job, End.Task, Now);
     } else if (End.Outcome == RunEnd::Failed) {
       this->handleFailure(*Job, End, Executor, Now);
     } else if (Spec.IsGang) {
       this->stopGang(End.Task.Step);
     }
-    this->recordChange(*Job);
+    this->recordChange(*Job, Now);
   }
   this->removeIfFinished(End.Task.Step.Job);
 }
@@ -411,7 +412,7 @@
     } else {
       this->D->handleEnd(Executor, End, Now);
     }
-    Executor.UnacknowledgedEnds.emplace_back(End.Number, this->D->Changes);
+    Executor.UnacknowledgedEnds.push_back({End.Number, this->D->Changes, Now});
   }
   for (const RunReport &Row : Report.Running)
     this->D->handleRunning(Executor, Row, Report.At);
--- a/tests/auto/jobs/tst_planner.cpp
+++ b/tests/auto/jobs/tst_planner.cpp
@@ -96,7 +96,7 @@
 TEST_CASE("a new planner waits for every executor that may run a task") {
   PlannerFixture Fixture(2);
   Fixture.Planner.beginExecutorDiscovery();
-  Fixture.Planner.restoreJob(job("1", {step(1)}), {});
+  Fixture.Planner.restoreJob(job("1", {step(1)}), {}, Fixture.Time.now());
   Fixture.Planner.setExecutors({executor("a"), executor("b")});
   Fixture.Planner.awaitReports({ExecutorId("a"), ExecutorId("b")});
   Fixture.report("a", {}, {});
@@ -149,7 +149,7 @@
   CHECK(Fixture.Planner.lastDiscardableEnd(ExecutorId("a")) == 0);
 
   SECTION("the job is added: its task is done and not run again") {
-    Fixture.Planner.restoreJob(job("1", {step(1)}), {});
+    Fixture.Planner.restoreJob(job("1", {step(1)}), {}, Fixture.Time.now());
     CHECK(Fixture.starts().empty());
     CHECK(Fixture.Planner.takeWrites(10).size() == 1);
   }
@@ -210,7 +210,7 @@
   for (const auto &Order : Starts)
     Fixture.confirm(Order);
   // Runs that are being stopped still count.
-  Fixture.Planner.cancel(JobId("1"));
+  Fixture.Planner.cancel(JobId("1"), Fixture.Time.now());
   CHECK(Fixture.takeOrders<StopOrder>().size() == 2);
   Fixture.Planner.addJob(job("2", {step(1, 2000)}));
   CHECK(Fixture.starts().empty());
@@ -411,7 +411,7 @@
   Fixture.Planner.addJob(job("1", {step(2)}));
   for (const auto &Order : Fixture.starts())
     Fixture.confirm(Order);
-  Fixture.Planner.cancel(JobId("1"));
+  Fixture.Planner.cancel(JobId("1"), Fixture.Time.now());
   const auto Stops = Fixture.takeOrders<StopOrder>();
   REQUIRE(Stops.size() == 2);
   const auto RepeatedStops = [&Fixture] {
@@ -441,21 +441,63 @@
   Advised.Policy.Advice = AdvicePolicy();
   Fixture.Planner.addJob(Advised);
   Fixture.Planner.addJob(job("2", {step(1)}));
-  Fixture.Planner.cancel(JobId("1"));
-  Fixture.Planner.cancel(JobId("2"));
+  Fixture.Planner.cancel(JobId("1"), Fixture.Time.now());
+  Fixture.Planner.cancel(JobId("2"), Fixture.Time.now());
   Fixture.Planner.plan(Fixture.Time.now(), WallTime());
   CHECK(Fixture.Planner.takeOrders().empty());
 }
 
+// Guards against a lag of the store whose age is not known.
+TEST_CASE("the backlog of the store tells the age of the oldest change") {
+  PlannerFixture Fixture;
+  Fixture.list({executor("a")});
+  Fixture.Planner.addJob(job("1", {step(3)}));
+  const auto Starts = Fixture.starts();
+  REQUIRE(Starts.size() == 3);
+  for (const auto &Order : Starts)
+    Fixture.confirm(Order);
+  CHECK(Fixture.Planner.storeBacklog().Jobs == 0);
+  CHECK(Fixture.Planner.storeBacklog().OldestChangeAt == TimePoint::max());
+
+  const TimePoint FirstAt = Fixture.Time.now();
+  Fixture.endRun(Starts[0], RunEnd::Done);
+  const auto Taken = Fixture.Planner.takeWrites(10);
+  Fixture.Time.advance(std::chrono::milliseconds(300));
+  const TimePoint SecondAt = Fixture.Time.now();
+  Fixture.endRun(Starts[1], RunEnd::Done);
+  Fixture.Time.advance(std::chrono::milliseconds(300));
+  Fixture.endRun(Starts[2], RunEnd::Done);
+  CHECK(Fixture.Planner.storeBacklog().Jobs == 1);
+  CHECK(Fixture.Planner.storeBacklog().OldestChangeAt == FirstAt);
+  CHECK(Fixture.Planner.storeBacklog().Executors == 1);
+  CHECK(Fixture.Planner.storeBacklog().Ends == 3);
+  CHECK(Fixture.Planner.storeBacklog().OldestEndAt == FirstAt);
+
+  SECTION("a write that failed leaves the age as it was") {
+    Fixture.Planner.noteWriteFailed(Taken);
+    CHECK(Fixture.Planner.storeBacklog().OldestChangeAt == FirstAt);
+    CHECK(Fixture.Planner.storeBacklog().Ends == 3);
+  }
+  SECTION("changes made since the write was taken remain") {
+    Fixture.Planner.noteWritten(Taken);
+    CHECK(Fixture.Planner.storeBacklog().OldestChangeAt == SecondAt);
+    CHECK(Fixture.Planner.storeBacklog().Ends == 2);
+    Fixture.store();
+    CHECK(Fixture.Planner.storeBacklog().Jobs == 0);
+    CHECK(Fixture.Planner.storeBacklog().Executors == 0);
+    CHECK(Fixture.Planner.storeBacklog().OldestEndAt == TimePoint::max());
+  }
+}
+
 TEST_CASE("a job is shown as cancelled only once that is stored") {
   PlannerFixture Fixture;
   Fixture.Planner.addJob(job("1", {step(1)}));
-  const auto Change = Fixture.Planner.cancel(JobId("1"));
+  const auto Change = Fixture.Planner.cancel(JobId("1"), Fixture.Time.now());
   REQUIRE(Change);
   CHECK(Fixture.Planner.storedThrough() < *Change);
   CHECK(Fixture.Planner.shownState(JobId("1")) == JobState::Queued);
   Fixture.store();
   CHECK(Fixture.Planner.storedThrough() >= *Change);
   CHECK(Fixture.Planner.shownState(JobId("1")) == JobState::Cancelled);
-  CHECK_FALSE(Fixture.Planner.cancel(JobId("2")));
+  CHECK_FALSE(Fixture.Planner.cancel(JobId("2"), Fixture.Time.now()));
 }
--- a/tests/auto/jobs/tst_plannerproperties.cpp
+++ b/tests/auto/jobs/tst_plannerproperties.cpp
@@ -115,9 +115,9 @@
       }
       AcceptedJob Restored = Job;
       Restored.MayHaveRun = true;
-      this->Planner->restoreJob(Restored, Found == this->Stored.end()
-                                              ? JobProgress()
-                                              : Found->second);
+      this->Planner->restoreJob(
+          Restored, Found == this->Stored.end() ? JobProgress() : Found->second,
+          this->Time.now());
     }
     this->Planner->setExecutors(this->list());
     std::vector<ExecutorId> Ids;
