Dispatch: Tell in store-backlog whether the claim holds

Cause: a planner that was cut off counts the same ends as waiting that its successor has stored long since; a trace took that for 6.5 s of store trouble.

Change: field claim=valid or claim=lapsed.

--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -703,7 +703,8 @@
 
 BacklogSample ServiceShard::storeBacklog() const {
   const ShardStore::OpenWrites Open = this->Records->openWrites();
-  return {this->Planner.storeBacklog(), Open.Count, Open.OldestSentAt};
+  return {this->Planner.storeBacklog(), Open.Count, Open.OldestSentAt,
+          this->isClaimValid()};
 }
 
 void ServiceShard::checkBacklog() {
--- a/src/libs/dispatch/storebacklogmonitor.cpp
+++ b/src/libs/dispatch/storebacklogmonitor.cpp
@@ -44,6 +44,7 @@
   this->Log("store-backlog",
             {{"shard", this->Service},
              {"state", IsBehind ? "behind" : "ended"},
+             {"claim", Current.IsClaimValid ? "valid" : "lapsed"},
              {"behind-ms", toMilliseconds(Now - this->BehindSince)},
              {"jobs", Current.Planned.Jobs},
              {"oldest-ms", ageMs(Oldest, Now)},
--- a/src/libs/dispatch/storebacklogmonitor.h
+++ b/src/libs/dispatch/storebacklogmonitor.h
@@ -12,6 +12,9 @@
   size_t OpenCommits = 0;
   /// When the oldest of them was sent; TimePoint::max() if there is none.
   TimePoint OldestCommitAt = TimePoint::max();
+  /// The planner's claim certainly holds. Without it, another planner may
+  /// already have stored and acknowledged the same ends.
+  bool IsClaimValid = false;
 };
 
 /// Logs while the store is far behind the planner of a service: at most one
--- a/tests/auto/dispatch/tst_storebacklogmonitor.cpp
+++ b/tests/auto/dispatch/tst_storebacklogmonitor.cpp
@@ -19,6 +19,7 @@
   void update(Duration OldestAge) {
     this->Time.advance(std::chrono::milliseconds(100));
     BacklogSample Current;
+    Current.IsClaimValid = true;
     Current.Planned.Jobs = 3;
     Current.Planned.OldestChangeAt = this->Time.now() - OldestAge;
     this->Monitor.update(Current, this->Time.now());
@@ -50,6 +51,7 @@
   REQUIRE(Fixture.Lines.size() == 2);
   CHECK(Fixture.Lines[0]["state"] == "behind");
   CHECK(Fixture.Lines[0]["oldest-ms"] == "300");
+  CHECK(Fixture.Lines[0]["claim"] == "valid");
   CHECK(Fixture.Lines[0]["jobs"] == "3");
   Fixture.updateCaughtUp();
   REQUIRE(Fixture.Lines.size() == 3);
