Tests: Add a commit that is carried out late and undoes later progress

Cause: ShardStore::write() expects only the claim. A commit that gets no answer is followed by one with the newer progress of the same jobs. The store may carry out the first seconds later, as the claim still holds, and the older progress overwrites the newer one, whose ends executors have already discarded. The next planner starts their tasks again (TWICE).

SimulatedFleet::setCommitFaults() lets the store lose the answer of a commit or carry it out 3 s late.

--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -12,6 +12,10 @@
 using std::chrono::seconds;
 
 static constexpr Duration MaxLease = seconds(6);
+/// Time-out of a commit, as in the client of the real platform.
+static constexpr Duration CommitTimeout = milliseconds(1500);
+/// When a commit is carried out that is late.
+static constexpr Duration LateCommitDelay = seconds(3);
 
 /// Number of bytes of an answer of the store that a peer passes on.
 static size_t answerSize(const peers::StoreResponse &Response) {
@@ -46,7 +50,7 @@
   Started.Incarnation = this->Source();
   const EntryName Vm(Name);
   dispatch::NodeConnections Connections;
-  Connections.Store = this->Platform.store().interface(Vm);
+  Connections.Store = this->storeOf(Name);
   Connections.Executors = this->Platform.executors(Vm);
   Connections.Machines = this->Platform.machines(Vm);
   Connections.Codec = this->Platform.codec();
@@ -66,6 +70,32 @@
   });
 }
 
+store::AsyncStore SimulatedFleet::storeOf(const std::string &Name) {
+  store::AsyncStore Store = this->Platform.store().interface(EntryName(Name));
+  Store.Commit = [this, Name, Direct = Store.Commit](
+                     const store::StoreTransaction &Change,
+                     const store::StoreCallback<store::CommitAnswer> &Done) {
+    const std::function<CommitFault()> &Decide = this->CommitFaults[Name];
+    const CommitFault Fault = Decide ? Decide() : CommitFault::None;
+    if (Fault == CommitFault::None) {
+      Direct(Change, Done);
+      return;
+    }
+    const TimePoint Now = this->Loop.Time.now();
+    const Duration Delay = Fault == CommitFault::CarriedOutLate
+                               ? LateCommitDelay
+                               : Duration::zero();
+    this->Loop.Queue.schedule(Now + Delay, [Direct, Change] {
+      Direct(Change, [](const store::StoreResult<store::CommitAnswer> &) {});
+    });
+    this->Loop.Queue.schedule(Now + CommitTimeout, [Done] {
+      Done(failure(
+          store::StoreError{store::StoreErrorCode::Ambiguous, "no answer"}));
+    });
+  };
+  return Store;
+}
+
 void SimulatedFleet::killNode(const std::string &Name) {
   this->Nodes.at(Name).Core.reset();
   this->Nodes.at(Name).Known.clear();
--- a/tests/auto/dispatch/simulatedfleet.h
+++ b/tests/auto/dispatch/simulatedfleet.h
@@ -17,6 +17,16 @@
   std::string Body;
 };
 
+/// How the store handles one commit.
+enum class CommitFault {
+  None,
+  /// It is carried out, but times out because its answer is lost.
+  AnswerLost,
+  /// It times out and is carried out seconds later, if its conditions still
+  /// hold.
+  CarriedOutLate,
+};
+
 /// Entry VMs without listeners on a simulated platform, all on one stepped
 /// loop: the same seed gives the same run.
 class SimulatedFleet {
@@ -42,6 +52,12 @@
   void setSendDelay(const std::string &Name, Duration Delay) {
     this->SendDelays[Name] = Delay;
   }
+  /// Sets the function that decides how the store handles each commit that one
+  /// VM sends to it; null for no faults.
+  void setCommitFaults(const std::string &Name,
+                       std::function<CommitFault()> Decide) {
+    this->CommitFaults[Name] = std::move(Decide);
+  }
   /// Breaks the watches of one VM and its connections to the other VMs. It can
   /// still renew its lease, write to the store and reach all executors.
   void breakWatches(const std::string &Name);
@@ -84,6 +100,7 @@
     std::vector<peers::PeerEndpoint> Known;
   };
 
+  store::AsyncStore storeOf(const std::string &Name);
   bool areLinked(const std::string &First, const std::string &Second) const;
   dispatch::Internal::PeerTransport transportOf(const std::string &Name);
   void tryToSubmit(const std::string &Path, const std::string &Template,
@@ -92,6 +109,7 @@
   std::map<std::string, Node> Nodes;
   std::set<std::string> CutOff;
   std::map<std::string, Duration> SendDelays;
+  std::map<std::string, std::function<CommitFault()>> CommitFaults;
   uint64_t LastJob = 0;
   std::map<std::string, unsigned> Attempts;
 };
