Dispatch: Log ends that executors have to repeat

Nothing told how often an executor repeats ends that were not acknowledged, nor how long an end waits from its first report. Each link now logs ends-repeated at most once a second, only if ends were repeated: reports, repeated and acknowledged ends, the longest wait, and the number and age of those that wait.

--- a/src/libs/dispatch/executorlink.cpp
+++ b/src/libs/dispatch/executorlink.cpp
@@ -26,6 +26,8 @@
 /// network latency, few enough to use only some of the executor's 64
 /// connections.
 static constexpr size_t MaxOpenStarts = 6;
+/// Minimum time between two log lines about the ends of one executor.
+static constexpr Duration EndsLogInterval = std::chrono::milliseconds(1000);
 
 ExecutorLink::ExecutorLink(Context Shared, jobs::ExecutorGateway Gateway,
                            LinkSetup Setup, LinkHooks Hooks)
@@ -67,6 +69,7 @@
   Request.Token = this->Setup.Token;
   Request.DiscardThrough =
       this->Hooks.LastDiscardableEnd(this->Setup.Executor.Id);
+  this->noteAcknowledged(Request.DiscardThrough);
   // The first call returns the executor's clock and everything that runs there.
   // An executor that does not answer gets no longer lease: its runs must have
   // ended before they are started elsewhere.
@@ -103,6 +106,7 @@
   this->HasRuns = !Answer.value().Running.empty();
   this->LastEnd =
       Answer.value().Ended.empty() ? 0 : Answer.value().Ended.back().Number;
+  this->noteListed(Answer.value().Ended);
   this->Hooks.OnReport(this->Setup.Executor.Id, Answer.value());
   if (this->LastEnd == 0) {
     this->scheduleReport(Duration::zero());
@@ -112,6 +116,45 @@
   this->scheduleReport(CoalesceTime);
 }
 
+void ExecutorLink::noteListed(const std::vector<jobs::EndReport> &Ended) {
+  ++this->Traffic.Reports;
+  for (const jobs::EndReport &End : Ended)
+    if (End.Number > this->LastListedEnd) {
+      this->LastListedEnd = End.Number;
+      this->ListedEnds.emplace_back(End.Number, this->Shared.now());
+    } else {
+      ++this->Traffic.RepeatedEnds;
+    }
+}
+
+void ExecutorLink::noteAcknowledged(uint64_t Through) {
+  const TimePoint Now = this->Shared.now();
+  while (!this->ListedEnds.empty() &&
+         this->ListedEnds.front().first <= Through) {
+    ++this->Traffic.AcknowledgedEnds;
+    this->Traffic.LongestWait = std::max(this->Traffic.LongestWait,
+                                         Now - this->ListedEnds.front().second);
+    this->ListedEnds.pop_front();
+  }
+  if (Now < this->NextEndsLog)
+    return;
+  this->NextEndsLog = Now + EndsLogInterval;
+  const EndTraffic Counted = std::exchange(this->Traffic, EndTraffic());
+  if (Counted.RepeatedEnds == 0)
+    return;
+  const Duration OldestAge = this->ListedEnds.empty()
+                                 ? Duration::zero()
+                                 : Now - this->ListedEnds.front().second;
+  logEvent(LogLevel::Info, "ends-repeated",
+           {{"executor", this->Setup.Executor.Id},
+            {"reports", Counted.Reports},
+            {"repeated", Counted.RepeatedEnds},
+            {"acknowledged", Counted.AcknowledgedEnds},
+            {"longest-wait-ms", toMilliseconds(Counted.LongestWait)},
+            {"waiting", this->ListedEnds.size()},
+            {"oldest-ms", toMilliseconds(OldestAge)}});
+}
+
 /// Whether the ends of the last report can be acknowledged. Until they are
 /// acknowledged, the executor would answer the next call at once with the same
 /// ends.
--- a/src/libs/dispatch/executorlink.h
+++ b/src/libs/dispatch/executorlink.h
@@ -71,6 +71,16 @@
   void pace(const jobs::PaceOrder &Order);
 
 private:
+  /// Ends and reports since the last log line about them.
+  struct EndTraffic {
+    size_t Reports = 0;
+    /// Ends that an earlier report had listed, counted in each report.
+    size_t RepeatedEnds = 0;
+    size_t AcknowledgedEnds = 0;
+    /// Longest time from the first report of an end to its acknowledgement.
+    Duration LongestWait = Duration::zero();
+  };
+
   void report();
   void handleReport(jobs::GatewayResult<jobs::ExecutorReport> Answer);
   void handleFailure(const jobs::GatewayError &Cause);
@@ -82,6 +92,10 @@
                          const jobs::StartAnswer &Answer);
   void scheduleReport(Duration Delay);
   void checkLeaseExpiry();
+  void noteListed(const std::vector<jobs::EndReport> &Ended);
+  /// Counts the ends that are acknowledged, and logs the counts if the executor
+  /// had to repeat ends.
+  void noteAcknowledged(uint64_t Through);
   jobs::ExecutorTime nextLease();
 
   Context Shared;
@@ -96,6 +110,11 @@
   /// Number of the last end in the last report; 0 if it contained none.
   uint64_t LastEnd = 0;
   TimePoint AcknowledgeDeadline = TimePoint::min();
+  uint64_t LastListedEnd = 0;
+  /// Ends that were not acknowledged, each with the time of its first report.
+  std::deque<std::pair<uint64_t, TimePoint>> ListedEnds;
+  EndTraffic Traffic;
+  TimePoint NextEndsLog = TimePoint::min();
   bool IsReachable = true;
   bool IsEmptyReported = false;
   bool IsClosed = false;
