Dispatch, Tests: Reproduce ends that wait for the progress of other jobs

The simulated fleet can wrap the calls of its VMs, and the test records when each end is listed, stored and acknowledged.

--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -47,7 +47,12 @@
   const EntryName Vm(Name);
   dispatch::NodeConnections Connections;
   Connections.Store = this->Platform.store().interface(Vm);
+  if (this->WrapStore)
+    Connections.Store = this->WrapStore(std::move(Connections.Store));
   Connections.Executors = this->Platform.executors(Vm);
+  if (this->WrapExecutors)
+    Connections.Executors =
+        this->WrapExecutors(std::move(Connections.Executors));
   Connections.Machines = this->Platform.machines(Vm);
   Connections.Codec = this->Platform.codec();
   Context Shared{this->Loop.Time.clock(), this->Source, this->Loop.Queue,
--- a/tests/auto/dispatch/simulatedfleet.h
+++ b/tests/auto/dispatch/simulatedfleet.h
@@ -68,6 +68,10 @@
   void runFor(Duration Length) { this->Loop.runFor(Length); }
   Random &source() { return this->Source; }
 
+  /// Applied to the calls of each VM when it starts, to record or change them.
+  std::function<store::AsyncStore(store::AsyncStore)> WrapStore;
+  std::function<jobs::ExecutorGateway(jobs::ExecutorGateway)> WrapExecutors;
+
   SteppedLoop Loop;
   Random Source;
   simulation::SimulatedPlatform Platform;
