Dispatch: Log the age and the path of the configuration

configuration-adopted now gives revision, age-ms (time since the answered call was sent), by (watch or read) and via (the peer that carried the call). queue-unknown gives version and age-ms for a 404, at most one line a second, with the number of those not logged. watch-stale is logged when a watch has not been answered 250 ms after its wait, and then once a second. watch-broken gives age-ms. Nothing else changes.

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -134,7 +134,11 @@
         return Alive && Alive->answerLocally(Call, Respond);
       });
   this->RequestHandler = std::make_shared<JobRequestHandler>(
-      this->Shared, this->Connections.Codec, this->Calls, this->queueSource());
+      this->Shared, this->Connections.Codec, this->Calls, this->queueSource(),
+      [Weak] {
+        const auto Alive = Weak.lock();
+        return Alive ? Alive->OperatorItems->knownThrough() : TimePoint();
+      });
   this->Claimer = std::make_shared<ShardClaimer>(
       this->Shared, this->Self.Name, this->Tracker, this->Lease, this->Members,
       [Weak](const HeldClaim &Acquired) {
@@ -229,7 +233,7 @@
     if (Key == Codec.ConfigurationKey) {
       auto Read = Codec.DecodeConfiguration(Item.Value);
       if (Read)
-        this->adoptConfiguration(std::move(Read).value());
+        this->adoptConfiguration(std::move(Read).value(), Item.Revision);
       else
         logEvent(LogLevel::Error, "configuration-unreadable",
                  {{"cause", Read.error().Message}});
@@ -246,11 +250,17 @@
     this->Maintenance->setWaves(this->Waves);
 }
 
-void FleetCore::adoptConfiguration(jobs::FleetConfiguration Newest) {
+void FleetCore::adoptConfiguration(jobs::FleetConfiguration Newest,
+                                   uint64_t Revision) {
   if (this->Queues && Newest.Version <= this->Queues->configuration().Version)
     return;
   logEvent(LogLevel::Info, "configuration-adopted",
            {{"version", Newest.Version},
+            {"revision", Revision},
+            {"age-ms", toMilliseconds(this->Shared.now() -
+                                      this->OperatorItems->knownThrough())},
+            {"by", nameOf(ReportKindNames, this->OperatorItems->lastReport())},
+            {"via", this->OperatorItems->lastReportVia()},
             {"queues", Newest.Queues.size()},
             {"services", Newest.Services.size()}});
   this->Queues = std::make_shared<const jobs::QueueTable>(std::move(Newest));
--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -76,7 +76,7 @@
   void reportLoopDelay() const;
   bool canServe() const;
   void handleOperatorItems(const ItemMap &Items);
-  void adoptConfiguration(jobs::FleetConfiguration Newest);
+  void adoptConfiguration(jobs::FleetConfiguration Newest, uint64_t Revision);
   void handleClaimAcquired(const HeldClaim &Acquired);
   void openFleetShard(const HeldClaim &Acquired);
   void openServiceShard(const HeldClaim &Acquired);
--- a/src/libs/dispatch/jobrequesthandler.cpp
+++ b/src/libs/dispatch/jobrequesthandler.cpp
@@ -23,13 +23,18 @@
 /// Maximum age of a cached count of waiting jobs.
 static constexpr Duration MaxCountAge = std::chrono::milliseconds(1500);
 static constexpr int64_t MaxNoticeAttempts = 20;
+/// At most one unknown queue is logged in this interval.
+static constexpr Duration UnknownQueueLogInterval = std::chrono::seconds(1);
+static constexpr size_t MaxLoggedPathBytes = 80;
 
 JobRequestHandler::JobRequestHandler(
     Context Shared, jobs::PlatformCodec Codec,
     std::shared_ptr<ServiceCalls> Calls,
-    std::function<std::shared_ptr<const jobs::QueueTable>()> Queues)
+    std::function<std::shared_ptr<const jobs::QueueTable>()> Queues,
+    std::function<TimePoint()> QueuesKnownThrough)
     : Shared(std::move(Shared)), Codec(std::move(Codec)),
-      Calls(std::move(Calls)), Queues(std::move(Queues)) {}
+      Calls(std::move(Calls)), Queues(std::move(Queues)),
+      QueuesKnownThrough(std::move(QueuesKnownThrough)) {}
 
 static http::HttpResponse errorResponse(int Status, const std::string &Reason) {
   std::string Escaped;
@@ -82,6 +87,8 @@
   const std::string Path = Request.Target.substr(0, Request.Target.find('?'));
   const jobs::Queue *Queue = CurrentQueues->find(requestHost(Request), Path);
   if (!Queue) {
+    this->logUnknownQueue(requestHost(Request), Path,
+                          CurrentQueues->configuration().Version);
     Respond(errorResponse(status::NotFound, "no such queue"));
     return;
   }
@@ -119,6 +126,24 @@
         errorResponse(status::MethodNotAllowed, "expected GET, POST, DELETE"));
 }
 
+/// Logs from which configuration a request for an unknown queue is rejected.
+void JobRequestHandler::logUnknownQueue(const std::string &Host,
+                                        const std::string &Path,
+                                        uint64_t Version) {
+  const TimePoint Now = this->Shared.now();
+  if (Now < this->NextUnknownQueueLog) {
+    ++this->UnloggedUnknownQueues;
+    return;
+  }
+  this->NextUnknownQueueLog = Now + UnknownQueueLogInterval;
+  logEvent(LogLevel::Info, "queue-unknown",
+           {{"host", Host.substr(0, MaxLoggedPathBytes)},
+            {"path", Path.substr(0, MaxLoggedPathBytes)},
+            {"version", Version},
+            {"age-ms", toMilliseconds(Now - this->QueuesKnownThrough())},
+            {"not-logged", std::exchange(this->UnloggedUnknownQueues, 0)}});
+}
+
 void JobRequestHandler::submit(const SharedJobRequest &Job,
                                const std::string &Body) {
   const auto Spec = this->Codec.DecodeJob(Job->Id, Body);
--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -18,10 +18,13 @@
 class JobRequestHandler
     : public std::enable_shared_from_this<JobRequestHandler> {
 public:
+  /// \p QueuesKnownThrough returns the time up to which all changes of the
+  /// configuration are known.
   JobRequestHandler(
       Context Shared, jobs::PlatformCodec Codec,
       std::shared_ptr<ServiceCalls> Calls,
-      std::function<std::shared_ptr<const jobs::QueueTable>()> Queues);
+      std::function<std::shared_ptr<const jobs::QueueTable>()> Queues,
+      std::function<TimePoint()> QueuesKnownThrough);
 
   /// Handles a request; must be called on the loop's thread.
   void handle(const http::HttpRequest &Request, http::Responder Respond);
@@ -41,6 +44,8 @@
   };
   using SharedJobRequest = std::shared_ptr<JobRequest>;
 
+  void logUnknownQueue(const std::string &Host, const std::string &Path,
+                       uint64_t Version);
   void submit(const SharedJobRequest &Job, const std::string &Body);
   void storeJob(const SharedJobRequest &Job);
   void handleStored(const SharedJobRequest &Job,
@@ -63,6 +68,10 @@
   jobs::PlatformCodec Codec;
   std::shared_ptr<ServiceCalls> Calls;
   std::function<std::shared_ptr<const jobs::QueueTable>()> Queues;
+  std::function<TimePoint()> QueuesKnownThrough;
+  /// Unknown queues are logged again from this time on.
+  TimePoint NextUnknownQueueLog = TimePoint::min();
+  size_t UnloggedUnknownQueues = 0;
   struct CachedCount {
     std::string Waiting;
     TimePoint ValidUntil;
--- a/src/libs/dispatch/prefixwatch.cpp
+++ b/src/libs/dispatch/prefixwatch.cpp
@@ -10,6 +10,11 @@
 /// Number of failed watches after which everything is read again if that is
 /// done in portions: the changes may be too many for the link, and become more.
 static constexpr unsigned MaxWatchFailures = 3;
+/// Delay of a watch's answer after which the items are logged as stale. A watch
+/// that finds no change is answered after the whole wait.
+static constexpr Duration MaxAnswerDelay = std::chrono::milliseconds(250);
+/// Interval at which items that stay stale are logged again.
+static constexpr Duration StaleLogInterval = std::chrono::seconds(1);
 
 PrefixWatch::PrefixWatch(Context Shared, std::string Prefix, ItemHook OnChange,
                          std::function<void(uint64_t Revision)> OnRevision)
@@ -78,6 +83,7 @@
   // page to see what changed since.
   if (this->NewItemsAsOf == 0)
     this->NewItemsAsOf = Page.AsOf;
+  this->LastReportVia = Page.Via;
   std::string Last;
   for (store::StoreItem &Item : Page.Items) {
     Last = Item.Key;
@@ -105,9 +111,31 @@
   this->AsOf = this->NewItemsAsOf;
   this->KnownThrough = this->NewItemsKnownThrough;
   this->IsCurrent = true;
+  this->LastReport = ReportKind::Read;
+  this->LastAnswerAt = this->Shared.now();
+  if (!std::exchange(this->IsAgeChecked, true))
+    this->checkAge();
   this->OnChange(this->Items, Changed);
 }
 
+void PrefixWatch::checkAge() {
+  if (this->IsStopped)
+    return;
+  const TimePoint Now = this->Shared.now();
+  TimePoint Next = this->LastAnswerAt + this->CallWait + MaxAnswerDelay;
+  if (Next <= Now) {
+    logEvent(LogLevel::Warning, "watch-stale",
+             {{"prefix", this->Prefix},
+              {"as-of", this->AsOf},
+              {"age-ms", toMilliseconds(Now - this->KnownThrough)},
+              {"unanswered-ms", toMilliseconds(Now - this->LastAnswerAt)},
+              {"broken", this->IsCurrent ? "no" : "yes"}});
+    Next = Now + StaleLogInterval;
+  }
+  scheduleFor(this->Shared.Loop, this->shared_from_this(), Next,
+              [](PrefixWatch &Self) { Self.checkAge(); });
+}
+
 void PrefixWatch::watch(Duration Wait) {
   const TimePoint Sent = this->Shared.now();
   this->Shared.Store.Watch(
@@ -146,6 +174,9 @@
   }
   this->AsOf = std::max(this->AsOf, Answer.value().AsOf);
   this->KnownThrough = Sent;
+  this->LastReport = ReportKind::Watch;
+  this->LastAnswerAt = this->Shared.now();
+  this->LastReportVia = Answer.value().Via;
   if (this->OnRevision)
     this->OnRevision(this->AsOf);
   this->IsCurrent = true;
@@ -157,11 +188,13 @@
 
 void PrefixWatch::retry(const store::StoreError &Cause, bool ReadsAll) {
   if (this->IsCurrent)
-    logEvent(LogLevel::Warning, "watch-broken",
-             {{"prefix", this->Prefix},
-              {"code", nameOf(store::StoreErrorNames, Cause.Code)},
-              {"cause", Cause.Message},
-              {"as-of", this->AsOf}});
+    logEvent(
+        LogLevel::Warning, "watch-broken",
+        {{"prefix", this->Prefix},
+         {"code", nameOf(store::StoreErrorNames, Cause.Code)},
+         {"cause", Cause.Message},
+         {"as-of", this->AsOf},
+         {"age-ms", toMilliseconds(this->Shared.now() - this->KnownThrough)}});
   this->IsCurrent = false;
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
               this->Shared.now() + this->Shared.jittered(RetryDelay),
--- a/src/libs/dispatch/prefixwatch.h
+++ b/src/libs/dispatch/prefixwatch.h
@@ -18,6 +18,12 @@
 using ItemHook =
     std::function<void(const ItemMap &Items, const std::set<std::string> &)>;
 
+/// Kind of call that reported the items last.
+enum class ReportKind { Read, Watch };
+
+inline constexpr EnumNames<ReportKind, 2> ReportKindNames = {
+    {{ReportKind::Read, "read"}, {ReportKind::Watch, "watch"}}};
+
 /// Follows the items under a prefix: reads them all, then watches for changes,
 /// and reads them again if the store has dropped its history. Each watch call
 /// is short, so that a silent connection is noticed within seconds.
@@ -45,6 +51,10 @@
   /// Time up to which all changes are known; TimePoint::min() before the first
   /// complete read.
   TimePoint knownThrough() const { return this->KnownThrough; }
+  /// Kind of the call that was answered last.
+  ReportKind lastReport() const { return this->LastReport; }
+  /// Entry VM through which the last answer came; empty if it came directly.
+  const EntryName &lastReportVia() const { return this->LastReportVia; }
 
 private:
   void readPortions(size_t Index);
@@ -54,6 +64,8 @@
   void handleChanges(TimePoint Sent,
                      store::StoreResult<store::WatchAnswer> Answer);
   void replaceAll();
+  /// Logs while no call has been answered for longer than a watch takes.
+  void checkAge();
   void retry(const store::StoreError &Cause, bool ReadsAll);
 
   /// How long one watch call waits for a change. It bounds how long a silent
@@ -74,7 +86,12 @@
   unsigned WatchFailures = 0;
   TimePoint KnownThrough = TimePoint::min();
   TimePoint NewItemsKnownThrough = TimePoint::min();
+  /// When the last watch or complete read was answered.
+  TimePoint LastAnswerAt = TimePoint::min();
+  ReportKind LastReport = ReportKind::Read;
+  EntryName LastReportVia;
   bool IsCurrent = false;
+  bool IsAgeChecked = false;
   bool IsStopped = false;
 };
 
--- a/src/libs/dispatch/storerelay.cpp
+++ b/src/libs/dispatch/storerelay.cpp
@@ -178,6 +178,10 @@
     this->PreferredPeer = Current.Peer;
     if (Current.IsDirectOpen)
       this->noteDirectFailure({StoreErrorCode::Ambiguous, "no answer yet"});
+    if (Answer) {
+      Answer.value().Page.Via = Current.Peer;
+      Answer.value().Watched.Via = Current.Peer;
+    }
     this->finish(Id, std::move(Answer));
     return;
   }
--- a/src/libs/store/include/whintack/store/asyncstore.h
+++ b/src/libs/store/include/whintack/store/asyncstore.h
@@ -1,6 +1,7 @@
 #ifndef WHINTACK_STORE_ASYNCSTORE_H
 #define WHINTACK_STORE_ASYNCSTORE_H
 
+#include "whintack/base/identifier.h"
 #include "whintack/store/keyvaluestore.h"
 
 #include <optional>
@@ -23,6 +24,9 @@
   bool HasMore = false;
   /// Revision of the store when the page was read.
   uint64_t AsOf = 0;
+  /// Entry VM through which the answer came; empty if it came directly. Set by
+  /// the receiver, and not sent between VMs.
+  EntryName Via = EntryName();
 };
 
 /// A change that a watch reports. If there is no item, the key was removed.
@@ -37,6 +41,9 @@
   std::vector<StoreChange> Changes;
   /// Revision after which the next watch continues.
   uint64_t AsOf = 0;
+  /// Entry VM through which the answer came; empty if it came directly. Set by
+  /// the receiver, and not sent between VMs.
+  EntryName Via = EntryName();
 };
 
 /// A condition of a transaction: the revision that a key must have. 0 means
