--- a/src/libs/simulation/include/whintack/simulation/memorystore.h
+++ b/src/libs/simulation/include/whintack/simulation/memorystore.h
@@ -48,6 +48,13 @@
   /// Sets how the calls of all VMs are handled, and drops the settings made
   /// with setFaultMode().
   void setFaultModeForAll(StoreFaultMode Mode);
+  /// Loses the answers to \p Calls watch calls of \p Vm for \p Prefix, as a
+  /// connection that goes silent does: those that are waiting, then the next
+  /// ones. Each fails after its time-out.
+  void loseWatches(const EntryName &Vm, const std::string &Prefix,
+                   unsigned Calls);
+  /// Number of watch calls of \p Vm for \p Prefix that wait for changes.
+  size_t countWatches(const EntryName &Vm, const std::string &Prefix) const;
   /// Sets how long each answer takes.
   void setDelay(Duration Delay) { this->Delay = Delay; }
   /// Limits the link over which \p Vm receives answers. The link of a VM is
@@ -99,6 +106,7 @@
   void endLease(store::LeaseId Id);
   void scheduleExpiry(store::LeaseId Id);
   void watch(Watcher NewWatcher);
+  void failAfterTimeout(const Watcher &Lost);
   std::optional<store::WatchAnswer> changesFor(const Watcher &Waiting) const;
   void write(const std::string &Key, const std::string &Value,
              store::LeaseId Lease);
@@ -111,6 +119,9 @@
   StoreFaultMode DefaultFaultMode = StoreFaultMode::Served;
   std::map<EntryName, StoreFaultMode> FaultModes;
   std::map<EntryName, std::unique_ptr<SharedLink>> Links;
+  /// Number of watch calls whose answers are still to be lost, by VM and
+  /// prefix.
+  std::map<std::pair<EntryName, std::string>, unsigned> WatchesToLose;
   std::map<std::string, store::StoreItem> Items;
   std::vector<store::StoreChange> History;
   /// Changes up to this revision have been dropped from the history.
--- a/src/libs/simulation/memorystore.cpp
+++ b/src/libs/simulation/memorystore.cpp
@@ -302,6 +302,36 @@
     this->endLease(Id);
 }
 
+void MemoryStore::failAfterTimeout(const Watcher &Lost) {
+  this->Loop.schedule(Lost.Deadline + WatchTimeoutMargin, [Done = Lost.Done] {
+    Done(failure(StoreError{StoreErrorCode::Ambiguous, "no answer"}));
+  });
+}
+
+void MemoryStore::loseWatches(const EntryName &Vm, const std::string &Prefix,
+                              unsigned Calls) {
+  unsigned Remaining = Calls;
+  for (auto Each = this->Watchers.begin();
+       Each != this->Watchers.end() && Remaining > 0;) {
+    if (Each->Vm != Vm || Each->Prefix != Prefix) {
+      ++Each;
+      continue;
+    }
+    this->failAfterTimeout(*Each);
+    Each = this->Watchers.erase(Each);
+    --Remaining;
+  }
+  this->WatchesToLose[{Vm, Prefix}] = Remaining;
+}
+
+size_t MemoryStore::countWatches(const EntryName &Vm,
+                                 const std::string &Prefix) const {
+  return static_cast<size_t>(std::count_if(
+      this->Watchers.begin(), this->Watchers.end(), [&](const Watcher &Each) {
+        return Each.Vm == Vm && Each.Prefix == Prefix;
+      }));
+}
+
 void MemoryStore::dropHistory() {
   this->History.clear();
   this->CompactedRevision = this->Revision;
@@ -311,6 +341,13 @@
   this->Loop.schedule(
       this->Time.Now() + this->Delay,
       [this, NewWatcher = std::move(NewWatcher)]() mutable {
+        const auto ToLose =
+            this->WatchesToLose.find({NewWatcher.Vm, NewWatcher.Prefix});
+        if (ToLose != this->WatchesToLose.end() && ToLose->second > 0) {
+          --ToLose->second;
+          this->failAfterTimeout(NewWatcher);
+          return;
+        }
         const StoreFaultMode Mode = this->faultModeFor(NewWatcher.Vm);
         if (Mode == StoreFaultMode::WatchesSilent) {
           this->Loop.schedule(this->Time.Now() + CallTimeout, [Done =
--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -192,11 +192,13 @@
   if (const auto Core = this->Nodes.at(Node).Core)
     this->Loop.Queue.post([Weak = std::weak_ptr(Core), Request, Answer] {
       if (const auto Alive = Weak.lock())
-        Alive->handleRequest(Request,
-                             [Answer](const http::HttpResponse &Response) {
-                               Answer->Status = Response.Status;
-                               Answer->Body = Response.Body;
-                             });
+        Alive->handleRequest(
+            Request, [Answer](const http::HttpResponse &Response) {
+              Answer->Status = Response.Status;
+              Answer->Body = Response.Body;
+              Answer->RetryAfter =
+                  Response.Headers.find("Retry-After").value_or("");
+            });
     });
   return Answer;
 }
--- a/tests/auto/dispatch/simulatedfleet.h
+++ b/tests/auto/dispatch/simulatedfleet.h
@@ -15,6 +15,7 @@
 struct ClientAnswer {
   int Status = 0;
   std::string Body;
+  std::string RetryAfter;
 };
 
 /// Entry VMs without listeners on a simulated platform, all on one stepped
