--- a/tests/auto/dispatch/tst_staleconfiguration.cpp
+++ b/tests/auto/dispatch/tst_staleconfiguration.cpp
@@ -118,7 +118,8 @@
 
 // Guards against a request for an added route that is rejected because the peer
 // that carries the watch of a VM that the store rejects was killed.
-TEST_CASE("an added route is served although the watch's carrier is killed") {
+TEST_CASE("an added route is served although the watch's carrier is killed",
+          "[holds]") {
   ConfiguredFleet Fleet;
   Fleet.killNode(Fleet.rejectAndFindCarrier());
   Fleet.addRoute();
@@ -127,7 +128,8 @@
 
 // Guards against a request for an added route that is rejected because a peer
 // gets no answer to the watch that it carries for a VM that the store rejects.
-TEST_CASE("an added route is served although the carrier gets no answer") {
+TEST_CASE("an added route is served although the carrier gets no answer",
+          "[holds]") {
   ConfiguredFleet Fleet;
   const std::string Carrier = Fleet.rejectAndFindCarrier();
   Fleet.Platform.store().loseWatches(EntryName(Carrier), OperatorPrefix, 2);
@@ -179,7 +181,7 @@
 
 // Guards against a VM that answers 503 to requests for queues that do not
 // exist.
-TEST_CASE("a queue that never existed is rejected by every VM") {
+TEST_CASE("a queue that never existed is rejected by every VM", "[holds]") {
   ConfiguredFleet Fleet;
   for (const std::string &Name : Fleet.nodeNames())
     for (const char *Method : {"GET", "POST"}) {
