Jobs: Let an end wait for its own job only, and give the oldest change a share of each write

Cause: an end was acknowledged only once all changes of the service up to it were stored, and writes were taken in the order of job ids, final states first. Change: each unacknowledged end names its job and the change that must be stored. Writes are taken oldest first for half of the entries, then final states, then the rest; a job that has ended counts as two entries. Ends that were deferred during catch-up wait for the change that follows from them, and not for the one before it.

--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -149,13 +149,18 @@
   /// Time at which plan() should be called again if no other event occurs.
   TimePoint nextPlan(TimePoint Now) const;
 
-  /// Takes at most \p MaxCount writes. Each must be confirmed with
-  /// noteWritten() or returned with noteWriteFailed().
-  std::vector<JobWrite> takeWrites(size_t MaxCount);
+  /// Takes writes of at most \p MaxEntries entries of a transaction; a job that
+  /// has ended takes two. Each write must be confirmed with noteWritten() or
+  /// returned with noteWriteFailed().
+  std::vector<JobWrite> takeWrites(size_t MaxEntries);
   /// The writes are stored.
   void noteWritten(const std::vector<JobWrite> &Writes);
   /// The writes may not be stored and are to be written again.
   void noteWriteFailed(const std::vector<JobWrite> &Writes);
+  /// Number of jobs that takeWrites() can return.
+  size_t writableJobs() const;
+  /// Whether the changes of the job up to this number are stored.
+  bool isStored(const JobId &Id, uint64_t Change) const;
   /// All changes up to this number are stored.
   uint64_t storedThrough() const;
   /// Number of the last change.
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -130,14 +130,25 @@
 
 void Planner::Private::setFirstUnstored(JobRecord &Job, uint64_t Change) {
   if (Job.FirstUnstored != 0)
-    this->UnstoredChanges.erase(this->UnstoredChanges.find(Job.FirstUnstored));
+    this->UnstoredJobs.erase({Job.FirstUnstored, Job.Spec.Id});
   Job.FirstUnstored = Change;
-  if (Change == 0) {
-    this->UnstoredJobs.erase(Job.Spec.Id);
-    return;
-  }
-  this->UnstoredChanges.insert(Change);
-  this->UnstoredJobs.emplace(Job.Spec.Id, &Job);
+  if (Change != 0)
+    this->UnstoredJobs.emplace(std::pair(Change, Job.Spec.Id), &Job);
+}
+
+void Planner::Private::beginWrite(JobRecord &Job) {
+  Job.IsBeingWritten = true;
+  ++this->OpenWrites;
+}
+
+void Planner::Private::endWrite(JobRecord &Job) {
+  Job.IsBeingWritten = false;
+  --this->OpenWrites;
+}
+
+uint64_t Planner::Private::lastChangeOf(const JobId &Id) {
+  const JobRecord *Job = this->findJob(Id);
+  return Job ? Job->LastChange : 0;
 }
 
 uint64_t Planner::Private::recordChange(JobRecord &Job) {
@@ -292,17 +303,25 @@
     }
 }
 
-std::vector<JobWrite> Planner::takeWrites(size_t MaxCount) {
+/// Number of entries that the write takes in a transaction: the final record of
+/// a job replaces its progress.
+static size_t entriesOf(const JobRecord &Job) {
+  return isFinal(Job.State) ? 2 : 1;
+}
+
+std::vector<JobWrite> Planner::takeWrites(size_t MaxEntries) {
   std::vector<JobWrite> Writes;
-  const auto Collect = [&](bool WantsFinal) {
-    for (const auto &[Id, Unstored] : this->D->UnstoredJobs) {
+  size_t Entries = 0;
+  const auto Collect = [&](size_t Limit, bool WantsOnlyFinal) {
+    for (const auto &[Position, Unstored] : this->D->UnstoredJobs) {
+      if (Entries >= Limit)
+        return;
       JobRecord &Job = *Unstored;
-      if (Job.IsBeingWritten || isFinal(Job.State) != WantsFinal)
+      if (Job.IsBeingWritten || (WantsOnlyFinal && !isFinal(Job.State)) ||
+          Entries + entriesOf(Job) > Limit)
         continue;
-      if (Writes.size() >= MaxCount)
-        return;
       JobWrite Write;
-      Write.Job = Id;
+      Write.Job = Position.second;
       Write.Progress.State = Job.State;
       Write.Through = this->D->Changes;
       forEachTask(Job, [&Write](const TaskKey &Key, const TaskRecord &Task) {
@@ -311,13 +330,16 @@
             !Stored.Checkpoint.empty())
           Write.Progress.Tasks.emplace(Key, Stored);
       });
-      Job.IsBeingWritten = true;
+      this->D->beginWrite(Job);
+      Entries += entriesOf(Job);
       Writes.push_back(std::move(Write));
     }
   };
-  // Final states are written first, because clients wait for them.
-  Collect(true);
-  Collect(false);
+  // Clients wait for final states. Half of the entries go to the oldest changes
+  // of any kind, so that none of them waits while other jobs keep ending.
+  Collect(MaxEntries / 2, false);
+  Collect(MaxEntries, true);
+  Collect(MaxEntries, false);
   return Writes;
 }
 
@@ -326,7 +348,7 @@
     JobRecord *Job = this->D->findJob(Write.Job);
     if (!Job)
       continue;
-    Job->IsBeingWritten = false;
+    this->D->endWrite(*Job);
     Job->ShownState = Write.Progress.State;
     const bool IsCurrent = Job->LastChange <= Write.Through;
     this->D->setFirstUnstored(*Job, IsCurrent ? 0 : Write.Through + 1);
@@ -337,13 +359,22 @@
 void Planner::noteWriteFailed(const std::vector<JobWrite> &Writes) {
   for (const JobWrite &Write : Writes)
     if (JobRecord *Job = this->D->findJob(Write.Job))
-      Job->IsBeingWritten = false;
+      this->D->endWrite(*Job);
+}
+
+size_t Planner::writableJobs() const {
+  return this->D->UnstoredJobs.size() - this->D->OpenWrites;
+}
+
+bool Planner::isStored(const JobId &Id, uint64_t Change) const {
+  const JobRecord *Job = this->D->findJob(Id);
+  return !Job || Job->FirstUnstored == 0 || Job->FirstUnstored > Change;
 }
 
 uint64_t Planner::storedThrough() const {
-  const std::multiset<uint64_t> &UnstoredChanges = this->D->UnstoredChanges;
-  return UnstoredChanges.empty() ? this->D->Changes
-                                 : *UnstoredChanges.begin() - 1;
+  const auto &Unstored = this->D->UnstoredJobs;
+  return Unstored.empty() ? this->D->Changes
+                          : Unstored.begin()->first.first - 1;
 }
 
 uint64_t Planner::lastChange() const { return this->D->Changes; }
@@ -357,13 +388,13 @@
   if (Found == this->D->Executors.end())
     return 0;
   ExecutorRecord &Executor = Found->second;
-  const uint64_t Through = this->storedThrough();
-  while (
-      !Executor.UnacknowledgedEnds.empty() &&
-      Executor.UnacknowledgedEnds.front().second <= Through &&
-      (Executor.FirstDeferredEnd == 0 ||
-       Executor.UnacknowledgedEnds.front().first < Executor.FirstDeferredEnd)) {
-    Executor.LastDiscardableEnd = Executor.UnacknowledgedEnds.front().first;
+  while (!Executor.UnacknowledgedEnds.empty()) {
+    const UnacknowledgedEnd &Oldest = Executor.UnacknowledgedEnds.front();
+    const bool IsDeferred = Executor.FirstDeferredEnd != 0 &&
+                            Oldest.Number >= Executor.FirstDeferredEnd;
+    if (IsDeferred || !this->isStored(Oldest.Job, Oldest.Change))
+      break;
+    Executor.LastDiscardableEnd = Oldest.Number;
     Executor.UnacknowledgedEnds.pop_front();
   }
   return Executor.LastDiscardableEnd;
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -131,6 +131,14 @@
   TimePoint ReportedAt;
 };
 
+/// An end that its executor keeps until its effect is stored.
+struct UnacknowledgedEnd {
+  uint64_t Number = 0;
+  JobId Job;
+  /// The change of the job that must be stored first.
+  uint64_t Change = 0;
+};
+
 /// State of an executor, and the resources booked on it.
 struct ExecutorRecord {
   ExecutorInfo Info;
@@ -146,9 +154,8 @@
   int64_t LongRunningMilliCores = 0;
   std::map<TaskKey, uint64_t> Runs;
   uint64_t LastEnd = 0;
-  /// Numbers of the ends that the executor still keeps, each with the number of
-  /// the last change made when it was handled.
-  std::deque<std::pair<uint64_t, uint64_t>> UnacknowledgedEnds;
+  /// The ends that the executor still keeps, by number.
+  std::deque<UnacknowledgedEnd> UnacknowledgedEnds;
   /// Number of the first end whose job is not known yet; 0 if there is none.
   /// This end and later ones must be kept by the executor.
   uint64_t FirstDeferredEnd = 0;
@@ -196,6 +203,10 @@
   Internal::TaskRecord &gangLeader(const StepKey &Step);
   uint64_t recordChange(Internal::JobRecord &Job);
   void setFirstUnstored(Internal::JobRecord &Job, uint64_t Change);
+  void beginWrite(Internal::JobRecord &Job);
+  void endWrite(Internal::JobRecord &Job);
+  /// Number of the job's last change; 0 if the job is not known.
+  uint64_t lastChangeOf(const JobId &Id);
   void endJob(Internal::JobRecord &Job, JobState State);
   void completeIfDone(Internal::JobRecord &Job);
   void removeIfFinished(const JobId &Id);
@@ -326,10 +337,11 @@
   /// The earliest NextStopAt of all runs, or earlier.
   TimePoint NextStopAt = TimePoint::max();
   uint64_t Changes = 0;
-  /// FirstUnstored of all jobs that have unstored changes.
-  std::multiset<uint64_t> UnstoredChanges;
-  /// All jobs that have unstored changes. Entries of Jobs do not move.
-  std::map<JobId, Internal::JobRecord *> UnstoredJobs;
+  /// All jobs that have unstored changes, by their FirstUnstored. Entries of
+  /// Jobs do not move.
+  std::map<std::pair<uint64_t, JobId>, Internal::JobRecord *> UnstoredJobs;
+  /// Number of jobs that are being written.
+  size_t OpenWrites = 0;
   /// Processor capacity of the executors that may get tasks, and the part of it
   /// that the runs with IsLastChance have booked.
   int64_t TotalMilliCores = 0;
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -152,10 +152,15 @@
     return;
   const std::vector<DeferredEnd> Ends = std::move(Found->second);
   this->DeferredEnds.erase(Found);
-  for (const DeferredEnd &Each : Ends)
-    if (const auto Executor = this->Executors.find(Each.Executor);
-        Executor != this->Executors.end())
-      this->handleEnd(Executor->second, Each.End, Each.ReportedAt);
+  for (const DeferredEnd &Each : Ends) {
+    const auto Executor = this->Executors.find(Each.Executor);
+    if (Executor == this->Executors.end())
+      continue;
+    this->handleEnd(Executor->second, Each.End, Each.ReportedAt);
+    for (UnacknowledgedEnd &End : Executor->second.UnacknowledgedEnds)
+      if (End.Number == Each.End.Number)
+        End.Change = this->lastChangeOf(Job);
+  }
 }
 
 bool Planner::isRecovering() const {
@@ -411,7 +416,9 @@
     } else {
       this->D->handleEnd(Executor, End, Now);
     }
-    Executor.UnacknowledgedEnds.emplace_back(End.Number, this->D->Changes);
+    const JobId &Job = End.Task.Step.Job;
+    Executor.UnacknowledgedEnds.push_back(
+        {End.Number, Job, this->D->lastChangeOf(Job)});
   }
   for (const RunReport &Row : Report.Running)
     this->D->handleRunning(Executor, Row, Report.At);
