Dispatch: Send watches, small reads and repeatable commits on a second path

Transactions that fail once they have been applied, and whose caller recognizes its own copy, may be repeated. A call of which one attempt may have been carried out stays ambiguous, also if a later attempt is refused.

--- a/src/libs/dispatch/executorlistmonitor.cpp
+++ b/src/libs/dispatch/executorlistmonitor.cpp
@@ -54,7 +54,7 @@
 
 void ExecutorListMonitor::readPage(const std::string &After) {
   this->Shared.Store.Range(
-      this->Prefix, After, store::ReadKind::Current,
+      this->Prefix, After, store::ReadKind::Bulk,
       onLoop<ExecutorListMonitor, store::StoreResult<store::StorePage>>(
           this->Shared.Loop, this->shared_from_this(),
           [](ExecutorListMonitor &Self,
--- a/src/libs/dispatch/portionedread.cpp
+++ b/src/libs/dispatch/portionedread.cpp
@@ -87,7 +87,7 @@
   this->Shared.Store.Range(
       this->Prefix + Portion,
       this->LastRead.empty() ? "" : this->Prefix + this->LastRead,
-      store::ReadKind::Current,
+      store::ReadKind::Bulk,
       onLoop<PortionedRead, store::StoreResult<store::StorePage>>(
           this->Shared.Loop, this->shared_from_this(),
           [Portion](PortionedRead &Self,
--- a/src/libs/dispatch/shardclaimer.cpp
+++ b/src/libs/dispatch/shardclaimer.cpp
@@ -138,6 +138,7 @@
   Change.Puts = {{keys::Claims + Shard, encodeClaim({this->Self, 0, Attempt}),
                   this->Lease->id()},
                  {Key, std::to_string(Generation), 0}};
+  Change.IsRepeatable = true;
   this->Shared.Store.Commit(
       Change,
       onLoop<ShardClaimer, store::StoreResult<store::CommitAnswer>>(
--- a/src/libs/dispatch/storerelay.h
+++ b/src/libs/dispatch/storerelay.h
@@ -48,13 +48,24 @@
     /// The peer that is being asked; empty if there is none.
     EntryName Peer;
     unsigned PeersTried = 0;
+    /// One of the attempts may have been carried out, or may be later.
+    bool IsOutcomeUnknown = false;
     /// The last failure, returned if no other answer arrives.
     store::StoreError Failure;
+
+    void noteFailure(const store::StoreError &Cause) {
+      this->Failure = Cause;
+      if (Cause.Code == store::StoreErrorCode::Ambiguous)
+        this->IsOutcomeUnknown = true;
+    }
   };
 
   void call(store::StoreCall Call,
             store::StoreCallback<store::StoreReply> Done);
   void callDirectly(peers::CallId Id);
+  void hedge(peers::CallId Id);
+  /// A repeated watch only looks for changes, because its bound is near.
+  void shortenOverdueWatch(store::StoreCall &Call) const;
   void handleDirectReply(peers::CallId Id, Reply Answer);
   /// Sends the call to the next peer; returns false if there is none left.
   bool callPeer(peers::CallId Id);
--- a/src/libs/store/include/whintack/store/asyncstore.h
+++ b/src/libs/store/include/whintack/store/asyncstore.h
@@ -58,6 +58,11 @@
   std::vector<ExpectedRevision> Expect;
   std::vector<StorePut> Puts;
   std::vector<std::string> Removals;
+  /// One of the conditions fails once the transaction has been applied, and the
+  /// caller recognizes its own earlier copy by the items of the answer. Such a
+  /// transaction can be sent again, also on another path, if it is not
+  /// answered.
+  bool IsRepeatable = false;
 };
 
 /// The outcome of a transaction.
@@ -72,6 +77,10 @@
 enum class ReadKind {
   /// Reflects all writes committed so far.
   Current,
+  /// As Current, for pages that may fill a slow link: they are not read a
+  /// second
+  /// time on another path while the first call is open.
+  Bulk,
   /// May be seconds old; costs the store a tenth of a current read.
   Stale,
 };
--- a/src/libs/store/include/whintack/store/storecall.h
+++ b/src/libs/store/include/whintack/store/storecall.h
@@ -51,7 +51,7 @@
 
 /// Returns whether a call that may have been executed can be made again without
 /// harm.
-bool isRepeatable(StoreCallKind Kind);
+bool isRepeatable(const StoreCall &Call);
 
 /// Executes the call \p Request on \p Store.
 void executeStoreCall(const AsyncStore &Store, const StoreCall &Request,
--- a/src/libs/store/storecall.cpp
+++ b/src/libs/store/storecall.cpp
@@ -51,8 +51,8 @@
       [](const StoreResult<StoreReply> &) { return success(); });
 }
 
-bool isRepeatable(StoreCallKind Kind) {
-  switch (Kind) {
+bool isRepeatable(const StoreCall &Call) {
+  switch (Call.Kind) {
   case StoreCallKind::Range:
   case StoreCallKind::Watch:
   case StoreCallKind::KeepLease:
@@ -62,7 +62,7 @@
   case StoreCallKind::GrantLease:
     return true;
   case StoreCallKind::Commit:
-    return false;
+    return Call.Change.IsRepeatable;
   }
   return false;
 }
