Dispatch: Store progress in streams of commits that can be repeated

Callers saw: SHORT; and progress in the store could go back. Cause: one commit at a time with 15 jobs; and a commit that the store carries out seconds after its time-out still met its only condition, the claim, and overwrote newer progress. Change: ProgressWriter keeps up to eight streams of commits. Each commit expects the key that the one before it in its stream wrote, so a late copy has no effect and an unanswered commit is repeated until its outcome is known.

--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -1,17 +1,13 @@
 #include "serviceshard.h"
 
+#include "jobrecords.h"
 #include "storekeys.h"
 
 namespace whintack::dispatch::Internal {
 
-/// Time over which changes are collected before they are stored. Executor links
-/// wait for the write before they ask for the next ends.
-static constexpr Duration FlushInterval = std::chrono::milliseconds(15);
 /// Minimum time between two planning passes. A pass looks at all executors and
 /// waiting jobs, so reports that arrive together share one.
 static constexpr Duration MinPlanInterval = std::chrono::milliseconds(5);
-/// Delay before a failed write is retried.
-static constexpr Duration FlushRetryDelay = std::chrono::milliseconds(100);
 /// Time for the advice service on top of the queue's policy, because calls
 /// queue up there.
 static constexpr Duration AdviceMargin = std::chrono::milliseconds(1500);
@@ -66,9 +62,9 @@
   }
   this->LoadDeadline = this->ClaimedAt + this->Environment.LoadTime;
   this->checkLoaded();
-  this->Records =
-      std::make_shared<ShardStore>(this->Shared, this->Environment.Loads,
-                                   this->Service, this->OwnClaim.Token);
+  this->Writer = this->makeWriter();
+  this->Records = std::make_shared<ShardStore>(
+      this->Shared, this->Environment.Loads, this->Service);
   this->Records->load(
       [Weak = this->weak_from_this()](const ShardStore::Contents &Loaded) {
         if (const auto Self = Weak.lock())
@@ -98,6 +94,7 @@
 void ServiceShard::stop() {
   this->IsStopped = true;
   this->Records->stop();
+  this->Writer->stop();
   if (this->Notices)
     this->Notices->stop();
   for (const auto &[Id, Link] : this->Links)
@@ -215,7 +212,7 @@
                 [](ServiceShard &Self) { Self.rescan(); });
   // The current list may predate the claim, so a new one is requested.
   this->Environment.RefreshExecutors();
-  this->flush();
+  this->Writer->flush();
 }
 
 /// Handles the notices that request handlers left in the store because they
@@ -244,7 +241,7 @@
             {"changed", Changed.size()},
             {"pending", this->PendingCancellations.size()}});
   this->removeHandledNotices();
-  this->flush();
+  this->Writer->flush();
   this->requestPlan();
 }
 
@@ -255,8 +252,9 @@
     this->PendingCancellations.insert(Id);
     return;
   }
-  this->AwaitingStore.emplace(
-      *Change, [this, Key = keys::cancellations(this->Service) + Id.text()] {
+  this->answerWhenStored(
+      Id, *Change,
+      [this, Key = keys::cancellations(this->Service) + Id.text()] {
         this->HandledNotices.insert(Key);
         this->removeHandledNotices();
       });
@@ -640,75 +638,71 @@
   return Found == this->QueueNames.end() ? std::string() : Found->second;
 }
 
-void ServiceShard::requestFlush() {
-  if (this->IsFlushRequested || this->IsWriting || this->IsStopped)
-    return;
-  this->IsFlushRequested = true;
-  scheduleFor(this->Shared.Loop, this->shared_from_this(),
-              std::max(this->NextFlush, this->Shared.now()),
-              [](ServiceShard &Self) {
-                Self.IsFlushRequested = false;
-                Self.flush();
-              });
+std::shared_ptr<ProgressWriter> ServiceShard::makeWriter() {
+  // The writer runs on the same loop as this object and is stopped by it, so
+  // capturing this is safe.
+  ProgressWriterHooks Hooks;
+  Hooks.Writable = [this] { return this->Planner.writableJobs(); };
+  Hooks.Take = [this](size_t MaxEntries) {
+    return this->Planner.takeWrites(MaxEntries);
+  };
+  Hooks.Return = [this](const std::vector<jobs::JobWrite> &Writes) {
+    this->Planner.noteWriteFailed(Writes);
+  };
+  Hooks.OnWritten = [this](const std::vector<jobs::JobWrite> &Writes) {
+    this->handleWritten(Writes);
+  };
+  Hooks.QueueName = [this](const jobs::JobId &Job) {
+    return this->queueName(Job);
+  };
+  Hooks.OnSuperseded = [this] {
+    this->reportLoss("another planner holds the claim");
+  };
+  return std::make_shared<ProgressWriter>(
+      this->Shared, this->Service, this->OwnClaim.Token, std::move(Hooks));
 }
 
-void ServiceShard::flush() {
-  if (this->IsWriting || this->IsStopped)
-    return;
-  const std::vector<jobs::JobWrite> Writes =
-      this->Planner.takeWrites(MaxWritesPerCommit);
-  if (Writes.empty()) {
-    this->sendStoredAnswers();
-    return;
+void ServiceShard::requestFlush() {
+  if (!this->IsStopped)
+    this->Writer->requestFlush();
+}
+
+void ServiceShard::handleWritten(const std::vector<jobs::JobWrite> &Writes) {
+  this->Planner.noteWritten(Writes);
+  for (const jobs::JobWrite &Write : Writes) {
+    auto [Each, End] = this->AwaitingStore.equal_range(Write.Job);
+    while (Each != End) {
+      const auto Current = Each++;
+      if (!this->Planner.isStored(Write.Job, Current->second.Change))
+        continue;
+      const std::function<void()> Answer = std::move(Current->second.Answer);
+      this->AwaitingStore.erase(Current);
+      Answer();
+    }
   }
-  this->NextFlush = this->Shared.now() + FlushInterval;
-  this->IsWriting = true;
-  this->Records->write(
-      Writes, [this](const jobs::JobId &Job) { return this->queueName(Job); },
-      [Weak = this->weak_from_this(),
-       Writes](ShardStore::WriteOutcome Outcome) {
-        if (const auto Self = Weak.lock())
-          Self->handleWriteResult(Writes, Outcome);
-      });
+  this->endDrainIfStored();
 }
 
-void ServiceShard::handleWriteResult(const std::vector<jobs::JobWrite> &Writes,
-                                     ShardStore::WriteOutcome Outcome) {
-  this->IsWriting = false;
-  switch (Outcome) {
-  case ShardStore::WriteOutcome::Superseded:
-    this->reportLoss("another planner holds the claim");
-    return;
-  case ShardStore::WriteOutcome::Failed:
-    this->Planner.noteWriteFailed(Writes);
-    this->NextFlush = this->Shared.now() + FlushRetryDelay;
-    break;
-  case ShardStore::WriteOutcome::Written:
-    this->Planner.noteWritten(Writes);
-    this->sendStoredAnswers();
-    break;
-  }
-  this->requestFlush();
+void ServiceShard::answerWhenStored(const jobs::JobId &Job, uint64_t Change,
+                                    std::function<void()> Answer) {
+  if (this->Planner.isStored(Job, Change))
+    Answer();
+  else
+    this->AwaitingStore.emplace(Job, AwaitingAnswer{Change, std::move(Answer)});
 }
 
-void ServiceShard::sendStoredAnswers() {
-  const uint64_t StoredThrough = this->Planner.storedThrough();
-  while (!this->AwaitingStore.empty() &&
-         this->AwaitingStore.begin()->first <= StoredThrough) {
-    const std::function<void()> Answer =
-        std::move(this->AwaitingStore.begin()->second);
-    this->AwaitingStore.erase(this->AwaitingStore.begin());
-    Answer();
-  }
-  if (this->OnDrained && StoredThrough == this->Planner.lastChange()) {
-    const std::function<void()> Done = std::exchange(this->OnDrained, nullptr);
-    Done();
-  }
+void ServiceShard::endDrainIfStored() {
+  if (!this->OnDrained ||
+      this->Planner.storedThrough() != this->Planner.lastChange())
+    return;
+  const std::function<void()> Done = std::exchange(this->OnDrained, nullptr);
+  Done();
 }
 
 void ServiceShard::drain(std::function<void()> Done) {
   this->OnDrained = std::move(Done);
-  this->flush();
+  this->Writer->flush();
+  this->endDrainIfStored();
 }
 
 void ServiceShard::reportLoss(const std::string &Cause) {
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -2,6 +2,7 @@
 #define WHINTACK_DISPATCH_SERVICESHARD_H
 
 #include "executorlink.h"
+#include "progresswriter.h"
 #include "servicecalls.h"
 #include "shardclaimer.h"
 #include "shardstore.h"
@@ -115,11 +116,13 @@
   void readLostAnnouncements();
   void readMissedJobs(std::function<void(ServiceShard &)> Done);
   void endCatchUp();
+  std::shared_ptr<ProgressWriter> makeWriter();
   void requestFlush();
-  void flush();
-  void handleWriteResult(const std::vector<jobs::JobWrite> &Writes,
-                         ShardStore::WriteOutcome Outcome);
-  void sendStoredAnswers();
+  void handleWritten(const std::vector<jobs::JobWrite> &Writes);
+  /// Calls \p Answer once the changes of the job up to \p Change are stored.
+  void answerWhenStored(const jobs::JobId &Job, uint64_t Change,
+                        std::function<void()> Answer);
+  void endDrainIfStored();
   void reportLoss(const std::string &Cause);
   std::string queueName(const jobs::JobId &Job) const;
   void answerCancel(const peers::ServiceCall &Call,
@@ -136,6 +139,7 @@
   ServiceName Service;
   jobs::Planner Planner;
   std::shared_ptr<ShardStore> Records;
+  std::shared_ptr<ProgressWriter> Writer;
   std::shared_ptr<PrefixWatch> Notices;
   std::map<jobs::ExecutorId, std::shared_ptr<ExecutorLink>> Links;
   std::unordered_map<jobs::JobId, std::string> QueueNames;
@@ -147,8 +151,12 @@
   std::set<jobs::JobId> PendingCancellations;
   /// Keys of the notices whose effect is stored.
   std::set<std::string> HandledNotices;
-  /// Answers that wait until a change is stored, by the number of the change.
-  std::multimap<uint64_t, std::function<void()>> AwaitingStore;
+  /// Answers that wait until a change of a job is stored.
+  struct AwaitingAnswer {
+    uint64_t Change = 0;
+    std::function<void()> Answer;
+  };
+  std::multimap<jobs::JobId, AwaitingAnswer> AwaitingStore;
   std::function<void()> OnDrained;
   TimePoint EarlierLeasesEnd = TimePoint::min();
   TimePoint ClaimedAt;
@@ -157,12 +165,9 @@
   /// Revision of the store through which all jobs have been read.
   uint64_t KnownAsOf = 0;
   TimePoint LastPlan = TimePoint::min();
-  TimePoint NextFlush = TimePoint::min();
   DiscoveryState Discovery = DiscoveryState::NotNeeded;
   bool IsLoaded = false;
   bool IsPlanRequested = false;
-  bool IsFlushRequested = false;
-  bool IsWriting = false;
   bool IsRemovingNotices = false;
   bool IsStopped = false;
   bool IsStartPaused = false;
--- a/src/libs/dispatch/serviceshardanswers.cpp
+++ b/src/libs/dispatch/serviceshardanswers.cpp
@@ -12,11 +12,11 @@
     Respond({Call.Id, peers::ServiceOutcome::Unknown, ""});
     return;
   }
-  this->AwaitingStore.emplace(*Change, [Id = Call.Id, Respond] {
-    Respond({Id, peers::ServiceOutcome::Done, ""});
-  });
-  this->flush();
-  this->sendStoredAnswers();
+  this->answerWhenStored(jobs::JobId(Call.Subject), *Change,
+                         [Id = Call.Id, Respond] {
+                           Respond({Id, peers::ServiceOutcome::Done, ""});
+                         });
+  this->Writer->flush();
   this->requestPlan();
 }
 
--- a/src/libs/dispatch/shardstore.cpp
+++ b/src/libs/dispatch/shardstore.cpp
@@ -12,9 +12,9 @@
 static constexpr unsigned MaxChangeFailures = 2;
 
 ShardStore::ShardStore(Context Shared, std::shared_ptr<LoadQueue> Loads,
-                       ServiceName Service, uint64_t Token)
+                       ServiceName Service)
     : Shared(std::move(Shared)), Loads(std::move(Loads)),
-      Service(std::move(Service)), Token(Token) {}
+      Service(std::move(Service)) {}
 
 void ShardStore::stop() {
   this->IsStopped = true;
@@ -155,41 +155,4 @@
   });
 }
 
-void ShardStore::write(
-    const std::vector<jobs::JobWrite> &Writes,
-    const std::function<std::string(const jobs::JobId &)> &QueueName,
-    const std::function<void(WriteOutcome)> &Done) {
-  store::StoreTransaction Change;
-  Change.Expect = {{keys::Claims + this->Service.text(), this->Token}};
-  for (const jobs::JobWrite &Write : Writes) {
-    const std::string Id = Write.Job.text();
-    if (!jobs::isFinal(Write.Progress.State)) {
-      Change.Puts.push_back({keys::progress(this->Service) + Id,
-                             jobs::encodeProgress(Write.Progress), 0});
-      continue;
-    }
-    StoredJob Final;
-    Final.QueueName = QueueName(Write.Job);
-    Final.End = Write.Progress.State;
-    Change.Puts.push_back(
-        {keys::jobs(this->Service) + Id, encodeStoredJob(Final), 0});
-    Change.Removals.push_back(keys::progress(this->Service) + Id);
-  }
-  this->Shared.Store.Commit(
-      Change,
-      onLoop<ShardStore, store::StoreResult<store::CommitAnswer>>(
-          this->Shared.Loop, this->shared_from_this(),
-          [Done](ShardStore &Self,
-                 const store::StoreResult<store::CommitAnswer> &Answer) {
-            if (Self.IsStopped)
-              return;
-            if (!Answer)
-              Done(WriteOutcome::Failed);
-            else if (Answer.value().IsCommitted)
-              Done(WriteOutcome::Written);
-            else
-              Done(WriteOutcome::Superseded);
-          }));
-}
-
 } // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/shardstore.h
+++ b/src/libs/dispatch/shardstore.h
@@ -2,23 +2,20 @@
 #define WHINTACK_DISPATCH_SHARDSTORE_H
 
 #include "context.h"
-#include "jobrecords.h"
 #include "loadqueue.h"
 #include "portionedread.h"
 
-#include "whintack/jobs/planner.h"
+#include "whintack/jobs/taskkey.h"
 
 #include <map>
 
 namespace whintack::dispatch::Internal {
 
-/// Reads and writes the store's records of one service for its planner. Every
-/// write expects the planner's claim, so that the store rejects it once another
-/// planner has taken over.
+/// Reads the store's records of one service for its planner.
 class ShardStore : public std::enable_shared_from_this<ShardStore> {
 public:
   ShardStore(Context Shared, std::shared_ptr<LoadQueue> Loads,
-             ServiceName Service, uint64_t Token);
+             ServiceName Service);
 
   /// All records of the service.
   struct Contents {
@@ -37,20 +34,6 @@
   /// returns all jobs if the store no longer knows which these are.
   void readChangedJobs(uint64_t After, JobsHook Done);
 
-  /// How a write ended.
-  enum class WriteOutcome {
-    Written,
-    /// Not written, or the outcome is unknown; the write must be retried.
-    Failed,
-    /// Another planner holds the claim.
-    Superseded,
-  };
-  /// Stores the planner's writes. \p QueueName returns the queue of a job that
-  /// ends.
-  void write(const std::vector<jobs::JobWrite> &Writes,
-             const std::function<std::string(const jobs::JobId &)> &QueueName,
-             const std::function<void(WriteOutcome)> &Done);
-
   void stop();
 
 private:
@@ -82,14 +65,9 @@
   std::shared_ptr<LoadQueue> Loads;
   std::shared_ptr<PortionedRead> Reading;
   ServiceName Service;
-  uint64_t Token;
   bool IsStopped = false;
 };
 
-/// Maximum number of job writes per commit: the claim takes one entry of the
-/// transaction, and a job that has ended takes two.
-constexpr size_t MaxWritesPerCommit = 15;
-
 } // namespace whintack::dispatch::Internal
 
 #endif // WHINTACK_DISPATCH_SHARDSTORE_H
--- a/src/libs/dispatch/storekeys.h
+++ b/src/libs/dispatch/storekeys.h
@@ -31,6 +31,10 @@
 inline std::string progress(const ServiceName &Service) {
   return "whintack/progress/" + Service.text() + "/";
 }
+/// The last commit of each stream of writes of the service's planner.
+inline std::string writeStreams(const ServiceName &Service) {
+  return "whintack/write/" + Service.text() + "/";
+}
 /// New jobs and cancellations that could not be sent to the planner.
 inline std::string notices(const ServiceName &Service) {
   return "whintack/notice/" + Service.text() + "/";
--- a/src/libs/simulation/include/whintack/simulation/memorystore.h
+++ b/src/libs/simulation/include/whintack/simulation/memorystore.h
@@ -24,6 +24,9 @@
   Silent,
   /// Calls are carried out, but time out because their answers are lost.
   AnswersLost,
+  /// Calls time out, and are carried out seconds later if their conditions
+  /// still hold.
+  CarriedOutLate,
   /// Watch calls time out, and all others are served.
   WatchesSilent,
 };
--- a/src/libs/simulation/memorystore.cpp
+++ b/src/libs/simulation/memorystore.cpp
@@ -11,6 +11,8 @@
 /// A caller stops waiting for an answer after this time; same value as in the
 /// client of the real platform.
 static constexpr Duration CallTimeout = std::chrono::milliseconds(1500);
+/// When a call that is carried out late takes effect.
+static constexpr Duration LateCallDelay = std::chrono::seconds(3);
 static constexpr size_t MaxHistoryEntries = 20000;
 
 /// Added to the wait of a watch to give the time-out of its call, as in the
@@ -119,6 +121,10 @@
     case StoreFaultMode::AnswersLost:
       static_cast<void>(Work());
       break;
+    case StoreFaultMode::CarriedOutLate:
+      this->Loop.schedule(Now + LateCallDelay,
+                          [Work] { static_cast<void>(Work()); });
+      break;
     case StoreFaultMode::Silent:
       break;
     }
