Dispatch: Decide on a configuration that is fresh, or confirm it first

Cause: the configuration came by one watch, silent calls of which were noticed after 1.8 s and repeated after up to 0.4 s more; nothing knew its age. Change: the operator's items are watched with a shorter wait and retried after at most 50 ms at first. A request that meets a configuration of more than 1.5 s ago has it read again first; while that fails, a queue that it lacks is answered with 503, not with 404. Measured: tst_fleetcore and tst_cancellation pass.

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -19,6 +19,10 @@
 static constexpr Duration LoadTime = std::chrono::seconds(5);
 /// Number of times that a process doubles the time for a shard that it gave up.
 static constexpr unsigned MaxDoublings = 3;
+/// Wait of one watch call for the operator's items. While none change, they are
+/// known through up to two waits ago. An overdue call is repeated on another
+/// path 0.3 s later, and a configuration must be in force within 2 s.
+static constexpr Duration OperatorWait = std::chrono::milliseconds(600);
 /// Time for which a shard that was given up is left to the other VMs.
 static constexpr Duration HoldOffTime = std::chrono::seconds(30);
 
@@ -37,6 +41,23 @@
   };
 }
 
+ConfigurationHooks FleetCore::configurationHooks() {
+  const std::weak_ptr<FleetCore> Weak = this->weak_from_this();
+  ConfigurationHooks Hooks;
+  Hooks.Queues = this->queueSource();
+  Hooks.KnownThrough = [Weak] {
+    const auto Alive = Weak.lock();
+    return Alive ? Alive->OperatorItems->knownThrough() : TimePoint::min();
+  };
+  Hooks.Refresh = [Weak](PrefixWatch::RefreshHook Done) {
+    if (const auto Alive = Weak.lock())
+      Alive->OperatorItems->refresh(std::move(Done));
+    else
+      Done(false);
+  };
+  return Hooks;
+}
+
 std::function<void(const std::string &Shard, const std::string &Cause)>
 FleetCore::shardLossHandler() {
   return [Weak = this->weak_from_this()](const std::string &Shard,
@@ -134,7 +155,8 @@
         return Alive && Alive->answerLocally(Call, Respond);
       });
   this->RequestHandler = std::make_shared<JobRequestHandler>(
-      this->Shared, this->Connections.Codec, this->Calls, this->queueSource());
+      this->Shared, this->Connections.Codec, this->Calls,
+      this->configurationHooks());
   this->Claimer = std::make_shared<ShardClaimer>(
       this->Shared, this->Self.Name, this->Tracker, this->Lease, this->Members,
       [Weak](const HeldClaim &Acquired) {
@@ -188,6 +210,7 @@
         if (const auto Alive = Weak.lock())
           Alive->handleOperatorItems(Items);
       });
+  this->OperatorItems->setCallWait(OperatorWait);
 }
 
 void FleetCore::handleRequest(const http::HttpRequest &Request,
--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -99,6 +99,7 @@
                     const std::function<void()> &Done);
   void releaseClaim(const std::string &Shard, uint64_t Token,
                     const std::function<void()> &Done);
+  ConfigurationHooks configurationHooks();
   /// Returns a function that returns the current queues.
   std::function<std::shared_ptr<const jobs::QueueTable>()> queueSource();
   /// Returns a function that drops a shard whose claim was lost.
--- a/src/libs/dispatch/jobrequesthandler.cpp
+++ b/src/libs/dispatch/jobrequesthandler.cpp
@@ -23,13 +23,15 @@
 /// Maximum age of a cached count of waiting jobs.
 static constexpr Duration MaxCountAge = std::chrono::milliseconds(1500);
 static constexpr int64_t MaxNoticeAttempts = 20;
+/// Age above which the configuration is read again before a request is handled.
+/// A change must be in force 2 s after it was acknowledged.
+static constexpr Duration MaxConfigurationAge = std::chrono::milliseconds(1500);
 
-JobRequestHandler::JobRequestHandler(
-    Context Shared, jobs::PlatformCodec Codec,
-    std::shared_ptr<ServiceCalls> Calls,
-    std::function<std::shared_ptr<const jobs::QueueTable>()> Queues)
+JobRequestHandler::JobRequestHandler(Context Shared, jobs::PlatformCodec Codec,
+                                     std::shared_ptr<ServiceCalls> Calls,
+                                     ConfigurationHooks Configuration)
     : Shared(std::move(Shared)), Codec(std::move(Codec)),
-      Calls(std::move(Calls)), Queues(std::move(Queues)) {}
+      Calls(std::move(Calls)), Configuration(std::move(Configuration)) {}
 
 static http::HttpResponse errorResponse(int Status, const std::string &Reason) {
   std::string Escaped;
@@ -74,13 +76,38 @@
 
 void JobRequestHandler::handle(const http::HttpRequest &Request,
                                http::Responder Respond) {
-  const std::shared_ptr<const jobs::QueueTable> CurrentQueues = this->Queues();
-  if (!CurrentQueues) {
+  if (!this->Configuration.Queues()) {
     Respond(errorResponse(status::ServiceUnavailable, "no configuration yet"));
     return;
   }
+  if (this->isConfigurationFresh()) {
+    this->route(Request, std::move(Respond), true);
+    return;
+  }
+  this->Configuration.Refresh(
+      [Weak = this->weak_from_this(), Request,
+       Respond = std::move(Respond)](bool IsRead) mutable {
+        if (const auto Self = Weak.lock())
+          Self->route(Request, std::move(Respond), IsRead);
+      });
+}
+
+bool JobRequestHandler::isConfigurationFresh() const {
+  return this->Configuration.KnownThrough() >=
+         this->Shared.now() - MaxConfigurationAge;
+}
+
+void JobRequestHandler::route(const http::HttpRequest &Request,
+                              http::Responder Respond, bool IsConfirmed) {
+  const std::shared_ptr<const jobs::QueueTable> CurrentQueues =
+      this->Configuration.Queues();
   const std::string Path = Request.Target.substr(0, Request.Target.find('?'));
   const jobs::Queue *Queue = CurrentQueues->find(requestHost(Request), Path);
+  if (!Queue && !IsConfirmed) {
+    Respond(errorResponse(status::ServiceUnavailable,
+                          "the configuration may be out of date"));
+    return;
+  }
   if (!Queue) {
     Respond(errorResponse(status::NotFound, "no such queue"));
     return;
@@ -137,6 +164,7 @@
   store::StoreTransaction Change;
   Change.Expect = {{Key, 0}};
   Change.Puts = {{Key, Job->Record, 0}};
+  Change.IsRepeatable = true;
   this->Shared.Store.Commit(
       Change,
       onLoop<JobRequestHandler, store::StoreResult<store::CommitAnswer>>(
--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -9,6 +9,16 @@
 
 namespace whintack::dispatch::Internal {
 
+/// The configuration as this process knows it.
+struct ConfigurationHooks {
+  /// Returns the queues; null while there is no configuration.
+  std::function<std::shared_ptr<const jobs::QueueTable>()> Queues;
+  /// Returns the time through which all changes are known.
+  std::function<TimePoint()> KnownThrough;
+  /// Reads the configuration again and passes on whether that succeeded.
+  std::function<void(std::function<void(bool IsRead)> Done)> Refresh;
+};
+
 /// Handles the requests of clients: accepts jobs, shows their state and cancels
 /// them.
 ///
@@ -18,15 +28,19 @@
 class JobRequestHandler
     : public std::enable_shared_from_this<JobRequestHandler> {
 public:
-  JobRequestHandler(
-      Context Shared, jobs::PlatformCodec Codec,
-      std::shared_ptr<ServiceCalls> Calls,
-      std::function<std::shared_ptr<const jobs::QueueTable>()> Queues);
+  JobRequestHandler(Context Shared, jobs::PlatformCodec Codec,
+                    std::shared_ptr<ServiceCalls> Calls,
+                    ConfigurationHooks Configuration);
 
   /// Handles a request; must be called on the loop's thread.
   void handle(const http::HttpRequest &Request, http::Responder Respond);
 
 private:
+  bool isConfigurationFresh() const;
+  /// Handles the request by the current configuration. If that is not
+  /// \p IsConfirmed, a queue that it lacks may exist.
+  void route(const http::HttpRequest &Request, http::Responder Respond,
+             bool IsConfirmed);
   /// A request that concerns one job and is not answered yet.
   struct JobRequest {
     jobs::JobId Id;
@@ -62,7 +76,7 @@
   Context Shared;
   jobs::PlatformCodec Codec;
   std::shared_ptr<ServiceCalls> Calls;
-  std::function<std::shared_ptr<const jobs::QueueTable>()> Queues;
+  ConfigurationHooks Configuration;
   struct CachedCount {
     std::string Waiting;
     TimePoint ValidUntil;
--- a/src/libs/dispatch/prefixwatch.cpp
+++ b/src/libs/dispatch/prefixwatch.cpp
@@ -5,8 +5,14 @@
 /// Wait of the first watch call after a failure. Its answer tells at once that
 /// the items are current again.
 static constexpr Duration ProbeTimeout = std::chrono::milliseconds(10);
-/// Maximum delay before a failed call is retried.
-static constexpr Duration RetryDelay = std::chrono::milliseconds(400);
+/// Maximum delay before the first failed call is retried. A waiting watch is
+/// also cut when nothing is wrong.
+static constexpr Duration MinRetryDelay = std::chrono::milliseconds(50);
+static constexpr unsigned MaxRetryDoublings = 3;
+/// Time after which callers no longer wait for a refresh.
+static constexpr Duration RefreshTimeout = std::chrono::milliseconds(700);
+/// Time for which no refresh is tried after one has failed.
+static constexpr Duration RefreshRetryDelay = std::chrono::seconds(1);
 /// Number of failed watches after which everything is read again if that is
 /// done in portions: the changes may be too many for the link, and become more.
 static constexpr unsigned MaxWatchFailures = 3;
@@ -71,6 +77,7 @@
     this->retry(Answer.error(), true);
     return;
   }
+  this->CallFailures = 0;
   store::StorePage &Page = Answer.value();
   if (this->OnRevision)
     this->OnRevision(Page.AsOf);
@@ -91,23 +98,97 @@
   this->watch(this->CallWait);
 }
 
-void PrefixWatch::replaceAll() {
+/// Returns the keys under which the two sets of items differ.
+static std::set<std::string> changedKeys(const ItemMap &Old,
+                                         const ItemMap &New) {
   std::set<std::string> Changed;
-  for (const auto &[Key, Item] : this->Items)
-    if (!this->NewItems.contains(Key))
+  for (const auto &[Key, Item] : Old)
+    if (!New.contains(Key))
       Changed.insert(Key);
-  for (const auto &[Key, Item] : this->NewItems) {
-    const auto Known = this->Items.find(Key);
-    if (Known == this->Items.end() || Known->second.Revision != Item.Revision)
+  for (const auto &[Key, Item] : New) {
+    const auto Known = Old.find(Key);
+    if (Known == Old.end() || Known->second.Revision != Item.Revision)
       Changed.insert(Key);
   }
-  this->Items = std::move(this->NewItems);
-  this->AsOf = this->NewItemsAsOf;
-  this->KnownThrough = this->NewItemsKnownThrough;
+  return Changed;
+}
+
+void PrefixWatch::replaceAll() {
+  // A refresh that began later may have ended first.
+  const bool IsOutdated = this->NewItemsAsOf < this->AsOf;
+  std::set<std::string> Changed;
+  if (!IsOutdated) {
+    Changed = changedKeys(this->Items, this->NewItems);
+    this->Items = std::move(this->NewItems);
+    this->AsOf = this->NewItemsAsOf;
+  }
+  this->KnownThrough = std::max(this->KnownThrough, this->NewItemsKnownThrough);
   this->IsCurrent = true;
   this->OnChange(this->Items, Changed);
 }
 
+void PrefixWatch::refresh(RefreshHook Done) {
+  const TimePoint Now = this->Shared.now();
+  if (this->IsStopped || this->KnownThrough == TimePoint::min() ||
+      Now < this->NextRefresh) {
+    Done(false);
+    return;
+  }
+  this->AwaitingRefresh.push_back(std::move(Done));
+  if (this->AwaitingRefresh.size() > 1)
+    return;
+  this->Shared.Store.Range(
+      this->Prefix, "", store::ReadKind::Current,
+      onLoop<PrefixWatch, store::StoreResult<store::StorePage>>(
+          this->Shared.Loop, this->shared_from_this(),
+          [Sent = Now](PrefixWatch &Self,
+                       store::StoreResult<store::StorePage> Answer) {
+            Self.handleRefresh(Sent, std::move(Answer));
+          }));
+  this->RefreshDeadline = Now + RefreshTimeout;
+  scheduleFor(this->Shared.Loop, this->shared_from_this(),
+              this->RefreshDeadline, [](PrefixWatch &Self) {
+                if (Self.Shared.now() >= Self.RefreshDeadline)
+                  Self.endRefresh(false);
+              });
+}
+
+void PrefixWatch::handleRefresh(TimePoint Sent,
+                                store::StoreResult<store::StorePage> Answer) {
+  if (this->IsStopped)
+    return;
+  const bool IsRead = Answer && !Answer.value().HasMore;
+  if (IsRead)
+    this->adoptPage(Sent, std::move(Answer).value());
+  this->endRefresh(IsRead);
+}
+
+void PrefixWatch::endRefresh(bool IsRead) {
+  if (this->IsStopped || this->AwaitingRefresh.empty())
+    return;
+  if (!IsRead)
+    this->NextRefresh = this->Shared.now() + RefreshRetryDelay;
+  for (const RefreshHook &Done : std::exchange(this->AwaitingRefresh, {}))
+    Done(IsRead);
+}
+
+/// Adopts a page that holds all items.
+void PrefixWatch::adoptPage(TimePoint Sent, store::StorePage Page) {
+  this->KnownThrough = std::max(this->KnownThrough, Sent);
+  if (Page.AsOf <= this->AsOf)
+    return;
+  ItemMap Read;
+  for (store::StoreItem &Item : Page.Items)
+    Read[Item.Key] = std::move(Item);
+  const std::set<std::string> Changed = changedKeys(this->Items, Read);
+  this->Items = std::move(Read);
+  this->AsOf = Page.AsOf;
+  if (this->OnRevision)
+    this->OnRevision(this->AsOf);
+  if (!Changed.empty())
+    this->OnChange(this->Items, Changed);
+}
+
 void PrefixWatch::watch(Duration Wait) {
   const TimePoint Sent = this->Shared.now();
   this->Shared.Store.Watch(
@@ -133,11 +214,13 @@
     return;
   }
   this->WatchFailures = 0;
+  this->CallFailures = 0;
   std::set<std::string> Changed;
   for (store::StoreChange &Change : Answer.value().Changes) {
-    const auto Known = this->Items.find(Change.Key);
-    if (Known != this->Items.end() && Known->second.Revision >= Change.Revision)
+    // A refresh may have read later changes.
+    if (Change.Revision <= this->AsOf)
       continue;
+    const auto Known = this->Items.find(Change.Key);
     if (Change.Item)
       this->Items[Change.Key] = std::move(*Change.Item);
     else if (Known != this->Items.end())
@@ -145,7 +228,7 @@
     Changed.insert(Change.Key);
   }
   this->AsOf = std::max(this->AsOf, Answer.value().AsOf);
-  this->KnownThrough = Sent;
+  this->KnownThrough = std::max(this->KnownThrough, Sent);
   if (this->OnRevision)
     this->OnRevision(this->AsOf);
   this->IsCurrent = true;
@@ -163,8 +246,11 @@
               {"cause", Cause.Message},
               {"as-of", this->AsOf}});
   this->IsCurrent = false;
+  const Duration Delay =
+      MinRetryDelay * (1 << std::min(this->CallFailures, MaxRetryDoublings));
+  ++this->CallFailures;
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
-              this->Shared.now() + this->Shared.jittered(RetryDelay),
+              this->Shared.now() + this->Shared.jittered(Delay),
               [ReadsAll](PrefixWatch &Self) {
                 if (Self.IsStopped)
                   return;
--- a/src/libs/dispatch/prefixwatch.h
+++ b/src/libs/dispatch/prefixwatch.h
@@ -38,6 +38,11 @@
   void setCallWait(Duration Wait) { this->CallWait = Wait; }
   void start();
   void stop();
+  /// Called with whether the items have been read.
+  using RefreshHook = std::function<void(bool IsRead)>;
+  /// Reads all items at once, beside the watch, then calls \p Done. Must not be
+  /// used with readInPortions().
+  void refresh(RefreshHook Done);
   /// Whether the last call to the store was answered.
   bool isCurrent() const { return this->IsCurrent; }
   /// Store revision up to which the items are known.
@@ -54,10 +59,15 @@
   void handleChanges(TimePoint Sent,
                      store::StoreResult<store::WatchAnswer> Answer);
   void replaceAll();
+  void handleRefresh(TimePoint Sent,
+                     store::StoreResult<store::StorePage> Answer);
+  void adoptPage(TimePoint Sent, store::StorePage Page);
+  /// Calls those that wait for the refresh.
+  void endRefresh(bool IsRead);
   void retry(const store::StoreError &Cause, bool ReadsAll);
 
   /// How long one watch call waits for a change. It bounds how long a silent
-  /// connection stays unnoticed; a configuration must be in force within 2 s.
+  /// connection stays unnoticed.
   static constexpr Duration DefaultCallWait = std::chrono::seconds(1);
 
   Context Shared;
@@ -72,6 +82,12 @@
   std::vector<std::string> PortionPrefixes;
   std::shared_ptr<PortionedRead> Portions;
   unsigned WatchFailures = 0;
+  /// Calls of any kind that have failed since the last answer.
+  unsigned CallFailures = 0;
+  /// Callers that wait for the open refresh.
+  std::vector<RefreshHook> AwaitingRefresh;
+  TimePoint NextRefresh = TimePoint::min();
+  TimePoint RefreshDeadline = TimePoint::max();
   TimePoint KnownThrough = TimePoint::min();
   TimePoint NewItemsKnownThrough = TimePoint::min();
   bool IsCurrent = false;
