--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -8,6 +8,8 @@
 /// Minimum time between two planning passes. A pass looks at all executors and
 /// waiting jobs, so reports that arrive together share one.
 static constexpr Duration MinPlanInterval = std::chrono::milliseconds(5);
+/// Minimum time between two looks at what is not stored yet.
+static constexpr Duration BacklogCheckInterval = std::chrono::milliseconds(100);
 /// Time for the advice service on top of the queue's policy, because calls
 /// queue up there.
 static constexpr Duration AdviceMargin = std::chrono::milliseconds(1500);
@@ -42,7 +44,11 @@
            [Service = this->Service](std::string_view Event,
                                      std::initializer_list<LogField> Fields) {
              logEvent(LogLevel::Info, Event, Fields);
-           }}) {}
+           }}),
+      BacklogMonitor(this->Service, [](std::string_view Event,
+                                       std::initializer_list<LogField> Fields) {
+        logEvent(LogLevel::Warning, Event, Fields);
+      }) {}
 
 void ServiceShard::start() {
   this->ClaimedAt = this->Shared.now();
@@ -150,7 +156,7 @@
   Job.Accepted = this->Shared.now() - std::max(Age, Duration::zero());
   Job.MayHaveRun = Earlier != nullptr || this->mayHaveRunEarlier(Age);
   if (Earlier)
-    this->Planner.restoreJob(std::move(Job), *Earlier);
+    this->Planner.restoreJob(std::move(Job), *Earlier, this->Shared.now());
   else
     this->Planner.addJob(std::move(Job));
   this->cancelIfPending(Id);
@@ -247,7 +253,8 @@
 
 /// Cancels the job now, or when it is added if it is not known yet.
 void ServiceShard::cancelByNotice(const jobs::JobId &Id) {
-  const std::optional<uint64_t> Change = this->Planner.cancel(Id);
+  const std::optional<uint64_t> Change =
+      this->Planner.cancel(Id, this->Shared.now());
   if (!Change) {
     this->PendingCancellations.insert(Id);
     return;
@@ -581,6 +588,7 @@
     this->Planner.repeatStops(Now);
   for (const jobs::Order &Order : this->Planner.takeOrders())
     this->execute(Order);
+  this->checkBacklog();
   this->requestFlush();
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
               this->Planner.nextPlan(Now), [Now](ServiceShard &Self) {
@@ -667,8 +675,23 @@
     this->Writer->requestFlush();
 }
 
+BacklogSample ServiceShard::storeBacklog() const {
+  return {this->Planner.storeBacklog(), this->Writer->openCommits(),
+          this->Writer->oldestOpenSince(), this->isClaimValid()};
+}
+
+void ServiceShard::checkBacklog() {
+  const TimePoint Now = this->Shared.now();
+  if (Now < this->NextBacklogCheck)
+    return;
+  this->NextBacklogCheck = Now + BacklogCheckInterval;
+  this->BacklogMonitor.update(this->storeBacklog(), Now);
+}
+
 void ServiceShard::handleWritten(const std::vector<jobs::JobWrite> &Writes) {
   this->Planner.noteWritten(Writes);
+  this->BacklogMonitor.noteWritten(Writes.size());
+  this->checkBacklog();
   for (const jobs::JobWrite &Write : Writes) {
     auto [Each, End] = this->AwaitingStore.equal_range(Write.Job);
     while (Each != End) {
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -6,6 +6,7 @@
 #include "servicecalls.h"
 #include "shardclaimer.h"
 #include "shardstore.h"
+#include "storebacklogmonitor.h"
 
 #include "whintack/jobs/planner.h"
 
@@ -56,6 +57,9 @@
     return this->IsLoaded && !this->Planner.isRecovering();
   }
 
+  /// How far the store is behind the planner.
+  BacklogSample storeBacklog() const;
+
   /// A request handler is gone that may have accepted jobs without announcing
   /// them: looks for these in the store.
   void handleLostHandler();
@@ -123,6 +127,7 @@
   void answerWhenStored(const jobs::JobId &Job, uint64_t Change,
                         std::function<void()> Answer);
   void endDrainIfStored();
+  void checkBacklog();
   void reportLoss(const std::string &Cause);
   std::string queueName(const jobs::JobId &Job) const;
   void answerCancel(const peers::ServiceCall &Call,
@@ -140,6 +145,7 @@
   jobs::Planner Planner;
   std::shared_ptr<ShardStore> Records;
   std::shared_ptr<ProgressWriter> Writer;
+  StoreBacklogMonitor BacklogMonitor;
   std::shared_ptr<PrefixWatch> Notices;
   std::map<jobs::ExecutorId, std::shared_ptr<ExecutorLink>> Links;
   std::unordered_map<jobs::JobId, std::string> QueueNames;
@@ -165,6 +171,7 @@
   /// Revision of the store through which all jobs have been read.
   uint64_t KnownAsOf = 0;
   TimePoint LastPlan = TimePoint::min();
+  TimePoint NextBacklogCheck = TimePoint::min();
   DiscoveryState Discovery = DiscoveryState::NotNeeded;
   bool IsLoaded = false;
   bool IsPlanRequested = false;
--- a/src/libs/dispatch/shardstore.cpp
+++ b/src/libs/dispatch/shardstore.cpp
@@ -2,6 +2,8 @@
 
 #include "storekeys.h"
 
+#include <utility>
+
 namespace whintack::dispatch::Internal {
 
 static constexpr Duration ReadRetryDelay = std::chrono::milliseconds(200);
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -95,6 +95,11 @@
   /// Number of the first change that is not stored; 0 if all are.
   uint64_t FirstUnstored = 0;
   uint64_t LastChange = 0;
+  /// Time of the first change that is not stored; TimePoint::max() if all are.
+  TimePoint FirstUnstoredAt = TimePoint::max();
+  /// Time of the first change since the last write was taken;
+  /// TimePoint::max() if there has been none.
+  TimePoint ChangedSinceWriteAt = TimePoint::max();
   bool IsBeingWritten = false;
   /// Number of runs not known to be over.
   size_t OpenRuns = 0;
@@ -137,6 +142,7 @@
   JobId Job;
   /// The change of the job that must be stored first.
   uint64_t Change = 0;
+  TimePoint ReportedAt;
 };
 
 /// State of an executor, and the resources booked on it.
@@ -201,14 +207,16 @@
   Internal::TaskRecord *findTask(const TaskKey &Key);
   const StepSpec &stepSpec(const Internal::JobRecord &Job, const StepKey &Step);
   Internal::TaskRecord &gangLeader(const StepKey &Step);
-  uint64_t recordChange(Internal::JobRecord &Job);
-  void setFirstUnstored(Internal::JobRecord &Job, uint64_t Change);
+  uint64_t recordChange(Internal::JobRecord &Job, TimePoint Now);
+  /// \p At is the time of the change; \p Change is 0 if all are stored.
+  void setFirstUnstored(Internal::JobRecord &Job, uint64_t Change,
+                        TimePoint At);
   void beginWrite(Internal::JobRecord &Job);
   void endWrite(Internal::JobRecord &Job);
   /// Number of the job's last change; 0 if the job is not known.
   uint64_t lastChangeOf(const JobId &Id);
-  void endJob(Internal::JobRecord &Job, JobState State);
-  void completeIfDone(Internal::JobRecord &Job);
+  void endJob(Internal::JobRecord &Job, JobState State, TimePoint Now);
+  void completeIfDone(Internal::JobRecord &Job, TimePoint Now);
   void removeIfFinished(const JobId &Id);
   void stopAllRuns(Internal::JobRecord &Job);
 
@@ -223,7 +231,8 @@
   bool mayBeAddedLater(const JobId &Job) const;
   /// Handles the ends that were reported before the job was added.
   void handleDeferredEnds(const JobId &Job);
-  void handleSuccess(Internal::JobRecord &Job, const TaskKey &Key);
+  void handleSuccess(Internal::JobRecord &Job, const TaskKey &Key,
+                     TimePoint Now);
   void handleFailure(Internal::JobRecord &Job, const EndReport &End,
                      Internal::ExecutorRecord &Executor, TimePoint Now);
   void handleRunning(Internal::ExecutorRecord &Executor, const RunReport &Row,
