Dispatch: Let late copies of machine orders and wave records fail

Cause: as with the progress of jobs, a write whose call timed out still met its only condition, the claim, when the store carried it out seconds later. Change: the record's own revision is a condition of its next write. A conflict under a valid claim means that an earlier copy took effect: its revision is adopted and the write repeated. While the store refuses commits, no further stream of progress is opened. Found by the review of the design; no trace shows it.

--- a/src/libs/dispatch/machineorders.cpp
+++ b/src/libs/dispatch/machineorders.cpp
@@ -49,6 +49,9 @@
 }
 
 void MachineOrders::readRecord(const store::StoreItem &Item) {
+  if (Item.Key != keys::MachineOrders)
+    return;
+  this->RecordRevision = Item.Revision;
   try {
     const value Rows = value::parse(Item.Value);
     for (const value &Row : Rows.as_array()) {
@@ -135,7 +138,7 @@
     Rows[Next++]["revision"] = value::number(Order.Revision);
   }
   store::StoreTransaction Change;
-  Change.Expect = {this->Claim};
+  Change.Expect = {this->Claim, {keys::MachineOrders, this->RecordRevision}};
   Change.Puts = {{keys::MachineOrders, Rows.serialize(), 0}};
   this->Shared.Store.Commit(
       Change, onLoop<MachineOrders, store::StoreResult<store::CommitAnswer>>(
@@ -150,7 +153,18 @@
     const store::StoreResult<store::CommitAnswer> &Answer) {
   if (this->IsStopped)
     return;
-  if (!Answer) {
+  const store::StoreItem *Claimed =
+      Answer ? store::findItem(Answer.value().Current, this->Claim.Key)
+             : nullptr;
+  const bool IsConflict = Answer && !Answer.value().IsCommitted && Claimed &&
+                          Claimed->Revision == this->Claim.Revision;
+  if (IsConflict) {
+    // An earlier copy of a write took effect after its time-out.
+    const store::StoreItem *Record =
+        store::findItem(Answer.value().Current, keys::MachineOrders);
+    this->RecordRevision = Record ? Record->Revision : 0;
+  }
+  if (!Answer || IsConflict) {
     this->PendingOrders.insert(this->PendingOrders.begin(),
                                this->OrdersInWrite.begin(),
                                this->OrdersInWrite.end());
@@ -166,6 +180,7 @@
     this->Hooks.OnLost("another process holds the claim");
     return;
   }
+  this->RecordRevision = Answer.value().Revision;
   const TimePoint Now = this->Shared.now();
   for (const PendingOrder &Each : Written) {
     this->RecentOrders[Each.Machine].Revision = Answer.value().Revision;
--- a/src/libs/dispatch/machineorders.h
+++ b/src/libs/dispatch/machineorders.h
@@ -84,6 +84,9 @@
   OrderingProcess Self;
   store::ExpectedRevision Claim;
   MachineOrdersHooks Hooks;
+  /// Revision of the record as far as it is known; 0 if there is none. A write
+  /// that the store carries out late finds another one.
+  uint64_t RecordRevision = 0;
   /// Time until which all machines are held if the record could not be read.
   TimePoint AllHeldUntil = TimePoint::min();
   std::map<jobs::MachineName, RecordedOrder> RecentOrders;
--- a/src/libs/dispatch/progresswriter.cpp
+++ b/src/libs/dispatch/progresswriter.cpp
@@ -14,8 +14,8 @@
 /// Time after which a commit without an answer no longer counts as one that
 /// keeps up.
 static constexpr Duration SlowCommitTime = std::chrono::milliseconds(50);
-static constexpr Duration MinRetryDelay = std::chrono::milliseconds(50);
-static constexpr unsigned MaxRetryDoublings = 3;
+static constexpr Duration MinRetryDelay = std::chrono::milliseconds(100);
+static constexpr unsigned MaxRetryDoublings = 2;
 static constexpr size_t MaxStreams = 8;
 /// The claim, and the stream's key as a condition and as a write.
 static constexpr size_t OwnEntries = 3;
@@ -82,6 +82,12 @@
 
 /// Whether the open commits do not keep up with the changes.
 bool ProgressWriter::needsFurtherStream() const {
+  // While the store refuses commits, further ones would only add to its load.
+  const bool IsRefused = std::any_of(
+      this->Streams.begin(), this->Streams.end(),
+      [](const Stream &Each) { return Each.isOpen() && Each.IsRefused; });
+  if (IsRefused)
+    return false;
   return this->Hooks.Writable() >= MaxJobEntries ||
          this->Shared.now() >= this->openCommitsSlowAt();
 }
@@ -96,7 +102,8 @@
       break;
   }
   if (this->Hooks.Writable() > 0 && this->openCommits() < MaxStreams)
-    this->scheduleFlush(this->openCommitsSlowAt());
+    this->scheduleFlush(std::max(this->openCommitsSlowAt(),
+                                 this->Shared.now() + FlushInterval));
 }
 
 bool ProgressWriter::open(size_t Index) {
@@ -120,6 +127,7 @@
   Opened.Writes = std::move(Taken);
   Opened.FirstSent = this->Shared.now();
   Opened.Failures = 0;
+  Opened.IsRefused = false;
   this->NextCollected = this->Shared.now() + FlushInterval;
   this->send(Index);
   return true;
@@ -173,6 +181,7 @@
   const Duration Delay =
       MinRetryDelay * (1 << std::min(Failed.Failures, MaxRetryDoublings));
   ++Failed.Failures;
+  Failed.IsRefused = Cause.Code == store::StoreErrorCode::Unreachable;
   if (std::has_single_bit(Failed.Failures))
     logEvent(
         LogLevel::Warning, "progress-not-written",
@@ -193,19 +202,16 @@
 void ProgressWriter::handleConflict(size_t Index,
                                     const store::CommitAnswer &Answer) {
   Stream &Current = this->Streams[Index];
-  const auto Find = [&Answer](const std::string &Key) {
-    return std::find_if(
-        Answer.Current.begin(), Answer.Current.end(),
-        [&Key](const store::StoreItem &Item) { return Item.Key == Key; });
-  };
-  const auto Claim = Find(keys::Claims + this->Service.text());
-  if (Claim == Answer.Current.end() || Claim->Revision != this->Token) {
+  const store::StoreItem *Claim =
+      store::findItem(Answer.Current, keys::Claims + this->Service.text());
+  if (!Claim || Claim->Revision != this->Token) {
     this->IsStopped = true;
     this->Hooks.OnSuperseded();
     return;
   }
-  const auto Written = Find(this->streamKey(Index));
-  if (Written == Answer.Current.end()) {
+  const store::StoreItem *Written =
+      store::findItem(Answer.Current, this->streamKey(Index));
+  if (!Written) {
     Current.Revision = 0;
   } else if (Written->Value == this->streamValue(Current)) {
     // An earlier copy of this commit has taken effect.
--- a/src/libs/dispatch/progresswriter.h
+++ b/src/libs/dispatch/progresswriter.h
@@ -42,7 +42,7 @@
 
   /// Writes soon; changes until then share a commit.
   void requestFlush();
-  /// Writes now.
+  /// Writes now, unless an open commit keeps up.
   void flush();
   void stop() { this->IsStopped = true; }
 
@@ -64,6 +64,8 @@
     store::StoreTransaction Change;
     TimePoint FirstSent = TimePoint::max();
     unsigned Failures = 0;
+    /// The store certainly did not carry out the last copy.
+    bool IsRefused = false;
 
     bool isOpen() const { return !this->Writes.empty(); }
   };
--- a/src/libs/dispatch/wavemanager.cpp
+++ b/src/libs/dispatch/wavemanager.cpp
@@ -53,8 +53,7 @@
     return;
   }
   for (const store::StoreItem &Item : Answer.value().Items)
-    this->Records[std::stoull(Item.Key.substr(keys::Waves.size()))] =
-        Item.Value;
+    this->Records[std::stoull(Item.Key.substr(keys::Waves.size()))] = Item;
   this->IsLoaded = true;
   this->setWaves(this->Requests);
 }
@@ -75,7 +74,8 @@
   if (const auto Stored = this->Records.find(Request.Number);
       Stored != this->Records.end()) {
     try {
-      const value Record = value::parse(Stored->second);
+      Opened.Revision = Stored->second.Revision;
+      const value Record = value::parse(Stored->second.Value);
       Opened.Begun = wallTimeFromMicroseconds(
           Record.at("begun-us").as_number().to_int64());
       for (const value &Name : Record.at("machines").as_array())
@@ -116,7 +116,8 @@
   Record["machines"] = Names;
   const uint64_t Number = Current.Scheduler->request().Number;
   store::StoreTransaction Change;
-  Change.Expect = {{keys::Claims + this->OwnClaim.Shard, this->OwnClaim.Token}};
+  Change.Expect = {{keys::Claims + this->OwnClaim.Shard, this->OwnClaim.Token},
+                   {keys::Waves + std::to_string(Number), Current.Revision}};
   Change.Puts = {{keys::Waves + std::to_string(Number), Record.serialize(), 0},
                  {this->Environment.Codec.WaveStatusKey(Number),
                   this->Environment.Codec.EncodeWaveStatus(IsCompleted), 0}};
@@ -133,10 +134,10 @@
             if (!Answer)
               return;
             if (!Answer.value().IsCommitted) {
-              Self.Environment.OnLost(Self.OwnClaim.Shard,
-                                      "another process holds the claim");
+              Self.handleRecordConflict(Written, Answer.value());
               return;
             }
+            Written.Revision = Answer.value().Revision;
             Written.IsStored = true;
             Written.StoredBegun = Count;
             if (IsCompleted && !Written.IsReported)
@@ -145,6 +146,23 @@
           }));
 }
 
+/// The claim is lost, or an earlier copy of a write took effect after its
+/// time-out. The record is written again by the next tick.
+void WaveManager::handleRecordConflict(Wave &Current,
+                                       const store::CommitAnswer &Answer) {
+  const store::StoreItem *Claim =
+      store::findItem(Answer.Current, keys::Claims + this->OwnClaim.Shard);
+  if (!Claim || Claim->Revision != this->OwnClaim.Token) {
+    this->Environment.OnLost(this->OwnClaim.Shard,
+                             "another process holds the claim");
+    return;
+  }
+  const uint64_t Number = Current.Scheduler->request().Number;
+  const store::StoreItem *Record =
+      store::findItem(Answer.Current, keys::Waves + std::to_string(Number));
+  Current.Revision = Record ? Record->Revision : 0;
+}
+
 void WaveManager::tick() {
   if (this->IsStopped)
     return;
--- a/src/libs/dispatch/wavemanager.h
+++ b/src/libs/dispatch/wavemanager.h
@@ -43,6 +43,8 @@
     std::unique_ptr<jobs::WaveScheduler> Scheduler;
     WallTime Begun;
     size_t StoredBegun = 0;
+    /// Revision of the stored record as far as it is known; 0 if there is none.
+    uint64_t Revision = 0;
     bool IsStored = false;
     bool IsWriting = false;
     bool IsReported = false;
@@ -64,6 +66,7 @@
   void send(uint64_t Number, const jobs::MachineInfo &Machine);
   void handleOrderAnswer(uint64_t Number, const jobs::MachineInfo &Machine,
                          const jobs::GatewayResult<void> &Answer);
+  void handleRecordConflict(Wave &Current, const store::CommitAnswer &Answer);
   void record(Wave &Current);
   bool canOrder() const;
 
@@ -73,7 +76,7 @@
   HeldClaim OwnClaim;
   std::map<uint64_t, Wave> Waves;
   /// Stored records of waves, by wave number.
-  std::map<uint64_t, std::string> Records;
+  std::map<uint64_t, store::StoreItem> Records;
   std::vector<jobs::WaveRequest> Requests;
   /// Machines for which a call is in flight.
   std::set<jobs::MachineName> InFlight;
--- a/src/libs/store/include/whintack/store/asyncstore.h
+++ b/src/libs/store/include/whintack/store/asyncstore.h
@@ -85,6 +85,10 @@
   Stale,
 };
 
+/// Returns the item with the key; null if it is not among \p Items.
+const StoreItem *findItem(const std::vector<StoreItem> &Items,
+                          const std::string &Key);
+
 /// Maximum number of entries of a transaction, over all three lists together.
 constexpr size_t MaxTransactionEntries = 32;
 
--- a/src/libs/store/storecall.cpp
+++ b/src/libs/store/storecall.cpp
@@ -1,5 +1,7 @@
 #include "whintack/store/storecall.h"
 
+#include <algorithm>
+
 namespace whintack::store {
 
 /// Returns a callback that passes a success on to \p Done as converted by
@@ -51,6 +53,14 @@
       [](const StoreResult<StoreReply> &) { return success(); });
 }
 
+const StoreItem *findItem(const std::vector<StoreItem> &Items,
+                          const std::string &Key) {
+  const auto Found =
+      std::find_if(Items.begin(), Items.end(),
+                   [&Key](const StoreItem &Each) { return Each.Key == Key; });
+  return Found == Items.end() ? nullptr : &*Found;
+}
+
 bool isRepeatable(const StoreCall &Call) {
   switch (Call.Kind) {
   case StoreCallKind::Range:
