Dispatch: Read missed jobs also for handlers lost during the catch-up

Could be seen: an accepted job that nobody runs (LOST), or a service without a planner. Cause: a handler lost while a planner catches up was forgotten; and a claim could be made under a lease that had lapsed during the read before it. Change: the loss is kept until the catch-up ends; the claimer looks at its lease again after the read. Found by the review; no trace shows it.

--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -487,12 +487,11 @@
 }
 
 void ServiceShard::handleLostHandler() {
-  // The read that ends the catch-up finds what was stored until then. Before
-  // it, runs of a job that an earlier planner started may not be known yet.
-  if (this->IsStopped || !this->IsLoaded || this->IsCatchingUp)
-    return;
   this->IsHandlerLost = true;
-  this->readLostAnnouncements();
+  // During the catch-up, runs of a job that an earlier planner started may not
+  // be known yet.
+  if (!this->IsStopped && this->IsLoaded && !this->IsCatchingUp)
+    this->readLostAnnouncements();
 }
 
 void ServiceShard::readLostAnnouncements() {
@@ -542,6 +541,8 @@
 void ServiceShard::endCatchUp() {
   this->IsCatchingUp = false;
   this->Planner.endCatchUp();
+  if (this->IsHandlerLost)
+    this->readLostAnnouncements();
   this->requestFlush();
   this->requestPlan();
 }
--- a/src/libs/dispatch/shardclaimer.cpp
+++ b/src/libs/dispatch/shardclaimer.cpp
@@ -122,6 +122,11 @@
     this->retryLater(Shard, Answer.error().Message);
     return;
   }
+  // The lease may have been lost during the read.
+  if (!this->Members->isSettled()) {
+    this->Pending.erase(Shard);
+    return;
+  }
   const std::string Key = keys::Generations + Shard;
   uint64_t Generation = 0;
   uint64_t Revision = 0;
