Dispatch: Hedge calls that begin at a peer, and judge a confirmed configuration by its age

Notices and releases of claims were not repeatable. Measured: tst_dispatch, tst_fleetcore, tst_latecommits and tst_cancellation pass.

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -435,6 +435,7 @@
   store::StoreTransaction Change;
   Change.Expect = {{keys::Claims + Shard, Token}};
   Change.Removals = {keys::Claims + Shard};
+  Change.IsRepeatable = true;
   // The members must not prefer this VM for the shard that it releases.
   if (const auto Registration = this->Members->registration();
       Registration && this->IsStopping)
--- a/src/libs/dispatch/jobrequesthandler.cpp
+++ b/src/libs/dispatch/jobrequesthandler.cpp
@@ -84,12 +84,11 @@
     this->route(Request, std::move(Respond), true);
     return;
   }
-  this->Configuration.Refresh(
-      [Weak = this->weak_from_this(), Request,
-       Respond = std::move(Respond)](bool IsRead) mutable {
-        if (const auto Self = Weak.lock())
-          Self->route(Request, std::move(Respond), IsRead);
-      });
+  this->Configuration.Refresh([Weak = this->weak_from_this(), Request,
+                               Respond = std::move(Respond)](bool) mutable {
+    if (const auto Self = Weak.lock())
+      Self->route(Request, std::move(Respond), Self->isConfigurationFresh());
+  });
 }
 
 bool JobRequestHandler::isConfigurationFresh() const {
@@ -238,7 +237,10 @@
                                     int64_t AttemptsLeft,
                                     const std::function<void(bool)> &Done) {
   store::StoreTransaction Change;
+  // A notice that exists has the same effect.
+  Change.Expect = {{Key, 0}};
   Change.Puts = {{Key, Content, 0}};
+  Change.IsRepeatable = true;
   this->Shared.Store.Commit(
       Change,
       onLoop<JobRequestHandler, store::StoreResult<store::CommitAnswer>>(
--- a/src/libs/dispatch/storerelay.cpp
+++ b/src/libs/dispatch/storerelay.cpp
@@ -85,9 +85,8 @@
   // Only a repeatable call may probe whether the direct path works again.
   const bool IsBlocked = this->Shared.now() < this->DirectBlockedUntil ||
                          (this->IsDirectDown && !IsRepeatable);
-  if (IsBlocked && this->callPeer(Id))
-    return;
-  this->callDirectly(Id);
+  if (!IsBlocked || !this->callPeer(Id))
+    this->callDirectly(Id);
   if (MayBeHedged)
     scheduleFor(this->Shared.Loop, this->shared_from_this(), HedgeAt,
                 [Id](StoreRelay &Self) { Self.hedge(Id); });
@@ -96,13 +95,17 @@
 /// Sends a call that has not been answered on a second path.
 void StoreRelay::hedge(peers::CallId Id) {
   const auto Found = this->OpenCalls.find(Id);
-  if (Found == this->OpenCalls.end() || !Found->second.IsDirectOpen ||
-      !Found->second.Peer.isEmpty())
+  if (Found == this->OpenCalls.end())
     return;
-  const bool IsWatch = Found->second.Call.Kind == StoreCallKind::Watch;
-  if (IsWatch)
-    this->shortenOverdueWatch(Found->second.Call);
+  PendingCall &Current = Found->second;
+  this->shortenOverdueWatch(Current.Call);
+  if (!Current.Peer.isEmpty()) {
+    if (!Current.IsDirectTried)
+      this->callDirectly(Id);
+    return;
+  }
   // Without a peer, another connection to the store may answer.
+  const bool IsWatch = Current.Call.Kind == StoreCallKind::Watch;
   if (!this->callPeer(Id) && IsWatch)
     this->callDirectly(Id);
 }
@@ -117,17 +120,18 @@
 
 void StoreRelay::callDirectly(peers::CallId Id) {
   PendingCall &Current = this->OpenCalls.at(Id);
-  Current.IsDirectOpen = true;
+  ++Current.OpenDirectCalls;
   Current.IsDirectTried = true;
   // The call may end before executeStoreCall returns, which would destroy
   // Current.
   const store::StoreCall Call = Current.Call;
   store::executeStoreCall(
       this->Shared.Store, Call,
-      onLoop<StoreRelay, Reply>(this->Shared.Loop, this->shared_from_this(),
-                                [Id](StoreRelay &Self, Reply Answer) {
-                                  Self.handleDirectReply(Id, std::move(Answer));
-                                }));
+      onLoop<StoreRelay, Reply>(
+          this->Shared.Loop, this->shared_from_this(),
+          [Id, Kind = Call.Kind](StoreRelay &Self, Reply Answer) {
+            Self.handleDirectReply(Id, Kind, std::move(Answer));
+          }));
 }
 
 void StoreRelay::noteDirectFailure(const StoreError &Cause) {
@@ -140,11 +144,11 @@
             {"peers", this->Hooks.UsablePeers().size()}});
 }
 
-void StoreRelay::handleDirectReply(peers::CallId Id, Reply Answer) {
+void StoreRelay::handleDirectReply(peers::CallId Id, StoreCallKind Kind,
+                                   Reply Answer) {
   const bool IsReached = Answer || !isUnreachable(Answer.error());
   const auto Found = this->OpenCalls.find(Id);
-  const bool IsIndicative = Found == this->OpenCalls.end() ||
-                            indicatesReachability(Found->second.Call.Kind);
+  const bool IsIndicative = indicatesReachability(Kind);
   if (IsReached && IsIndicative && std::exchange(this->IsDirectDown, false)) {
     this->DirectBlockedUntil = TimePoint::min();
     logEvent(LogLevel::Info, "store-regained", {});
@@ -154,14 +158,14 @@
   if (Found == this->OpenCalls.end())
     return;
   PendingCall &Current = Found->second;
-  Current.IsDirectOpen = false;
+  --Current.OpenDirectCalls;
   if (IsReached) {
     this->finish(Id, std::move(Answer));
     return;
   }
   Current.noteFailure(Answer.error());
-  // The answer of the peer that was asked in the meantime decides.
-  if (!Current.Peer.isEmpty())
+  // The answer on the path that was taken in the meantime decides.
+  if (!Current.Peer.isEmpty() || Current.isDirectOpen())
     return;
   const bool CanRepeat = Current.Failure.Code == StoreErrorCode::Unreachable ||
                          (store::isRepeatable(Current.Call) && IsIndicative);
@@ -210,7 +214,7 @@
   PendingCall &Current = this->OpenCalls.at(Id);
   if (Answer || !isUnreachable(Answer.error())) {
     this->PreferredPeer = Current.Peer;
-    if (Current.IsDirectOpen && indicatesReachability(Current.Call.Kind))
+    if (Current.isDirectOpen() && indicatesReachability(Current.Call.Kind))
       this->noteDirectFailure({StoreErrorCode::Ambiguous, "no answer yet"});
     this->finish(Id, std::move(Answer));
     return;
@@ -223,14 +227,14 @@
   if (CanRepeat && this->callPeer(Id))
     return;
   Current.Peer = EntryName();
-  if (CanRepeat)
+  if (CanRepeat && !Current.isDirectOpen())
     this->PeersBlockedUntil = this->Shared.now() + PeersRetryDelay;
   if (CanRepeat && !Current.IsDirectTried) {
     this->callDirectly(Id);
     return;
   }
   // A direct call that is still open may succeed.
-  if (!Current.IsDirectOpen)
+  if (!Current.isDirectOpen())
     this->finish(Id, failure(StoreError(Current.Failure)));
 }
 
--- a/src/libs/dispatch/storerelay.h
+++ b/src/libs/dispatch/storerelay.h
@@ -43,8 +43,8 @@
     store::StoreCall Call;
     store::StoreCallback<store::StoreReply> Done;
     bool IsDirectTried = false;
-    /// Whether the direct call has not been answered yet.
-    bool IsDirectOpen = false;
+    /// Direct calls that have not been answered yet.
+    unsigned OpenDirectCalls = 0;
     /// The peer that is being asked; empty if there is none.
     EntryName Peer;
     unsigned PeersTried = 0;
@@ -53,6 +53,7 @@
     /// The last failure, returned if no other answer arrives.
     store::StoreError Failure;
 
+    bool isDirectOpen() const { return this->OpenDirectCalls > 0; }
     void noteFailure(const store::StoreError &Cause) {
       this->Failure = Cause;
       if (Cause.Code == store::StoreErrorCode::Ambiguous)
@@ -66,7 +67,8 @@
   void hedge(peers::CallId Id);
   /// A repeated watch only looks for changes, because its bound is near.
   void shortenOverdueWatch(store::StoreCall &Call) const;
-  void handleDirectReply(peers::CallId Id, Reply Answer);
+  void handleDirectReply(peers::CallId Id, store::StoreCallKind Kind,
+                         Reply Answer);
   /// Sends the call to the next peer; returns false if there is none left.
   bool callPeer(peers::CallId Id);
   void handlePeerReply(peers::CallId Id, Reply Answer);
