--- a/src/libs/dispatch/jobrequesthandler.cpp
+++ b/src/libs/dispatch/jobrequesthandler.cpp
@@ -26,15 +26,15 @@
 /// At most one unknown queue is logged in this interval.
 static constexpr Duration UnknownQueueLogInterval = std::chrono::seconds(1);
 static constexpr size_t MaxLoggedPathBytes = 80;
+/// Age above which the configuration is read again before a request is handled.
+/// A change must be in force 2 s after it was acknowledged.
+static constexpr Duration MaxConfigurationAge = std::chrono::milliseconds(1500);
 
-JobRequestHandler::JobRequestHandler(
-    Context Shared, jobs::PlatformCodec Codec,
-    std::shared_ptr<ServiceCalls> Calls,
-    std::function<std::shared_ptr<const jobs::QueueTable>()> Queues,
-    std::function<TimePoint()> QueuesKnownThrough)
+JobRequestHandler::JobRequestHandler(Context Shared, jobs::PlatformCodec Codec,
+                                     std::shared_ptr<ServiceCalls> Calls,
+                                     ConfigurationHooks Configuration)
     : Shared(std::move(Shared)), Codec(std::move(Codec)),
-      Calls(std::move(Calls)), Queues(std::move(Queues)),
-      QueuesKnownThrough(std::move(QueuesKnownThrough)) {}
+      Calls(std::move(Calls)), Configuration(std::move(Configuration)) {}
 
 static http::HttpResponse errorResponse(int Status, const std::string &Reason) {
   std::string Escaped;
@@ -79,16 +79,41 @@
 
 void JobRequestHandler::handle(const http::HttpRequest &Request,
                                http::Responder Respond) {
-  const std::shared_ptr<const jobs::QueueTable> CurrentQueues = this->Queues();
-  if (!CurrentQueues) {
+  if (!this->Configuration.Queues()) {
     Respond(errorResponse(status::ServiceUnavailable, "no configuration yet"));
     return;
   }
+  if (this->isConfigurationFresh()) {
+    this->route(Request, std::move(Respond), true);
+    return;
+  }
+  this->Configuration.Refresh([Weak = this->weak_from_this(), Request,
+                               Respond = std::move(Respond)](bool) mutable {
+    if (const auto Self = Weak.lock())
+      Self->route(Request, std::move(Respond), Self->isConfigurationFresh());
+  });
+}
+
+bool JobRequestHandler::isConfigurationFresh() const {
+  return this->Configuration.KnownThrough() >=
+         this->Shared.now() - MaxConfigurationAge;
+}
+
+void JobRequestHandler::route(const http::HttpRequest &Request,
+                              http::Responder Respond, bool IsConfirmed) {
+  const std::shared_ptr<const jobs::QueueTable> CurrentQueues =
+      this->Configuration.Queues();
   const std::string Path = Request.Target.substr(0, Request.Target.find('?'));
   const jobs::Queue *Queue = CurrentQueues->find(requestHost(Request), Path);
-  if (!Queue) {
+  if (!Queue)
     this->logUnknownQueue(requestHost(Request), Path,
                           CurrentQueues->configuration().Version);
+  if (!Queue && !IsConfirmed) {
+    Respond(errorResponse(status::ServiceUnavailable,
+                          "the configuration may be out of date"));
+    return;
+  }
+  if (!Queue) {
     Respond(errorResponse(status::NotFound, "no such queue"));
     return;
   }
@@ -136,12 +161,13 @@
     return;
   }
   this->NextUnknownQueueLog = Now + UnknownQueueLogInterval;
-  logEvent(LogLevel::Info, "queue-unknown",
-           {{"host", Host.substr(0, MaxLoggedPathBytes)},
-            {"path", Path.substr(0, MaxLoggedPathBytes)},
-            {"version", Version},
-            {"age-ms", toMilliseconds(Now - this->QueuesKnownThrough())},
-            {"not-logged", std::exchange(this->UnloggedUnknownQueues, 0)}});
+  logEvent(
+      LogLevel::Info, "queue-unknown",
+      {{"host", Host.substr(0, MaxLoggedPathBytes)},
+       {"path", Path.substr(0, MaxLoggedPathBytes)},
+       {"version", Version},
+       {"age-ms", toMilliseconds(Now - this->Configuration.KnownThrough())},
+       {"not-logged", std::exchange(this->UnloggedUnknownQueues, 0)}});
 }
 
 void JobRequestHandler::submit(const SharedJobRequest &Job,
@@ -162,6 +188,7 @@
   store::StoreTransaction Change;
   Change.Expect = {{Key, 0}};
   Change.Puts = {{Key, Job->Record, 0}};
+  Change.IsRepeatable = true;
   this->Shared.Store.Commit(
       Change,
       onLoop<JobRequestHandler, store::StoreResult<store::CommitAnswer>>(
@@ -235,7 +262,10 @@
                                     int64_t AttemptsLeft,
                                     const std::function<void(bool)> &Done) {
   store::StoreTransaction Change;
+  // A notice that exists has the same effect.
+  Change.Expect = {{Key, 0}};
   Change.Puts = {{Key, Content, 0}};
+  Change.IsRepeatable = true;
   this->Shared.Store.Commit(
       Change,
       onLoop<JobRequestHandler, store::StoreResult<store::CommitAnswer>>(
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -1,19 +1,15 @@
 #include "serviceshard.h"
 
+#include "jobrecords.h"
 #include "storekeys.h"
 
 namespace whintack::dispatch::Internal {
 
-/// Time over which changes are collected before they are stored. Executor links
-/// wait for the write before they ask for the next ends.
-static constexpr Duration FlushInterval = std::chrono::milliseconds(15);
 /// Minimum time between two planning passes. A pass looks at all executors and
 /// waiting jobs, so reports that arrive together share one.
 static constexpr Duration MinPlanInterval = std::chrono::milliseconds(5);
 /// Minimum time between two looks at what is not stored yet.
 static constexpr Duration BacklogCheckInterval = std::chrono::milliseconds(100);
-/// Delay before a failed write is retried.
-static constexpr Duration FlushRetryDelay = std::chrono::milliseconds(100);
 /// Time for the advice service on top of the queue's policy, because calls
 /// queue up there.
 static constexpr Duration AdviceMargin = std::chrono::milliseconds(1500);
@@ -72,9 +68,9 @@
   }
   this->LoadDeadline = this->ClaimedAt + this->Environment.LoadTime;
   this->checkLoaded();
-  this->Records =
-      std::make_shared<ShardStore>(this->Shared, this->Environment.Loads,
-                                   this->Service, this->OwnClaim.Token);
+  this->Writer = this->makeWriter();
+  this->Records = std::make_shared<ShardStore>(
+      this->Shared, this->Environment.Loads, this->Service);
   this->Records->load(
       [Weak = this->weak_from_this()](const ShardStore::Contents &Loaded) {
         if (const auto Self = Weak.lock())
@@ -104,6 +100,7 @@
 void ServiceShard::stop() {
   this->IsStopped = true;
   this->Records->stop();
+  this->Writer->stop();
   if (this->Notices)
     this->Notices->stop();
   for (const auto &[Id, Link] : this->Links)
@@ -221,7 +218,7 @@
                 [](ServiceShard &Self) { Self.rescan(); });
   // The current list may predate the claim, so a new one is requested.
   this->Environment.RefreshExecutors();
-  this->flush();
+  this->Writer->flush();
 }
 
 /// Handles the notices that request handlers left in the store because they
@@ -250,7 +247,7 @@
             {"changed", Changed.size()},
             {"pending", this->PendingCancellations.size()}});
   this->removeHandledNotices();
-  this->flush();
+  this->Writer->flush();
   this->requestPlan();
 }
 
@@ -262,8 +259,9 @@
     this->PendingCancellations.insert(Id);
     return;
   }
-  this->AwaitingStore.emplace(
-      *Change, [this, Key = keys::cancellations(this->Service) + Id.text()] {
+  this->answerWhenStored(
+      Id, *Change,
+      [this, Key = keys::cancellations(this->Service) + Id.text()] {
         this->HandledNotices.insert(Key);
         this->removeHandledNotices();
       });
@@ -489,12 +487,11 @@
 }
 
 void ServiceShard::handleLostHandler() {
-  // The read that ends the catch-up finds what was stored until then. Before
-  // it, runs of a job that an earlier planner started may not be known yet.
-  if (this->IsStopped || !this->IsLoaded || this->IsCatchingUp)
-    return;
   this->IsHandlerLost = true;
-  this->readLostAnnouncements();
+  // During the catch-up, runs of a job that an earlier planner started may not
+  // be known yet.
+  if (!this->IsStopped && this->IsLoaded && !this->IsCatchingUp)
+    this->readLostAnnouncements();
 }
 
 void ServiceShard::readLostAnnouncements() {
@@ -544,6 +541,8 @@
 void ServiceShard::endCatchUp() {
   this->IsCatchingUp = false;
   this->Planner.endCatchUp();
+  if (this->IsHandlerLost)
+    this->readLostAnnouncements();
   this->requestFlush();
   this->requestPlan();
 }
@@ -648,63 +647,38 @@
   return Found == this->QueueNames.end() ? std::string() : Found->second;
 }
 
-void ServiceShard::requestFlush() {
-  if (this->IsFlushRequested || this->IsWriting || this->IsStopped)
-    return;
-  this->IsFlushRequested = true;
-  scheduleFor(this->Shared.Loop, this->shared_from_this(),
-              std::max(this->NextFlush, this->Shared.now()),
-              [](ServiceShard &Self) {
-                Self.IsFlushRequested = false;
-                Self.flush();
-              });
-}
-
-void ServiceShard::flush() {
-  if (this->IsWriting || this->IsStopped)
-    return;
-  const std::vector<jobs::JobWrite> Writes =
-      this->Planner.takeWrites(MaxWritesPerCommit);
-  if (Writes.empty()) {
-    this->sendStoredAnswers();
-    return;
-  }
-  this->NextFlush = this->Shared.now() + FlushInterval;
-  this->IsWriting = true;
-  this->Records->write(
-      Writes, [this](const jobs::JobId &Job) { return this->queueName(Job); },
-      [Weak = this->weak_from_this(),
-       Writes](ShardStore::WriteOutcome Outcome) {
-        if (const auto Self = Weak.lock())
-          Self->handleWriteResult(Writes, Outcome);
-      });
+std::shared_ptr<ProgressWriter> ServiceShard::makeWriter() {
+  // The writer runs on the same loop as this object and is stopped by it, so
+  // capturing this is safe.
+  ProgressWriterHooks Hooks;
+  Hooks.Writable = [this] { return this->Planner.writableJobs(); };
+  Hooks.Take = [this](size_t MaxEntries) {
+    return this->Planner.takeWrites(MaxEntries);
+  };
+  Hooks.Return = [this](const std::vector<jobs::JobWrite> &Writes) {
+    this->Planner.noteWriteFailed(Writes);
+  };
+  Hooks.OnWritten = [this](const std::vector<jobs::JobWrite> &Writes) {
+    this->handleWritten(Writes);
+  };
+  Hooks.QueueName = [this](const jobs::JobId &Job) {
+    return this->queueName(Job);
+  };
+  Hooks.OnSuperseded = [this] {
+    this->reportLoss("another planner holds the claim");
+  };
+  return std::make_shared<ProgressWriter>(
+      this->Shared, this->Service, this->OwnClaim.Token, std::move(Hooks));
 }
 
-void ServiceShard::handleWriteResult(const std::vector<jobs::JobWrite> &Writes,
-                                     ShardStore::WriteOutcome Outcome) {
-  this->IsWriting = false;
-  switch (Outcome) {
-  case ShardStore::WriteOutcome::Superseded:
-    this->reportLoss("another planner holds the claim");
-    return;
-  case ShardStore::WriteOutcome::Failed:
-    this->Planner.noteWriteFailed(Writes);
-    this->NextFlush = this->Shared.now() + FlushRetryDelay;
-    break;
-  case ShardStore::WriteOutcome::Written:
-    this->Planner.noteWritten(Writes);
-    this->BacklogMonitor.noteWritten(Writes.size());
-    this->sendStoredAnswers();
-    break;
-  }
-  this->checkBacklog();
-  this->requestFlush();
+void ServiceShard::requestFlush() {
+  if (!this->IsStopped)
+    this->Writer->requestFlush();
 }
 
 BacklogSample ServiceShard::storeBacklog() const {
-  const ShardStore::OpenWrites Open = this->Records->openWrites();
-  return {this->Planner.storeBacklog(), Open.Count, Open.OldestSentAt,
-          this->isClaimValid()};
+  return {this->Planner.storeBacklog(), this->Writer->openCommits(),
+          this->Writer->oldestOpenSince(), this->isClaimValid()};
 }
 
 void ServiceShard::checkBacklog() {
@@ -715,24 +689,44 @@
   this->BacklogMonitor.update(this->storeBacklog(), Now);
 }
 
-void ServiceShard::sendStoredAnswers() {
-  const uint64_t StoredThrough = this->Planner.storedThrough();
-  while (!this->AwaitingStore.empty() &&
-         this->AwaitingStore.begin()->first <= StoredThrough) {
-    const std::function<void()> Answer =
-        std::move(this->AwaitingStore.begin()->second);
-    this->AwaitingStore.erase(this->AwaitingStore.begin());
-    Answer();
-  }
-  if (this->OnDrained && StoredThrough == this->Planner.lastChange()) {
-    const std::function<void()> Done = std::exchange(this->OnDrained, nullptr);
-    Done();
+void ServiceShard::handleWritten(const std::vector<jobs::JobWrite> &Writes) {
+  this->Planner.noteWritten(Writes);
+  this->BacklogMonitor.noteWritten(Writes.size());
+  this->checkBacklog();
+  for (const jobs::JobWrite &Write : Writes) {
+    auto [Each, End] = this->AwaitingStore.equal_range(Write.Job);
+    while (Each != End) {
+      const auto Current = Each++;
+      if (!this->Planner.isStored(Write.Job, Current->second.Change))
+        continue;
+      const std::function<void()> Answer = std::move(Current->second.Answer);
+      this->AwaitingStore.erase(Current);
+      Answer();
+    }
   }
+  this->endDrainIfStored();
+}
+
+void ServiceShard::answerWhenStored(const jobs::JobId &Job, uint64_t Change,
+                                    std::function<void()> Answer) {
+  if (this->Planner.isStored(Job, Change))
+    Answer();
+  else
+    this->AwaitingStore.emplace(Job, AwaitingAnswer{Change, std::move(Answer)});
+}
+
+void ServiceShard::endDrainIfStored() {
+  if (!this->OnDrained ||
+      this->Planner.storedThrough() != this->Planner.lastChange())
+    return;
+  const std::function<void()> Done = std::exchange(this->OnDrained, nullptr);
+  Done();
 }
 
 void ServiceShard::drain(std::function<void()> Done) {
   this->OnDrained = std::move(Done);
-  this->flush();
+  this->Writer->flush();
+  this->endDrainIfStored();
 }
 
 void ServiceShard::reportLoss(const std::string &Cause) {
--- a/src/libs/dispatch/shardstore.h
+++ b/src/libs/dispatch/shardstore.h
@@ -2,24 +2,20 @@
 #define WHINTACK_DISPATCH_SHARDSTORE_H
 
 #include "context.h"
-#include "jobrecords.h"
 #include "loadqueue.h"
 #include "portionedread.h"
 
-#include "whintack/jobs/planner.h"
+#include "whintack/jobs/taskkey.h"
 
 #include <map>
-#include <set>
 
 namespace whintack::dispatch::Internal {
 
-/// Reads and writes the store's records of one service for its planner. Every
-/// write expects the planner's claim, so that the store rejects it once another
-/// planner has taken over.
+/// Reads the store's records of one service for its planner.
 class ShardStore : public std::enable_shared_from_this<ShardStore> {
 public:
   ShardStore(Context Shared, std::shared_ptr<LoadQueue> Loads,
-             ServiceName Service, uint64_t Token);
+             ServiceName Service);
 
   /// All records of the service.
   struct Contents {
@@ -29,14 +25,6 @@
     TimePoint Began;
     uint64_t AsOf = 0;
   };
-  /// Writes that have been sent and not answered.
-  struct OpenWrites {
-    size_t Count = 0;
-    /// When the oldest of them was sent; TimePoint::max() if there is none.
-    TimePoint OldestSentAt = TimePoint::max();
-  };
-  OpenWrites openWrites() const;
-
   /// Reads all records; retries until that succeeds or stop() is called.
   void load(std::function<void(Contents)> Done);
   /// Called with jobs and the revision through which they are complete.
@@ -46,20 +34,6 @@
   /// returns all jobs if the store no longer knows which these are.
   void readChangedJobs(uint64_t After, JobsHook Done);
 
-  /// How a write ended.
-  enum class WriteOutcome {
-    Written,
-    /// Not written, or the outcome is unknown; the write must be retried.
-    Failed,
-    /// Another planner holds the claim.
-    Superseded,
-  };
-  /// Stores the planner's writes. \p QueueName returns the queue of a job that
-  /// ends.
-  void write(const std::vector<jobs::JobWrite> &Writes,
-             const std::function<std::string(const jobs::JobId &)> &QueueName,
-             const std::function<void(WriteOutcome)> &Done);
-
   void stop();
 
 private:
@@ -86,25 +60,14 @@
                const store::StoreError &Cause,
                void (ShardStore::*Step)(const std::shared_ptr<ChangeRead> &));
   void readAllJobs(JobsHook Done);
-  void logFailedWrite(const store::StoreError &Cause, size_t Jobs,
-                      TimePoint SentAt);
 
   Context Shared;
   std::shared_ptr<LoadQueue> Loads;
   std::shared_ptr<PortionedRead> Reading;
   ServiceName Service;
-  uint64_t Token;
-  std::multiset<TimePoint> WritesSentAt;
-  /// Failed writes are not logged before this time, but counted.
-  TimePoint NextFailureLogAt = TimePoint::min();
-  uint64_t UnloggedFailures = 0;
   bool IsStopped = false;
 };
 
-/// Maximum number of job writes per commit: the claim takes one entry of the
-/// transaction, and a job that has ended takes two.
-constexpr size_t MaxWritesPerCommit = 15;
-
 } // namespace whintack::dispatch::Internal
 
 #endif // WHINTACK_DISPATCH_SHARDSTORE_H
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -136,10 +136,11 @@
   TimePoint ReportedAt;
 };
 
-/// An end that an executor has reported and still keeps.
+/// An end that its executor keeps until its effect is stored.
 struct UnacknowledgedEnd {
   uint64_t Number = 0;
-  /// Number of the last change made when the end was handled.
+  JobId Job;
+  /// The change of the job that must be stored first.
   uint64_t Change = 0;
   TimePoint ReportedAt;
 };
@@ -159,6 +160,7 @@
   int64_t LongRunningMilliCores = 0;
   std::map<TaskKey, uint64_t> Runs;
   uint64_t LastEnd = 0;
+  /// The ends that the executor still keeps, by number.
   std::deque<UnacknowledgedEnd> UnacknowledgedEnds;
   /// Number of the first end whose job is not known yet; 0 if there is none.
   /// This end and later ones must be kept by the executor.
@@ -209,6 +211,10 @@
   /// \p At is the time of the change; \p Change is 0 if all are stored.
   void setFirstUnstored(Internal::JobRecord &Job, uint64_t Change,
                         TimePoint At);
+  void beginWrite(Internal::JobRecord &Job);
+  void endWrite(Internal::JobRecord &Job);
+  /// Number of the job's last change; 0 if the job is not known.
+  uint64_t lastChangeOf(const JobId &Id);
   void endJob(Internal::JobRecord &Job, JobState State, TimePoint Now);
   void completeIfDone(Internal::JobRecord &Job, TimePoint Now);
   void removeIfFinished(const JobId &Id);
@@ -340,10 +346,11 @@
   /// The earliest NextStopAt of all runs, or earlier.
   TimePoint NextStopAt = TimePoint::max();
   uint64_t Changes = 0;
-  /// FirstUnstored of all jobs that have unstored changes.
-  std::multiset<uint64_t> UnstoredChanges;
-  /// All jobs that have unstored changes. Entries of Jobs do not move.
-  std::map<JobId, Internal::JobRecord *> UnstoredJobs;
+  /// All jobs that have unstored changes, by their FirstUnstored. Entries of
+  /// Jobs do not move.
+  std::map<std::pair<uint64_t, JobId>, Internal::JobRecord *> UnstoredJobs;
+  /// Number of jobs that are being written.
+  size_t OpenWrites = 0;
   /// Processor capacity of the executors that may get tasks, and the part of it
   /// that the runs with IsLastChance have booked.
   int64_t TotalMilliCores = 0;
--- a/src/libs/store/include/whintack/store/asyncstore.h
+++ b/src/libs/store/include/whintack/store/asyncstore.h
@@ -65,6 +65,11 @@
   std::vector<ExpectedRevision> Expect;
   std::vector<StorePut> Puts;
   std::vector<std::string> Removals;
+  /// One of the conditions fails once the transaction has been applied, and the
+  /// caller recognizes its own earlier copy by the items of the answer. Such a
+  /// transaction can be sent again, also on another path, if it is not
+  /// answered.
+  bool IsRepeatable = false;
 };
 
 /// The outcome of a transaction.
@@ -79,10 +84,18 @@
 enum class ReadKind {
   /// Reflects all writes committed so far.
   Current,
+  /// As Current, for pages that may fill a slow link: they are not read a
+  /// second
+  /// time on another path while the first call is open.
+  Bulk,
   /// May be seconds old; costs the store a tenth of a current read.
   Stale,
 };
 
+/// Returns the item with the key; null if it is not among \p Items.
+const StoreItem *findItem(const std::vector<StoreItem> &Items,
+                          const std::string &Key);
+
 /// Maximum number of entries of a transaction, over all three lists together.
 constexpr size_t MaxTransactionEntries = 32;
 
--- a/src/libs/store/storecall.cpp
+++ b/src/libs/store/storecall.cpp
@@ -1,5 +1,7 @@
 #include "whintack/store/storecall.h"
 
+#include <algorithm>
+
 namespace whintack::store {
 
 /// Returns a callback that passes a success on to \p Done as converted by
@@ -51,8 +53,16 @@
       [](const StoreResult<StoreReply> &) { return success(); });
 }
 
-bool isRepeatable(StoreCallKind Kind) {
-  switch (Kind) {
+const StoreItem *findItem(const std::vector<StoreItem> &Items,
+                          const std::string &Key) {
+  const auto Found =
+      std::find_if(Items.begin(), Items.end(),
+                   [&Key](const StoreItem &Each) { return Each.Key == Key; });
+  return Found == Items.end() ? nullptr : &*Found;
+}
+
+bool isRepeatable(const StoreCall &Call) {
+  switch (Call.Kind) {
   case StoreCallKind::Range:
   case StoreCallKind::Watch:
   case StoreCallKind::KeepLease:
@@ -62,7 +72,7 @@
   case StoreCallKind::GrantLease:
     return true;
   case StoreCallKind::Commit:
-    return false;
+    return Call.Change.IsRepeatable;
   }
   return false;
 }
--- a/tests/auto/jobs/tst_discardableends.cpp
+++ b/tests/auto/jobs/tst_discardableends.cpp
@@ -9,7 +9,7 @@
 TEST_CASE("an end of a job that has ended waits until that is stored") {
   NarrowFixture Fixture;
   const auto Ended = Fixture.run("1", 1).front();
-  Fixture.Planner.cancel(JobId("1"));
+  Fixture.Planner.cancel(JobId("1"), Fixture.Time.now());
   Fixture.endRun(Ended, RunEnd::Done);
   CHECK(Fixture.discardable(Ended.Executor.text()) == 0);
   Fixture.storeAllBut("1");
--- a/tests/auto/jobs/tst_writefairness.cpp
+++ b/tests/auto/jobs/tst_writefairness.cpp
@@ -73,7 +73,7 @@
   NarrowFixture Fixture;
   const auto Cancelled = Fixture.run("1", 1).front();
   const auto Other = Fixture.run("2", 1).front();
-  Fixture.Planner.cancel(JobId("1"));
+  Fixture.Planner.cancel(JobId("1"), Fixture.Time.now());
   Fixture.store();
   Fixture.endRun(Other, RunEnd::Done);
   Fixture.endRun(Cancelled, RunEnd::Stopped);
