--- a/src/libs/dispatch/executorlink.cpp
+++ b/src/libs/dispatch/executorlink.cpp
@@ -14,12 +14,10 @@
 static constexpr Duration ReportMargin = std::chrono::milliseconds(700);
 /// Runs that end within this time share one report.
 static constexpr Duration CoalesceTime = std::chrono::milliseconds(10);
-/// Delay of the next report call while ends of the last report are not stored.
-/// The executor would list them again, so the delay doubles while none of them
-/// can be acknowledged.
-static constexpr Duration MinAcknowledgementDelay =
+/// Maximum delay of the next report call until the ends from the last report
+/// are stored.
+static constexpr Duration MaxAcknowledgementDelay =
     std::chrono::milliseconds(150);
-static constexpr unsigned MaxAcknowledgementDoublings = 2;
 /// Time-out of an order; executors take milliseconds to answer one.
 static constexpr Duration OrderTimeout = std::chrono::milliseconds(800);
 static constexpr Duration MinRetryDelay = std::chrono::milliseconds(100);
@@ -106,7 +104,6 @@
     this->Hooks.OnReachable(this->Setup.Executor.Id, true);
   }
   this->HasRuns = !Answer.value().Running.empty();
-  const bool HadEnds = this->LastEnd != 0;
   this->LastEnd =
       Answer.value().Ended.empty() ? 0 : Answer.value().Ended.back().Number;
   this->noteListed(Answer.value().Ended);
@@ -115,15 +112,7 @@
     this->scheduleReport(Duration::zero());
     return;
   }
-  const uint64_t Discardable =
-      this->Hooks.LastDiscardableEnd(this->Setup.Executor.Id);
-  const bool IsStuck = HadEnds && Discardable == this->LastDiscardable;
-  this->LastDiscardable = Discardable;
-  this->StuckReports = IsStuck ? this->StuckReports + 1 : 0;
-  this->AcknowledgeDeadline =
-      this->Shared.now() +
-      MinAcknowledgementDelay *
-          (1 << std::min(this->StuckReports, MaxAcknowledgementDoublings));
+  this->AcknowledgeDeadline = this->Shared.now() + MaxAcknowledgementDelay;
   this->scheduleReport(CoalesceTime);
 }
 
--- a/src/libs/dispatch/executorlink.h
+++ b/src/libs/dispatch/executorlink.h
@@ -110,10 +110,6 @@
   /// Number of the last end in the last report; 0 if it contained none.
   uint64_t LastEnd = 0;
   TimePoint AcknowledgeDeadline = TimePoint::min();
-  /// Last end that could be discarded when the last report arrived.
-  uint64_t LastDiscardable = 0;
-  /// Successive reports that repeated ends of which none could be discarded.
-  unsigned StuckReports = 0;
   uint64_t LastListedEnd = 0;
   /// Ends that were not acknowledged, each with the time of its first report.
   std::deque<std::pair<uint64_t, TimePoint>> ListedEnds;
--- a/tests/auto/dispatch/tst_progressbacklog.cpp
+++ b/tests/auto/dispatch/tst_progressbacklog.cpp
@@ -100,10 +100,9 @@
 
   /// Whether all jobs were accepted and run, by the same planner.
   bool isUndisturbed() {
-    constexpr int Ok = 200;
     return this->plannerOf(Service.text()) == this->Planner &&
            std::all_of(this->Answers.begin(), this->Answers.end(),
-                       [](const auto &Each) { return Each->Status == Ok; }) &&
+                       [](const auto &Each) { return Each->Status == 200; }) &&
            this->Platform.runChecker().violations().empty();
   }
 
