Dispatch: Keep items that a later page has read newer than the watch reports

Cause: the redesign of the watches dropped the comparison with the item's own revision, which pages read after the first one need. Change: a change is skipped if the item is as new, or if a refresh has read past it. Found on reading the diff.

--- a/src/libs/dispatch/prefixwatch.cpp
+++ b/src/libs/dispatch/prefixwatch.cpp
@@ -247,10 +247,13 @@
   this->CallFailures = 0;
   std::set<std::string> Changed;
   for (store::StoreChange &Change : Answer.value().Changes) {
-    // A refresh may have read later changes.
-    if (Change.Revision <= this->AsOf)
-      continue;
+    // A refresh, or a later page of the first read, may have found a later
+    // change.
     const auto Known = this->Items.find(Change.Key);
+    const bool IsKnown =
+        Known != this->Items.end() && Known->second.Revision >= Change.Revision;
+    if (IsKnown || Change.Revision <= this->AsOf)
+      continue;
     if (Change.Item)
       this->Items[Change.Key] = std::move(*Change.Item);
     else if (Known != this->Items.end())
