--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -41,23 +41,6 @@
   };
 }
 
-ConfigurationHooks FleetCore::configurationHooks() {
-  const std::weak_ptr<FleetCore> Weak = this->weak_from_this();
-  ConfigurationHooks Hooks;
-  Hooks.Queues = this->queueSource();
-  Hooks.KnownThrough = [Weak] {
-    const auto Alive = Weak.lock();
-    return Alive ? Alive->OperatorItems->knownThrough() : TimePoint::min();
-  };
-  Hooks.Refresh = [Weak](PrefixWatch::RefreshHook Done) {
-    if (const auto Alive = Weak.lock())
-      Alive->OperatorItems->refresh(std::move(Done));
-    else
-      Done(false);
-  };
-  return Hooks;
-}
-
 std::function<void(const std::string &Shard, const std::string &Cause)>
 FleetCore::shardLossHandler() {
   return [Weak = this->weak_from_this()](const std::string &Shard,
@@ -245,55 +228,6 @@
               [](FleetCore &Owner) { Owner.checkPeriodically(); });
 }
 
-void FleetCore::handleOperatorItems(const ItemMap &Items) {
-  const jobs::PlatformCodec &Codec = this->Connections.Codec;
-  this->Waves.clear();
-  for (const auto &[Key, Item] : Items) {
-    if (Key == Codec.ConfigurationKey) {
-      auto Read = Codec.DecodeConfiguration(Item.Value);
-      if (Read)
-        this->adoptConfiguration(std::move(Read).value(), Item.Revision);
-      else
-        logEvent(LogLevel::Error, "configuration-unreadable",
-                 {{"cause", Read.error().Message}});
-    } else if (Key.starts_with(Codec.WavePrefix)) {
-      auto Read = Codec.DecodeWave(Item.Value);
-      if (Read)
-        this->Waves.push_back(std::move(Read).value());
-      else
-        logEvent(LogLevel::Error, "wave-unreadable",
-                 {{"key", Key}, {"cause", Read.error().Message}});
-    }
-  }
-  if (this->Maintenance)
-    this->Maintenance->setWaves(this->Waves);
-}
-
-void FleetCore::adoptConfiguration(jobs::FleetConfiguration Newest,
-                                   uint64_t Revision) {
-  if (this->Queues && Newest.Version <= this->Queues->configuration().Version)
-    return;
-  logEvent(LogLevel::Info, "configuration-adopted",
-           {{"version", Newest.Version},
-            {"revision", Revision},
-            {"age-ms", toMilliseconds(this->Shared.now() -
-                                      this->OperatorItems->knownThrough())},
-            {"by", nameOf(ReportKindNames, this->OperatorItems->lastReport())},
-            {"via", this->OperatorItems->lastReportVia()},
-            {"queues", Newest.Queues.size()},
-            {"services", Newest.Services.size()}});
-  this->Queues = std::make_shared<const jobs::QueueTable>(std::move(Newest));
-  std::set<std::string> RequiredShards = {keys::FleetShard};
-  for (const jobs::ServicePolicy &Service :
-       this->Queues->configuration().Services)
-    if (!Service.IsSpare)
-      RequiredShards.insert(Service.Name.text());
-  for (const auto &[Name, Shard] : this->Shards)
-    Shard->setQueues(*this->Queues);
-  this->Claimer->setShards(std::move(RequiredShards));
-  this->IsReadyNow = this->canServe();
-}
-
 void FleetCore::handleClaimAcquired(const HeldClaim &Acquired) {
   if (this->IsStopping) {
     this->releaseClaim(Acquired.Shard, Acquired.Token, [] {});
--- a/src/libs/dispatch/jobrequesthandler.cpp
+++ b/src/libs/dispatch/jobrequesthandler.cpp
@@ -88,7 +88,7 @@
     return;
   }
   this->Configuration.Refresh([Weak = this->weak_from_this(), Request,
-                               Respond = std::move(Respond)](bool) mutable {
+                               Respond = std::move(Respond)]() mutable {
     if (const auto Self = Weak.lock())
       Self->route(Request, std::move(Respond), Self->isConfigurationFresh());
   });
--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -15,8 +15,8 @@
   std::function<std::shared_ptr<const jobs::QueueTable>()> Queues;
   /// Returns the time through which all changes are known.
   std::function<TimePoint()> KnownThrough;
-  /// Reads the configuration again and passes on whether that succeeded.
-  std::function<void(std::function<void(bool IsRead)> Done)> Refresh;
+  /// Reads the configuration again and calls \p Done when that has ended.
+  std::function<void(std::function<void()> Done)> Refresh;
 };
 
 /// Handles the requests of clients: accepts jobs, shows their state and cancels
--- a/src/libs/dispatch/machineorders.cpp
+++ b/src/libs/dispatch/machineorders.cpp
@@ -153,17 +153,14 @@
     const store::StoreResult<store::CommitAnswer> &Answer) {
   if (this->IsStopped)
     return;
-  const store::StoreItem *Claimed =
-      Answer ? store::findItem(Answer.value().Current, this->Claim.Key)
-             : nullptr;
-  const bool IsConflict = Answer && !Answer.value().IsCommitted && Claimed &&
-                          Claimed->Revision == this->Claim.Revision;
-  if (IsConflict) {
-    // An earlier copy of a write took effect after its time-out.
-    const store::StoreItem *Record =
-        store::findItem(Answer.value().Current, keys::MachineOrders);
-    this->RecordRevision = Record ? Record->Revision : 0;
-  }
+  const bool IsConflict =
+      Answer && !Answer.value().IsCommitted &&
+      store::revisionOf(Answer.value().Current, this->Claim.Key) ==
+          this->Claim.Revision;
+  // An earlier copy of a write took effect after its time-out.
+  if (IsConflict)
+    this->RecordRevision =
+        store::revisionOf(Answer.value().Current, keys::MachineOrders);
   if (!Answer || IsConflict) {
     this->PendingOrders.insert(this->PendingOrders.begin(),
                                this->OrdersInWrite.begin(),
--- a/src/libs/dispatch/prefixwatch.cpp
+++ b/src/libs/dispatch/prefixwatch.cpp
@@ -155,11 +155,11 @@
               [](PrefixWatch &Self) { Self.checkAge(); });
 }
 
-void PrefixWatch::refresh(RefreshHook Done) {
+void PrefixWatch::refresh(std::function<void()> Done) {
   const TimePoint Now = this->Shared.now();
   if (this->IsStopped || this->KnownThrough == TimePoint::min() ||
       Now < this->NextRefresh) {
-    Done(false);
+    Done();
     return;
   }
   this->AwaitingRefresh.push_back(std::move(Done));
@@ -196,8 +196,8 @@
     return;
   if (!IsRead)
     this->NextRefresh = this->Shared.now() + RefreshRetryDelay;
-  for (const RefreshHook &Done : std::exchange(this->AwaitingRefresh, {}))
-    Done(IsRead);
+  for (const auto &Done : std::exchange(this->AwaitingRefresh, {}))
+    Done();
 }
 
 /// Adopts a page that holds all items.
--- a/src/libs/dispatch/prefixwatch.h
+++ b/src/libs/dispatch/prefixwatch.h
@@ -44,11 +44,10 @@
   void setCallWait(Duration Wait) { this->CallWait = Wait; }
   void start();
   void stop();
-  /// Called with whether the items have been read.
-  using RefreshHook = std::function<void(bool IsRead)>;
-  /// Reads all items at once, beside the watch, then calls \p Done. Must not be
-  /// used with readInPortions().
-  void refresh(RefreshHook Done);
+  /// Reads all items at once, beside the watch, and calls \p Done when that has
+  /// ended; knownThrough() tells whether it succeeded. Must not be used with
+  /// readInPortions().
+  void refresh(std::function<void()> Done);
   /// Whether the last call to the store was answered.
   bool isCurrent() const { return this->IsCurrent; }
   /// Store revision up to which the items are known.
@@ -97,7 +96,7 @@
   /// Calls of any kind that have failed since the last answer.
   unsigned CallFailures = 0;
   /// Callers that wait for the open refresh.
-  std::vector<RefreshHook> AwaitingRefresh;
+  std::vector<std::function<void()>> AwaitingRefresh;
   TimePoint NextRefresh = TimePoint::min();
   TimePoint RefreshDeadline = TimePoint::max();
   TimePoint KnownThrough = TimePoint::min();
--- a/src/libs/dispatch/progresswriter.cpp
+++ b/src/libs/dispatch/progresswriter.cpp
@@ -202,25 +202,21 @@
 void ProgressWriter::handleConflict(size_t Index,
                                     const store::CommitAnswer &Answer) {
   Stream &Current = this->Streams[Index];
-  const store::StoreItem *Claim =
-      store::findItem(Answer.Current, keys::Claims + this->Service.text());
-  if (!Claim || Claim->Revision != this->Token) {
+  const std::string Claim = keys::Claims + this->Service.text();
+  if (store::revisionOf(Answer.Current, Claim) != this->Token) {
     this->IsStopped = true;
     this->Hooks.OnSuperseded();
     return;
   }
   const store::StoreItem *Written =
       store::findItem(Answer.Current, this->streamKey(Index));
-  if (!Written) {
-    Current.Revision = 0;
-  } else if (Written->Value == this->streamValue(Current)) {
+  if (Written && Written->Value == this->streamValue(Current)) {
     // An earlier copy of this commit has taken effect.
     this->finish(Index, Written->Revision);
     return;
-  } else {
-    // The key is from an earlier planner.
-    Current.Revision = Written->Revision;
   }
+  // Otherwise the key is from an earlier planner, or has not been written yet.
+  Current.Revision = Written ? Written->Revision : 0;
   this->send(Index);
 }
 
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -8,8 +8,6 @@
 /// Minimum time between two planning passes. A pass looks at all executors and
 /// waiting jobs, so reports that arrive together share one.
 static constexpr Duration MinPlanInterval = std::chrono::milliseconds(5);
-/// Minimum time between two looks at what is not stored yet.
-static constexpr Duration BacklogCheckInterval = std::chrono::milliseconds(100);
 /// Time for the advice service on top of the queue's policy, because calls
 /// queue up there.
 static constexpr Duration AdviceMargin = std::chrono::milliseconds(1500);
@@ -20,8 +18,6 @@
 /// Wait of one watch call for notices. While none come, what is known is as old
 /// as two calls, which must stay below MaxNoticeAge also with slow answers.
 static constexpr Duration NoticeWait = std::chrono::milliseconds(500);
-/// Maximum delay before a failed removal of notices is retried.
-static constexpr Duration NoticeRetryDelay = std::chrono::milliseconds(400);
 /// Interval between two checks of the machines while executors are silent.
 static constexpr Duration SilentCheckInterval = std::chrono::milliseconds(600);
 /// Time after which an earlier planner's claim has certainly expired.
@@ -221,99 +217,6 @@
   this->Writer->flush();
 }
 
-/// Handles the notices that request handlers left in the store because they
-/// could not reach the planner. A notice is removed once its effect is stored.
-void ServiceShard::handleNotices(const ItemMap &Items,
-                                 const std::set<std::string> &Changed) {
-  if (this->IsStopped || Items.empty())
-    return;
-  const std::string Jobs = keys::newJobs(this->Service);
-  const std::string Cancels = keys::cancellations(this->Service);
-  for (const std::string &Key : Changed) {
-    const auto Found = Items.find(Key);
-    if (Found == Items.end())
-      continue;
-    if (Key.starts_with(Jobs)) {
-      this->addStoredJob(jobs::JobId(Key.substr(Jobs.size())),
-                         Found->second.Value, nullptr);
-      this->HandledNotices.insert(Key);
-    } else if (Key.starts_with(Cancels)) {
-      this->cancelByNotice(jobs::JobId(Key.substr(Cancels.size())));
-    }
-  }
-  logEvent(LogLevel::Info, "notices-handled",
-           {{"shard", this->OwnClaim.Shard},
-            {"items", Items.size()},
-            {"changed", Changed.size()},
-            {"pending", this->PendingCancellations.size()}});
-  this->removeHandledNotices();
-  this->Writer->flush();
-  this->requestPlan();
-}
-
-/// Cancels the job now, or when it is added if it is not known yet.
-void ServiceShard::cancelByNotice(const jobs::JobId &Id) {
-  const std::optional<uint64_t> Change =
-      this->Planner.cancel(Id, this->Shared.now());
-  if (!Change) {
-    this->PendingCancellations.insert(Id);
-    return;
-  }
-  this->answerWhenStored(
-      Id, *Change,
-      [this, Key = keys::cancellations(this->Service) + Id.text()] {
-        this->HandledNotices.insert(Key);
-        this->removeHandledNotices();
-      });
-}
-
-void ServiceShard::cancelIfPending(const jobs::JobId &Id) {
-  if (this->PendingCancellations.erase(Id) > 0)
-    this->cancelByNotice(Id);
-}
-
-void ServiceShard::removeHandledNotices() {
-  if (this->IsRemovingNotices || this->IsStopped ||
-      this->HandledNotices.empty())
-    return;
-  store::StoreTransaction Change;
-  Change.Expect = {{keys::Claims + this->OwnClaim.Shard, this->OwnClaim.Token}};
-  for (const std::string &Key : this->HandledNotices) {
-    if (Change.Expect.size() + Change.Removals.size() >=
-        store::MaxTransactionEntries)
-      break;
-    Change.Removals.push_back(Key);
-  }
-  this->IsRemovingNotices = true;
-  this->Shared.Store.Commit(
-      Change, onLoop<ServiceShard, store::StoreResult<store::CommitAnswer>>(
-                  this->Shared.Loop, this->shared_from_this(),
-                  [Removed = Change.Removals](
-                      ServiceShard &Self,
-                      const store::StoreResult<store::CommitAnswer> &Answer) {
-                    Self.handleNoticesRemoved(Removed, Answer);
-                  }));
-}
-
-void ServiceShard::handleNoticesRemoved(
-    const std::vector<std::string> &Removed,
-    const store::StoreResult<store::CommitAnswer> &Answer) {
-  this->IsRemovingNotices = false;
-  if (!Answer) {
-    scheduleFor(this->Shared.Loop, this->shared_from_this(),
-                this->Shared.now() + this->Shared.jittered(NoticeRetryDelay),
-                [](ServiceShard &Self) { Self.removeHandledNotices(); });
-    return;
-  }
-  if (!Answer.value().IsCommitted) {
-    this->reportLoss("another planner holds the claim");
-    return;
-  }
-  for (const std::string &Key : Removed)
-    this->HandledNotices.erase(Key);
-  this->removeHandledNotices();
-}
-
 void ServiceShard::setQueues(const jobs::QueueTable &Queues) {
   this->Planner.setQueues(Queues);
   this->requestPlan();
@@ -647,88 +550,6 @@
   return Found == this->QueueNames.end() ? std::string() : Found->second;
 }
 
-std::shared_ptr<ProgressWriter> ServiceShard::makeWriter() {
-  // The writer runs on the same loop as this object and is stopped by it, so
-  // capturing this is safe.
-  ProgressWriterHooks Hooks;
-  Hooks.Writable = [this] { return this->Planner.writableJobs(); };
-  Hooks.Take = [this](size_t MaxEntries) {
-    return this->Planner.takeWrites(MaxEntries);
-  };
-  Hooks.Return = [this](const std::vector<jobs::JobWrite> &Writes) {
-    this->Planner.noteWriteFailed(Writes);
-  };
-  Hooks.OnWritten = [this](const std::vector<jobs::JobWrite> &Writes) {
-    this->handleWritten(Writes);
-  };
-  Hooks.QueueName = [this](const jobs::JobId &Job) {
-    return this->queueName(Job);
-  };
-  Hooks.OnSuperseded = [this] {
-    this->reportLoss("another planner holds the claim");
-  };
-  return std::make_shared<ProgressWriter>(
-      this->Shared, this->Service, this->OwnClaim.Token, std::move(Hooks));
-}
-
-void ServiceShard::requestFlush() {
-  if (!this->IsStopped)
-    this->Writer->requestFlush();
-}
-
-BacklogSample ServiceShard::storeBacklog() const {
-  return {this->Planner.storeBacklog(), this->Writer->openCommits(),
-          this->Writer->oldestOpenSince(), this->isClaimValid()};
-}
-
-void ServiceShard::checkBacklog() {
-  const TimePoint Now = this->Shared.now();
-  if (Now < this->NextBacklogCheck)
-    return;
-  this->NextBacklogCheck = Now + BacklogCheckInterval;
-  this->BacklogMonitor.update(this->storeBacklog(), Now);
-}
-
-void ServiceShard::handleWritten(const std::vector<jobs::JobWrite> &Writes) {
-  this->Planner.noteWritten(Writes);
-  this->BacklogMonitor.noteWritten(Writes.size());
-  this->checkBacklog();
-  for (const jobs::JobWrite &Write : Writes) {
-    auto [Each, End] = this->AwaitingStore.equal_range(Write.Job);
-    while (Each != End) {
-      const auto Current = Each++;
-      if (!this->Planner.isStored(Write.Job, Current->second.Change))
-        continue;
-      const std::function<void()> Answer = std::move(Current->second.Answer);
-      this->AwaitingStore.erase(Current);
-      Answer();
-    }
-  }
-  this->endDrainIfStored();
-}
-
-void ServiceShard::answerWhenStored(const jobs::JobId &Job, uint64_t Change,
-                                    std::function<void()> Answer) {
-  if (this->Planner.isStored(Job, Change))
-    Answer();
-  else
-    this->AwaitingStore.emplace(Job, AwaitingAnswer{Change, std::move(Answer)});
-}
-
-void ServiceShard::endDrainIfStored() {
-  if (!this->OnDrained ||
-      this->Planner.storedThrough() != this->Planner.lastChange())
-    return;
-  const std::function<void()> Done = std::exchange(this->OnDrained, nullptr);
-  Done();
-}
-
-void ServiceShard::drain(std::function<void()> Done) {
-  this->OnDrained = std::move(Done);
-  this->Writer->flush();
-  this->endDrainIfStored();
-}
-
 void ServiceShard::reportLoss(const std::string &Cause) {
   if (this->IsStopped)
     return;
--- a/src/libs/dispatch/wavemanager.cpp
+++ b/src/libs/dispatch/wavemanager.cpp
@@ -150,17 +150,15 @@
 /// time-out. The record is written again by the next tick.
 void WaveManager::handleRecordConflict(Wave &Current,
                                        const store::CommitAnswer &Answer) {
-  const store::StoreItem *Claim =
-      store::findItem(Answer.Current, keys::Claims + this->OwnClaim.Shard);
-  if (!Claim || Claim->Revision != this->OwnClaim.Token) {
+  const std::string Claim = keys::Claims + this->OwnClaim.Shard;
+  if (store::revisionOf(Answer.Current, Claim) != this->OwnClaim.Token) {
     this->Environment.OnLost(this->OwnClaim.Shard,
                              "another process holds the claim");
     return;
   }
   const uint64_t Number = Current.Scheduler->request().Number;
-  const store::StoreItem *Record =
-      store::findItem(Answer.Current, keys::Waves + std::to_string(Number));
-  Current.Revision = Record ? Record->Revision : 0;
+  Current.Revision =
+      store::revisionOf(Answer.Current, keys::Waves + std::to_string(Number));
 }
 
 void WaveManager::tick() {
--- a/src/libs/store/include/whintack/store/asyncstore.h
+++ b/src/libs/store/include/whintack/store/asyncstore.h
@@ -95,6 +95,10 @@
 /// Returns the item with the key; null if it is not among \p Items.
 const StoreItem *findItem(const std::vector<StoreItem> &Items,
                           const std::string &Key);
+/// Returns the revision of the item with the key; 0 if it is not among
+/// \p Items, as in ExpectedRevision.
+uint64_t revisionOf(const std::vector<StoreItem> &Items,
+                    const std::string &Key);
 
 /// Maximum number of entries of a transaction, over all three lists together.
 constexpr size_t MaxTransactionEntries = 32;
--- a/src/libs/store/storecall.cpp
+++ b/src/libs/store/storecall.cpp
@@ -61,6 +61,12 @@
   return Found == Items.end() ? nullptr : &*Found;
 }
 
+uint64_t revisionOf(const std::vector<StoreItem> &Items,
+                    const std::string &Key) {
+  const StoreItem *Found = findItem(Items, Key);
+  return Found ? Found->Revision : 0;
+}
+
 bool isRepeatable(const StoreCall &Call) {
   switch (Call.Kind) {
   case StoreCallKind::Range:
