Tests: Show that late writes of machine orders and late watches do no harm

Change: the store of tst_machineorders checks all conditions of a transaction and can leave one without an answer; a late write must not remove a later order, and a write whose answer was lost is repeated under the same claim. In tst_storerelay the late time-out of a watch that a peer answered must not block the direct path. No earlier assertion changes.

--- a/tests/auto/dispatch/tst_machineorders.cpp
+++ b/tests/auto/dispatch/tst_machineorders.cpp
@@ -4,6 +4,7 @@
 
 #include "steppedloop.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace whintack;
@@ -34,22 +35,44 @@
                 store::StoreError{store::StoreErrorCode::Unreachable, "away"}));
             return;
           }
-          store::CommitAnswer Answer;
-          Answer.IsCommitted =
-              Change.Expect.front().Revision == this->ClaimRevision;
-          if (Answer.IsCommitted) {
-            this->Record = Change.Puts.front().Value;
-            Answer.Revision = ++this->Revision;
+          if (this->IsSilent) {
+            this->Unanswered.push_back(Change);
+            Done(failure(store::StoreError{store::StoreErrorCode::Ambiguous,
+                                           "no answer"}));
+            return;
           }
-          Done(Answer);
+          Done(this->apply(Change));
         };
     return Store;
   }
 
+  /// Applies the transaction if all of its conditions hold.
+  store::CommitAnswer apply(const store::StoreTransaction &Change) {
+    store::CommitAnswer Answer;
+    Answer.Current = {{"claim", "", this->ClaimRevision, 0}};
+    if (!this->Record.empty())
+      Answer.Current.push_back(
+          {keys::MachineOrders, this->Record, this->Revision, 0});
+    Answer.IsCommitted =
+        std::all_of(Change.Expect.begin(), Change.Expect.end(),
+                    [&Answer](const store::ExpectedRevision &Expected) {
+                      return store::revisionOf(Answer.Current, Expected.Key) ==
+                             Expected.Revision;
+                    });
+    if (Answer.IsCommitted) {
+      this->Record = Change.Puts.front().Value;
+      Answer.Revision = ++this->Revision;
+    }
+    return Answer;
+  }
+
   std::string Record;
   uint64_t ClaimRevision = 7;
   uint64_t Revision = 100;
   bool IsAway = false;
+  bool IsSilent = false;
+  /// Transactions that were not answered, and not applied either.
+  std::vector<store::StoreTransaction> Unanswered;
 };
 
 /// Runs the objects under test on a stepped loop.
@@ -122,6 +145,39 @@
   CHECK(Test.Store.Record.empty());
 }
 
+// Guards against two holders that order one machine within seconds, because a
+// write that the store carries out late removes an order from the record.
+TEST_CASE("a write that is carried out late leaves later orders recorded") {
+  Fixture Test;
+  const auto Orders = Test.open(7);
+  Test.Store.IsSilent = true;
+  Test.order(*Orders, "m1");
+  Test.Store.IsSilent = false;
+  Test.Loop.runFor(std::chrono::seconds(1));
+  Test.order(*Orders, "m2");
+  REQUIRE(Test.Store.Unanswered.size() == 1);
+  CHECK_FALSE(Test.Store.apply(Test.Store.Unanswered.front()).IsCommitted);
+  CHECK(Test.Store.Record.find("m2") != std::string::npos);
+}
+
+// Guards against a holder that gives its claim up, or sends an order twice,
+// because the answer to its write was lost.
+TEST_CASE("a write whose answer was lost is repeated under the same claim") {
+  Fixture Test;
+  const auto Orders = Test.open(7);
+  Test.Store.IsSilent = true;
+  int Sent = 0;
+  Orders->recordAndSend(
+      jobs::MachineName("m1"), TimePoint::max(), [&Sent] { ++Sent; }, [] {});
+  Test.Loop.settle();
+  REQUIRE(Test.Store.Unanswered.size() == 1);
+  CHECK(Test.Store.apply(Test.Store.Unanswered.front()).IsCommitted);
+  Test.Store.IsSilent = false;
+  Test.Loop.runFor(std::chrono::seconds(1));
+  CHECK(Sent == 1);
+  CHECK_FALSE(Test.IsLost);
+}
+
 TEST_CASE("an order that waits for the store is given up after its deadline") {
   Fixture Test;
   const auto Orders = Test.open(7);
--- a/tests/auto/dispatch/tst_storerelay.cpp
+++ b/tests/auto/dispatch/tst_storerelay.cpp
@@ -202,6 +202,18 @@
   CHECK(Test.Vms["e1"].Calls == Direct + 1);
 }
 
+// Guards against calls that leave the direct path because a watch was silent.
+TEST_CASE("the late time-out of a watch that a peer answered blocks no path") {
+  Fixture Test;
+  Test.Vms["e1"].Path = StoreBehaviour::Silent;
+  CHECK(Test.watch(milliseconds(600), milliseconds(1000)) == "answered");
+  Test.Loop.runFor(milliseconds(600));
+  Test.Vms["e1"].Path = StoreBehaviour::Served;
+  const unsigned ByPeer = Test.Vms["e2"].Calls;
+  CHECK(Test.commit(milliseconds(10)) == "committed");
+  CHECK(Test.Vms["e2"].Calls == ByPeer);
+}
+
 // Guards against an outcome that is called certain because the last of several
 // attempts was refused (issue 28).
 TEST_CASE("a commit that may have been carried out stays ambiguous when a "
