Tests: Show that a task that crashes its executors is started without a bound

The simulated platform gets tasks that crash the executor that starts them, executors that come back as a new incarnation, and capacity that changes. RunChecker counts starts after three crashes under a task.

--- a/src/libs/simulation/include/whintack/simulation/runchecker.h
+++ b/src/libs/simulation/include/whintack/simulation/runchecker.h
@@ -14,8 +14,9 @@
 /// Records what clients submitted and what executors did, and checks the
 /// invariants: no task runs twice at the same time or after its completion,
 /// steps run in order, failed runs stay within their limit, cancelled jobs
-/// start no tasks, and executors that do not enforce their capacity are never
-/// given more than it. Does no I/O and reads no clock.
+/// start no tasks, executors that do not enforce their capacity are never given
+/// more than it, and a task that crashes its executors is not started for ever.
+/// Does no I/O and reads no clock.
 class RunChecker {
 public:
   /// A client submits a job; its tasks may start from now on.
@@ -36,6 +37,8 @@
   void noteLeaseExpired(const jobs::ExecutorId &Executor);
   /// The executor was lost with everything that ran on it.
   void noteExecutorLost(const jobs::ExecutorId &Executor);
+  /// The task crashes the executor that runs it.
+  void noteCrash(const jobs::TaskKey &Task);
   void noteOverCapacity(const jobs::ExecutorId &Executor);
   /// A run of the task produced \p Checkpoint.
   void noteCheckpoint(const jobs::TaskKey &Task, const std::string &Checkpoint);
@@ -45,6 +48,8 @@
   const jobs::StepSpec *step(const jobs::TaskKey &Task) const;
   bool isDone(const jobs::TaskKey &Task) const;
   size_t starts() const { return this->Starts; }
+  /// Number of executors that tasks have crashed.
+  size_t crashes() const { return this->Crashes; }
   /// Descriptions of the invariants that were violated.
   const std::vector<std::string> &violations() const {
     return this->Violations;
@@ -57,6 +62,9 @@
     bool IsCompletionAcknowledged = false;
     int64_t AcknowledgedFailures = 0;
     std::set<std::string> Checkpoints;
+    size_t Crashes = 0;
+    /// Starts after MaxCrashes executors had crashed under the task.
+    size_t StartsAfterCrashes = 0;
   };
   struct JobHistory {
     jobs::JobSpec Spec;
@@ -80,6 +88,7 @@
   std::map<jobs::ExecutorId, std::map<uint64_t, UnacknowledgedEnd>> Ends;
   std::vector<std::string> Violations;
   size_t Starts = 0;
+  size_t Crashes = 0;
 };
 
 } // namespace whintack::simulation
--- a/src/libs/simulation/include/whintack/simulation/simulatedplatform.h
+++ b/src/libs/simulation/include/whintack/simulation/simulatedplatform.h
@@ -56,12 +56,23 @@
 
   /// Lets the machine lose power; it comes back after \p DownFor.
   void crash(const jobs::MachineName &Machine, Duration DownFor);
+  /// Ends the machine's executor, which resets its connections; another one
+  /// starts after \p DownFor.
+  void crashExecutor(const jobs::MachineName &Machine, Duration DownFor);
+  /// Changes the capacity of the machine and of its executor.
+  void setCapacity(const jobs::MachineName &Machine,
+                   const jobs::ComputeResources &Capacity);
   /// Partitions a VM from the machines of a data centre, or ends the partition.
   void setCut(const EntryName &Vm, const DataCentreName &DataCentre,
               bool IsPartitioned);
   void setCallFaults(CallFaults Faults) { this->Faults = Faults; }
   /// Sets the function that decides which runs fail through their own fault.
   void setFailures(std::function<bool(const jobs::TaskKey &, uint64_t)> Fails);
+  /// Sets the function that decides which tasks crash the executors that start
+  /// them.
+  void setCrashingTasks(std::function<bool(const jobs::TaskKey &)> Crashes) {
+    this->CrashesExecutor = std::move(Crashes);
+  }
 
   std::vector<jobs::MachineName> machineNames() const;
   std::vector<jobs::MachineInfo> machineList() const;
@@ -94,6 +105,7 @@
   std::set<std::pair<EntryName, DataCentreName>> Partitions;
   CallFaults Faults;
   std::function<bool(const jobs::TaskKey &, uint64_t)> Fails;
+  std::function<bool(const jobs::TaskKey &)> CrashesExecutor;
   uint64_t LastExecutor = 0;
 };
 
--- a/src/libs/simulation/runchecker.cpp
+++ b/src/libs/simulation/runchecker.cpp
@@ -11,6 +11,10 @@
 /// Tasks of a job may still start this long after its cancellation was
 /// confirmed.
 static constexpr Duration CancelGracePeriod = std::chrono::seconds(3);
+/// Number of executors that may crash under a task, and of starts that may
+/// follow.
+static constexpr size_t MaxCrashes = 3;
+static constexpr size_t MaxStartsAfterCrashes = 2;
 
 void RunChecker::noteSubmitted(const jobs::JobSpec &Spec, int64_t MaxAttempts) {
   JobHistory &Job = this->Jobs[Spec.Id];
@@ -86,6 +90,10 @@
   if (History.AcknowledgedFailures >= Job->second.MaxAttempts &&
       !Step->IsLongRunning)
     this->noteViolation("started after its attempts were used up: " + RunText);
+  if (History.Crashes >= MaxCrashes &&
+      ++History.StartsAfterCrashes > MaxStartsAfterCrashes)
+    this->noteViolation("started although it crashes its executors: " +
+                        RunText);
   if (!Checkpoint.empty() && !History.Checkpoints.contains(Checkpoint))
     this->noteViolation(
         "started from a checkpoint that the task did not produce: " + RunText);
@@ -135,6 +143,11 @@
   this->Ends.erase(Executor);
 }
 
+void RunChecker::noteCrash(const TaskKey &Task) {
+  ++this->Crashes;
+  ++this->Tasks[Task].Crashes;
+}
+
 void RunChecker::noteOverCapacity(const ExecutorId &Executor) {
   this->noteViolation("executor runs more than its capacity: " +
                       Executor.text());
--- a/src/libs/simulation/simulatedexecutor.cpp
+++ b/src/libs/simulation/simulatedexecutor.cpp
@@ -16,14 +16,18 @@
 /// Time that a long-running task needs before it reports work.
 static constexpr Duration StartupTime = std::chrono::milliseconds(300);
 static constexpr size_t MaxEndsInReport = 500;
+/// Time from the start of a task that crashes its executor to the crash.
+static constexpr Duration CrashDelay = std::chrono::milliseconds(20);
+/// How long after it has shrunk a capacity need not be known to planners.
+static constexpr Duration CapacityNoticeTime = std::chrono::milliseconds(4500);
 
 SimulatedExecutor::SimulatedExecutor(jobs::ExecutorInfo Info,
                                      bool EnforcesCapacity, int64_t ClockOffset,
                                      Clock Time, TimerQueue &Loop,
-                                     RunChecker &Checker, FailureHook Fails)
+                                     RunChecker &Checker, ExecutorHooks Hooks)
     : Info(std::move(Info)), EnforcesCapacity(EnforcesCapacity),
       ClockOffset(ClockOffset), Time(std::move(Time)), Loop(Loop),
-      Checker(Checker), Fails(std::move(Fails)), StartedAt(this->Time.Now()) {}
+      Checker(Checker), Hooks(std::move(Hooks)), StartedAt(this->Time.Now()) {}
 
 ExecutorTime SimulatedExecutor::clock() const {
   return this->ClockOffset + toMilliseconds(this->Time.Now() - this->StartedAt);
@@ -35,6 +39,29 @@
   this->Checker.noteExecutorLost(this->Info.Id);
 }
 
+void SimulatedExecutor::resetConnections() {
+  for (const PendingReport &Each : std::exchange(this->PendingReports, {}))
+    Each.Done(failure(
+        GatewayError{GatewayErrorCode::NoAnswer, "the connection was reset"}));
+}
+
+void SimulatedExecutor::setCapacity(const jobs::ComputeResources &Capacity) {
+  if (!Capacity.covers(this->Info.Capacity)) {
+    this->EarlierCapacity = this->Info.Capacity;
+    this->CapacityKnownAt = this->Time.Now() + CapacityNoticeTime;
+  }
+  this->Info.Capacity = Capacity;
+}
+
+bool SimulatedExecutor::exceedsKnownCapacity(
+    const jobs::ComputeResources &Need) const {
+  const bool IsKnown = this->Time.Now() >= this->CapacityKnownAt;
+  jobs::ComputeResources Free =
+      IsKnown ? this->Info.Capacity : this->EarlierCapacity;
+  Free -= this->bookedCapacity();
+  return !Free.covers(Need);
+}
+
 bool SimulatedExecutor::isFenced(uint64_t Token) {
   if (Token < this->HighestToken)
     return true;
@@ -96,13 +123,15 @@
   const bool Fits = Step && Free.covers(Step->bookedResources());
   if (!Fits && this->EnforcesCapacity)
     return {StartOutcome::NoRoom, this->clock()};
-  if (!Fits)
+  if (!Step || this->exceedsKnownCapacity(Step->bookedResources()))
     this->Checker.noteOverCapacity(this->Info.Id);
   this->Checker.noteStart(this->Info.Id, Order.Task, Order.Run,
                           Order.Checkpoint, this->Time.Now());
   this->Running[Order.Task] = {Order.Run, this->Time.Now()};
+  if (this->Hooks.CrashesExecutor(Order.Task))
+    this->scheduleCrash(Order.Task, Order.Run);
   if (Step && !Step->IsLongRunning) {
-    const bool IsFailing = this->Fails(Order.Task, Order.Run);
+    const bool IsFailing = this->Hooks.Fails(Order.Task, Order.Run);
     this->scheduleEnd(Order.Task, Order.Run,
                       IsFailing ? Step->Estimate / 2 : Step->Estimate,
                       IsFailing ? RunEnd::Failed : RunEnd::Done);
@@ -145,6 +174,21 @@
                       });
 }
 
+void SimulatedExecutor::scheduleCrash(const TaskKey &Task, uint64_t Number) {
+  this->Loop.schedule(this->Time.Now() + CrashDelay,
+                      [Weak = this->weak_from_this(), Task, Number] {
+                        const auto Self = Weak.lock();
+                        if (!Self || Self->IsTerminated)
+                          return;
+                        const auto Found = Self->Running.find(Task);
+                        if (Found == Self->Running.end() ||
+                            Found->second.Number != Number)
+                          return;
+                        Self->Checker.noteCrash(Task);
+                        Self->Hooks.OnCrash();
+                      });
+}
+
 void SimulatedExecutor::end(const TaskKey &Task, uint64_t Number, RunEnd How) {
   const auto Found = this->Running.find(Task);
   if (this->IsTerminated || Found == this->Running.end() ||
--- a/src/libs/simulation/simulatedexecutor.h
+++ b/src/libs/simulation/simulatedexecutor.h
@@ -13,8 +13,15 @@
 
 namespace whintack::simulation::Internal {
 
-/// Decides whether a run fails through its own fault.
-using FailureHook = std::function<bool(const jobs::TaskKey &, uint64_t Run)>;
+/// What the platform decides about the runs of an executor.
+struct ExecutorHooks {
+  /// Whether a run fails through its own fault.
+  std::function<bool(const jobs::TaskKey &, uint64_t Run)> Fails;
+  /// Whether the task crashes each executor that starts it.
+  std::function<bool(const jobs::TaskKey &)> CrashesExecutor;
+  /// A task crashes the executor.
+  std::function<void()> OnCrash;
+};
 
 /// One incarnation of an executor. It starts and stops runs under leases, and
 /// reports ended runs until the planner acknowledges them. Runs on the thread
@@ -26,12 +33,17 @@
   /// executor's own clock shows at its start, in milliseconds.
   SimulatedExecutor(jobs::ExecutorInfo Info, bool EnforcesCapacity,
                     int64_t ClockOffset, Clock Time, TimerQueue &Loop,
-                    RunChecker &Checker, FailureHook Fails);
+                    RunChecker &Checker, ExecutorHooks Hooks);
 
   const jobs::ExecutorInfo &info() const { return this->Info; }
   void setDraining() { this->Info.IsDraining = true; }
+  /// Changes the capacity. Runs that no longer fit go on.
+  void setCapacity(const jobs::ComputeResources &Capacity);
   /// Ends this incarnation and all of its runs, without reporting them.
   void terminate();
+  /// Fails the calls that wait for an answer, as the end of a process resets
+  /// its connections. A machine that loses power does not.
+  void resetConnections();
 
   void report(const jobs::ReportRequest &Request,
               const jobs::GatewayCallback<jobs::ExecutorReport> &Done);
@@ -57,6 +69,9 @@
   jobs::ExecutorTime clock() const;
   jobs::ExecutorReport makeReport() const;
   jobs::ComputeResources bookedCapacity() const;
+  /// Whether a start with this need violates the capacity, also if it has
+  /// shrunk so recently that planners need not know it.
+  bool exceedsKnownCapacity(const jobs::ComputeResources &Need) const;
   /// Tells whether \p Token is lower than one seen before; records it if not.
   bool isFenced(uint64_t Token);
   void extendLease(jobs::ExecutorTime Until);
@@ -65,6 +80,7 @@
   void scheduleEnd(const jobs::TaskKey &Task, uint64_t Number, Duration After,
                    jobs::RunEnd How);
   void answerPendingReports();
+  void scheduleCrash(const jobs::TaskKey &Task, uint64_t Number);
 
   jobs::ExecutorInfo Info;
   bool EnforcesCapacity;
@@ -72,8 +88,11 @@
   Clock Time;
   TimerQueue &Loop;
   RunChecker &Checker;
-  FailureHook Fails;
+  ExecutorHooks Hooks;
   TimePoint StartedAt;
+  /// Capacity before it shrank last, which counts until CapacityKnownAt.
+  jobs::ComputeResources EarlierCapacity;
+  TimePoint CapacityKnownAt = TimePoint::min();
   bool IsTerminated = false;
   uint64_t HighestToken = 0;
   jobs::ExecutorTime LeaseUntil = 0;
--- a/src/libs/simulation/simulatedplatform.cpp
+++ b/src/libs/simulation/simulatedplatform.cpp
@@ -20,6 +20,8 @@
 static constexpr Duration NetworkDelay = std::chrono::milliseconds(1);
 static constexpr Duration MoveTime = std::chrono::milliseconds(1500);
 static constexpr Duration MaintenanceTime = std::chrono::seconds(2);
+/// Time from the crash of an executor to the start of the next one.
+static constexpr Duration ExecutorRestartTime = std::chrono::seconds(3);
 /// Time after which the registration of an executor that ended is removed.
 static constexpr Duration ExecutorEntryTtl = std::chrono::milliseconds(4500);
 /// A holder must not give orders to a machine within this time after another
@@ -59,7 +61,8 @@
                                      Random Source)
     : Time(std::move(Time)), Loop(Loop), Source(std::move(Source)),
       Store(this->Time, Loop),
-      Fails([](const jobs::TaskKey &, uint64_t) { return false; }) {}
+      Fails([](const jobs::TaskKey &, uint64_t) { return false; }),
+      CrashesExecutor([](const jobs::TaskKey &) { return false; }) {}
 
 SimulatedPlatform::~SimulatedPlatform() = default;
 
@@ -111,13 +114,20 @@
       Target.Setup,
       jobs::ExecutorId("x" + std::to_string(++this->LastExecutor)));
   constexpr uint64_t MaxClockOffset = 1000000;
+  Internal::ExecutorHooks Hooks;
+  Hooks.Fails = [this](const jobs::TaskKey &Task, uint64_t Run) {
+    return this->Fails(Task, Run);
+  };
+  Hooks.CrashesExecutor = [this](const jobs::TaskKey &Task) {
+    return this->CrashesExecutor(Task);
+  };
+  Hooks.OnCrash = [this, Name] {
+    this->crashExecutor(Name, ExecutorRestartTime);
+  };
   Target.Executor = std::make_shared<Internal::SimulatedExecutor>(
       Info, EnforcesCapacity,
       static_cast<int64_t>(this->Source() % MaxClockOffset), this->Time,
-      this->Loop, this->Checker,
-      [this](const jobs::TaskKey &Task, uint64_t Run) {
-        return this->Fails(Task, Run);
-      });
+      this->Loop, this->Checker, std::move(Hooks));
   this->Store.put(ExecutorPrefix + Info.Id.text(), Name.text());
 }
 
@@ -147,6 +157,26 @@
     this->takeDown(Target, MachineState::Down, DownFor, Target.Setup.Pool);
 }
 
+void SimulatedPlatform::crashExecutor(const jobs::MachineName &Name,
+                                      Duration DownFor) {
+  const std::shared_ptr<Internal::SimulatedExecutor> Crashed =
+      this->Machines.at(Name)->Executor;
+  this->crash(Name, DownFor);
+  if (Crashed)
+    Crashed->resetConnections();
+}
+
+void SimulatedPlatform::setCapacity(const jobs::MachineName &Name,
+                                    const jobs::ComputeResources &Capacity) {
+  Machine &Target = *this->Machines.at(Name);
+  Target.Setup.Capacity = Capacity;
+  if (!Target.Executor)
+    return;
+  Target.Executor->setCapacity(Capacity);
+  this->Store.put(ExecutorPrefix + Target.Executor->info().Id.text(),
+                  Name.text());
+}
+
 void SimulatedPlatform::setCut(const EntryName &Vm,
                                const DataCentreName &DataCentre,
                                bool IsPartitioned) {
--- /dev/null
+++ b/tests/auto/dispatch/tst_crashingtasks.cpp
@@ -0,0 +1,115 @@
+#include "simulatedfleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace whintack;
+using namespace whintack::tests;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// A busy fleet in which the first task of some jobs crashes each executor that
+/// starts it.
+class CrashingFleet : public SimulatedFleet {
+public:
+  explicit CrashingFleet(uint64_t Seed = 1) : SimulatedFleet(Seed) {
+    this->startAll();
+    this->Platform.setCrashingTasks([this](const jobs::TaskKey &Task) {
+      return this->Crashing.contains(Task.Step.Job) && Task.Index == 0;
+    });
+  }
+
+  /// Submits a job every 100 ms for \p Length.
+  void submitJobs(Duration Length) {
+    constexpr Duration Pause = milliseconds(100);
+    for (Duration Elapsed = Duration::zero(); Elapsed < Length;
+         Elapsed += Pause) {
+      this->submit("quotes", "short");
+      this->runFor(Pause);
+    }
+  }
+
+  /// Submits a job whose first task crashes its executors.
+  std::string submitCrashingJob() {
+    const std::string Path = this->submit("quotes", "short");
+    this->Crashing.insert(jobs::JobId(Path.substr(Path.rfind('/') + 1)));
+    this->CrashingPaths.insert(Path);
+    return Path;
+  }
+
+  /// Kills the planner of the service, and starts the VM again at once.
+  void replacePlanner() {
+    const std::string Planner = this->plannerOf("quotes");
+    if (Planner.empty())
+      return;
+    this->killNode(Planner);
+    this->restartNode(Planner);
+  }
+
+  /// Lets everything end and checks the guarantees of the product.
+  void finishAndCheck() {
+    this->runFor(seconds(30));
+    for (const std::string &Text : this->Platform.runChecker().violations())
+      FAIL_CHECK(Text);
+    for (const std::string &Path : this->Accepted) {
+      INFO(Path);
+      CHECK(this->stateOf(Path) ==
+            (this->CrashingPaths.contains(Path) ? "failed" : "completed"));
+    }
+  }
+
+private:
+  std::set<jobs::JobId> Crashing;
+  std::set<std::string> CrashingPaths;
+};
+
+} // namespace
+
+// Guards against a task that crashes its executor being started on one executor
+// after the other without a bound.
+TEST_CASE("a task that crashes its executors is given up, and only its job") {
+  CrashingFleet Fleet;
+  Fleet.submitJobs(seconds(2));
+  Fleet.submitCrashingJob();
+  Fleet.submitJobs(seconds(4));
+  Fleet.finishAndCheck();
+  CHECK(Fleet.Platform.runChecker().crashes() == 3);
+}
+
+// Guards against a count of crashes that is lost with the planner.
+TEST_CASE("a task that crashes its executors is given up across take-overs") {
+  CrashingFleet Fleet;
+  Fleet.submitJobs(seconds(1));
+  Fleet.submitCrashingJob();
+  for (int Count = 0; Count < 4; ++Count) {
+    Fleet.submitJobs(milliseconds(400));
+    Fleet.replacePlanner();
+    Fleet.submitJobs(seconds(6));
+  }
+  Fleet.finishAndCheck();
+}
+
+// Guards against a pool that stays down because many tasks crash its executors.
+TEST_CASE("several jobs that crash executors do not take their pool along") {
+  CrashingFleet Fleet;
+  for (int Count = 0; Count < 4; ++Count) {
+    Fleet.submitCrashingJob();
+    Fleet.submitJobs(seconds(1));
+  }
+  Fleet.finishAndCheck();
+  CHECK(Fleet.Platform.runChecker().crashes() <= 4 * 3);
+}
+
+// Guards against a job that is given up because its executors crash for other
+// reasons.
+TEST_CASE("jobs whose executors crash by themselves are not given up") {
+  CrashingFleet Fleet;
+  for (int Count = 0; Count < 20; ++Count) {
+    Fleet.submitJobs(milliseconds(300));
+    const auto Names = Fleet.Platform.machineNames();
+    Fleet.Platform.crashExecutor(Names[Fleet.source()() % Names.size()],
+                                 seconds(1));
+  }
+  Fleet.finishAndCheck();
+}
