Planner: Give up a task under which executors crash, and place suspects apart

Cause: a run that ends with its executor was released like one that was never started. Only ends that executors report as failed were counted, and an executor that has crashed reports none.

Change: when an executor has crashed, the runs that had started there less than 300 ms before its last answer are counted, or all short ones if there were none. The counts are stored with the job's progress, and a suspect starts again only once they are. A suspect starts apart from other suspects, after two crashes alone. The third crash ends the job as failed; the fifth if starts were not answered. Executors that leave as announced or as ordered are not counted, and those whose leases expired only once another incarnation answers.

--- a/src/libs/dispatch/executorlink.cpp
+++ b/src/libs/dispatch/executorlink.cpp
@@ -168,7 +168,7 @@
 void ExecutorLink::handleFailure(const jobs::GatewayError &Cause) {
   switch (Cause.Code) {
   case jobs::GatewayErrorCode::OtherIncarnation:
-    this->Hooks.OnEmpty(this->Setup.Executor.Id, "replaced");
+    this->Hooks.OnEmpty(this->Setup.Executor.Id, jobs::ExecutorLoss::Replaced);
     this->IsClosed = true;
     return;
   case jobs::GatewayErrorCode::Fenced:
@@ -207,7 +207,8 @@
   if (this->Shared.now() <= LeasesEnd)
     return;
   this->IsEmptyReported = true;
-  this->Hooks.OnEmpty(this->Setup.Executor.Id, "leases expired");
+  this->Hooks.OnEmpty(this->Setup.Executor.Id,
+                      jobs::ExecutorLoss::LeasesExpired);
 }
 
 void ExecutorLink::start(jobs::StartOrder Order) {
--- a/src/libs/dispatch/executorlink.h
+++ b/src/libs/dispatch/executorlink.h
@@ -32,7 +32,7 @@
   /// The executor has stopped answering, or answers again.
   std::function<void(const jobs::ExecutorId &, bool)> OnReachable;
   /// Nothing can run on the executor any more, for the given reason.
-  std::function<void(const jobs::ExecutorId &, std::string_view)> OnEmpty;
+  std::function<void(const jobs::ExecutorId &, jobs::ExecutorLoss)> OnEmpty;
   /// The executor has seen a higher fencing token: another planner has taken
   /// over.
   std::function<void()> OnFenced;
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -299,7 +299,9 @@
               this->EarlierLeasesEnd, [Unlisted](ServiceShard &Self) {
                 for (const jobs::ExecutorId &Id : Unlisted)
                   if (!Self.Links.contains(Id))
-                    Self.Planner.noteEmpty(Id, "leases expired");
+                    Self.Planner.noteEmpty(Id,
+                                           jobs::ExecutorLoss::LeasesExpired,
+                                           Self.Shared.now());
                 Self.requestPlan();
               });
   this->requestPlan();
@@ -339,8 +341,9 @@
       this->Silent.erase(Id);
     this->requestPlan();
   };
-  Hooks.OnEmpty = [this](const jobs::ExecutorId &Id, std::string_view Cause) {
-    this->Planner.noteEmpty(Id, Cause);
+  Hooks.OnEmpty = [this](const jobs::ExecutorId &Id, jobs::ExecutorLoss Cause) {
+    this->Planner.noteEmpty(Id, Cause, this->Shared.now());
+    this->requestFlush();
     this->requestPlan();
   };
   Hooks.OnFenced = [this] { this->reportLoss("fenced by a later planner"); };
@@ -366,9 +369,11 @@
       // The list may predate the moment when this executor became silent.
       if (Up.contains(Id) || !this->SilentAtRequest.contains(Id))
         return false;
-      this->Planner.noteEmpty(Id, "its machine is down or has been replaced");
+      this->Planner.noteEmpty(Id, jobs::ExecutorLoss::MachineLost,
+                              this->Shared.now());
       return true;
     });
+    this->requestFlush();
     this->requestPlan();
   }
   if (this->Silent.empty())
--- a/src/libs/jobs/include/whintack/jobs/executor.h
+++ b/src/libs/jobs/include/whintack/jobs/executor.h
@@ -10,6 +10,22 @@
 
 namespace whintack::jobs {
 
+/// Why nothing runs on an executor any more.
+enum class ExecutorLoss {
+  /// All leases have expired. The executor may still be up.
+  LeasesExpired,
+  /// Another incarnation answers at its address.
+  Replaced,
+  /// Its machine is down or runs another executor.
+  MachineLost,
+};
+
+inline constexpr EnumNames<ExecutorLoss, 3> ExecutorLossNames = {{
+    {ExecutorLoss::LeasesExpired, "leases-expired"},
+    {ExecutorLoss::Replaced, "replaced"},
+    {ExecutorLoss::MachineLost, "machine-lost"},
+}};
+
 /// An executor as it registered itself. The list of executors lags behind.
 struct ExecutorInfo {
   ExecutorId Id;
--- a/src/libs/jobs/include/whintack/jobs/jobprogress.h
+++ b/src/libs/jobs/include/whintack/jobs/jobprogress.h
@@ -17,6 +17,16 @@
   /// Numbers of the runs that ended as failed.
   std::set<uint64_t> FailedRuns;
   std::string Checkpoint;
+  /// Numbers of the runs that may have crashed their executor.
+  std::set<uint64_t> CrashedRuns;
+  /// Numbers of the runs whose executor was lost before it answered their start
+  /// order, so that they may never have begun.
+  std::set<uint64_t> LostStarts;
+
+  /// Number of executors that may have crashed under the task.
+  size_t possibleCrashes() const {
+    return this->CrashedRuns.size() + this->LostStarts.size();
+  }
 };
 
 /// Stored state of a job in addition to its specification: everything that
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -138,9 +138,10 @@
   void noteAdviceFailed(const AdviceOrder &Request, TimePoint Now);
   /// Records whether the executor answers.
   void setReachable(const ExecutorId &Id, bool IsReachable);
-  /// Records that nothing runs on the executor any more, because its leases
-  /// have expired or it was replaced.
-  void noteEmpty(const ExecutorId &Id, std::string_view Cause);
+  /// Records that nothing runs on the executor any more. If it has crashed, the
+  /// runs that may be the cause are counted. A task that has been counted too
+  /// often is given up, and its job fails.
+  void noteEmpty(const ExecutorId &Id, ExecutorLoss Cause, TimePoint Now);
 
   /// Places no new tasks on an executor for EvacuationTimeout, and moves its
   /// long-running tasks away as far as the MaxUnavailable of their steps
--- a/src/libs/jobs/jobprogress.cpp
+++ b/src/libs/jobs/jobprogress.cpp
@@ -6,6 +6,14 @@
 
 using web::json::value;
 
+static value encodeRuns(const std::set<uint64_t> &Runs) {
+  value Row = value::array();
+  size_t Next = 0;
+  for (const uint64_t Run : Runs)
+    Row[Next++] = value::number(Run);
+  return Row;
+}
+
 static value encodeTask(const TaskKey &Key, const TaskProgress &Task) {
   value Row = value::object();
   Row["k"] = value::number(Key.Step.Occurrence);
@@ -15,13 +23,12 @@
     Row["done"] = value::boolean(true);
   if (!Task.Checkpoint.empty())
     Row["checkpoint"] = value::string(Task.Checkpoint);
-  if (Task.FailedRuns.empty())
-    return Row;
-  value Runs = value::array();
-  size_t Next = 0;
-  for (const uint64_t Run : Task.FailedRuns)
-    Runs[Next++] = value::number(Run);
-  Row["failed"] = Runs;
+  if (!Task.FailedRuns.empty())
+    Row["failed"] = encodeRuns(Task.FailedRuns);
+  if (!Task.CrashedRuns.empty())
+    Row["crashed"] = encodeRuns(Task.CrashedRuns);
+  if (!Task.LostStarts.empty())
+    Row["lost"] = encodeRuns(Task.LostStarts);
   return Row;
 }
 
@@ -37,6 +44,15 @@
   return Document.serialize();
 }
 
+/// Decodes the run numbers in a field that may be missing.
+static std::set<uint64_t> decodeRuns(const value &Row, const char *Field) {
+  std::set<uint64_t> Runs;
+  if (Row.has_field(Field))
+    for (const value &Run : Row.at(Field).as_array())
+      Runs.insert(Run.as_number().to_uint64());
+  return Runs;
+}
+
 static void decodeTask(const JobId &Job, const value &Row,
                        JobProgress &Progress) {
   const TaskKey Key{{Job, Row.at("k").as_number().to_int64(),
@@ -46,9 +62,9 @@
   Task.IsDone = Row.has_field("done") && Row.at("done").as_bool();
   if (Row.has_field("checkpoint"))
     Task.Checkpoint = Row.at("checkpoint").as_string();
-  if (Row.has_field("failed"))
-    for (const value &Run : Row.at("failed").as_array())
-      Task.FailedRuns.insert(Run.as_number().to_uint64());
+  Task.FailedRuns = decodeRuns(Row, "failed");
+  Task.CrashedRuns = decodeRuns(Row, "crashed");
+  Task.LostStarts = decodeRuns(Row, "lost");
   Progress.Tasks.emplace(Key, std::move(Task));
 }
 
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -331,7 +331,7 @@
       forEachTask(Job, [&Write](const TaskKey &Key, const TaskRecord &Task) {
         const TaskProgress &Stored = Task.Stored;
         if (Stored.IsDone || !Stored.FailedRuns.empty() ||
-            !Stored.Checkpoint.empty())
+            Stored.possibleCrashes() > 0 || !Stored.Checkpoint.empty())
           Write.Progress.Tasks.emplace(Key, Stored);
       });
       this->D->beginWrite(Job);
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -44,6 +44,9 @@
   /// When to stop a run whose start was not answered, unless a report lists the
   /// run by then; TimePoint::max() for any other run.
   TimePoint StartTimeoutAt = TimePoint::max();
+  /// From this time on, the run is not the likely cause if its executor
+  /// crashes; TimePoint::max() while it is not known to have started.
+  TimePoint SettledAt = TimePoint::max();
   /// When to repeat a stop order that was not confirmed.
   TimePoint NextStopAt = TimePoint::max();
   int64_t Percent = 0;
@@ -63,6 +66,25 @@
   TimePoint EarliestStart = TimePoint::min();
   /// Executor on which the task failed last.
   ExecutorId LastFailedOn;
+  /// The change that recorded the last of Stored.CrashedRuns; 0 if an earlier
+  /// planner did.
+  uint64_t CrashChange = 0;
+};
+
+/// A run that may have crashed its executor.
+struct SuspectRun {
+  TaskKey Task;
+  uint64_t Number = 0;
+  bool HasStarted = false;
+};
+
+/// How a task may be started again after its executors have crashed.
+enum class StartCaution {
+  None,
+  /// Not while another task that may have crashed an executor starts there.
+  ApartFromSuspects,
+  /// Not while any other task starts there.
+  Alone,
 };
 
 /// State of one occurrence of a step.
@@ -168,6 +190,18 @@
   uint64_t LastDiscardableEnd = 0;
   BestEffortThrottle Throttle;
   TimePoint NoRoomUntil = TimePoint::min();
+  /// When the executor answered last. It crashes after that, and a crash that
+  /// breaks no connection is noticed seconds later.
+  TimePoint LastAnswerAt = TimePoint::min();
+  /// When all runs placed so far will have settled.
+  TimePoint SettledAt = TimePoint::min();
+  /// Until when no further task that may have crashed an executor starts.
+  TimePoint SuspectUntil = TimePoint::min();
+  /// Until when only ReservedFor may start.
+  TimePoint ReservedUntil = TimePoint::min();
+  std::optional<TaskKey> ReservedFor;
+  /// Runs that are to be counted if it turns out that the executor has crashed.
+  std::vector<SuspectRun> UnexplainedRuns;
 
   ComputeResources free() const;
 };
@@ -236,7 +270,7 @@
   void handleFailure(Internal::JobRecord &Job, const EndReport &End,
                      Internal::ExecutorRecord &Executor, TimePoint Now);
   void handleRunning(Internal::ExecutorRecord &Executor, const RunReport &Row,
-                     ExecutorTime At);
+                     ExecutorTime At, TimePoint Now);
   void adoptRun(Internal::ExecutorRecord &Executor, const RunReport &Row,
                 ExecutorTime At);
   void releaseMissingRuns(Internal::ExecutorRecord &Executor,
@@ -245,6 +279,34 @@
                       const ExecutorReport &Report, TimePoint Now);
   void drain(Internal::ExecutorRecord &Executor);
   void stopGang(const StepKey &Step);
+  // Crashes of executors.
+  /// The task whose record counts the failures and crashes: the first one of a
+  /// gang, or the task itself.
+  Internal::TaskRecord &countingTask(const TaskKey &Key);
+  /// The runs on an executor that is lost which may have crashed it.
+  std::vector<Internal::SuspectRun>
+  suspectRuns(const Internal::ExecutorRecord &Executor);
+  void countCrash(const std::vector<Internal::SuspectRun> &Suspects,
+                  const ExecutorId &Executor, TimePoint Now);
+  /// The run did not crash its executor after all.
+  void clearCrash(const TaskKey &Key, uint64_t Run);
+  /// Records that the run has been placed.
+  void noteStartOrdered(Internal::ExecutorRecord &Executor, const TaskKey &Key,
+                        TimePoint Now);
+  /// Records that the run is known to have started.
+  void noteStarted(Internal::ExecutorRecord &Executor, const TaskKey &Key,
+                   TimePoint Now);
+  Internal::StartCaution startCaution(const TaskKey &Key);
+  bool isCrashStored(const Internal::JobRecord &Job, const TaskKey &Key);
+  static bool isOpenFor(const Internal::ExecutorRecord &Executor,
+                        const TaskKey &Key, Internal::StartCaution Caution,
+                        TimePoint Now);
+  /// Keeps other tasks from starting on an executor until the task can start
+  /// alone there.
+  void reserveForSuspect(const Internal::JobRecord &Job, const TaskKey &Key,
+                         std::vector<Internal::Candidate> &Candidates,
+                         TimePoint Now);
+
   void setNextStop(Internal::RunRecord &Run, TimePoint At);
   void resendStops(TimePoint Now);
 
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -100,6 +100,7 @@
                                          {"runs", Executor.Runs.size()}});
     Executor.IsListed = false;
     const bool IsOver = Executor.Runs.empty() &&
+                        Executor.UnexplainedRuns.empty() &&
                         !this->D->AwaitedExecutors.contains(Entry->first);
     if (IsOver)
       this->D->HealthTracker.forget(Entry->first);
@@ -192,8 +193,7 @@
 void Planner::Private::handleFailure(JobRecord &Job, const EndReport &End,
                                      ExecutorRecord &Executor, TimePoint Now) {
   const StepSpec &Spec = this->stepSpec(Job, End.Task.Step);
-  TaskRecord &Task =
-      Spec.IsGang ? this->gangLeader(End.Task.Step) : *this->findTask(End.Task);
+  TaskRecord &Task = this->countingTask(End.Task);
   const bool IsNew = Task.Stored.FailedRuns.insert(End.Run).second;
   if (!IsNew)
     return;
@@ -245,6 +245,7 @@
                           {"run-ms", Times.RunMs}});
   Job->HasStarted = true;
   Task->LastRun = std::max(Task->LastRun, End.Run);
+  this->clearCrash(End.Task, End.Run);
   if (IsCurrent)
     this->releaseRun(End.Task, *Task);
   const StepSpec &Spec = this->stepSpec(*Job, End.Task.Step);
@@ -277,7 +278,9 @@
   Run.Executor = Executor.Info.Id;
   Run.Phase = RunPhase::Running;
   Run.ConfirmedAt = At;
+  Run.SettledAt = TimePoint::min();
   Run.Percent = Row.Percent;
+  this->clearCrash(Row.Task, Row.Run);
   this->log("run-adopted", {{"task", Row.Task.text()},
                             {"run", Row.Run},
                             {"executor", Executor.Info.Id}});
@@ -292,7 +295,8 @@
 }
 
 void Planner::Private::handleRunning(ExecutorRecord &Executor,
-                                     const RunReport &Row, ExecutorTime At) {
+                                     const RunReport &Row, ExecutorTime At,
+                                     TimePoint Now) {
   TaskRecord *Task = this->findTask(Row.Task);
   if (!Task) {
     Executor.HasUnknownRuns = true;
@@ -318,6 +322,8 @@
     Run.Phase = RunPhase::Running;
   if (!Run.ConfirmedAt)
     Run.ConfirmedAt = At;
+  if (Run.SettledAt == TimePoint::max())
+    this->noteStarted(Executor, Row.Task, Now);
   Run.Percent = Row.Percent;
   JobRecord &Job = *this->findJob(Row.Task.Step.Job);
   Job.HasStarted = true;
@@ -405,7 +411,9 @@
                                        {"ended", Report.Ended.size()}});
   Executor.HasReported = true;
   Executor.IsReachable = true;
+  Executor.LastAnswerAt = Now;
   Executor.HasUnknownRuns = false;
+  Executor.UnexplainedRuns.clear();
   for (const EndReport &End : Report.Ended) {
     if (End.Number <= Executor.LastEnd)
       continue;
@@ -422,7 +430,7 @@
         {End.Number, Job, this->D->lastChangeOf(Job), Now});
   }
   for (const RunReport &Row : Report.Running)
-    this->D->handleRunning(Executor, Row, Report.At);
+    this->D->handleRunning(Executor, Row, Report.At, Now);
   if (!Report.IsTruncated)
     this->D->releaseMissingRuns(Executor, Report, Now);
   this->D->updateThrottle(Executor, Report, Now);
@@ -452,6 +460,7 @@
   case StartOutcome::Started:
     Task->Current->ConfirmedAt = At;
     Task->Current->AnsweredAt = Now;
+    this->D->noteStarted(Executor, Order.Task, Now);
     if (Task->Current->Phase == RunPhase::Starting)
       Task->Current->Phase = RunPhase::Running;
     Job.HasStarted = true;
@@ -466,7 +475,7 @@
     Task->Current->StartTimeoutAt = Now + StartReportTimeout;
     return;
   case StartOutcome::OtherIncarnation:
-    this->noteEmpty(Order.Executor, "other incarnation");
+    this->noteEmpty(Order.Executor, ExecutorLoss::Replaced, Now);
     return;
   case StartOutcome::NoRoom:
     Executor.NoRoomUntil = Now + NoRoomRetryDelay;
@@ -564,15 +573,20 @@
                {{"executor", Id}, {"reachable", IsReachable ? "yes" : "no"}});
 }
 
-void Planner::noteEmpty(const ExecutorId &Id, std::string_view Cause) {
+void Planner::noteEmpty(const ExecutorId &Id, ExecutorLoss Cause,
+                        TimePoint Now) {
   this->D->AwaitedExecutors.erase(Id);
   const auto Found = this->D->Executors.find(Id);
   if (Found == this->D->Executors.end())
     return;
   const std::map<TaskKey, uint64_t> Booked = Found->second.Runs;
+  std::vector<SuspectRun> &Unexplained = Found->second.UnexplainedRuns;
+  const std::vector<SuspectRun> Suspects = this->D->suspectRuns(Found->second);
+  Unexplained.insert(Unexplained.end(), Suspects.begin(), Suspects.end());
   this->D->log("executor-empty", {{"executor", Id},
-                                  {"cause", std::string(Cause)},
-                                  {"runs", Booked.size()}});
+                                  {"cause", nameOf(ExecutorLossNames, Cause)},
+                                  {"runs", Booked.size()},
+                                  {"suspects", Suspects.size()}});
   for (const auto &[Key, Number] : Booked) {
     this->D->releaseRun(Key, *this->D->findTask(Key));
     JobRecord &Job = *this->D->findJob(Key.Step.Job);
@@ -581,6 +595,9 @@
     this->D->removeIfFinished(Key.Step.Job);
   }
   Found->second.HasReported = false;
+  // An executor whose leases have expired may only have been silent.
+  if (Cause != ExecutorLoss::LeasesExpired)
+    this->D->countCrash(std::exchange(Unexplained, {}), Id, Now);
 }
 
 } // namespace whintack::jobs
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -204,10 +204,12 @@
                                              TimePoint Now) {
   const StepSpec &Spec = this->stepSpec(Job, Key.Step);
   const ExecutorId &LastFailedOn = this->findTask(Key)->LastFailedOn;
+  const StartCaution Caution = this->startCaution(Key);
   Candidate *Best = nullptr;
   PlacementScore BestScore;
   for (Candidate &Each : Candidates) {
-    if (!this->canRunOn(Job, Key, Each, Now))
+    if (!isOpenFor(*Each.Executor, Key, Caution, Now) ||
+        !this->canRunOn(Job, Key, Each, Now))
       continue;
     PlacementScore Score = scorePlacement(Spec, Each.Free, Each.Rack);
     Score.HasFailedThere = Each.Executor->Info.Id == LastFailedOn;
@@ -282,6 +284,7 @@
                            {"free", Target.Free.MilliCores},
                            {"waited-ms", toMilliseconds(Now - Job.Accepted)}});
   this->bookRun(Key, Task, std::move(Record));
+  this->noteStartOrdered(*Target.Executor, Key, Now);
   Target.Free -= Spec.bookedResources();
   this->Orders.push_back(std::move(Start));
 }
@@ -304,6 +307,8 @@
   for (size_t Index = 0; Index < Count; ++Index)
     if (this->findTask({Step, Index})->Current)
       return;
+  if (!this->isCrashStored(Job, {Step, 0}))
+    return;
   // Place all members on a copy of the candidates first, so that either all of
   // them start or none does.
   std::vector<Candidate> Trial = Candidates;
@@ -350,9 +355,15 @@
       this->planLeavingTask(Job, Key, Candidates, Now);
       continue;
     }
-    if (Task.Stored.IsDone || Task.Current || Now < Task.EarliestStart)
+    if (Task.Stored.IsDone || Task.Current || Now < Task.EarliestStart ||
+        !this->isCrashStored(Job, Key))
       continue;
     Candidate *Place = this->chooseCandidate(Job, Key, Candidates, Now);
+    const StartCaution Caution = this->startCaution(Key);
+    if (!Place && Caution == StartCaution::Alone)
+      this->reserveForSuspect(Job, Key, Candidates, Now);
+    if (!Place && Caution != StartCaution::None)
+      continue;
     if (!Place && Spec.IsLongRunning) {
       this->reserveCandidate(Job, Key, Candidates, Now);
       return;
--- a/tests/auto/jobs/tst_planner.cpp
+++ b/tests/auto/jobs/tst_planner.cpp
@@ -87,7 +87,8 @@
   Fixture.list({executor("b")});
   Fixture.Planner.setReachable(ExecutorId("a"), false);
   CHECK(Fixture.starts().empty());
-  Fixture.Planner.noteEmpty(ExecutorId("a"), "lapsed");
+  Fixture.Planner.noteEmpty(ExecutorId("a"), ExecutorLoss::LeasesExpired,
+                            Fixture.Time.now());
   const auto Again = Fixture.starts();
   REQUIRE(Again.size() == 1);
   CHECK(Again[0].Executor == ExecutorId("b"));
--- a/tests/auto/jobs/tst_plannerproperties.cpp
+++ b/tests/auto/jobs/tst_plannerproperties.cpp
@@ -307,7 +307,7 @@
     const ExecutorId Lost = this->Executors[Place].Info.Id;
     this->Executors.erase(this->Executors.begin() + static_cast<long>(Place));
     this->addExecutor();
-    this->Planner->noteEmpty(Lost, "crashed");
+    this->Planner->noteEmpty(Lost, ExecutorLoss::Replaced, this->Time.now());
     this->Planner->setExecutors(this->list());
   }
 
