Dispatch: Start nothing on a list of executors of unknown age

Cause: starts asked how old the notices are, but not how old the list of executors is, though its watch may fail alone. And a list that had been read was dropped if another read had been requested meanwhile, which goes on while pools ask for machines.

Change: the monitor tells through when it knows the list; older than 2 s, no task starts. A list that was read is always passed on, and the next read follows.

--- a/src/libs/dispatch/executorlistmonitor.cpp
+++ b/src/libs/dispatch/executorlistmonitor.cpp
@@ -32,6 +32,7 @@
     return;
   }
   this->IsReading = true;
+  this->ReadBegan = this->Shared.now();
   if (this->AsOf != 0) {
     this->readChanges();
     return;
@@ -141,16 +142,15 @@
 
 void ExecutorListMonitor::finishRead() {
   this->IsReading = false;
-  if (std::exchange(this->IsRefreshRequested, false)) {
-    this->refresh();
-    return;
-  }
+  this->KnownThrough = this->ReadBegan;
   std::vector<jobs::ExecutorInfo> Listed;
   Listed.reserve(this->Entries.size());
   for (const auto &[Key, Each] : this->Entries)
     if (Each.Info)
       Listed.push_back(*Each.Info);
   this->OnList(Listed);
+  if (std::exchange(this->IsRefreshRequested, false))
+    this->refresh();
 }
 
 } // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/executorlistmonitor.h
+++ b/src/libs/dispatch/executorlistmonitor.h
@@ -28,6 +28,9 @@
   /// Reads the list without waiting for the interval; if a read is running, the
   /// list is read again after it.
   void refresh();
+  /// All changes of the list up to this time are known; TimePoint::min() before
+  /// the first read.
+  TimePoint knownThrough() const { return this->KnownThrough; }
 
 private:
   /// An entry of the list; it has no content if it cannot be read.
@@ -57,6 +60,9 @@
   EntryMap NewEntries;
   uint64_t NewEntriesAsOf = 0;
   unsigned ChangeFailures = 0;
+  TimePoint KnownThrough = TimePoint::min();
+  /// When the read in progress began.
+  TimePoint ReadBegan = TimePoint::min();
   /// Keys of unreadable entries that have been logged already.
   std::set<std::string> Unreadable;
   bool IsReading = false;
--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -291,6 +291,9 @@
   Environment.RefreshExecutors = [Executors = this->Executors] {
     Executors->refresh();
   };
+  Environment.ExecutorsKnownThrough = [Executors = this->Executors] {
+    return Executors->knownThrough();
+  };
   Environment.Loads = this->Loads;
   Environment.MaxLease = this->Self.MaxLease;
   Environment.OnLost = this->shardLossHandler();
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -12,11 +12,13 @@
 /// queue up there.
 static constexpr Duration AdviceMargin = std::chrono::milliseconds(1500);
 static constexpr Duration DiscoveryTimeout = std::chrono::milliseconds(1000);
-/// How old the knowledge of the notices may be when a task is started. Request
-/// handlers acknowledge a cancellation once its notice is stored.
-static constexpr Duration MaxNoticeAge = std::chrono::milliseconds(2000);
+/// How old the knowledge of the notices and of the list of executors may be
+/// when a task is started. Request handlers acknowledge a cancellation once its
+/// notice is stored, and an executor that drains or shrinks says so in the
+/// list.
+static constexpr Duration MaxKnowledgeAge = std::chrono::milliseconds(2000);
 /// Wait of one watch call for notices. While none come, what is known is as old
-/// as two calls, which must stay below MaxNoticeAge also with slow answers.
+/// as two calls, which must stay below MaxKnowledgeAge also with slow answers.
 static constexpr Duration NoticeWait = std::chrono::milliseconds(500);
 /// Interval between two checks of the machines while executors are silent.
 static constexpr Duration SilentCheckInterval = std::chrono::milliseconds(600);
@@ -117,8 +119,10 @@
 }
 
 bool ServiceShard::canStartTasks() const {
+  const TimePoint Oldest = this->Shared.now() - MaxKnowledgeAge;
   return !this->IsStopped && this->isClaimValid() && this->Notices &&
-         this->Notices->knownThrough() >= this->Shared.now() - MaxNoticeAge;
+         this->Notices->knownThrough() >= Oldest &&
+         this->Environment.ExecutorsKnownThrough() >= Oldest;
 }
 
 bool ServiceShard::addStoredJob(const jobs::JobId &Id, const std::string &Text,
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -26,6 +26,8 @@
   std::shared_ptr<LoadQueue> Loads;
   /// Requests a new list of executors.
   std::function<void()> RefreshExecutors;
+  /// Time through which all changes of the list of executors are known.
+  std::function<TimePoint()> ExecutorsKnownThrough;
   Duration MaxLease = Duration::zero();
   /// Time in which the shard must be loaded.
   Duration LoadTime = Duration::zero();
@@ -111,7 +113,8 @@
   bool mayHaveRunEarlier(Duration Age) const;
   bool isClaimValid() const;
   /// Whether this process holds the claim and knows of all cancellations that
-  /// were acknowledged longer ago than MaxNoticeAge.
+  /// were acknowledged, and of all executors that drain or shrink, since longer
+  /// than MaxKnowledgeAge.
   bool canStartTasks() const;
   void checkSilentExecutors();
   void handleSilentMachines(
