Platform: Reject jobs with more tasks than a planner can hold

Callers would see: a service without a planner for good. A job of 17 KB with 1000 steps of 10000 tasks, or with 10000 repetitions, was accepted and stored; each planner that reads it needs more memory than its process has, ends, and leaves it to its successor.

Found by reading; the new case of platformcodec failed before.

--- a/src/libs/jobs/include/whintack/jobs/jobspec.h
+++ b/src/libs/jobs/include/whintack/jobs/jobspec.h
@@ -89,6 +89,11 @@
   }
 };
 
+/// Maximum number of tasks of a job, all occurrences together. Its progress is
+/// one value of the store, of at most 1 MiB, and takes up to 100 bytes for each
+/// task.
+constexpr uint64_t MaxJobTasks = 10000;
+
 /// A job as its client submitted it.
 struct JobSpec {
   JobId Id;
@@ -104,6 +109,13 @@
     return std::max<int64_t>(this->Repetitions, 1);
   }
   bool isPeriodic() const { return this->Repetitions > 0; }
+  /// Number of tasks of all occurrences.
+  uint64_t taskCount() const {
+    uint64_t Count = 0;
+    for (const StepSpec &Step : this->Steps)
+      Count += Step.Count;
+    return Count * static_cast<uint64_t>(this->occurrences());
+  }
 };
 
 /// State of a job as clients see it.
--- a/tests/auto/platform/tst_platformcodec.cpp
+++ b/tests/auto/platform/tst_platformcodec.cpp
@@ -75,6 +75,22 @@
             .find("task-spec") != std::string::npos);
 }
 
+// Guards against a stored job that ends the process of each planner that reads
+// it, because it takes more memory than the process has.
+TEST_CASE("a job with more tasks than a planner can hold is rejected") {
+  const auto IsAccepted = [](const std::string &Body) {
+    return Codec.DecodeJob(JobId("1"), Body).has_value();
+  };
+  CHECK(IsAccepted(R"({"steps":[{"count":10000}]})"));
+  CHECK_FALSE(IsAccepted(R"({"steps":[{"count":10000},{"count":1}]})"));
+  CHECK(IsAccepted(R"({"repetitions":10000,"steps":[{"count":1}]})"));
+  CHECK_FALSE(IsAccepted(R"({"repetitions":10000,"steps":[{"count":2}]})"));
+  const auto Read = Codec.DecodeJob(
+      JobId("1"), R"({"repetitions":10000,"steps":[{"count":10000}]})");
+  REQUIRE_FALSE(Read);
+  CHECK(Read.error().Message.find("job.steps") != std::string::npos);
+}
+
 TEST_CASE(
     "damaged bodies neither crash the decoder nor decode to invalid values") {
   CHECK(rc::check("cut or changed bodies", [] {
