Dispatch: Write the jobs of a rejected commit one by one

Callers would see: jobs that stay running for good, and ends that are not taken note of, because the store rejects the progress of another job in the same commit.

After two rejections the jobs go into commits of their own; a job that is rejected alone waits for 5 s before it is written again. A commit of which a copy may still be carried out is repeated as before, as otherwise the late copy could undo what was written since.

--- a/src/libs/dispatch/progresswriter.cpp
+++ b/src/libs/dispatch/progresswriter.cpp
@@ -16,6 +16,11 @@
 static constexpr Duration SlowCommitTime = std::chrono::milliseconds(50);
 static constexpr Duration MinRetryDelay = std::chrono::milliseconds(100);
 static constexpr unsigned MaxRetryDoublings = 2;
+/// Number of rejections after which a commit is not sent again unchanged.
+static constexpr unsigned MaxRejections = 2;
+/// How long a job whose progress the store rejects is not written. Only a
+/// change of the job or of the store can help.
+static constexpr Duration RejectedRetryDelay = std::chrono::seconds(5);
 static constexpr size_t MaxStreams = 8;
 /// The claim, and the stream's key as a condition and as a write.
 static constexpr size_t OwnEntries = 3;
@@ -110,6 +115,11 @@
   std::vector<jobs::JobWrite> Taken = this->Hooks.Take(MaxJobEntries);
   if (Taken.empty())
     return false;
+  if (this->SingleCommits > 0) {
+    --this->SingleCommits;
+    this->Hooks.Return({Taken.begin() + 1, Taken.end()});
+    Taken.resize(1);
+  }
   Stream &Opened = this->Streams[Index];
   ++Opened.Sequence;
   Opened.Change = store::StoreTransaction();
@@ -128,6 +138,7 @@
   Opened.FirstSent = this->Shared.now();
   Opened.Failures = 0;
   Opened.IsRefused = false;
+  Opened.MayTakeEffect = false;
   this->NextCollected = this->Shared.now() + FlushInterval;
   this->send(Index);
   return true;
@@ -181,6 +192,13 @@
   const Duration Delay =
       MinRetryDelay * (1 << std::min(Failed.Failures, MaxRetryDoublings));
   ++Failed.Failures;
+  const bool IsRejected = Cause.Code == store::StoreErrorCode::BadAnswer;
+  Failed.MayTakeEffect =
+      Failed.MayTakeEffect || Cause.Code == store::StoreErrorCode::Ambiguous;
+  if (IsRejected && !Failed.MayTakeEffect && Failed.Failures >= MaxRejections) {
+    this->handleRejection(Index, Cause);
+    return;
+  }
   Failed.IsRefused = Cause.Code == store::StoreErrorCode::Unreachable;
   if (std::has_single_bit(Failed.Failures))
     logEvent(
@@ -199,6 +217,32 @@
               });
 }
 
+void ProgressWriter::handleRejection(size_t Index,
+                                     const store::StoreError &Cause) {
+  Stream &Rejected = this->Streams[Index];
+  Rejected.FirstSent = TimePoint::max();
+  const std::vector<jobs::JobWrite> Writes = std::exchange(Rejected.Writes, {});
+  logEvent(LogLevel::Error, "progress-rejected",
+           {{"shard", this->Service},
+            {"jobs", Writes.size()},
+            {"job", Writes.front().Job},
+            {"cause", Cause.Message}});
+  if (Writes.size() > 1) {
+    this->SingleCommits += Writes.size();
+    this->Hooks.Return(Writes);
+    this->requestFlush();
+    return;
+  }
+  scheduleFor(this->Shared.Loop, this->shared_from_this(),
+              this->Shared.now() + RejectedRetryDelay,
+              [Writes](ProgressWriter &Self) {
+                if (Self.IsStopped)
+                  return;
+                Self.Hooks.Return(Writes);
+                Self.requestFlush();
+              });
+}
+
 void ProgressWriter::handleConflict(size_t Index,
                                     const store::CommitAnswer &Answer) {
   Stream &Current = this->Streams[Index];
--- a/src/libs/dispatch/progresswriter.h
+++ b/src/libs/dispatch/progresswriter.h
@@ -66,6 +66,8 @@
     unsigned Failures = 0;
     /// The store certainly did not carry out the last copy.
     bool IsRefused = false;
+    /// A copy was not answered and may still be carried out.
+    bool MayTakeEffect = false;
 
     bool isOpen() const { return !this->Writes.empty(); }
   };
@@ -85,6 +87,9 @@
   void handleAnswer(size_t Index,
                     const store::StoreResult<store::CommitAnswer> &Answer);
   void handleFailure(size_t Index, const store::StoreError &Cause);
+  /// The store does not accept the open commit, and never will: writes its jobs
+  /// one by one. A job that is not accepted alone has to wait.
+  void handleRejection(size_t Index, const store::StoreError &Cause);
   void handleConflict(size_t Index, const store::CommitAnswer &Answer);
   void finish(size_t Index, uint64_t Revision);
 
@@ -93,6 +98,8 @@
   uint64_t Token;
   ProgressWriterHooks Hooks;
   std::vector<Stream> Streams;
+  /// Number of the next commits that have only one job.
+  size_t SingleCommits = 0;
   /// Time through which changes are collected for the next commit.
   TimePoint NextCollected = TimePoint::min();
   std::optional<TimerId> Scheduled;
--- a/tests/auto/dispatch/tst_progresswriter.cpp
+++ b/tests/auto/dispatch/tst_progresswriter.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <deque>
 
 using namespace whintack;
@@ -27,6 +28,14 @@
     store::AsyncStore Store;
     Store.Commit = [this](const store::StoreTransaction &Change,
                           store::StoreCallback<store::CommitAnswer> Done) {
+      if (this->isRejected(Change)) {
+        ++this->Rejections;
+        this->Loop.Queue.post([Done = std::move(Done)] {
+          Done(failure(store::StoreError{store::StoreErrorCode::BadAnswer,
+                                         "400 malformed"}));
+        });
+        return;
+      }
       this->Open.push_back({Change, std::move(Done)});
       if (this->IsServed)
         this->serveAll();
@@ -69,6 +78,15 @@
     this->Writer->requestFlush();
   }
 
+  /// Whether the store rejects the commit because of RejectedJob.
+  bool isRejected(const store::StoreTransaction &Change) const {
+    const std::string Key = keys::progress(ServiceName("quotes"));
+    return std::any_of(Change.Puts.begin(), Change.Puts.end(),
+                       [&](const store::StorePut &Put) {
+                         return Put.Key == Key + this->RejectedJob;
+                       });
+  }
+
   /// Applies the commit if its conditions hold, as the store does.
   store::CommitAnswer apply(const store::StoreTransaction &Change) {
     store::CommitAnswer Answer;
@@ -127,6 +145,8 @@
   uint64_t Revision = 100;
   uint64_t LastJob = 0;
   size_t Written = 0;
+  std::string RejectedJob;
+  size_t Rejections = 0;
   bool IsServed = false;
   bool IsSuperseded = false;
   std::shared_ptr<ProgressWriter> Writer;
@@ -262,3 +282,33 @@
   CHECK(Test.Written == 40);
   CHECK(Test.Waiting.empty());
 }
+
+// Guards against jobs that are never stored because the store rejects the
+// progress of another job that shares a commit with them.
+TEST_CASE("a job whose progress the store rejects does not hold others up") {
+  Fixture Test;
+  Test.IsServed = true;
+  Test.RejectedJob = "3";
+  Test.change(8);
+  Test.Loop.runFor(seconds(2));
+  CHECK(Test.Written == 7);
+  const size_t Rejections = Test.Rejections;
+  Test.Loop.runFor(seconds(20));
+  CHECK(Test.Rejections <= Rejections + 10);
+  Test.RejectedJob.clear();
+  Test.Loop.runFor(seconds(6));
+  CHECK(Test.Written == 8);
+}
+
+// Guards against a copy that takes effect late and undoes what was written
+// after it had been given up.
+TEST_CASE("a commit that may have been carried out is not given up") {
+  Fixture Test;
+  Test.change(2);
+  Test.Loop.runFor(milliseconds(20));
+  Test.timeOut();
+  Test.RejectedJob = "1";
+  Test.Loop.runFor(seconds(20));
+  CHECK(Test.Waiting.empty());
+  CHECK(Test.Writer->openCommits() == 1);
+}
