Planner: Give a task up only if nothing else can have crashed the executor

Start orders without an answer count only if the executor had answered within 150 ms before; others make the task start alone on an executor that has just answered. The third crash must be noticed at once and have one possible cause, otherwise the fifth ends the job. Only an evacuation for an order to the machine excludes a loss.

--- a/src/libs/jobs/include/whintack/jobs/jobprogress.h
+++ b/src/libs/jobs/include/whintack/jobs/jobprogress.h
@@ -19,8 +19,8 @@
   std::string Checkpoint;
   /// Numbers of the runs that may have crashed their executor.
   std::set<uint64_t> CrashedRuns;
-  /// Numbers of the runs whose executor was lost before it answered their start
-  /// order, so that they may never have begun.
+  /// Numbers of the runs whose start order was not answered by an executor that
+  /// may have been gone already.
   std::set<uint64_t> LostStarts;
 
   /// Number of executors that may have crashed under the task.
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -75,7 +75,10 @@
 struct SuspectRun {
   TaskKey Task;
   uint64_t Number = 0;
+  /// The executor answered the start order, or was up when it was sent.
   bool HasStarted = false;
+  /// The executor was lost as soon as if the run had crashed it.
+  bool IsPrompt = false;
 };
 
 /// How a task may be started again after its executors have crashed.
@@ -190,6 +193,8 @@
   uint64_t LastDiscardableEnd = 0;
   BestEffortThrottle Throttle;
   TimePoint NoRoomUntil = TimePoint::min();
+  /// Until when an order to the machine may end the executor.
+  TimePoint MachineOrderedUntil = TimePoint::min();
   /// When the executor answered last. It crashes after that, and a crash that
   /// breaks no connection is noticed seconds later.
   TimePoint LastAnswerAt = TimePoint::min();
@@ -285,7 +290,8 @@
   Internal::TaskRecord &countingTask(const TaskKey &Key);
   /// The runs on an executor that is lost which may have crashed it.
   std::vector<Internal::SuspectRun>
-  suspectRuns(const Internal::ExecutorRecord &Executor);
+  suspectRuns(const Internal::ExecutorRecord &Executor, TimePoint Now);
+  bool haveOneCause(const std::vector<Internal::SuspectRun> &Suspects);
   void countCrash(const std::vector<Internal::SuspectRun> &Suspects,
                   const ExecutorId &Executor, TimePoint Now);
   /// The run did not crash its executor after all.
--- a/src/libs/jobs/plannercrashes.cpp
+++ b/src/libs/jobs/plannercrashes.cpp
@@ -6,11 +6,14 @@
 
 using namespace Internal;
 
-/// Number of executors that crash under a task before its job fails.
-static constexpr size_t MaxCrashedRuns = 3;
-/// The same if some of them were lost before they answered the start order. A
-/// task that never began may meet such executors in a row while a rack is lost.
-static constexpr size_t MaxPossibleCrashes = 5;
+/// A task is given up if this many executors have crashed under it, and the
+/// last one at once and while nothing else was starting there.
+static constexpr size_t MaxCrashes = 3;
+/// The same whatever the last crash was like.
+static constexpr size_t MaxDoubtfulCrashes = 5;
+/// How long after a run has settled the loss of its executor is noticed at the
+/// latest if the run crashed it. A machine that loses power is noticed later.
+static constexpr Duration CrashNoticeTime = std::chrono::seconds(1);
 /// Number of crashes after which a task starts alone: it has had two chances
 /// with different neighbours.
 static constexpr size_t MinCrashesForAlone = 2;
@@ -19,9 +22,12 @@
 /// How long after the end of an evacuation the loss of the executor may still
 /// be the effect of an order.
 static constexpr Duration EvacuationMargin = std::chrono::seconds(1);
-/// How long a reservation outlasts the time at which the executor is expected
-/// to be ready, so that a planning pass can use it.
-static constexpr Duration ReservationMargin = std::chrono::milliseconds(200);
+/// How long ago an executor may have answered when a start order is sent, so
+/// that it was certainly up.
+static constexpr Duration MaxAnswerAge = std::chrono::milliseconds(150);
+/// How long a reservation outlasts the time at which all runs have settled:
+/// until an executor without runs answers its next report call.
+static constexpr Duration ReservationMargin = std::chrono::seconds(2);
 /// One in this many executors may be reserved for suspects at a time.
 static constexpr size_t ExecutorsPerReservation = 8;
 
@@ -32,10 +38,9 @@
 }
 
 std::vector<SuspectRun>
-Planner::Private::suspectRuns(const ExecutorRecord &Executor) {
+Planner::Private::suspectRuns(const ExecutorRecord &Executor, TimePoint Now) {
   const bool IsOrdered =
-      Executor.EvacuatingUntil != TimePoint::min() &&
-      Executor.LastAnswerAt < Executor.EvacuatingUntil + EvacuationMargin;
+      Executor.LastAnswerAt < Executor.MachineOrderedUntil + EvacuationMargin;
   if (Executor.Info.IsDraining || IsOrdered)
     return {};
   std::vector<SuspectRun> Starting;
@@ -43,17 +48,36 @@
   for (const auto &[Key, Number] : Executor.Runs) {
     const RunRecord &Run = *this->findTask(Key)->Current;
     const JobRecord &Job = *this->findJob(Key.Step.Job);
-    const bool HasStarted = Run.SettledAt != TimePoint::max();
+    const bool HasAnswered = Run.SettledAt != TimePoint::max();
+    const bool WasUp = Executor.LastAnswerAt + MaxAnswerAge >= Run.PlacedAt;
+    const TimePoint SettledAt =
+        HasAnswered ? Run.SettledAt : Run.PlacedAt + SettleTime;
+    const bool IsPrompt = Now <= SettledAt + CrashNoticeTime;
     if (Executor.LastAnswerAt < Run.SettledAt)
-      Starting.push_back({Key, Number, HasStarted});
+      Starting.push_back({Key, Number, HasAnswered || WasUp, IsPrompt});
     else if (!this->stepSpec(Job, Key.Step).IsLongRunning)
-      Settled.push_back({Key, Number, HasStarted});
+      Settled.push_back({Key, Number, true, false});
   }
   return Starting.empty() ? Settled : Starting;
 }
 
+/// Whether only one task or gang can have crashed the executor.
+bool Planner::Private::haveOneCause(const std::vector<SuspectRun> &Suspects) {
+  const TaskRecord *Cause = nullptr;
+  for (const SuspectRun &Each : Suspects) {
+    if (!Each.HasStarted || !this->findTask(Each.Task))
+      continue;
+    const TaskRecord *Counting = &this->countingTask(Each.Task);
+    if (Cause && Cause != Counting)
+      return false;
+    Cause = Counting;
+  }
+  return true;
+}
+
 void Planner::Private::countCrash(const std::vector<SuspectRun> &Suspects,
                                   const ExecutorId &Executor, TimePoint Now) {
+  const bool HasOneCause = this->haveOneCause(Suspects);
   for (const SuspectRun &Each : Suspects) {
     JobRecord *Job = this->findJob(Each.Task.Step.Job);
     if (!Job || isFinal(Job->State))
@@ -73,8 +97,8 @@
                {"suspects", Suspects.size()},
                {"crashes", Crashes},
                {"lost-starts", Task.Stored.LostStarts.size()}});
-    if (Crashes < MaxCrashedRuns &&
-        Task.Stored.possibleCrashes() < MaxPossibleCrashes)
+    const bool IsCertain = HasOneCause && Each.IsPrompt;
+    if (Crashes < (IsCertain ? MaxCrashes : MaxDoubtfulCrashes))
       continue;
     this->log("task-given-up", {{"task", Each.Task.text()},
                                 {"cause", "executors crash under it"},
@@ -142,7 +166,8 @@
   case StartCaution::ApartFromSuspects:
     return Now >= Executor.SuspectUntil;
   case StartCaution::Alone:
-    return Now >= Executor.SettledAt;
+    return Now >= Executor.SettledAt &&
+           Now <= Executor.LastAnswerAt + MaxAnswerAge;
   }
   return false;
 }
--- a/src/libs/jobs/plannerevacuation.cpp
+++ b/src/libs/jobs/plannerevacuation.cpp
@@ -52,6 +52,7 @@
     return;
   ExecutorRecord &Executor = Found->second;
   Executor.EvacuatingUntil = Now + EvacuationTimeout;
+  Executor.MachineOrderedUntil = Executor.EvacuatingUntil;
   std::vector<Candidate> Places = this->D->candidates(Now);
   for (const auto &[Key, Number] : Executor.Runs) {
     JobRecord &Job = *this->D->findJob(Key.Step.Job);
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -581,7 +581,8 @@
     return;
   const std::map<TaskKey, uint64_t> Booked = Found->second.Runs;
   std::vector<SuspectRun> &Unexplained = Found->second.UnexplainedRuns;
-  const std::vector<SuspectRun> Suspects = this->D->suspectRuns(Found->second);
+  const std::vector<SuspectRun> Suspects =
+      this->D->suspectRuns(Found->second, Now);
   Unexplained.insert(Unexplained.end(), Suspects.begin(), Suspects.end());
   this->D->log("executor-empty", {{"executor", Id},
                                   {"cause", nameOf(ExecutorLossNames, Cause)},
--- a/src/libs/simulation/include/whintack/simulation/simulatedplatform.h
+++ b/src/libs/simulation/include/whintack/simulation/simulatedplatform.h
@@ -56,8 +56,8 @@
 
   /// Lets the machine lose power; it comes back after \p DownFor.
   void crash(const jobs::MachineName &Machine, Duration DownFor);
-  /// Ends the machine's executor, which resets its connections; another one
-  /// starts after \p DownFor.
+  /// Ends the process of the machine's executor, so that its connections are
+  /// reset and further ones refused; another one starts after \p DownFor.
   void crashExecutor(const jobs::MachineName &Machine, Duration DownFor);
   /// Changes the capacity of the machine and of its executor.
   void setCapacity(const jobs::MachineName &Machine,
@@ -85,7 +85,8 @@
                 const ServiceName &Pool);
   Machine *machineOf(const jobs::ExecutorId &Id);
   void deliverCall(const EntryName &Vm, const jobs::ExecutorAddress &To,
-                   const std::function<void(Machine &, bool IsAnswered)> &Work);
+                   const std::function<void(Machine &, bool IsAnswered)> &Work,
+                   const std::function<void()> &Refuse);
   template <typename Answer>
   std::function<void(Answer)> withDeadline(TimePoint Deadline,
                                            std::function<void(Answer)> Done,
@@ -106,6 +107,9 @@
   CallFaults Faults;
   std::function<bool(const jobs::TaskKey &, uint64_t)> Fails;
   std::function<bool(const jobs::TaskKey &)> CrashesExecutor;
+  /// Executors whose process has ended while their machine is up, so that it
+  /// refuses connections.
+  std::set<jobs::ExecutorId> EndedExecutors;
   uint64_t LastExecutor = 0;
 };
 
--- a/src/libs/simulation/simulatedexecutor.h
+++ b/src/libs/simulation/simulatedexecutor.h
@@ -90,9 +90,8 @@
   RunChecker &Checker;
   ExecutorHooks Hooks;
   TimePoint StartedAt;
-  /// Capacity before it shrank last, which counts until CapacityKnownAt.
-  jobs::ComputeResources EarlierCapacity;
-  TimePoint CapacityKnownAt = TimePoint::min();
+  /// Earlier capacities, each with the time until which it may be planned with.
+  std::deque<std::pair<TimePoint, jobs::ComputeResources>> EarlierCapacities;
   bool IsTerminated = false;
   uint64_t HighestToken = 0;
   jobs::ExecutorTime LeaseUntil = 0;
--- a/src/libs/simulation/simulatedplatform.cpp
+++ b/src/libs/simulation/simulatedplatform.cpp
@@ -162,8 +162,10 @@
   const std::shared_ptr<Internal::SimulatedExecutor> Crashed =
       this->Machines.at(Name)->Executor;
   this->crash(Name, DownFor);
-  if (Crashed)
-    Crashed->resetConnections();
+  if (!Crashed)
+    return;
+  this->EndedExecutors.insert(Crashed->info().Id);
+  Crashed->resetConnections();
 }
 
 void SimulatedPlatform::setCapacity(const jobs::MachineName &Name,
@@ -202,7 +204,8 @@
 /// Delivers a call to its executor, subject to partitions and injected faults.
 void SimulatedPlatform::deliverCall(
     const EntryName &Vm, const jobs::ExecutorAddress &To,
-    const std::function<void(Machine &, bool IsAnswered)> &Work) {
+    const std::function<void(Machine &, bool IsAnswered)> &Work,
+    const std::function<void()> &Refuse) {
   const bool IsLate =
       occursWithProbability(this->Faults.LateCallProbability, this->Source);
   const bool IsLost =
@@ -214,6 +217,8 @@
                 std::chrono::milliseconds(this->Source() % 5000);
   this->Loop.schedule(this->Time.Now() + CallDelay, [=, this] {
     Machine *Found = this->machineOf(To.Id);
+    if (this->EndedExecutors.contains(To.Id))
+      Refuse();
     // An executor that has ended does not answer.
     if (Found && !this->Partitions.contains({Vm, Found->Setup.DataCentre}))
       Work(*Found, !IsLost);
@@ -252,10 +257,12 @@
     const auto AnswerOnce = this->withDeadline<Reported>(
         Deadline, std::move(Done), TimeoutAnswer());
     this->deliverCall(
-        Vm, To, [Request, AnswerOnce](Machine &Target, bool IsAnswered) {
+        Vm, To,
+        [Request, AnswerOnce](Machine &Target, bool IsAnswered) {
           Target.Executor->report(
               Request, IsAnswered ? AnswerOnce : [](const Reported &) {});
-        });
+        },
+        [=] { AnswerOnce(TimeoutAnswer()); });
   };
   Gateway.Start = [=, this](const jobs::ExecutorAddress &To,
                             const jobs::StartOrder &Order, uint64_t Token,
@@ -263,13 +270,16 @@
                             std::function<void(jobs::StartAnswer)> Done) {
     const auto AnswerOnce = this->withDeadline<jobs::StartAnswer>(
         Deadline, std::move(Done), jobs::StartAnswer());
-    this->deliverCall(Vm, To, [=, this](Machine &Target, bool IsAnswered) {
-      const jobs::StartAnswer Answer =
-          Target.Executor->start(Order, Token, LeaseUntil);
-      if (IsAnswered)
-        this->Loop.schedule(this->Time.Now() + NetworkDelay,
-                            [AnswerOnce, Answer] { AnswerOnce(Answer); });
-    });
+    this->deliverCall(
+        Vm, To,
+        [=, this](Machine &Target, bool IsAnswered) {
+          const jobs::StartAnswer Answer =
+              Target.Executor->start(Order, Token, LeaseUntil);
+          if (IsAnswered)
+            this->Loop.schedule(this->Time.Now() + NetworkDelay,
+                                [AnswerOnce, Answer] { AnswerOnce(Answer); });
+        },
+        [AnswerOnce] { AnswerOnce(jobs::StartAnswer()); });
   };
   Gateway.Stop = [=, this](const jobs::ExecutorAddress &To,
                            const jobs::StopOrder &Order, uint64_t Token,
@@ -277,11 +287,14 @@
                            jobs::GatewayCallback<jobs::ExecutorTime> Done) {
     const auto AnswerOnce = this->withDeadline<Confirmed>(
         Deadline, std::move(Done), TimeoutAnswer());
-    this->deliverCall(Vm, To, [=](Machine &Target, bool IsAnswered) {
-      const Confirmed Answer = Target.Executor->stop(Order, Token);
-      if (IsAnswered)
-        AnswerOnce(Answer);
-    });
+    this->deliverCall(
+        Vm, To,
+        [=](Machine &Target, bool IsAnswered) {
+          const Confirmed Answer = Target.Executor->stop(Order, Token);
+          if (IsAnswered)
+            AnswerOnce(Answer);
+        },
+        [=] { AnswerOnce(TimeoutAnswer()); });
   };
   Gateway.Pace = [=, this](const jobs::ExecutorAddress &To,
                            const jobs::PaceOrder &Order, uint64_t Token,
@@ -289,11 +302,14 @@
                            jobs::GatewayCallback<jobs::ExecutorTime> Done) {
     const auto AnswerOnce = this->withDeadline<Confirmed>(
         Deadline, std::move(Done), TimeoutAnswer());
-    this->deliverCall(Vm, To, [=](Machine &Target, bool IsAnswered) {
-      const Confirmed Answer = Target.Executor->pace(Order, Token);
-      if (IsAnswered)
-        AnswerOnce(Answer);
-    });
+    this->deliverCall(
+        Vm, To,
+        [=](Machine &Target, bool IsAnswered) {
+          const Confirmed Answer = Target.Executor->pace(Order, Token);
+          if (IsAnswered)
+            AnswerOnce(Answer);
+        },
+        [=] { AnswerOnce(TimeoutAnswer()); });
   };
   return Gateway;
 }
