Planner: Forget crashes under a long-running task once it has settled

Callers would see: a job that runs for months shown as failed, because three or five executors were lost in all that time shortly after a start. The counts of a long-running task are cleared once a run of it has settled. The new case of tst_crashes failed before.

--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -302,6 +302,9 @@
   /// Records that the run is known to have started.
   void noteStarted(Internal::ExecutorRecord &Executor, const TaskKey &Key,
                    TimePoint Now);
+  /// Forgets earlier crashes of a long-running task whose run has settled: over
+  /// its life, each task is lost with some executors.
+  void noteSettled(const TaskKey &Key, TimePoint Now);
   Internal::StartCaution startCaution(const TaskKey &Key);
   bool isCrashStored(const Internal::JobRecord &Job, const TaskKey &Key);
   static bool isOpenFor(const Internal::ExecutorRecord &Executor,
--- a/src/libs/jobs/plannercrashes.cpp
+++ b/src/libs/jobs/plannercrashes.cpp
@@ -137,6 +137,18 @@
   this->noteStartOrdered(Executor, Key, Now);
 }
 
+void Planner::Private::noteSettled(const TaskKey &Key, TimePoint Now) {
+  JobRecord &Job = *this->findJob(Key.Step.Job);
+  if (!this->stepSpec(Job, Key.Step).IsLongRunning)
+    return;
+  TaskProgress &Stored = this->countingTask(Key).Stored;
+  if (Stored.possibleCrashes() == 0)
+    return;
+  Stored.CrashedRuns.clear();
+  Stored.LostStarts.clear();
+  this->recordChange(Job, Now);
+}
+
 StartCaution Planner::Private::startCaution(const TaskKey &Key) {
   const size_t Crashes = this->countingTask(Key).Stored.possibleCrashes();
   if (Crashes == 0)
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -324,6 +324,8 @@
     Run.ConfirmedAt = At;
   if (Run.SettledAt == TimePoint::max())
     this->noteStarted(Executor, Row.Task, Now);
+  else if (Now >= Run.SettledAt)
+    this->noteSettled(Row.Task, Now);
   Run.Percent = Row.Percent;
   JobRecord &Job = *this->findJob(Row.Task.Step.Job);
   Job.HasStarted = true;
--- a/tests/auto/jobs/tst_crashes.cpp
+++ b/tests/auto/jobs/tst_crashes.cpp
@@ -252,6 +252,23 @@
   CHECK(Fixture.Planner.shownState(First) == JobState::Running);
 }
 
+TEST_CASE("crashes under a long-running task count until it has settled") {
+  CrashFixture Fixture(1);
+  std::vector<StepSpec> Steps = {step(1)};
+  Steps[0].IsLongRunning = true;
+  Fixture.Planner.addJob(job("1", Steps));
+  for (int Count = 0; Count < 10; ++Count) {
+    const StartOrder Order = Fixture.startAll().at(0);
+    if (Count % 2 == 1)
+      Fixture.settle();
+    Fixture.crash(Order.Executor);
+    Fixture.store();
+  }
+  CHECK(Fixture.Planner.shownState(First) == JobState::Running);
+  Fixture.crashAllStarts();
+  CHECK(Fixture.Planner.shownState(First) == JobState::Failed);
+}
+
 // Guards against running work that is given up because its executor was silent.
 TEST_CASE("an executor that was only silent does not count as crashed") {
   CrashFixture Fixture(2);
