Dispatch: Keep the process when the key of a wave's record is damaged

Callers would see: no maintenance and no moves for good. The key is now logged and passed over. The new case of tst_fleet ended with the exception before.

--- a/src/libs/dispatch/wavemanager.cpp
+++ b/src/libs/dispatch/wavemanager.cpp
@@ -4,6 +4,7 @@
 
 #include "whintack/jobs/planner.h"
 
+#include <charconv>
 #include <cpprest/json.h>
 
 namespace whintack::dispatch::Internal {
@@ -43,6 +44,17 @@
           }));
 }
 
+/// The number in the key of a wave's record; std::nullopt if there is none.
+static std::optional<uint64_t> waveNumber(const std::string &Key) {
+  uint64_t Number = 0;
+  const char *Begin = Key.data() + keys::Waves.size();
+  const char *End = Key.data() + Key.size();
+  const auto Read = std::from_chars(Begin, End, Number);
+  if (Read.ec != std::errc() || Read.ptr != End)
+    return std::nullopt;
+  return Number;
+}
+
 void WaveManager::handleRecords(store::StoreResult<store::StorePage> Answer) {
   if (this->IsStopped)
     return;
@@ -53,7 +65,11 @@
     return;
   }
   for (const store::StoreItem &Item : Answer.value().Items)
-    this->Records[std::stoull(Item.Key.substr(keys::Waves.size()))] = Item;
+    if (const auto Number = waveNumber(Item.Key))
+      this->Records[*Number] = Item;
+    else
+      logEvent(LogLevel::Error, "wave-unreadable",
+               {{"key", Item.Key}, {"cause", "the key names no wave"}});
   this->IsLoaded = true;
   this->setWaves(this->Requests);
 }
--- a/tests/auto/dispatch/tst_fleet.cpp
+++ b/tests/auto/dispatch/tst_fleet.cpp
@@ -215,6 +215,22 @@
   Fleet.finishAndCheck();
 }
 
+// Guards against a record that ends the process of each VM that takes the
+// machines over.
+TEST_CASE("a damaged key of a wave does not stop maintenance") {
+  BusyFleet Fleet;
+  Fleet.Platform.store().put("whintack/wave/one", "{}");
+  Fleet.Platform.store().put("whintack/wave/", "{}");
+  Fleet.Platform.store().put("whintack/wave/99999999999999999999", "{}");
+  const std::string Holder = Fleet.plannerOf("fleet");
+  REQUIRE_FALSE(Holder.empty());
+  Fleet.killNode(Holder);
+  Fleet.restartNode(Holder);
+  REQUIRE_NOTHROW(Fleet.runFor(seconds(10)));
+  CHECK_FALSE(Fleet.plannerOf("fleet").empty());
+  Fleet.finishAndCheck(seconds(1));
+}
+
 TEST_CASE("a wave ends in time and keeps its limit of machines down") {
   BusyFleet Fleet;
   jobs::WaveRequest Wave;
