--- a/tests/auto/dispatch/tst_crashingtasks.cpp
+++ b/tests/auto/dispatch/tst_crashingtasks.cpp
@@ -1,6 +1,4 @@
-#include "simulatedfleet.h"
-
-#include <catch2/catch.hpp>
+#include "busyfleet.h"
 
 using namespace whintack;
 using namespace whintack::tests;
@@ -11,25 +9,14 @@
 
 /// A busy fleet in which the first task of some jobs crashes each executor that
 /// starts it.
-class CrashingFleet : public SimulatedFleet {
+class CrashingFleet : public BusyFleet {
 public:
-  explicit CrashingFleet(uint64_t Seed = 1) : SimulatedFleet(Seed) {
-    this->startAll();
+  CrashingFleet() : BusyFleet("quotes", milliseconds(100)) {
     this->Platform.setCrashingTasks([this](const jobs::TaskKey &Task) {
       return this->Crashing.contains(Task.Step.Job) && Task.Index == 0;
     });
   }
 
-  /// Submits a job every 100 ms for \p Length.
-  void submitJobs(Duration Length) {
-    constexpr Duration Pause = milliseconds(100);
-    for (Duration Elapsed = Duration::zero(); Elapsed < Length;
-         Elapsed += Pause) {
-      this->submit("quotes", "short");
-      this->runFor(Pause);
-    }
-  }
-
   /// Submits a job whose first task crashes its executors.
   std::string submitCrashingJob() {
     const std::string Path = this->submit("quotes", "short");
@@ -47,16 +34,8 @@
     this->restartNode(Planner);
   }
 
-  /// Lets everything end and checks the guarantees of the product.
   void finishAndCheck() {
-    this->runFor(seconds(30));
-    for (const std::string &Text : this->Platform.runChecker().violations())
-      FAIL_CHECK(Text);
-    for (const std::string &Path : this->Accepted) {
-      INFO(Path);
-      CHECK(this->stateOf(Path) ==
-            (this->CrashingPaths.contains(Path) ? "failed" : "completed"));
-    }
+    this->BusyFleet::finishAndCheck(this->CrashingPaths);
   }
 
 private:
--- a/tests/auto/dispatch/tst_shrinkingcapacity.cpp
+++ b/tests/auto/dispatch/tst_shrinkingcapacity.cpp
@@ -1,6 +1,4 @@
-#include "simulatedfleet.h"
-
-#include <catch2/catch.hpp>
+#include "busyfleet.h"
 
 using namespace whintack;
 using namespace whintack::tests;
@@ -10,19 +8,9 @@
 namespace {
 
 /// A fleet whose executors of "payouts", which admit everything, are kept busy.
-class BusyPayouts : public SimulatedFleet {
+class BusyPayouts : public BusyFleet {
 public:
-  BusyPayouts() { this->startAll(); }
-
-  /// Submits jobs for \p Length.
-  void submitJobs(Duration Length) {
-    constexpr Duration Pause = milliseconds(60);
-    for (Duration Elapsed = Duration::zero(); Elapsed < Length;
-         Elapsed += Pause) {
-      this->submit("payouts", "short");
-      this->runFor(Pause);
-    }
-  }
+  BusyPayouts() : BusyFleet("payouts", milliseconds(60)) {}
 
   void setCapacities(int64_t MilliCores) {
     for (const jobs::MachineName &Name : this->Platform.machineNames())
@@ -34,16 +22,6 @@
     for (const std::string &Name : this->nodeNames())
       this->Platform.store().loseWatches(EntryName(Name), "executors/", Calls);
   }
-
-  void finishAndCheck() {
-    this->runFor(seconds(30));
-    for (const std::string &Text : this->Platform.runChecker().violations())
-      FAIL_CHECK(Text);
-    for (const std::string &Path : this->Accepted) {
-      INFO(Path);
-      CHECK(this->stateOf(Path) == "completed");
-    }
-  }
 };
 
 } // namespace
