Planner: Keep a run whose start was carried out late

Cause, from the log: a start was not answered, a stop was ordered 0.3 s later and not answered either. The executor carried the start out seconds late, reports listed the run as running, and the repeated stop ended it at 17.479 s.

Change: a run that is to be stopped only because its start was not answered is kept once a report lists it, unless a stop was confirmed, its job has ended, or the executor drains. tst_planner: the new case failed before.

--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -47,6 +47,8 @@
   /// From this time on, the run is not the likely cause if its executor
   /// crashes; TimePoint::max() while it is not known to have started.
   TimePoint SettledAt = TimePoint::max();
+  /// The run is to be stopped only because its start was not answered.
+  bool IsStartDoubtful = false;
   /// When to repeat a stop order that was not confirmed.
   TimePoint NextStopAt = TimePoint::max();
   int64_t Percent = 0;
@@ -264,6 +266,9 @@
                Internal::RunRecord Run);
   void releaseRun(const TaskKey &Key, Internal::TaskRecord &Task);
   void orderStop(const TaskKey &Key, Internal::TaskRecord &Task);
+  /// Keeps a run whose start was carried out late, if nothing but the missing
+  /// answer speaks against it and no stop has been confirmed.
+  void keepLateStart(const TaskKey &Key, const Internal::ExecutorRecord &On);
   void handleEnd(Internal::ExecutorRecord &Executor, const EndReport &End,
                  TimePoint Now);
   /// Whether the job is unknown but may still be added during catch-up.
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -61,6 +61,23 @@
       StopOrder{Task.Current->Executor, Key, Task.Current->Number});
 }
 
+void Planner::Private::keepLateStart(const TaskKey &Key,
+                                     const ExecutorRecord &On) {
+  const JobRecord &Job = *this->findJob(Key.Step.Job);
+  const TaskRecord &Task = *this->findTask(Key);
+  RunRecord &Run = *this->findTask(Key)->Current;
+  if (!Run.IsStartDoubtful || Run.StopConfirmedAt || isFinal(Job.State) ||
+      Task.Stored.IsDone || On.Info.IsDraining ||
+      this->stepSpec(Job, Key.Step).IsGang)
+    return;
+  Run.Phase = RunPhase::Running;
+  Run.IsStartDoubtful = false;
+  Run.NextStopAt = TimePoint::max();
+  this->log(
+      "late-start-kept",
+      {{"task", Key.text()}, {"run", Run.Number}, {"executor", Run.Executor}});
+}
+
 void Planner::Private::stopGang(const StepKey &Step) {
   JobRecord &Job = *this->findJob(Step.Job);
   for (size_t Member = 0; Member < this->stepSpec(Job, Step).Count; ++Member) {
@@ -320,6 +337,7 @@
   Run.StartTimeoutAt = TimePoint::max();
   if (Run.Phase == RunPhase::Starting)
     Run.Phase = RunPhase::Running;
+  this->keepLateStart(Row.Task, Executor);
   if (!Run.ConfirmedAt)
     Run.ConfirmedAt = At;
   if (Run.SettledAt == TimePoint::max())
@@ -349,8 +367,10 @@
     if (Running.contains(Key))
       continue;
     const RunRecord &Run = *Task.Current;
-    if (Now >= Run.StartTimeoutAt)
+    if (Now >= Run.StartTimeoutAt && Run.Phase != RunPhase::Stopping) {
       this->orderStop(Key, Task);
+      Task.Current->IsStartDoubtful = true;
+    }
     const bool WasRunning = Run.ConfirmedAt && *Run.ConfirmedAt < Report.At;
     const bool WasStopped =
         Run.StopConfirmedAt && *Run.StopConfirmedAt < Report.At;
@@ -514,7 +534,7 @@
     return;
   if (At)
     Task->Current->StopConfirmedAt = At;
-  else
+  else if (Task->Current->Phase == RunPhase::Stopping)
     this->D->setNextStop(*Task->Current, Now + StopRetryDelay);
 }
 
--- a/tests/auto/jobs/tst_planner.cpp
+++ b/tests/auto/jobs/tst_planner.cpp
@@ -77,6 +77,42 @@
   }
 }
 
+// Guards against running work that is stopped because its start was answered
+// late, while other tasks of its step are away (AVAIL).
+TEST_CASE("a run whose start was carried out late goes on") {
+  PlannerFixture Fixture;
+  Fixture.list({executor("a"), executor("b")});
+  Fixture.Planner.addJob(job("1", {step(1)}));
+  const auto Starts = Fixture.starts();
+  REQUIRE(Starts.size() == 1);
+  const std::string Name = Starts[0].Executor.text();
+  Fixture.Planner.noteStart(Starts[0], StartOutcome::Unknown, 0,
+                            Fixture.Time.now());
+  Fixture.Time.advance(std::chrono::seconds(1));
+  Fixture.report(Name, {}, {});
+  const auto Stops = Fixture.takeOrders<StopOrder>();
+  REQUIRE(Stops.size() == 1);
+
+  SECTION("if no stop was confirmed") {
+    Fixture.report(Name, {{Starts[0].Task, 1, "", 100, 0}}, {});
+    Fixture.Planner.noteStop(Stops[0], std::nullopt, Fixture.Time.now());
+    Fixture.Time.advance(std::chrono::seconds(2));
+    Fixture.Planner.repeatStops(Fixture.Time.now());
+    CHECK(Fixture.takeOrders<StopOrder>().empty());
+    CHECK(Fixture.starts().empty());
+    Fixture.report(Name, {}, {Fixture.end(Starts[0], RunEnd::Stopped)});
+    CHECK(Fixture.starts().size() == 1);
+  }
+  SECTION("but not if its job has been cancelled") {
+    Fixture.Planner.cancel(JobId("1"), Fixture.Time.now());
+    Fixture.report(Name, {{Starts[0].Task, 1, "", 100, 0}}, {});
+    Fixture.Planner.noteStop(Stops[0], std::nullopt, Fixture.Time.now());
+    Fixture.Time.advance(std::chrono::seconds(2));
+    Fixture.Planner.repeatStops(Fixture.Time.now());
+    CHECK(Fixture.takeOrders<StopOrder>().size() == 1);
+  }
+}
+
 TEST_CASE(
     "tasks of an unreachable executor start elsewhere only once it is empty") {
   PlannerFixture Fixture;
