--- /dev/null
+++ b/src/libs/jobs/planneradvice.cpp
@@ -0,0 +1,72 @@
+#include "planner_p.h"
+
+#include <algorithm>
+
+namespace whintack::jobs {
+
+using namespace Internal;
+
+/// Maximum number of executors in one request for advice. The response time
+/// grows with each executor.
+static constexpr size_t MaxAdviceCandidates = 30;
+/// Delay before a failed request for advice is repeated.
+static constexpr Duration AdviceRetryDelay = std::chrono::milliseconds(200);
+
+bool Planner::Private::ensureTickets(const JobRecord &Job, const StepKey &Step,
+                                     const std::vector<Candidate> &Candidates,
+                                     TimePoint Now) {
+  if (!Job.Policy.Advice)
+    return true;
+  AdviceRecord &Known = this->Advice[Step];
+  const bool IsValid = Now < Known.ValidUntil;
+  const auto HasTicket = [&Known](const Candidate &Each) {
+    return Known.Tickets.contains(Each.Executor->Info.Id);
+  };
+  if (IsValid && std::any_of(Candidates.begin(), Candidates.end(), HasTicket))
+    return true;
+  if (Known.IsRequestPending || Now < Known.NextRequestAt)
+    return false;
+  AdviceOrder Request{Step, {}};
+  // Which executors may run a step does not change. Executors that were granted
+  // a ticket are therefore asked about again, and those that were not are left
+  // out.
+  for (const Candidate &Each : Candidates) {
+    const ExecutorId &Id = Each.Executor->Info.Id;
+    if (Request.Candidates.size() < MaxAdviceCandidates &&
+        (!Known.AskedExecutors.contains(Id) || Known.Tickets.contains(Id)))
+      Request.Candidates.push_back(Id);
+  }
+  if (Request.Candidates.empty())
+    return false;
+  Known.IsRequestPending = true;
+  this->Orders.push_back(std::move(Request));
+  return false;
+}
+
+void Planner::noteAdvice(const AdviceOrder &Request,
+                         const std::vector<Ticket> &Tickets,
+                         TimePoint ValidUntil) {
+  const auto Found = this->D->Advice.find(Request.Step);
+  if (Found == this->D->Advice.end())
+    return;
+  AdviceRecord &Record = Found->second;
+  Record.IsRequestPending = false;
+  Record.ValidUntil = ValidUntil;
+  Record.AskedExecutors.insert(Request.Candidates.begin(),
+                               Request.Candidates.end());
+  for (const Ticket &Granted : Tickets)
+    Record.Tickets[Granted.Executor] = Granted.Text;
+  this->D->log("advice-taken", {{"step", Request.Step.text()},
+                                {"asked", Request.Candidates.size()},
+                                {"good", Tickets.size()}});
+}
+
+void Planner::noteAdviceFailed(const AdviceOrder &Request, TimePoint Now) {
+  const auto Found = this->D->Advice.find(Request.Step);
+  if (Found == this->D->Advice.end())
+    return;
+  Found->second.IsRequestPending = false;
+  Found->second.NextRequestAt = Now + AdviceRetryDelay;
+}
+
+} // namespace whintack::jobs
--- a/src/libs/jobs/plannercrashes.cpp
+++ b/src/libs/jobs/plannercrashes.cpp
@@ -211,4 +211,32 @@
   Executor.ReservedFor = Key;
 }
 
+void Planner::noteEmpty(const ExecutorId &Id, ExecutorLoss Cause,
+                        TimePoint Now) {
+  this->D->AwaitedExecutors.erase(Id);
+  const auto Found = this->D->Executors.find(Id);
+  if (Found == this->D->Executors.end())
+    return;
+  const std::map<TaskKey, uint64_t> Booked = Found->second.Runs;
+  std::vector<SuspectRun> &Unexplained = Found->second.UnexplainedRuns;
+  const std::vector<SuspectRun> Suspects =
+      this->D->suspectRuns(Found->second, Now);
+  Unexplained.insert(Unexplained.end(), Suspects.begin(), Suspects.end());
+  this->D->log("executor-empty", {{"executor", Id},
+                                  {"cause", nameOf(ExecutorLossNames, Cause)},
+                                  {"runs", Booked.size()},
+                                  {"suspects", Suspects.size()}});
+  for (const auto &[Key, Number] : Booked) {
+    this->D->releaseRun(Key, *this->D->findTask(Key));
+    JobRecord &Job = *this->D->findJob(Key.Step.Job);
+    if (this->D->stepSpec(Job, Key.Step).IsGang)
+      this->D->stopGang(Key.Step);
+    this->D->removeIfFinished(Key.Step.Job);
+  }
+  Found->second.HasReported = false;
+  // An executor whose leases have expired may only have been silent.
+  if (Cause != ExecutorLoss::LeasesExpired)
+    this->D->countCrash(std::exchange(Unexplained, {}), Id, Now);
+}
+
 } // namespace whintack::jobs
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -17,8 +17,6 @@
 /// Delay before an order that was refused as malformed is tried again. Only a
 /// newer configuration or program can change the outcome.
 static constexpr Duration MalformedRetryDelay = std::chrono::seconds(1);
-/// Delay before a failed request for advice is repeated.
-static constexpr Duration AdviceRetryDelay = std::chrono::milliseconds(200);
 
 void Planner::Private::bookRun(const TaskKey &Key, TaskRecord &Task,
                                RunRecord Run) {
@@ -559,32 +557,6 @@
     }
 }
 
-void Planner::noteAdvice(const AdviceOrder &Request,
-                         const std::vector<Ticket> &Tickets,
-                         TimePoint ValidUntil) {
-  const auto Found = this->D->Advice.find(Request.Step);
-  if (Found == this->D->Advice.end())
-    return;
-  AdviceRecord &Record = Found->second;
-  Record.IsRequestPending = false;
-  Record.ValidUntil = ValidUntil;
-  Record.AskedExecutors.insert(Request.Candidates.begin(),
-                               Request.Candidates.end());
-  for (const Ticket &Granted : Tickets)
-    Record.Tickets[Granted.Executor] = Granted.Text;
-  this->D->log("advice-taken", {{"step", Request.Step.text()},
-                                {"asked", Request.Candidates.size()},
-                                {"good", Tickets.size()}});
-}
-
-void Planner::noteAdviceFailed(const AdviceOrder &Request, TimePoint Now) {
-  const auto Found = this->D->Advice.find(Request.Step);
-  if (Found == this->D->Advice.end())
-    return;
-  Found->second.IsRequestPending = false;
-  Found->second.NextRequestAt = Now + AdviceRetryDelay;
-}
-
 void Planner::setReachable(const ExecutorId &Id, bool IsReachable) {
   const auto Found = this->D->Executors.find(Id);
   if (Found == this->D->Executors.end() ||
@@ -595,32 +567,4 @@
                {{"executor", Id}, {"reachable", IsReachable ? "yes" : "no"}});
 }
 
-void Planner::noteEmpty(const ExecutorId &Id, ExecutorLoss Cause,
-                        TimePoint Now) {
-  this->D->AwaitedExecutors.erase(Id);
-  const auto Found = this->D->Executors.find(Id);
-  if (Found == this->D->Executors.end())
-    return;
-  const std::map<TaskKey, uint64_t> Booked = Found->second.Runs;
-  std::vector<SuspectRun> &Unexplained = Found->second.UnexplainedRuns;
-  const std::vector<SuspectRun> Suspects =
-      this->D->suspectRuns(Found->second, Now);
-  Unexplained.insert(Unexplained.end(), Suspects.begin(), Suspects.end());
-  this->D->log("executor-empty", {{"executor", Id},
-                                  {"cause", nameOf(ExecutorLossNames, Cause)},
-                                  {"runs", Booked.size()},
-                                  {"suspects", Suspects.size()}});
-  for (const auto &[Key, Number] : Booked) {
-    this->D->releaseRun(Key, *this->D->findTask(Key));
-    JobRecord &Job = *this->D->findJob(Key.Step.Job);
-    if (this->D->stepSpec(Job, Key.Step).IsGang)
-      this->D->stopGang(Key.Step);
-    this->D->removeIfFinished(Key.Step.Job);
-  }
-  Found->second.HasReported = false;
-  // An executor whose leases have expired may only have been silent.
-  if (Cause != ExecutorLoss::LeasesExpired)
-    this->D->countCrash(std::exchange(Unexplained, {}), Id, Now);
-}
-
 } // namespace whintack::jobs
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -9,9 +9,6 @@
 
 using namespace Internal;
 
-/// Maximum number of executors in one request for advice. The response time
-/// grows with each executor.
-static constexpr size_t MaxAdviceCandidates = 30;
 /// Maximum time between two planning passes.
 static constexpr Duration PlanInterval = std::chrono::milliseconds(100);
 /// Share of a pool's processor capacity for jobs that run late and would soon
@@ -228,37 +225,6 @@
   return Best;
 }
 
-bool Planner::Private::ensureTickets(const JobRecord &Job, const StepKey &Step,
-                                     const std::vector<Candidate> &Candidates,
-                                     TimePoint Now) {
-  if (!Job.Policy.Advice)
-    return true;
-  AdviceRecord &Known = this->Advice[Step];
-  const bool IsValid = Now < Known.ValidUntil;
-  const auto HasTicket = [&Known](const Candidate &Each) {
-    return Known.Tickets.contains(Each.Executor->Info.Id);
-  };
-  if (IsValid && std::any_of(Candidates.begin(), Candidates.end(), HasTicket))
-    return true;
-  if (Known.IsRequestPending || Now < Known.NextRequestAt)
-    return false;
-  AdviceOrder Request{Step, {}};
-  // Which executors may run a step does not change. Executors that were granted
-  // a ticket are therefore asked about again, and those that were not are left
-  // out.
-  for (const Candidate &Each : Candidates) {
-    const ExecutorId &Id = Each.Executor->Info.Id;
-    if (Request.Candidates.size() < MaxAdviceCandidates &&
-        (!Known.AskedExecutors.contains(Id) || Known.Tickets.contains(Id)))
-      Request.Candidates.push_back(Id);
-  }
-  if (Request.Candidates.empty())
-    return false;
-  Known.IsRequestPending = true;
-  this->Orders.push_back(std::move(Request));
-  return false;
-}
-
 void Planner::Private::start(JobRecord &Job, const TaskKey &Key, uint64_t Run,
                              Candidate &Target, TimePoint Now) {
   TaskRecord &Task = *this->findTask(Key);
