Planner: Log ends that are passed over or come after their run was given up

The record of tasks that were started again cannot tell whether the first end was never heard, heard and passed over, or heard after the executor had been declared empty. run-ended now says whether the run was current, executor-empty for how long the executor had been silent, and end-passed-over names an end that counts as reported before although its run is still booked. No logic changes.

--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -271,6 +271,8 @@
   void keepLateStart(const TaskKey &Key, const Internal::ExecutorRecord &On);
   void handleEnd(Internal::ExecutorRecord &Executor, const EndReport &End,
                  TimePoint Now);
+  void logIfStillBooked(const Internal::ExecutorRecord &Executor,
+                        const EndReport &End);
   /// Whether the job is unknown but may still be added during catch-up.
   bool mayBeAddedLater(const JobId &Job) const;
   /// Handles the ends that were reported before the job was added.
--- a/src/libs/jobs/plannercrashes.cpp
+++ b/src/libs/jobs/plannercrashes.cpp
@@ -222,8 +222,13 @@
   const std::vector<SuspectRun> Suspects =
       this->D->suspectRuns(Found->second, Now);
   Unexplained.insert(Unexplained.end(), Suspects.begin(), Suspects.end());
+  const TimePoint LastAnswerAt = Found->second.LastAnswerAt;
+  const int64_t SilentMs = LastAnswerAt == TimePoint::min()
+                               ? -1
+                               : toMilliseconds(Now - LastAnswerAt);
   this->D->log("executor-empty", {{"executor", Id},
                                   {"cause", nameOf(ExecutorLossNames, Cause)},
+                                  {"silent-ms", SilentMs},
                                   {"runs", Booked.size()},
                                   {"suspects", Suspects.size()}});
   for (const auto &[Key, Number] : Booked) {
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -256,6 +256,7 @@
                           {"executor", Executor.Info.Id},
                           {"how", nameOf(RunEndNames, End.Outcome)},
                           {"number", End.Number},
+                          {"current", IsCurrent ? "yes" : "no"},
                           {"order-ms", Times.OrderMs},
                           {"run-ms", Times.RunMs}});
   Job->HasStarted = true;
@@ -419,6 +420,21 @@
           PaceOrder{Executor.Info.Id, Key, Task->Current->Number, *Changed});
 }
 
+/// Logs an end that counts as reported before although its run is still booked:
+/// the numbers of the executor's ends cannot be trusted.
+void Planner::Private::logIfStillBooked(const ExecutorRecord &Executor,
+                                        const EndReport &End) {
+  const auto Booked = Executor.Runs.find(End.Task);
+  if (Booked == Executor.Runs.end() || Booked->second != End.Run)
+    return;
+  this->log("end-passed-over", {{"task", End.Task.text()},
+                                {"run", End.Run},
+                                {"executor", Executor.Info.Id},
+                                {"how", nameOf(RunEndNames, End.Outcome)},
+                                {"number", End.Number},
+                                {"last-end", Executor.LastEnd}});
+}
+
 void Planner::noteReport(const ExecutorId &Id, const ExecutorReport &Report,
                          TimePoint Now) {
   const auto Found = this->D->Executors.find(Id);
@@ -435,8 +451,10 @@
   Executor.HasUnknownRuns = false;
   Executor.UnexplainedRuns.clear();
   for (const EndReport &End : Report.Ended) {
-    if (End.Number <= Executor.LastEnd)
+    if (End.Number <= Executor.LastEnd) {
+      this->D->logIfStillBooked(Executor, End);
       continue;
+    }
     Executor.LastEnd = End.Number;
     if (this->D->mayBeAddedLater(End.Task.Step.Job)) {
       this->D->DeferredEnds[End.Task.Step.Job].push_back({Id, End, Now});
