Store relay: Number calls so that no answer counts for a later process

Calls to the store through a peer were numbered from 1 in each process, and a peer answers the VM, not the process.

The numbers now begin after the incarnation of the process, a random 64-bit number. The ids have 64 bits on the wire already, so the format stays.

Before: tst_dispatch, "an answer to a commit of an earlier process*": "committed" instead of "open". Now all cases of tst_dispatch pass.

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -89,7 +89,8 @@
     const auto Alive = Weak.lock();
     return Alive ? Alive->usablePeers() : std::vector<EntryName>();
   };
-  this->Relay = std::make_shared<StoreRelay>(this->Shared, std::move(Hooks));
+  this->Relay = std::make_shared<StoreRelay>(
+      this->Shared, this->Self.Incarnation, std::move(Hooks));
   this->Shared.Store = this->Relay->store();
 }
 
--- a/src/libs/dispatch/storerelay.cpp
+++ b/src/libs/dispatch/storerelay.cpp
@@ -57,8 +57,9 @@
                                            : PeerTimeout;
 }
 
-StoreRelay::StoreRelay(Context Shared, StoreRelayHooks Hooks)
-    : Shared(std::move(Shared)), Hooks(std::move(Hooks)) {}
+StoreRelay::StoreRelay(Context Shared, uint64_t Incarnation,
+                       StoreRelayHooks Hooks)
+    : Shared(std::move(Shared)), Hooks(std::move(Hooks)), LastId(Incarnation) {}
 
 store::AsyncStore StoreRelay::store() {
   return store::makeForwardingStore(
--- a/src/libs/dispatch/storerelay.h
+++ b/src/libs/dispatch/storerelay.h
@@ -24,8 +24,9 @@
 /// store is considered down and no peer is asked.
 class StoreRelay : public std::enable_shared_from_this<StoreRelay> {
 public:
-  /// \p Shared holds the store as this VM reaches it directly.
-  StoreRelay(Context Shared, StoreRelayHooks Hooks);
+  /// \p Shared holds the store as this VM reaches it directly. \p Incarnation
+  /// is the random number of this process.
+  StoreRelay(Context Shared, uint64_t Incarnation, StoreRelayHooks Hooks);
 
   /// The store interface for all other parts; must be called on the loop's
   /// thread.
@@ -78,7 +79,7 @@
 
   Context Shared;
   StoreRelayHooks Hooks;
-  peers::CallId LastId = 0;
+  peers::CallId LastId;
   std::unordered_map<peers::CallId, PendingCall> OpenCalls;
   /// The direct path is not used before this time unless no peer can be asked.
   TimePoint DirectBlockedUntil = TimePoint::min();
--- a/src/libs/peers/include/whintack/peers/message.h
+++ b/src/libs/peers/include/whintack/peers/message.h
@@ -14,7 +14,9 @@
 
 namespace whintack::peers {
 
-/// Number by which the sender of a request recognises the answer.
+/// Number by which the sender of a request recognises the answer. An answer may
+/// reach a later process of the sender's VM, so the numbers of each process
+/// begin after its incarnation.
 using CallId = uint64_t;
 
 /// First message of a connection.
--- a/tests/auto/dispatch/tst_storerelay.cpp
+++ b/tests/auto/dispatch/tst_storerelay.cpp
@@ -12,7 +12,14 @@
 namespace {
 
 /// How the store treats one VM.
-enum class StoreBehaviour { Served, Refused, Silent, CarriedOutUnanswered };
+enum class StoreBehaviour {
+  Served,
+  /// Carried out at once, answered 300 ms later.
+  AnsweredLate,
+  Refused,
+  Silent,
+  CarriedOutUnanswered,
+};
 
 /// Two entry VMs that are linked to each other, and a store that treats each as
 /// the test sets. The store only counts the commits that it carried out.
@@ -29,6 +36,8 @@
       this->open(Name);
   }
 
+  /// Starts the relay of a VM; the earlier one, if any, ends. Each has a random
+  /// source of its own, as each process does.
   void open(const std::string &Name) {
     Vm &Opened = this->Vms[Name];
     const auto Serve =
@@ -38,14 +47,18 @@
           constexpr Duration CallTimeout = milliseconds(1500);
           const bool IsDone =
               Opened.Path == StoreBehaviour::Served ||
+              Opened.Path == StoreBehaviour::AnsweredLate ||
               Opened.Path == StoreBehaviour::CarriedOutUnanswered;
           if (IsDone && Call.Kind == store::StoreCallKind::Commit)
             ++this->Commits;
+          store::StoreReply Reply;
+          Reply.Committed.IsCommitted = true;
+          Reply.Lease = 5;
           if (Opened.Path == StoreBehaviour::Served) {
-            store::StoreReply Reply;
-            Reply.Committed.IsCommitted = true;
-            Reply.Lease = 5;
             Done(std::move(Reply));
+          } else if (Opened.Path == StoreBehaviour::AnsweredLate) {
+            this->Loop.Queue.schedule(this->Loop.Time.now() + milliseconds(300),
+                                      [Done, Reply] { Done(Reply); });
           } else if (Opened.Path == StoreBehaviour::Refused) {
             Done(failure(
                 store::StoreError{StoreErrorCode::Unreachable, "refused"}));
@@ -57,8 +70,8 @@
                 });
           }
         };
-    Context Shared{this->Loop.Time.clock(), seededRandom(3), this->Loop.Queue,
-                   store::makeForwardingStore(Serve)};
+    Context Shared{this->Loop.Time.clock(), seededRandom(++this->Starts),
+                   this->Loop.Queue, store::makeForwardingStore(Serve)};
     StoreRelayHooks Hooks;
     Hooks.Send = [this, Name](const EntryName &To, const peers::Message &Sent) {
       this->Loop.Queue.post([this, Name, To, Sent] {
@@ -73,7 +86,7 @@
     Hooks.UsablePeers = [Name] {
       return std::vector<EntryName>{EntryName(Name == "e1" ? "e2" : "e1")};
     };
-    Opened.Relay = std::make_shared<StoreRelay>(Shared, Hooks);
+    Opened.Relay = std::make_shared<StoreRelay>(Shared, Shared.Source(), Hooks);
   }
 
   /// Commits through e1 and returns the outcome after \p Wait: "committed", the
@@ -136,6 +149,7 @@
   tests::SteppedLoop Loop;
   std::map<std::string, Vm> Vms;
   unsigned Commits = 0;
+  unsigned Starts = 0;
 };
 
 } // namespace
@@ -252,3 +266,17 @@
   CHECK(Test.commit(milliseconds(10)) == "unreachable");
   CHECK(Test.Commits == 0);
 }
+
+// Guards against ends that count as stored although they are not, so that a
+// later planner starts their tasks again (issue 34).
+TEST_CASE("an answer to a commit of an earlier process on the VM is not taken "
+          "for that of a later commit") {
+  Fixture Test;
+  Test.Vms["e1"].Path = StoreBehaviour::Refused;
+  Test.Vms["e2"].Path = StoreBehaviour::AnsweredLate;
+  CHECK(Test.commit(milliseconds(100)) == "open");
+  Test.open("e1");
+  Test.Vms["e2"].Path = StoreBehaviour::Silent;
+  CHECK(Test.commit(milliseconds(400)) == "open");
+  CHECK(Test.Commits == 1);
+}
