Service calls: Accept only the answer of the VM and the process that was asked

Calls to planners were numbered from 1 in each process, and an answer counted for the call of its number whichever VM sent it.

The numbers now begin after the incarnation of the process, as in the store relay, and an answer must come from the VM to which the call was sent.

Before: tst_dispatch, "an answer to a call of an earlier process*" and "a call is not ended by the answer of another VM": "done" instead of "open". Both pass now, with all other cases of tst_dispatch.

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -133,7 +133,8 @@
       Alive->reconcileClaims();
   });
   this->Calls = std::make_shared<ServiceCalls>(
-      this->Shared, this->Self.Name, this->Tracker, this->Transport.Send,
+      this->Shared, this->Self.Name, this->Self.Incarnation, this->Tracker,
+      this->Transport.Send,
       [Weak](const peers::ServiceCall &Call, const AnswerCallback &Respond) {
         const auto Alive = Weak.lock();
         return Alive && Alive->answerLocally(Call, Respond);
@@ -407,7 +408,7 @@
   if (const auto *Call = std::get_if<peers::ServiceCall>(&Received))
     this->Calls->handle(From, *Call);
   else if (const auto *Answer = std::get_if<peers::ServiceAnswer>(&Received))
-    this->Calls->handle(*Answer);
+    this->Calls->handle(From, *Answer);
   else if (const auto *Request = std::get_if<peers::StoreRequest>(&Received))
     this->Relay->handle(From, *Request);
   else if (const auto *Response = std::get_if<peers::StoreResponse>(&Received))
--- a/src/libs/dispatch/servicecalls.cpp
+++ b/src/libs/dispatch/servicecalls.cpp
@@ -3,13 +3,14 @@
 namespace whintack::dispatch::Internal {
 
 ServiceCalls::ServiceCalls(
-    Context Shared, EntryName Self, std::shared_ptr<ClaimTracker> Tracker,
+    Context Shared, EntryName Self, uint64_t Incarnation,
+    std::shared_ptr<ClaimTracker> Tracker,
     std::function<bool(const EntryName &, const peers::Message &)> Send,
     std::function<bool(const peers::ServiceCall &, AnswerCallback)>
         AnswerLocally)
     : Shared(std::move(Shared)), Self(std::move(Self)),
       Tracker(std::move(Tracker)), Send(std::move(Send)),
-      AnswerLocally(std::move(AnswerLocally)) {}
+      AnswerLocally(std::move(AnswerLocally)), LastId(Incarnation) {}
 
 static CallResult resultOf(const peers::ServiceAnswer &Answer) {
   switch (Answer.Outcome) {
@@ -27,7 +28,7 @@
 void ServiceCalls::call(peers::ServiceCall Call, Duration Timeout,
                         ResultCallback Done) {
   Call.Id = ++this->LastId;
-  this->OpenCalls.emplace(Call.Id, std::move(Done));
+  this->OpenCalls.emplace(Call.Id, PendingCall{std::move(Done), EntryName()});
   const peers::CallId Id = Call.Id;
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
               this->Shared.now() + Timeout, [Id](ServiceCalls &Self) {
@@ -43,8 +44,12 @@
     return;
   const std::optional<Claim> Holder =
       this->Tracker->holder(Call.Service.text());
-  if (!Holder || Holder->Holder == this->Self ||
-      !this->Send(Holder->Holder, Call))
+  if (!Holder || Holder->Holder == this->Self) {
+    this->finish(Id, {CallOutcome::Unavailable, ""});
+    return;
+  }
+  this->OpenCalls.at(Id).Peer = Holder->Holder;
+  if (!this->Send(Holder->Holder, Call))
     this->finish(Id, {CallOutcome::Unavailable, ""});
 }
 
@@ -59,7 +64,11 @@
     Respond({Call.Id, peers::ServiceOutcome::NotPlanner, ""});
 }
 
-void ServiceCalls::handle(const peers::ServiceAnswer &Answer) {
+void ServiceCalls::handle(const EntryName &From,
+                          const peers::ServiceAnswer &Answer) {
+  const auto Found = this->OpenCalls.find(Answer.Id);
+  if (Found == this->OpenCalls.end() || Found->second.Peer != From)
+    return;
   this->finish(Answer.Id, resultOf(Answer));
 }
 
@@ -67,7 +76,7 @@
   const auto Found = this->OpenCalls.find(Id);
   if (Found == this->OpenCalls.end())
     return;
-  const ResultCallback Done = std::move(Found->second);
+  const ResultCallback Done = std::move(Found->second.Done);
   this->OpenCalls.erase(Found);
   Done(std::move(Result));
 }
--- a/src/libs/dispatch/servicecalls.h
+++ b/src/libs/dispatch/servicecalls.h
@@ -42,10 +42,12 @@
 /// on the entry VM that holds the claim.
 class ServiceCalls : public std::enable_shared_from_this<ServiceCalls> {
 public:
-  /// \p AnswerLocally answers calls for services that are planned in this
-  /// process and returns false for all others.
+  /// \p Incarnation is the random number of this process. \p AnswerLocally
+  /// answers calls for services that are planned in this process and returns
+  /// false for all others.
   ServiceCalls(
-      Context Shared, EntryName Self, std::shared_ptr<ClaimTracker> Tracker,
+      Context Shared, EntryName Self, uint64_t Incarnation,
+      std::shared_ptr<ClaimTracker> Tracker,
       std::function<bool(const EntryName &, const peers::Message &)> Send,
       std::function<bool(const peers::ServiceCall &, AnswerCallback)>
           AnswerLocally);
@@ -56,9 +58,16 @@
 
   /// Handle messages from a peer.
   void handle(const EntryName &From, const peers::ServiceCall &Call);
-  void handle(const peers::ServiceAnswer &Answer);
+  void handle(const EntryName &From, const peers::ServiceAnswer &Answer);
 
 private:
+  /// A call that has not ended.
+  struct PendingCall {
+    ResultCallback Done;
+    /// The VM that was asked; empty if the call is answered in this process.
+    EntryName Peer;
+  };
+
   void finish(peers::CallId Id, CallResult Result);
 
   Context Shared;
@@ -66,8 +75,8 @@
   std::shared_ptr<ClaimTracker> Tracker;
   std::function<bool(const EntryName &, const peers::Message &)> Send;
   std::function<bool(const peers::ServiceCall &, AnswerCallback)> AnswerLocally;
-  peers::CallId LastId = 0;
-  std::unordered_map<peers::CallId, ResultCallback> OpenCalls;
+  peers::CallId LastId;
+  std::unordered_map<peers::CallId, PendingCall> OpenCalls;
 };
 
 } // namespace whintack::dispatch::Internal
