Shard claimer: Don't take up a claim whose lease has lapsed

The answer to the commit of a claim may arrive after the lease under which it was written has lapsed and another has been granted: the commit's answer is slow, or the process was paused. The claim is gone from the store then, but it was taken up, and its orders counted as permitted for as long as the new lease was valid.

The lease of the commit is now compared with the present one when its answer arrives.

It passes now.

--- a/src/libs/dispatch/shardclaimer.cpp
+++ b/src/libs/dispatch/shardclaimer.cpp
@@ -145,14 +145,19 @@
                  {Key, std::to_string(Generation), 0}};
   Change.IsRepeatable = true;
   this->Shared.Store.Commit(
-      Change,
-      onLoop<ShardClaimer, store::StoreResult<store::CommitAnswer>>(
-          this->Shared.Loop, this->shared_from_this(),
-          [Shard, Attempt,
-           Generation](ShardClaimer &Self,
-                       store::StoreResult<store::CommitAnswer> Committed) {
-            Self.handleCommit(Shard, Attempt, Generation, std::move(Committed));
-          }));
+      Change, onLoop<ShardClaimer, store::StoreResult<store::CommitAnswer>>(
+                  this->Shared.Loop, this->shared_from_this(),
+                  [Shard, Attempt, Generation, Under = this->Lease->id()](
+                      ShardClaimer &Self,
+                      store::StoreResult<store::CommitAnswer> Committed) {
+                    // The claim has ended with its lease.
+                    if (Self.Lease->id() != Under) {
+                      Self.retryLater(Shard, "the lease has lapsed");
+                      return;
+                    }
+                    Self.handleCommit(Shard, Attempt, Generation,
+                                      std::move(Committed));
+                  }));
 }
 
 void ShardClaimer::handleCommit(
