Node lease: Don't use the lease any more once its end is requested

At a stop, the claims are removed with the lease if the shards have not stored their last changes by then.

The lease is invalid from the call that ends it; answers that arrive later change nothing.

Before: tst_lapsedlease, "a lease that is ended is no longer valid": valid after the call and after the answer to a renewal. It passes now.

--- a/src/libs/dispatch/nodelease.cpp
+++ b/src/libs/dispatch/nodelease.cpp
@@ -1,5 +1,7 @@
 #include "nodelease.h"
 
+#include <utility>
+
 namespace whintack::dispatch::Internal {
 
 /// A lease is long enough for four renewals, so that one lost answer does no
@@ -42,6 +44,9 @@
       onLoop<NodeLease, store::StoreResult<store::LeaseId>>(
           this->Shared.Loop, this->shared_from_this(),
           [Sent](NodeLease &Self, store::StoreResult<store::LeaseId> Answer) {
+            // A lease that nothing is bound to just expires.
+            if (Self.IsEnding)
+              return;
             if (!Answer) {
               Self.scheduleNext(Self.Shared.jittered(RetryDelay));
               return;
@@ -85,15 +90,17 @@
 
 void NodeLease::end(const std::function<void()> &Done) {
   this->IsEnding = true;
-  if (this->Id == 0) {
+  const store::LeaseId Ended = std::exchange(this->Id, 0);
+  // Others may take over what was held as soon as the call is on its way.
+  this->ValidUntil = TimePoint::min();
+  if (Ended == 0) {
     Done();
     return;
   }
-  this->Shared.Store.EndLease(this->Id,
-                              [Done](const store::StoreResult<void> &) {
-                                // A lease that could not be ended expires.
-                                Done();
-                              });
+  this->Shared.Store.EndLease(Ended, [Done](const store::StoreResult<void> &) {
+    // A lease that could not be ended expires.
+    Done();
+  });
 }
 
 } // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/nodelease.h
+++ b/src/libs/dispatch/nodelease.h
@@ -19,6 +19,7 @@
 
   void start();
   /// Ends the lease, and with it everything held under it, then calls \p Done.
+  /// It is not valid from this call on.
   void end(const std::function<void()> &Done);
 
   /// Id of the lease; 0 while there is none.
--- a/tests/auto/dispatch/tst_lapsedlease.cpp
+++ b/tests/auto/dispatch/tst_lapsedlease.cpp
@@ -121,3 +121,25 @@
   REQUIRE(Test.Claimed.size() == 1);
   CHECK(Test.Tracker->holder("s")->Token == Test.Claimed.front().Token);
 }
+
+// Guards against orders that a process sends after it has ended its lease, when
+// the next holder already sends its own (issue 34).
+TEST_CASE("a lease that is ended is no longer valid") {
+  Fixture Test;
+  Test.Loop.runFor(seconds(1));
+  REQUIRE(Test.Lease->isValid());
+  Test.HoldsRenewals = true;
+  Test.Loop.runFor(milliseconds(600));
+  REQUIRE(Test.HeldAnswers.size() == 1);
+  bool IsEnded = false;
+  Test.Lease->end([&IsEnded] { IsEnded = true; });
+  CHECK_FALSE(Test.Lease->isValid());
+  CHECK(Test.Loop.Time.now() >= Test.Lease->validUntil());
+  // The answer to a renewal that was sent before does not make it valid again.
+  Test.deliverHeld();
+  CHECK_FALSE(Test.Lease->isValid());
+  Test.Loop.runFor(seconds(3));
+  CHECK(IsEnded);
+  CHECK_FALSE(Test.Lease->isValid());
+  CHECK(Test.Lease->id() == 0);
+}
