Job requests: Announce a job by its stored record

A job that is submitted again conflicts with the record of its acceptance. It was announced to the planner all the same by a new record with the time and body of this submission, even if the stored record said that the job had ended. A planner that has just taken over ranks the job by that time, and took it for one that no earlier planner can have been told of.

The answer to the conflict carries the stored record, which is announced now, unless it says that the job has ended. The same holds for the second copy of a commit that conflicts with its own first one. A conflict that shows no record is tried again, and answered with 504 at the deadline.

--- a/src/libs/dispatch/jobrequesthandler.cpp
+++ b/src/libs/dispatch/jobrequesthandler.cpp
@@ -202,20 +202,40 @@
 void JobRequestHandler::handleStored(
     const SharedJobRequest &Job,
     const store::StoreResult<store::CommitAnswer> &Answer) {
-  if (Answer) {
-    // An existing record means that the same job was submitted before.
-    logEvent(LogLevel::Info, "job-accepted",
-             {{"job", Job->Id},
-              {"queue", Job->QueueName},
-              {"again", Answer.value().IsCommitted ? "no" : "yes"},
-              {"revision", Answer.value().Revision}});
-    Job->Respond(http::jsonResponse(status::Ok, "{}"));
-    this->notifyPlanner(Job);
+  if (!Answer) {
+    if (Answer.error().Code != store::StoreErrorCode::Unreachable)
+      Job->IsOutcomeUnknown = true;
+    this->retryStoring(Job, Answer.error().Message);
     return;
   }
-  const store::StoreError &Error = Answer.error();
-  if (Error.Code != store::StoreErrorCode::Unreachable)
-    Job->IsOutcomeUnknown = true;
+  if (Answer.value().IsCommitted) {
+    this->accept(Job, Answer.value(), Job->Record);
+    return;
+  }
+  // The same job was submitted before, or this is a second copy of the commit.
+  if (const store::StoreItem *Found = store::findItem(
+          Answer.value().Current, keys::jobs(Job->Service) + Job->Id.text())) {
+    this->accept(Job, Answer.value(), Found->Value);
+    return;
+  }
+  Job->IsOutcomeUnknown = true;
+  this->retryStoring(Job, "a conflict without a record");
+}
+
+void JobRequestHandler::accept(const SharedJobRequest &Job,
+                               const store::CommitAnswer &Answer,
+                               const std::string &Stored) {
+  logEvent(LogLevel::Info, "job-accepted",
+           {{"job", Job->Id},
+            {"queue", Job->QueueName},
+            {"again", Answer.IsCommitted ? "no" : "yes"},
+            {"revision", Answer.Revision}});
+  Job->Respond(http::jsonResponse(status::Ok, "{}"));
+  this->announce(Job, Stored);
+}
+
+void JobRequestHandler::retryStoring(const SharedJobRequest &Job,
+                                     const std::string &Cause) {
   const TimePoint Next =
       this->Shared.now() + this->Shared.jittered(StoreRetryDelay);
   if (Next < Job->Deadline) {
@@ -225,17 +245,25 @@
   }
   const int Status = Job->IsOutcomeUnknown ? status::GatewayTimeout
                                            : status::ServiceUnavailable;
-  logRefusal(Job->Id, Status, Error.Message);
+  logRefusal(Job->Id, Status, Cause);
   Job->Respond(
       errorResponse(Status, Job->IsOutcomeUnknown
                                 ? "it is not known whether the job is stored"
                                 : "the job could not be stored"));
 }
 
+void JobRequestHandler::announce(const SharedJobRequest &Job,
+                                 const std::string &Stored) {
+  if (const auto Read = decodeStoredJob(Stored); Read && Read.value().End)
+    return;
+  Job->Announced = Stored;
+  this->notifyPlanner(Job);
+}
+
 void JobRequestHandler::notifyPlanner(const SharedJobRequest &Job) {
   this->Calls->call(
       {0, Job->Service, peers::ServiceCallKind::SubmitJob, Job->Id.text(),
-       Job->Record},
+       Job->Announced},
       PlannerTimeout,
       [Weak = this->weak_from_this(), Job](const CallResult &Answer) {
         const auto Self = Weak.lock();
@@ -246,7 +274,7 @@
                   {"outcome", nameOf(CallOutcomeNames, Answer.Outcome)}});
         // The job is accepted, so a planner must learn of it at some time.
         Self->writeNotice(Job, keys::newJobs(Job->Service) + Job->Id.text(),
-                          Job->Record, MaxNoticeAttempts,
+                          Job->Announced, MaxNoticeAttempts,
                           [Weak, Job](bool IsStored) {
                             const auto Owner = Weak.lock();
                             if (Owner && !IsStored)
@@ -360,10 +388,8 @@
                                            : jobs::JobState::Queued;
           Job->Respond(
               http::jsonResponse(status::Ok, Self->Codec.EncodeState(Shown)));
-          if (IsUnknown && Stored && !Stored.value().End) {
-            Job->Record = Record.value();
-            Self->notifyPlanner(Job);
-          }
+          if (IsUnknown && Stored)
+            Self->announce(Job, Record.value());
         });
       });
 }
@@ -404,9 +430,8 @@
       Job->Respond(http::jsonResponse(status::Ok, "{}"));
       return;
     }
-    Job->Record = Record.value();
     if (IsUnknownToPlanner)
-      Self->notifyPlanner(Job);
+      Self->announce(Job, Record.value());
     Self->writeNotice(
         Job, keys::cancellations(Job->Service) + Job->Id.text(), "{}",
         MaxNoticeAttempts / 4, [Self, Job](bool IsStored) {
--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -50,6 +50,8 @@
     TimePoint Deadline;
     /// The record to store, for a submitted job.
     std::string Record;
+    /// The stored record, to be announced to the planner.
+    std::string Announced;
     /// A write got no answer: it may have taken effect, or may still do so.
     bool IsOutcomeUnknown = false;
   };
@@ -61,6 +63,12 @@
   void storeJob(const SharedJobRequest &Job);
   void handleStored(const SharedJobRequest &Job,
                     const store::StoreResult<store::CommitAnswer> &Answer);
+  void accept(const SharedJobRequest &Job, const store::CommitAnswer &Answer,
+              const std::string &Stored);
+  void retryStoring(const SharedJobRequest &Job, const std::string &Cause);
+  /// Announces the job to its planner by its stored record, unless it has
+  /// ended.
+  void announce(const SharedJobRequest &Job, const std::string &Stored);
   void notifyPlanner(const SharedJobRequest &Job);
   void writeNotice(const SharedJobRequest &Job, const std::string &Key,
                    const std::string &Content, int64_t AttemptsLeft,
