Service shard: Tell no new job by its age during a take-over

A planner that has just taken over must not start a task of a job that its predecessor may have started on an executor that has not reported yet. It took an announced job for one of which no predecessor can know if it had been accepted less than 300 ms before. That compared the clocks of two VMs, which may jump by seconds, and overlooked that a job may be submitted at a second VM meanwhile. From 3 s after the claim on, any job counted as new, although the read that finds the missed jobs only begins then.

Revisions do not tell such jobs apart either: a planner reads all records after its claim, so a job that it does not know was always stored after it.

Now each job that is announced before the missed jobs have been read waits until all executors have reported or their leases have expired.

Before, tst_serviceshard "a job announced during a take-over*" (new) failed for a job accepted just now and for one announced while the read was held up: all four tasks were started, one of them beside its earlier run. Jobs accepted 20 s ago or 2 s ahead waited before, too.

--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -25,10 +25,6 @@
 /// Time after which an earlier planner's claim has certainly expired.
 static constexpr Duration RescanDelay =
     NodeLease::Length + std::chrono::seconds(1);
-/// A job that was accepted less than this ago cannot have been announced to an
-/// earlier planner: the request handler waits longer than this for a planner's
-/// answer.
-static constexpr Duration FreshJobAge = std::chrono::milliseconds(300);
 static constexpr Duration DiscoveryRetryDelay = std::chrono::milliseconds(200);
 /// Reserved from a ticket's validity for sending the order.
 static constexpr Duration TicketMargin = std::chrono::milliseconds(100);
@@ -106,14 +102,6 @@
   this->Links.clear();
 }
 
-/// Whether a job announced to this planner may have been announced to an
-/// earlier one too, which may have run it until its own claim expired.
-bool ServiceShard::mayHaveRunEarlier(Duration Age) const {
-  const bool IsNew = Age >= Duration::zero() && Age < FreshJobAge;
-  return this->OwnClaim.Generation > 1 && !IsNew &&
-         this->Shared.now() < this->ClaimedAt + RescanDelay;
-}
-
 bool ServiceShard::isClaimValid() const {
   return this->Shared.now() < this->Environment.ClaimValidUntil();
 }
@@ -154,7 +142,7 @@
     Job.Policy.Name = Stored.value().QueueName;
   const Duration Age = this->Shared.Time.WallNow() - Stored.value().Accepted;
   Job.Accepted = this->Shared.now() - std::max(Age, Duration::zero());
-  Job.MayHaveRun = Earlier != nullptr || this->mayHaveRunEarlier(Age);
+  Job.MayHaveRun = Earlier != nullptr || this->IsCatchingUp;
   if (Earlier)
     this->Planner.restoreJob(std::move(Job), *Earlier, this->Shared.now());
   else
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -97,7 +97,7 @@
   handleNoticesRemoved(const std::vector<std::string> &Removed,
                        const store::StoreResult<store::CommitAnswer> &Answer);
   /// Adds a job from its record. \p Earlier is the progress that an earlier
-  /// planner stored for it, or null if no earlier planner can have started it.
+  /// planner stored for it, or null if the job was announced to this planner.
   /// Returns false if the record cannot be read.
   bool addStoredJob(const jobs::JobId &Id, const std::string &Text,
                     const jobs::JobProgress *Earlier);
@@ -110,7 +110,6 @@
   void plan();
   void execute(const jobs::Order &Order);
   void askAdvice(const jobs::AdviceOrder &Order);
-  bool mayHaveRunEarlier(Duration Age) const;
   bool isClaimValid() const;
   /// Whether this process holds the claim and knows of all cancellations that
   /// were acknowledged, and of all executors that drain or shrink, since longer
@@ -181,7 +180,9 @@
   bool IsRemovingNotices = false;
   bool IsStopped = false;
   bool IsStartPaused = false;
-  /// Jobs that were announced to an earlier planner may be missing.
+  /// Jobs that were announced to an earlier planner may be missing. Each job
+  /// that is announced to this one may have been announced to that one before,
+  /// whenever it was accepted.
   bool IsCatchingUp = false;
   /// A request handler was lost since the last read of missed jobs began.
   bool IsHandlerLost = false;
--- a/tests/auto/dispatch/tst_serviceshard.cpp
+++ b/tests/auto/dispatch/tst_serviceshard.cpp
@@ -34,7 +34,7 @@
         this->Platform.codec().DecodeConfiguration("1").value());
     const EntryName Vm("e1");
     Context Shared{this->Loop.Time.clock(), seededRandom(3), this->Loop.Queue,
-                   this->Platform.store().interface(Vm)};
+                   this->storeOf(Vm)};
     store::StoreTransaction Claim;
     Claim.Puts = {{keys::Claims + Service.text(), "e1", 0}};
     uint64_t Token = 0;
@@ -121,12 +121,38 @@
   SteppedLoop Loop;
   simulation::SimulatedPlatform Platform{this->Loop.Time.clock(),
                                          this->Loop.Queue, seededRandom(1)};
+  /// Reads of the claim, with which the shard begins to look for jobs that it
+  /// has missed, are not answered until this is reset.
+  bool IsClaimReadHeld = false;
   /// Executors that answer no report call.
   std::set<jobs::ExecutorId> Silent;
   /// What each executor lists as running.
   std::map<jobs::ExecutorId, std::vector<jobs::RunReport>> Running;
 
 private:
+  store::AsyncStore storeOf(const EntryName &Vm) {
+    store::AsyncStore Store = this->Platform.store().interface(Vm);
+    Store.Range = [this, Direct = Store.Range](
+                      const std::string &Prefix, const std::string &After,
+                      store::ReadKind Kind,
+                      const store::StoreCallback<store::StorePage> &Done) {
+      this->readWhenReleased(Prefix,
+                             [=] { Direct(Prefix, After, Kind, Done); });
+    };
+    return Store;
+  }
+
+  void readWhenReleased(const std::string &Prefix,
+                        const std::function<void()> &Read) {
+    if (!this->IsClaimReadHeld || !Prefix.starts_with(keys::Claims)) {
+      Read();
+      return;
+    }
+    this->Loop.Queue.schedule(
+        this->Loop.Time.now() + milliseconds(10),
+        [this, Prefix, Read] { this->readWhenReleased(Prefix, Read); });
+  }
+
   ShardEnvironment environment() {
     ShardEnvironment Environment;
     Environment.Executors = this->executors();
@@ -233,3 +259,50 @@
   Fleet.Loop.runFor(seconds(1));
   CHECK(Fleet.firstRuns(First) == InFlight);
 }
+
+// Guards against a task that is started again while a run of an earlier planner
+// may go on: a job announced during a take-over was taken for a new one by its
+// age, although it can have been announced to the earlier planner before, at
+// another entry VM or by a clock that has jumped (issue 34).
+TEST_CASE("a job announced during a take-over waits for all executors") {
+  Fixture Fleet(2);
+  Fleet.Silent.insert(First);
+  Fleet.setMachine(First, jobs::MachineState::Up);
+  Fleet.setMachine(Second, jobs::MachineState::Up);
+  Fleet.list({First, Second});
+  SECTION("if it was accepted just now") { Fleet.announce("00000000000000a1"); }
+  SECTION("if it was accepted long ago") {
+    Fleet.announce("00000000000000a1", seconds(20));
+  }
+  SECTION("if it was accepted in the future by this VM's clock") {
+    Fleet.announce("00000000000000a1", -seconds(2));
+  }
+  SECTION("also while the jobs of the store are still being read") {
+    Fleet.IsClaimReadHeld = true;
+    Fleet.Loop.runFor(milliseconds(3500));
+    Fleet.announce("00000000000000a1");
+  }
+  Fleet.Loop.runFor(milliseconds(300));
+  CHECK(Fleet.starts(Second) == 0);
+  Fleet.IsClaimReadHeld = false;
+
+  const jobs::TaskKey Task{{jobs::JobId("00000000000000a1"), 0, 0}, 1};
+  Fleet.Running[First] = {{Task, 1, "", 50, 0}};
+  Fleet.Silent.erase(First);
+  Fleet.Loop.runFor(seconds(3));
+  CHECK(Fleet.starts(First) + Fleet.starts(Second) == TasksPerJob - 1);
+  CHECK(Fleet.starts(Task) == 0);
+}
+
+// A job that was accepted after every earlier claim has ended needs no such
+// wait.
+TEST_CASE("a job announced after a take-over starts at once") {
+  Fixture Fleet(2);
+  Fleet.Silent.insert(First);
+  Fleet.setMachine(First, jobs::MachineState::Up);
+  Fleet.setMachine(Second, jobs::MachineState::Up);
+  Fleet.list({First, Second});
+  Fleet.Loop.runFor(seconds(4));
+  Fleet.announce("00000000000000a1");
+  CHECK(Fleet.starts(Second) == TasksPerJob);
+}
