Planner: Wait for all ends of an executor after a take-over

An executor lists 500 ends at a time. A planner that has just taken over holds tasks back until each executor has reported, but took the first list for all of it: a task whose end was to be listed next was neither running nor ended, and was started again although it was done and its end was acknowledged later. The wait now lasts until a report lists everything that the executor keeps.

Before, tst_jobs "a new planner waits for the rest*" (new) failed: not recovering any more, and a task started.

--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -451,10 +451,13 @@
   }
   for (const RunReport &Row : Report.Running)
     this->D->handleRunning(Executor, Row, Report.At, Now);
-  if (!Report.IsTruncated)
+  // A run that is not listed may have ended with one of the ends that are not
+  // listed yet.
+  if (!Report.IsTruncated) {
     this->D->releaseMissingRuns(Executor, Report, Now);
+    this->D->AwaitedExecutors.erase(Id);
+  }
   this->D->updateThrottle(Executor, Report, Now);
-  this->D->AwaitedExecutors.erase(Id);
 }
 
 bool Planner::isCurrent(const StartOrder &Order) const {
--- a/tests/auto/jobs/tst_planner.cpp
+++ b/tests/auto/jobs/tst_planner.cpp
@@ -172,6 +172,31 @@
   }
 }
 
+// Guards against a task that is started again after a take-over although it is
+// done, because an executor with many ends had not listed all of them yet.
+TEST_CASE("a new planner waits for the rest of an executor's ends") {
+  PlannerFixture Fixture(2);
+  Fixture.Planner.restoreJob(job("1", {step(2)}), {}, Fixture.Time.now());
+  Fixture.Planner.setExecutors({executor("a")});
+  Fixture.Planner.awaitReports({ExecutorId("a")});
+  const StepKey Step{JobId("1"), 0, 0};
+  const auto ReportEnd = [&Fixture, Step](size_t Index, bool IsTruncated) {
+    ExecutorReport Report;
+    Report.At = ++Fixture.ExecutorNow;
+    Report.Ended = {{++Fixture.LastEnd, {Step, Index}, 3, RunEnd::Done, ""}};
+    Report.IsTruncated = IsTruncated;
+    Fixture.Planner.noteReport(ExecutorId("a"), Report, Fixture.Time.now());
+  };
+  ReportEnd(0, true);
+  CHECK(Fixture.Planner.isRecovering());
+  CHECK(Fixture.starts().empty());
+  ReportEnd(1, false);
+  CHECK_FALSE(Fixture.Planner.isRecovering());
+  CHECK(Fixture.starts().empty());
+  Fixture.store();
+  CHECK(Fixture.Planner.shownState(JobId("1")) == JobState::Completed);
+}
+
 TEST_CASE("an end of an unknown job is kept until the job is added") {
   PlannerFixture Fixture;
   Fixture.Planner.beginCatchUp();
