--- a/tests/auto/dispatch/tst_jobrequesthandler.cpp
+++ b/tests/auto/dispatch/tst_jobrequesthandler.cpp
@@ -38,7 +38,7 @@
     Context Shared{this->Loop.Time.clock(), seededRandom(3), this->Loop.Queue,
                    Store};
     const auto Calls = std::make_shared<ServiceCalls>(
-        Shared, EntryName("e1"), nullptr,
+        Shared, EntryName("e1"), 0, nullptr,
         [](const EntryName &, const peers::Message &) { return false; },
         [this](const peers::ServiceCall &Call, const AnswerCallback &Respond) {
           if (Call.Kind == peers::ServiceCallKind::SubmitJob)
