Claim manager: Number requests so that no answer counts for a later process

Requests for claims of idempotency keys were numbered from 1 in each process. The owner answers at once, so this takes an answer that is under way across the restart.

The numbers begin after the incarnation of the process now. The comment on CallId says where this is done.

--- a/src/libs/entry/claimmanager.cpp
+++ b/src/libs/entry/claimmanager.cpp
@@ -23,11 +23,13 @@
 /// peers count a process as lost.
 static constexpr Duration MaxSynchronizeGap = std::chrono::seconds(1);
 
-ClaimManager::ClaimManager(EntryName Self, std::vector<EntryName> Members,
-                           ClaimHooks Hooks, Clock Time, TimerQueue &Timers)
+ClaimManager::ClaimManager(EntryName Self, uint64_t Incarnation,
+                           std::vector<EntryName> Members, ClaimHooks Hooks,
+                           Clock Time, TimerQueue &Timers)
     : Self(std::move(Self)), Members(std::move(Members)),
       Hooks(std::move(Hooks)), Time(std::move(Time)), Timers(Timers),
-      LastSynchronize(this->Time.Now()), Table(ClaimRetention, MaxClaimBytes) {
+      LastSynchronize(this->Time.Now()), Table(ClaimRetention, MaxClaimBytes),
+      LastCall(Incarnation) {
   this->restartSynchronization();
 }
 
--- a/src/libs/entry/claimmanager.h
+++ b/src/libs/entry/claimmanager.h
@@ -35,9 +35,11 @@
 /// Thread-safe.
 class ClaimManager : public std::enable_shared_from_this<ClaimManager> {
 public:
-  /// \p Members are all entry VMs of the data centre, this one included.
-  ClaimManager(EntryName Self, std::vector<EntryName> Members, ClaimHooks Hooks,
-               Clock Time, TimerQueue &Timers);
+  /// \p Incarnation is the number of this process. \p Members are all entry VMs
+  /// of the data centre, this one included.
+  ClaimManager(EntryName Self, uint64_t Incarnation,
+               std::vector<EntryName> Members, ClaimHooks Hooks, Clock Time,
+               TimerQueue &Timers);
 
   /// Claims \p Key at its owners. \p Done is called once, at the latest when
   /// the time-out for the owners' answers has passed.
@@ -94,7 +96,7 @@
   mutable std::mutex Mutex;
   routing::ClaimTable Table;
   std::map<peers::CallId, PendingClaim> Calls;
-  peers::CallId LastCall = 0;
+  peers::CallId LastCall;
   /// Peers whose claims have not arrived yet.
   std::set<EntryName> UnsynchronizedPeers;
 };
--- a/src/libs/entry/entrynode.cpp
+++ b/src/libs/entry/entrynode.cpp
@@ -162,7 +162,7 @@
       Identity, routing::ChoicePolicy::TwoChoices, Limits, Hooks, this->Time,
       this->Source, Timers, this->Journal);
   this->Claims = std::make_shared<ClaimManager>(
-      this->Settings.Name, dataCentreMembers(this->Settings),
+      this->Settings.Name, this->Incarnation, dataCentreMembers(this->Settings),
       ClaimHooks{Send, IsUsable}, this->Time, Timers);
   this->Watcher = std::make_unique<ConfigurationWatcher>(
       this->Configurations, this->Changes,
--- a/src/libs/peers/include/whintack/peers/message.h
+++ b/src/libs/peers/include/whintack/peers/message.h
@@ -14,9 +14,9 @@
 
 namespace whintack::peers {
 
-/// Number by which the sender of a request recognises the answer. An answer may
-/// reach a later process of the sender's VM, so the numbers of each process
-/// begin after its incarnation.
+/// Number by which the sender of a request recognises the answer, which may
+/// reach a later process of the sender's VM. Where that would do harm, the
+/// numbers begin after the incarnation of the process.
 using CallId = uint64_t;
 
 /// First message of a connection.
--- a/tests/auto/entry/tst_callerserver.cpp
+++ b/tests/auto/entry/tst_callerserver.cpp
@@ -20,7 +20,7 @@
       : Test({Server}), Local(Local) {
     const EntryName Self("e1");
     this->Claims = std::make_shared<Internal::ClaimManager>(
-        Self, std::vector<EntryName>{Self},
+        Self, 1, std::vector<EntryName>{Self},
         Internal::ClaimHooks{
             [](const EntryName &, const peers::Message &) { return false; },
             [](const EntryName &) { return false; }},
--- a/tests/auto/entry/tst_claimmanager.cpp
+++ b/tests/auto/entry/tst_claimmanager.cpp
@@ -2,6 +2,8 @@
 
 #include "steppedloop.h"
 
+#include "whintack/base/random.h"
+
 #include <catch2/catch.hpp>
 
 using namespace whintack;
@@ -14,14 +16,19 @@
 /// or not.
 class Fixture {
 public:
-  Fixture() {
+  Fixture() { this->start(); }
+
+  /// Starts the process, again if it ran before.
+  void start() {
     ClaimHooks Hooks;
-    Hooks.SendToPeer = [](const EntryName &, const peers::Message &) {
+    Hooks.SendToPeer = [this](const EntryName &, const peers::Message &Sent) {
+      if (const auto *Request = std::get_if<peers::ClaimRequest>(&Sent))
+        this->LastRequest = Request->Id;
       return true;
     };
     Hooks.IsUsable = [this](const EntryName &) { return this->IsPeerUsable; };
     this->Manager = std::make_shared<ClaimManager>(
-        EntryName("e1"),
+        EntryName("e1"), this->Source(),
         std::vector<EntryName>{EntryName("e1"), EntryName("e2")}, Hooks,
         this->Loop.Time.clock(), this->Loop.Queue);
   }
@@ -51,6 +58,9 @@
   }
 
   tests::SteppedLoop Loop;
+  Random Source = seededRandom(3);
+  /// Id of the last request for a claim.
+  peers::CallId LastRequest = 0;
   bool IsPeerUsable = false;
   std::shared_ptr<ClaimManager> Manager;
 };
@@ -88,3 +98,27 @@
                               peers::ClaimRequest{1, "k", Wanted});
   CHECK_FALSE(Test.Manager->isSynchronized());
 }
+
+// Guards against a keyed request that runs twice: the peer's answer on another
+// key was taken for its claim (issue 34).
+TEST_CASE("an answer to a request of an earlier process on the VM is not taken "
+          "for that of a later request") {
+  Fixture Test;
+  Test.IsPeerUsable = true;
+  Test.Manager->claim("k1", RequestId("r1"), "d", [](const ClaimReply &) {});
+  peers::ClaimAnswer Late;
+  Late.Id = Test.LastRequest;
+  Test.start();
+  std::optional<ClaimVerdict> Verdict;
+  Test.Manager->claim(
+      "k2", RequestId("r"), "d",
+      [&Verdict](const ClaimReply &Reply) { Verdict = Reply.Verdict; });
+  Test.Manager->handleMessage(EntryName("e2"), Late);
+  CHECK_FALSE(Verdict);
+  peers::ClaimAnswer Own;
+  Own.Id = Test.LastRequest;
+  Own.Before.State = routing::ClaimState::Done;
+  Own.Before.Digest = "d";
+  Test.Manager->handleMessage(EntryName("e2"), Own);
+  CHECK(Verdict == ClaimVerdict::Replay);
+}
