Drain tracker: Number queries so that no answer counts for a later process

Queries for the requests that run on a leaving VM were numbered from 1 in each process. Peers answer at once, so this takes an answer that is under way across the restart.

The numbers begin after the incarnation of the process now.

--- a/src/libs/entry/draintracker.cpp
+++ b/src/libs/entry/draintracker.cpp
@@ -5,11 +5,11 @@
 /// How long a peer's count of running requests stays valid.
 static constexpr Duration AnswerRetention = std::chrono::seconds(3);
 
-DrainTracker::DrainTracker(std::vector<EntryName> Peers,
+DrainTracker::DrainTracker(uint64_t Incarnation, std::vector<EntryName> Peers,
                            DrainTrackerHooks Hooks, Forwarder &Forwarding,
                            Clock Time)
     : Peers(std::move(Peers)), Hooks(std::move(Hooks)), Forwarding(Forwarding),
-      Time(std::move(Time)) {}
+      Time(std::move(Time)), LastQueryId(Incarnation) {}
 
 void DrainTracker::queryPeers(const routing::LeavingNotice &Leaving) {
   this->Forwarding.handleLeavingNotice(Leaving, false);
--- a/src/libs/entry/draintracker.h
+++ b/src/libs/entry/draintracker.h
@@ -22,8 +22,9 @@
 /// send no new requests to it. Thread-safe.
 class DrainTracker {
 public:
-  DrainTracker(std::vector<EntryName> Peers, DrainTrackerHooks Hooks,
-               Forwarder &Forwarding, Clock Time);
+  /// \p Incarnation is the number of this process.
+  DrainTracker(uint64_t Incarnation, std::vector<EntryName> Peers,
+               DrainTrackerHooks Hooks, Forwarder &Forwarding, Clock Time);
 
   /// Asks all peers for their requests on the VM of \p Leaving, and stops
   /// sending new requests to it from here.
@@ -54,7 +55,7 @@
   Clock Time;
   mutable std::mutex Mutex;
   std::map<VmName, QueryState> Queries;
-  peers::CallId LastQueryId = 0;
+  peers::CallId LastQueryId;
 };
 
 } // namespace whintack::entry::Internal
--- a/src/libs/entry/entrynode.cpp
+++ b/src/libs/entry/entrynode.cpp
@@ -180,8 +180,8 @@
       [this] { return this->listedEntries(); }, this->Time, this->Source,
       this->Journal);
   this->Drains = std::make_unique<DrainTracker>(
-      peerNames(this->Settings), DrainTrackerHooks{Send, IsUsable},
-      *this->Forwarding, this->Time);
+      this->Incarnation, peerNames(this->Settings),
+      DrainTrackerHooks{Send, IsUsable}, *this->Forwarding, this->Time);
   this->Timeline = std::make_unique<TimelineCollector>(
       peerNames(this->Settings), Send, this->Journal);
   this->Reader = std::make_unique<FleetReader>(this->Records, this->Time);
