--- a/src/libs/entry/entrynode.cpp
+++ b/src/libs/entry/entrynode.cpp
@@ -162,7 +162,7 @@
       Identity, routing::ChoicePolicy::TwoChoices, Limits, Hooks, this->Time,
       this->Source, Timers, this->Journal);
   this->Claims = std::make_shared<ClaimManager>(
-      this->Settings.Name, dataCentreMembers(this->Settings),
+      this->Settings.Name, this->Incarnation, dataCentreMembers(this->Settings),
       ClaimHooks{Send, IsUsable}, this->Time, Timers);
   this->Watcher = std::make_unique<ConfigurationWatcher>(
       this->Configurations, this->Changes,
@@ -180,8 +180,8 @@
       [this] { return this->listedEntries(); }, this->Time, this->Source,
       this->Journal);
   this->Drains = std::make_unique<DrainTracker>(
-      peerNames(this->Settings), DrainTrackerHooks{Send, IsUsable},
-      *this->Forwarding, this->Time);
+      this->Incarnation, peerNames(this->Settings),
+      DrainTrackerHooks{Send, IsUsable}, *this->Forwarding, this->Time);
   this->Timeline = std::make_unique<TimelineCollector>(
       peerNames(this->Settings), Send, this->Journal);
   this->Reader = std::make_unique<FleetReader>(this->Records, this->Time);
