Jobs, Platform: Read which incarnation of an executor answers

The platform lets an executor start again under its id and adds `born`, the time of the start, to all that it says of itself. Nothing uses it yet.

--- a/src/libs/jobs/include/whintack/jobs/executor.h
+++ b/src/libs/jobs/include/whintack/jobs/executor.h
@@ -3,6 +3,7 @@
 
 #include "whintack/base/address.h"
 #include "whintack/base/enumnames.h"
+#include "whintack/base/time.h"
 #include "whintack/jobs/jobspec.h"
 
 #include <string>
@@ -26,9 +27,15 @@
     {ExecutorLoss::MachineLost, "machine-lost"},
 }};
 
+/// Tells apart the incarnations of an executor, which may share one id: the
+/// Unix time of the start in milliseconds. 0 if the executor does not report
+/// it. A later incarnation may have a lower value if the clock was set.
+using ExecutorIncarnation = int64_t;
+
 /// An executor as it registered itself. The list of executors lags behind.
 struct ExecutorInfo {
   ExecutorId Id;
+  ExecutorIncarnation Incarnation = 0;
   ServiceName Service;
   Address Server;
   DataCentreName DataCentre;
@@ -93,6 +100,10 @@
 
 /// All runs that an executor reports at one point in time.
 struct ExecutorReport {
+  ExecutorIncarnation Incarnation = 0;
+  /// When the report was requested. It shows the effect of each order that was
+  /// answered before.
+  TimePoint RequestedAt = TimePoint::min();
   ExecutorTime At = 0;
   std::vector<RunReport> Running;
   std::vector<EndReport> Ended;
--- a/src/libs/jobs/include/whintack/jobs/gateways.h
+++ b/src/libs/jobs/include/whintack/jobs/gateways.h
@@ -67,6 +67,8 @@
 struct StartAnswer {
   StartOutcome Outcome = StartOutcome::Unknown;
   std::optional<ExecutorTime> At;
+  /// The incarnation that answered; 0 if the answer does not tell.
+  ExecutorIncarnation Incarnation = 0;
 };
 
 /// Calls to executors. Each callback is called once, on any thread.
--- a/tests/auto/platform/tst_platformcodec.cpp
+++ b/tests/auto/platform/tst_platformcodec.cpp
@@ -27,6 +27,18 @@
   CHECK_FALSE(Read.value().IsDraining);
 }
 
+TEST_CASE("an executor record tells when its incarnation started") {
+  const auto Without = Codec.DecodeExecutor("servers/i-1", ExecutorRecord);
+  REQUIRE(Without);
+  CHECK(Without.value().Incarnation == 0);
+  const auto With = Codec.DecodeExecutor(
+      "servers/i-1", R"({"born":1791603588123,)" + ExecutorRecord.substr(1));
+  REQUIRE(With);
+  CHECK(With.value().Incarnation == 1791603588123);
+  CHECK_FALSE(Codec.DecodeExecutor(
+      "servers/i-1", R"({"born":"x",)" + ExecutorRecord.substr(1)));
+}
+
 TEST_CASE("a malformed executor record is rejected with a message") {
   const auto Replaced = [](const std::string &From, const std::string &To) {
     std::string Text = ExecutorRecord;
