Planner: Keep apart the incarnations of an executor

Callers saw a task run again after its end had been acknowledged: an executor had started again under its id, and its first ends had numbers that the earlier incarnation had used. Planner::noteReport() passed over them, and the next report call acknowledged them unread; their runs were then released as gone.

Numbers of ends, acknowledgements, confirmed times, throttles, reservations and tickets now belong to the incarnation that reported them. A report of another incarnation, with a higher or a lower number, ends everything that was known of the one before: its runs are over unless the report lists them, and count as lost to a crash, once. Whether a run must be in a report is decided by when it became known, which needs no executor's clock. An order that was not answered may still reach the new incarnation, which knows nothing of a stop: it is told to refuse the run first. Nothing is placed while the list shows another incarnation than the reports.

--- a/src/libs/jobs/include/whintack/jobs/executorclock.h
+++ b/src/libs/jobs/include/whintack/jobs/executorclock.h
@@ -10,9 +10,9 @@
 /// platform.
 constexpr double MinClockRate = 0.98;
 
-/// Maps one executor's clock to ours, and tells when every lease that was sent
-/// to the executor has certainly expired. The executor's clock may be up to 2 %
-/// slow.
+/// Maps the clock of one incarnation of an executor to ours, and tells when
+/// every lease that was sent to the executor has certainly expired. The
+/// executor's clock may be up to 2 % slow.
 class ExecutorClock {
 public:
   /// Records that an answer carrying the executor's time \p Reported was
@@ -22,6 +22,9 @@
   /// Whether any answer has been recorded.
   bool isKnown() const { return this->IsKnown; }
 
+  /// Latest time that the executor has reported; 0 if none is known.
+  ExecutorTime latest() const { return this->LastExecutorTime; }
+
   /// Estimates the executor's time at \p Now.
   ExecutorTime estimate(TimePoint Now) const;
 
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -17,6 +17,12 @@
 
 namespace Internal {
 
+/// Time after which a stop order that was not answered is repeated.
+inline constexpr Duration StopRetryDelay = std::chrono::milliseconds(500);
+/// How long an unanswered start may take to appear in a report before the run
+/// is stopped. A start takes effect within milliseconds, or seconds late.
+inline constexpr Duration StartReportTimeout = std::chrono::milliseconds(300);
+
 /// Phase of a run.
 enum class RunPhase {
   /// The start order was issued and the run is not yet known to exist.
@@ -44,6 +50,9 @@
   /// When to stop a run whose start was not answered, unless a report lists the
   /// run by then; TimePoint::max() for any other run.
   TimePoint StartTimeoutAt = TimePoint::max();
+  /// When it became known that the run has started, from an answer or a report;
+  /// TimePoint::max() while that is not known.
+  TimePoint KnownSince = TimePoint::max();
   /// From this time on, the run is not the likely cause if its executor
   /// crashes; TimePoint::max() while it is not known to have started.
   TimePoint SettledAt = TimePoint::max();
@@ -159,6 +168,7 @@
 /// An end reported for a job that is not known yet.
 struct DeferredEnd {
   ExecutorId Executor;
+  ExecutorIncarnation Incarnation = 0;
   EndReport End;
   TimePoint ReportedAt;
 };
@@ -172,9 +182,25 @@
   TimePoint ReportedAt;
 };
 
+/// A run that was given up although its start order may still be carried out.
+/// The executor has been told to refuse it, or everything it had accepted has
+/// expired; an incarnation that starts later knows of neither.
+struct BarredRun {
+  TaskKey Task;
+  uint64_t Number = 0;
+  /// From this time on, the start order is certainly lost.
+  TimePoint Until;
+  /// When to send the stop order to the present incarnation;
+  /// TimePoint::max() if it need not be sent or was confirmed.
+  TimePoint NextStopAt = TimePoint::max();
+};
+
 /// State of an executor, and the resources booked on it.
 struct ExecutorRecord {
   ExecutorInfo Info;
+  /// The incarnation that reported last. Numbers of ends and times on the
+  /// executor's clock are those of this incarnation.
+  ExecutorIncarnation Incarnation = 0;
   bool IsListed = false;
   bool IsReachable = true;
   bool HasReported = false;
@@ -209,8 +235,12 @@
   std::optional<TaskKey> ReservedFor;
   /// Runs that are to be counted if it turns out that the executor has crashed.
   std::vector<SuspectRun> UnexplainedRuns;
+  std::vector<BarredRun> BarredRuns;
 
   ComputeResources free() const;
+  /// Whether the list shows the incarnation that reports. If not, its capacity
+  /// and labels are not known.
+  bool isInfoCurrent() const;
 };
 
 /// A job that may have tasks to start.
@@ -282,13 +312,25 @@
   void handleRunning(Internal::ExecutorRecord &Executor, const RunReport &Row,
                      ExecutorTime At, TimePoint Now);
   void adoptRun(Internal::ExecutorRecord &Executor, const RunReport &Row,
-                ExecutorTime At);
+                ExecutorTime At, TimePoint Now);
   void releaseMissingRuns(Internal::ExecutorRecord &Executor,
                           const ExecutorReport &Report, TimePoint Now);
   void updateThrottle(Internal::ExecutorRecord &Executor,
                       const ExecutorReport &Report, TimePoint Now);
   void drain(Internal::ExecutorRecord &Executor);
   void stopGang(const StepKey &Step);
+  // Incarnations of executors.
+  /// Handles that the executor has started again under its id: nothing that was
+  /// known of the earlier incarnation holds for the one that reports.
+  void beginIncarnation(Internal::ExecutorRecord &Executor,
+                        const ExecutorReport &Report, TimePoint Now);
+  /// Remembers a run that is given up while the answer to its start order is
+  /// missing.
+  void barRun(Internal::ExecutorRecord &Executor, const TaskKey &Key,
+              const Internal::RunRecord &Run, TimePoint Now);
+  /// Records that the executor refuses the run from now on.
+  void noteBarred(const StopOrder &Order);
+  void forgetTickets(const ExecutorId &Id);
   // Crashes of executors.
   /// The task whose record counts the failures and crashes: the first one of a
   /// gang, or the task itself.
@@ -323,6 +365,7 @@
 
   void setNextStop(Internal::RunRecord &Run, TimePoint At);
   void resendStops(TimePoint Now);
+  void resendBarringStops(Internal::ExecutorRecord &Executor, TimePoint Now);
 
   // Placement.
   std::vector<Internal::Candidate> candidates(TimePoint Now);
--- a/src/libs/jobs/plannercrashes.cpp
+++ b/src/libs/jobs/plannercrashes.cpp
@@ -227,6 +227,7 @@
                                   {"runs", Booked.size()},
                                   {"suspects", Suspects.size()}});
   for (const auto &[Key, Number] : Booked) {
+    this->D->barRun(Found->second, Key, *this->D->findTask(Key)->Current, Now);
     this->D->releaseRun(Key, *this->D->findTask(Key));
     JobRecord &Job = *this->D->findJob(Key.Step.Job);
     if (this->D->stepSpec(Job, Key.Step).IsGang)
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -9,11 +9,6 @@
 /// How long an executor that refused a task for lack of resources gets no new
 /// tasks; about the time until a report tells what runs there.
 static constexpr Duration NoRoomRetryDelay = std::chrono::milliseconds(100);
-/// Time after which a stop order that was not answered is repeated.
-static constexpr Duration StopRetryDelay = std::chrono::milliseconds(500);
-/// How long an unanswered start may take to appear in a report before the run
-/// is stopped. A start takes effect within milliseconds, or seconds late.
-static constexpr Duration StartReportTimeout = std::chrono::milliseconds(300);
 /// Delay before an order that was refused as malformed is tried again. Only a
 /// newer configuration or program can change the outcome.
 static constexpr Duration MalformedRetryDelay = std::chrono::seconds(1);
@@ -116,6 +111,7 @@
     Executor.IsListed = false;
     const bool IsOver = Executor.Runs.empty() &&
                         Executor.UnexplainedRuns.empty() &&
+                        Executor.BarredRuns.empty() &&
                         !this->D->AwaitedExecutors.contains(Entry->first);
     if (IsOver)
       this->D->HealthTracker.forget(Entry->first);
@@ -173,6 +169,8 @@
     if (Executor == this->Executors.end())
       continue;
     this->handleEnd(Executor->second, Each.End, Each.ReportedAt);
+    if (Each.Incarnation != Executor->second.Incarnation)
+      continue;
     for (UnacknowledgedEnd &End : Executor->second.UnacknowledgedEnds)
       if (End.Number == Each.End.Number)
         End.Change = this->lastChangeOf(Job);
@@ -285,7 +283,7 @@
 
 /// Takes over a run that an earlier planner started.
 void Planner::Private::adoptRun(ExecutorRecord &Executor, const RunReport &Row,
-                                ExecutorTime At) {
+                                ExecutorTime At, TimePoint Now) {
   TaskRecord &Task = *this->findTask(Row.Task);
   JobRecord &Job = *this->findJob(Row.Task.Step.Job);
   RunRecord Run;
@@ -293,6 +291,7 @@
   Run.Executor = Executor.Info.Id;
   Run.Phase = RunPhase::Running;
   Run.ConfirmedAt = At;
+  Run.KnownSince = Now;
   Run.SettledAt = TimePoint::min();
   Run.Percent = Row.Percent;
   this->clearCrash(Row.Task, Row.Run);
@@ -320,7 +319,7 @@
   }
   Task->LastRun = std::max(Task->LastRun, Row.Run);
   if (!Task->Current) {
-    this->adoptRun(Executor, Row, At);
+    this->adoptRun(Executor, Row, At, Now);
   } else if (Task->Current->Executor != Executor.Info.Id ||
              Task->Current->Number != Row.Run) {
     Executor.HasUnknownRuns = true;
@@ -338,6 +337,7 @@
   this->keepLateStart(Row.Task, Executor);
   if (!Run.ConfirmedAt)
     Run.ConfirmedAt = At;
+  Run.KnownSince = std::min(Run.KnownSince, Now);
   if (Run.SettledAt == TimePoint::max())
     this->noteStarted(Executor, Row.Task, Now);
   else if (Now >= Run.SettledAt)
@@ -369,7 +369,8 @@
       this->orderStop(Key, Task);
       Task.Current->IsStartDoubtful = true;
     }
-    const bool WasRunning = Run.ConfirmedAt && *Run.ConfirmedAt < Report.At;
+    const bool WasRunning = (Run.ConfirmedAt && *Run.ConfirmedAt < Report.At) ||
+                            Run.KnownSince < Report.RequestedAt;
     const bool WasStopped =
         Run.StopConfirmedAt && *Run.StopConfirmedAt < Report.At;
     if (!WasRunning && !WasStopped)
@@ -378,6 +379,7 @@
                            {"run", Number},
                            {"executor", Executor.Info.Id},
                            {"report", Report.At}});
+    this->barRun(Executor, Key, Run, Now);
     this->releaseRun(Key, Task);
     const JobRecord &Job = *this->findJob(Key.Step.Job);
     if (this->stepSpec(Job, Key.Step).IsGang)
@@ -425,6 +427,13 @@
   if (Found == this->D->Executors.end())
     return;
   ExecutorRecord &Executor = Found->second;
+  const bool IsRestarted = Executor.Incarnation != 0 &&
+                           Report.Incarnation != 0 &&
+                           Executor.Incarnation != Report.Incarnation;
+  if (IsRestarted)
+    this->D->beginIncarnation(Executor, Report, Now);
+  if (Report.Incarnation != 0)
+    Executor.Incarnation = Report.Incarnation;
   if (!Executor.HasReported)
     this->D->log("executor-reported", {{"executor", Id},
                                        {"running", Report.Running.size()},
@@ -439,7 +448,8 @@
       continue;
     Executor.LastEnd = End.Number;
     if (this->D->mayBeAddedLater(End.Task.Step.Job)) {
-      this->D->DeferredEnds[End.Task.Step.Job].push_back({Id, End, Now});
+      this->D->DeferredEnds[End.Task.Step.Job].push_back(
+          {Id, Executor.Incarnation, End, Now});
       if (Executor.FirstDeferredEnd == 0)
         Executor.FirstDeferredEnd = End.Number;
     } else {
@@ -480,6 +490,7 @@
   case StartOutcome::Started:
     Task->Current->ConfirmedAt = At;
     Task->Current->AnsweredAt = Now;
+    Task->Current->KnownSince = Now;
     this->D->noteStarted(Executor, Order.Task, Now);
     if (Task->Current->Phase == RunPhase::Starting)
       Task->Current->Phase = RunPhase::Running;
@@ -528,8 +539,11 @@
                        TimePoint Now) {
   TaskRecord *Task = this->D->findTask(Order.Task);
   if (!Task || !Task->Current || Task->Current->Number != Order.Run ||
-      Task->Current->Executor != Order.Executor)
+      Task->Current->Executor != Order.Executor) {
+    if (At)
+      this->D->noteBarred(Order);
     return;
+  }
   if (At)
     Task->Current->StopConfirmedAt = At;
   else if (Task->Current->Phase == RunPhase::Stopping)
@@ -545,7 +559,8 @@
   if (this->NextStopAt > Now)
     return;
   this->NextStopAt = TimePoint::max();
-  for (auto &[Id, Executor] : this->Executors)
+  for (auto &[Id, Executor] : this->Executors) {
+    this->resendBarringStops(Executor, Now);
     for (const auto &[Key, Number] : Executor.Runs) {
       RunRecord &Run = *this->findTask(Key)->Current;
       if (Run.NextStopAt > Now) {
@@ -555,6 +570,7 @@
       Run.NextStopAt = TimePoint::max();
       this->Orders.push_back(StopOrder{Id, Key, Number});
     }
+  }
 }
 
 void Planner::setReachable(const ExecutorId &Id, bool IsReachable) {
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -28,7 +28,8 @@
                                   Policy->second.ExecutorsCheckAdmission;
     if (!Executor.IsListed || Executor.Info.IsDraining ||
         !Executor.IsReachable || !Executor.HasReported ||
-        Now < Executor.EvacuatingUntil || Now < Executor.NoRoomUntil ||
+        !Executor.isInfoCurrent() || Now < Executor.EvacuatingUntil ||
+        Now < Executor.NoRoomUntil ||
         (Executor.HasUnknownRuns && !EnforcesCapacity))
       continue;
     Candidate Found{&Executor, Executor.free(), rackOf(Executor.Info)};
