Dispatch: Tie leases, acknowledgements and answers to one incarnation

An executor that does not answer may have started again, so a report call to it acknowledges no ends until it has reported. Another incarnation in a report resets the link: its clock, the ends it listed and the start orders that have not been sent. An answer whose clock is behind what was known when the call was sent is not from the incarnation that the call was meant for; a start or a stop is then left to the next report. Calls meant for the earlier incarnation may have given the new one a lease, so that is waited out until the link has sent one itself. A link that another id had closed is opened again for a listed incarnation that is new.

--- a/src/libs/dispatch/executorlink.cpp
+++ b/src/libs/dispatch/executorlink.cpp
@@ -67,29 +67,61 @@
   }
   jobs::ReportRequest Request;
   Request.Token = this->Setup.Token;
-  Request.DiscardThrough =
-      this->Hooks.LastDiscardableEnd(this->Setup.Executor.Id);
-  this->noteAcknowledged(Request.DiscardThrough);
   // The first call returns the executor's clock and everything that runs there.
   // An executor that does not answer gets no longer lease: its runs must have
-  // ended before they are started elsewhere.
+  // ended before they are started elsewhere. It discards nothing either, since
+  // it may have started again and number its ends anew.
   if (this->Clocks.isKnown() && this->IsReachable) {
+    Request.DiscardThrough =
+        this->Hooks.LastDiscardableEnd(this->Setup.Executor.Id);
     Request.LeaseUntil = this->nextLease();
     Request.Wait = this->isIdle() ? IdleReportWait : ReportWait;
   }
+  this->noteAcknowledged(Request.DiscardThrough);
+  const TimePoint Now = this->Shared.now();
   this->Gateway.Report(
-      this->Setup.Executor, Request,
-      this->Shared.now() + Request.Wait + ReportMargin,
+      this->Setup.Executor, Request, Now + Request.Wait + ReportMargin,
       onLoop<ExecutorLink, jobs::GatewayResult<jobs::ExecutorReport>>(
           this->Shared.Loop, this->shared_from_this(),
-          [](ExecutorLink &Self,
-             jobs::GatewayResult<jobs::ExecutorReport> Answer) {
-            Self.handleReport(std::move(Answer));
+          [Now](ExecutorLink &Self,
+                jobs::GatewayResult<jobs::ExecutorReport> Answer) {
+            Self.handleReport(Now, std::move(Answer));
           }));
 }
 
+void ExecutorLink::beginIncarnation() {
+  ++this->IncarnationsSeen;
+  this->Clocks = jobs::ExecutorClock();
+  this->LastListedEnd = 0;
+  this->ListedEnds.clear();
+  this->dropQueuedStarts();
+  // Calls that were meant for the earlier incarnation may have given this one a
+  // lease. It shortens a longer one to the maximum.
+  this->Setup.EarlierLeasesEnd =
+      this->Shared.now() + OrderTimeout +
+      Duration(static_cast<int64_t>(
+          static_cast<double>(this->Setup.MaxLease.count()) /
+          jobs::MinClockRate));
+}
+
+ExecutorLink::CallContext ExecutorLink::callContext() const {
+  return {this->Shared.now(), this->IncarnationsSeen, this->Clocks.latest()};
+}
+
+bool ExecutorLink::isFromSameIncarnation(
+    const CallContext &Call, std::optional<jobs::ExecutorTime> At) const {
+  // The clock of one incarnation does not go back.
+  return Call.Incarnations == this->IncarnationsSeen &&
+         (!At || *At >= Call.Latest);
+}
+
+void ExecutorLink::dropQueuedStarts() {
+  for (const jobs::StartOrder &Dropped : std::exchange(this->QueuedStarts, {}))
+    this->Hooks.OnStart(Dropped, jobs::StartOutcome::Unhealthy, 0);
+}
+
 void ExecutorLink::handleReport(
-    jobs::GatewayResult<jobs::ExecutorReport> Answer) {
+    TimePoint RequestedAt, jobs::GatewayResult<jobs::ExecutorReport> Answer) {
   if (this->IsClosed)
     return;
   if (!Answer) {
@@ -98,6 +130,15 @@
   }
   this->Failures = 0;
   this->IsEmptyReported = false;
+  Answer.value().RequestedAt = RequestedAt;
+  // Only one report call is open at a time, so this is the present incarnation,
+  // also if its number is lower.
+  const jobs::ExecutorIncarnation Reported = Answer.value().Incarnation;
+  if (Reported != 0 && Reported != this->Incarnation) {
+    if (this->Incarnation != 0)
+      this->beginIncarnation();
+    this->Incarnation = Reported;
+  }
   this->Clocks.note(Answer.value().At, this->Shared.now());
   if (!this->IsReachable) {
     this->IsReachable = true;
@@ -235,20 +276,37 @@
         this->Shared.now() + OrderTimeout,
         onLoop<ExecutorLink, jobs::StartAnswer>(
             this->Shared.Loop, this->shared_from_this(),
-            [Order](ExecutorLink &Self, const jobs::StartAnswer &Answer) {
-              Self.handleStartAnswer(Order, Answer);
+            [Order, Call = this->callContext()](
+                ExecutorLink &Self, const jobs::StartAnswer &Answer) {
+              Self.handleStartAnswer(Order, Call, Answer);
             }));
   }
 }
 
+/// Whether the outcome says something about the runs on the incarnation that
+/// answered, and not only that the order was refused.
+static bool dependsOnIncarnation(jobs::StartOutcome Outcome) {
+  return Outcome == jobs::StartOutcome::Started ||
+         Outcome == jobs::StartOutcome::Outdated;
+}
+
 void ExecutorLink::handleStartAnswer(const jobs::StartOrder &Order,
+                                     const CallContext &Call,
                                      const jobs::StartAnswer &Answer) {
   --this->OpenStarts;
-  if (Answer.At)
+  const bool IsOther =
+      Answer.Incarnation != 0 && Answer.Incarnation != this->Incarnation;
+  const bool IsSame = !IsOther && this->isFromSameIncarnation(Call, Answer.At);
+  if (IsSame && Answer.At)
     this->Clocks.note(*Answer.At, this->Shared.now());
   if (Answer.Outcome == jobs::StartOutcome::Fenced)
     this->Hooks.OnFenced();
-  this->Hooks.OnStart(Order, Answer.Outcome, Answer.At.value_or(0));
+  // If the answer is from another incarnation than the reports, only the next
+  // report tells whether the run exists.
+  if (!IsSame && dependsOnIncarnation(Answer.Outcome))
+    this->Hooks.OnStart(Order, jobs::StartOutcome::Unknown, 0);
+  else
+    this->Hooks.OnStart(Order, Answer.Outcome, Answer.At.value_or(0));
   this->sendStarts();
 }
 
@@ -271,10 +329,11 @@
       this->Shared.now() + OrderTimeout,
       onLoop<ExecutorLink, jobs::GatewayResult<jobs::ExecutorTime>>(
           this->Shared.Loop, this->shared_from_this(),
-          [Order](ExecutorLink &Self,
-                  const jobs::GatewayResult<jobs::ExecutorTime> &Answer) {
+          [Order, Call = this->callContext()](
+              ExecutorLink &Self,
+              const jobs::GatewayResult<jobs::ExecutorTime> &Answer) {
             std::optional<jobs::ExecutorTime> At;
-            if (Answer)
+            if (Answer && Self.isFromSameIncarnation(Call, Answer.value()))
               At = Answer.value();
             Self.Hooks.OnStop(Order, At);
           }));
--- a/src/libs/dispatch/executorlink.h
+++ b/src/libs/dispatch/executorlink.h
@@ -62,6 +62,11 @@
   void setAddress(const Address &Server) {
     this->Setup.Executor.Server = Server;
   }
+  /// Whether the link was closed because another incarnation had answered, and
+  /// \p Listed is not the one that it was open to.
+  bool isReplacedBy(jobs::ExecutorIncarnation Listed) const {
+    return this->IsClosed && Listed != 0 && Listed != this->Incarnation;
+  }
 
   /// Queues a start order; at most MaxOpenStarts are in flight.
   void start(jobs::StartOrder Order);
@@ -81,14 +86,33 @@
     Duration LongestWait = Duration::zero();
   };
 
+  /// What was known of the executor when a call was sent.
+  struct CallContext {
+    TimePoint SentAt;
+    /// Number of incarnations seen by then.
+    uint64_t Incarnations = 0;
+    /// Latest time on the executor's clock.
+    jobs::ExecutorTime Latest = 0;
+  };
+
   void report();
-  void handleReport(jobs::GatewayResult<jobs::ExecutorReport> Answer);
+  void handleReport(TimePoint RequestedAt,
+                    jobs::GatewayResult<jobs::ExecutorReport> Answer);
+  /// Handles that the executor has started again under its id.
+  void beginIncarnation();
+  CallContext callContext() const;
+  /// Whether an answer with the executor's time \p At may be taken as one of
+  /// the incarnation that the call was meant for.
+  bool isFromSameIncarnation(const CallContext &Call,
+                             std::optional<jobs::ExecutorTime> At) const;
+  /// Fails the start orders that have not been sent.
+  void dropQueuedStarts();
   void handleFailure(const jobs::GatewayError &Cause);
   bool canAcknowledge() const;
   /// Whether nothing runs on the executor and nothing is being started.
   bool isIdle() const;
   void sendStarts();
-  void handleStartAnswer(const jobs::StartOrder &Order,
+  void handleStartAnswer(const jobs::StartOrder &Order, const CallContext &Call,
                          const jobs::StartAnswer &Answer);
   void scheduleReport(Duration Delay);
   void checkLeaseExpiry();
@@ -103,6 +127,9 @@
   LinkSetup Setup;
   LinkHooks Hooks;
   jobs::ExecutorClock Clocks;
+  /// The incarnation that reported last; 0 if it is not known.
+  jobs::ExecutorIncarnation Incarnation = 0;
+  uint64_t IncarnationsSeen = 0;
   std::deque<jobs::StartOrder> QueuedStarts;
   size_t OpenStarts = 0;
   /// The last report listed runs.
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -238,7 +238,8 @@
       continue;
     Seen.insert(Info.Id);
     const auto Known = this->Links.find(Info.Id);
-    if (Known == this->Links.end())
+    if (Known == this->Links.end() ||
+        Known->second->isReplacedBy(Info.Incarnation))
       this->openLink(Info);
     else
       Known->second->setAddress(Info.Server);
