--- a/tests/auto/dispatch/busyfleet.h
+++ b/tests/auto/dispatch/busyfleet.h
@@ -25,6 +25,15 @@
     }
   }
 
+  /// Kills the planner of the busy queue, and starts the VM again at once.
+  void replacePlanner() {
+    const std::string Planner = this->plannerOf(this->Queue);
+    if (Planner.empty())
+      return;
+    this->killNode(Planner);
+    this->restartNode(Planner);
+  }
+
   /// Lets everything end and checks the guarantees of the product. The jobs in
   /// \p Failing must have failed, and all others must be completed.
   void finishAndCheck(const std::set<std::string> &Failing = {}) {
--- a/tests/auto/dispatch/tst_crashingtasks.cpp
+++ b/tests/auto/dispatch/tst_crashingtasks.cpp
@@ -25,15 +25,6 @@
     return Path;
   }
 
-  /// Kills the planner of the service, and starts the VM again at once.
-  void replacePlanner() {
-    const std::string Planner = this->plannerOf("quotes");
-    if (Planner.empty())
-      return;
-    this->killNode(Planner);
-    this->restartNode(Planner);
-  }
-
   void finishAndCheck() {
     this->BusyFleet::finishAndCheck(this->CrashingPaths);
   }
