Tests: Draw executors that start again under their ids

A third kind of the random series draws restarts of one to five executors under their ids, reset and silent, some of them twice, with a late entry, another capacity or an incarnation that goes back, together with all other faults; the executors that tasks crash keep their ids in half of the series.

What the two earlier kinds draw stays as it is.

--- a/tests/auto/dispatch/tst_executorlives.cpp
+++ b/tests/auto/dispatch/tst_executorlives.cpp
@@ -1,4 +1,5 @@
 #include "busyfleet.h"
+#include "faultseries.h"
 
 using namespace whintack;
 using namespace whintack::tests;
@@ -276,3 +277,13 @@
     Fleet.finishAndCheck();
   }
 }
+
+// Guards against the above together with all other faults.
+TEST_CASE("no series with restarting executors violates a guarantee") {
+  const auto [First, Last] = seedsToRun();
+  for (uint64_t Seed = First; Seed <= Last; ++Seed) {
+    FaultSeries Series(Seed, FaultKinds::WithRestarts);
+    for (const std::string &Text : Series.run())
+      FAIL_CHECK("seed " << Seed << ": " << Text);
+  }
+}
