--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -254,6 +254,7 @@
                           {"executor", Executor.Info.Id},
                           {"how", nameOf(RunEndNames, End.Outcome)},
                           {"number", End.Number},
+                          {"current", IsCurrent ? "yes" : "no"},
                           {"order-ms", Times.OrderMs},
                           {"run-ms", Times.RunMs}});
   Job->HasStarted = true;
@@ -421,6 +422,21 @@
           PaceOrder{Executor.Info.Id, Key, Task->Current->Number, *Changed});
 }
 
+/// Logs an end that counts as reported before although its run is still booked:
+/// the numbers of the executor's ends cannot be trusted.
+void Planner::Private::logIfStillBooked(const ExecutorRecord &Executor,
+                                        const EndReport &End) {
+  const auto Booked = Executor.Runs.find(End.Task);
+  if (Booked == Executor.Runs.end() || Booked->second != End.Run)
+    return;
+  this->log("end-passed-over", {{"task", End.Task.text()},
+                                {"run", End.Run},
+                                {"executor", Executor.Info.Id},
+                                {"how", nameOf(RunEndNames, End.Outcome)},
+                                {"number", End.Number},
+                                {"last-end", Executor.LastEnd}});
+}
+
 void Planner::noteReport(const ExecutorId &Id, const ExecutorReport &Report,
                          TimePoint Now) {
   const auto Found = this->D->Executors.find(Id);
@@ -444,8 +460,10 @@
   Executor.HasUnknownRuns = false;
   Executor.UnexplainedRuns.clear();
   for (const EndReport &End : Report.Ended) {
-    if (End.Number <= Executor.LastEnd)
+    if (End.Number <= Executor.LastEnd) {
+      this->D->logIfStillBooked(Executor, End);
       continue;
+    }
     Executor.LastEnd = End.Number;
     if (this->D->mayBeAddedLater(End.Task.Step.Job)) {
       this->D->DeferredEnds[End.Task.Step.Job].push_back(
@@ -467,20 +485,23 @@
   this->D->AwaitedExecutors.erase(Id);
 }
 
+bool Planner::isCurrent(const StartOrder &Order) const {
+  const TaskRecord *Task = this->D->findTask(Order.Task);
+  return Task && Task->Current && Task->Current->Number == Order.Run &&
+         Task->Current->Executor == Order.Executor;
+}
+
 void Planner::noteStart(const StartOrder &Order, StartOutcome Outcome,
                         ExecutorTime At, TimePoint Now) {
   const auto Found = this->D->Executors.find(Order.Executor);
   TaskRecord *Task = this->D->findTask(Order.Task);
-  const bool IsCurrent = Task && Task->Current &&
-                         Task->Current->Number == Order.Run &&
-                         Task->Current->Executor == Order.Executor;
   if (Outcome != StartOutcome::Started)
     this->D->log("start-refused",
                  {{"task", Order.Task.text()},
                   {"run", Order.Run},
                   {"executor", Order.Executor},
                   {"outcome", nameOf(StartOutcomeNames, Outcome)}});
-  if (!IsCurrent || Found == this->D->Executors.end())
+  if (!this->isCurrent(Order) || Found == this->D->Executors.end())
     return;
   ExecutorRecord &Executor = Found->second;
   const StepKey Step = Order.Task.Step;
