Tests, Simulation: Allow what traces show to be allowed when executors restart

The simulated platform is told when a process is killed; holders that are up are checked as before. - A job counted as wrongly failed although one of its tasks had lost three executors in a row by coincidence. That is the bound of crashes under one task, which counts restarts under the same id as well. Only jobs for which the simulation has counted three lost runs of one task may have failed.

--- a/src/libs/simulation/include/whintack/simulation/runchecker.h
+++ b/src/libs/simulation/include/whintack/simulation/runchecker.h
@@ -51,6 +51,10 @@
   /// Number of executors that tasks have crashed.
   size_t crashes() const { return this->Crashes; }
   /// Descriptions of the invariants that were violated.
+  /// The largest number of runs of one task of the job that ended with their
+  /// executors.
+  size_t mostLostRuns(const jobs::JobId &Job) const;
+
   const std::vector<std::string> &violations() const {
     return this->Violations;
   }
@@ -63,6 +67,8 @@
     int64_t AcknowledgedFailures = 0;
     std::set<std::string> Checkpoints;
     size_t Crashes = 0;
+    /// Runs that ended with their executor.
+    size_t LostRuns = 0;
     /// Starts after MaxCrashes executors had crashed under the task.
     size_t StartsAfterCrashes = 0;
   };
--- a/src/libs/simulation/include/whintack/simulation/simulatedplatform.h
+++ b/src/libs/simulation/include/whintack/simulation/simulatedplatform.h
@@ -112,6 +112,10 @@
     this->CrashesExecutor = std::move(Crashes);
   }
 
+  /// The process on a VM has ended, so that another one may give orders to the
+  /// machines that it ordered last without waiting.
+  void noteHolderEnded(const EntryName &Vm);
+
   std::vector<jobs::MachineName> machineNames() const;
   std::vector<jobs::MachineInfo> machineList() const;
 
--- a/src/libs/simulation/runchecker.cpp
+++ b/src/libs/simulation/runchecker.cpp
@@ -139,10 +139,18 @@
 
 void RunChecker::noteExecutorLost(const ExecutorId &Executor) {
   for (auto &[Task, History] : this->Tasks)
-    History.Running.erase(Executor);
+    History.LostRuns += History.Running.erase(Executor);
   this->Ends.erase(Executor);
 }
 
+size_t RunChecker::mostLostRuns(const jobs::JobId &Job) const {
+  size_t Most = 0;
+  for (const auto &[Task, History] : this->Tasks)
+    if (Task.Step.Job == Job)
+      Most = std::max(Most, History.LostRuns);
+  return Most;
+}
+
 void RunChecker::noteCrash(const TaskKey &Task) {
   ++this->Crashes;
   ++this->Tasks[Task].Crashes;
--- a/src/libs/simulation/simulatedplatform.cpp
+++ b/src/libs/simulation/simulatedplatform.cpp
@@ -428,6 +428,12 @@
   return List;
 }
 
+void SimulatedPlatform::noteHolderEnded(const EntryName &Vm) {
+  for (const auto &[Name, Each] : this->Machines)
+    if (Each->LastHolder == Vm.text())
+      Each->LastHolder.clear();
+}
+
 std::vector<jobs::MachineName> SimulatedPlatform::machineNames() const {
   std::vector<jobs::MachineName> Names;
   for (const auto &[Name, Each] : this->Machines)
--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -106,6 +106,7 @@
 void SimulatedFleet::killNode(const std::string &Name) {
   this->Nodes.at(Name).Core.reset();
   this->Nodes.at(Name).Known.clear();
+  this->Platform.noteHolderEnded(EntryName(Name));
 }
 
 void SimulatedFleet::restartNode(const std::string &Name) {
