--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -29,7 +29,9 @@
 
 SimulatedFleet::SimulatedFleet(uint64_t Seed)
     : Source(seededRandom(Seed)),
-      Platform(this->Loop.Time.clock(), this->Loop.Queue, this->Source) {}
+      Platform(this->Loop.Time.clock(), this->Loop.Queue, this->Source) {
+  this->Platform.setMaxLease(MaxLease);
+}
 
 SimulatedFleet::~SimulatedFleet() = default;
 
@@ -104,6 +106,7 @@
 void SimulatedFleet::killNode(const std::string &Name) {
   this->Nodes.at(Name).Core.reset();
   this->Nodes.at(Name).Known.clear();
+  this->Platform.noteHolderEnded(EntryName(Name));
 }
 
 void SimulatedFleet::restartNode(const std::string &Name) {
