--- a/tests/auto/dispatch/tst_serviceshard.cpp
+++ b/tests/auto/dispatch/tst_serviceshard.cpp
@@ -182,22 +182,25 @@
 
   jobs::ExecutorGateway executors() {
     jobs::ExecutorGateway Gateway;
-    Gateway.Report = [this](const jobs::ExecutorAddress &To,
-                            const jobs::ReportRequest &, TimePoint Deadline,
-                            const jobs::GatewayCallback<jobs::ExecutorReport>
-                                &Done) {
-      if (this->Silent.contains(To.Id)) {
-        this->Loop.Queue.schedule(Deadline, [Done] {
-          Done(failure(jobs::GatewayError{jobs::GatewayErrorCode::NoAnswer,
-                                          "no answer"}));
-        });
-        return;
-      }
-      this->Loop.Queue.schedule(
-          this->Loop.Time.now() + milliseconds(20), [this, Id = To.Id, Done] {
-            Done(jobs::ExecutorReport{this->clock(), this->Running[Id], {}});
-          });
-    };
+    Gateway.Report =
+        [this](const jobs::ExecutorAddress &To, const jobs::ReportRequest &,
+               TimePoint Deadline,
+               const jobs::GatewayCallback<jobs::ExecutorReport> &Done) {
+          if (this->Silent.contains(To.Id)) {
+            this->Loop.Queue.schedule(Deadline, [Done] {
+              Done(failure(jobs::GatewayError{jobs::GatewayErrorCode::NoAnswer,
+                                              "no answer"}));
+            });
+            return;
+          }
+          this->Loop.Queue.schedule(this->Loop.Time.now() + milliseconds(20),
+                                    [this, Id = To.Id, Done] {
+                                      jobs::ExecutorReport Report;
+                                      Report.At = this->clock();
+                                      Report.Running = this->Running[Id];
+                                      Done(std::move(Report));
+                                    });
+        };
     Gateway.Start = [this](const jobs::ExecutorAddress &,
                            const jobs::StartOrder &Order, uint64_t,
                            jobs::ExecutorTime, TimePoint,
