--- a/tests/auto/dispatch/tst_executorstorms.cpp
+++ b/tests/auto/dispatch/tst_executorstorms.cpp
@@ -1,5 +1,7 @@
 #include "faultseries.h"
 
+#include <catch2/catch.hpp>
+
 using namespace whintack;
 using namespace whintack::tests;
 
