Simulation: Excuse failed jobs only for crashes, and split the platform's file

tst_executorlives lets a job fail if one of its tasks has lost three executors, as the bound of crashes under one task does. It counted runs ended by moves and maintenance as well, which that bound does not; only crashes and restarts count now.

--- a/src/libs/simulation/include/whintack/simulation/runchecker.h
+++ b/src/libs/simulation/include/whintack/simulation/runchecker.h
@@ -37,6 +37,8 @@
   void noteLeaseExpired(const jobs::ExecutorId &Executor);
   /// The executor was lost with everything that ran on it.
   void noteExecutorLost(const jobs::ExecutorId &Executor);
+  /// The executor is about to be lost, and not by an order.
+  void noteExecutorCrashed(const jobs::ExecutorId &Executor);
   /// The task crashes the executor that runs it.
   void noteCrash(const jobs::TaskKey &Task);
   void noteOverCapacity(const jobs::ExecutorId &Executor);
@@ -52,7 +54,7 @@
   size_t crashes() const { return this->Crashes; }
   /// Descriptions of the invariants that were violated.
   /// The largest number of runs of one task of the job that ended with their
-  /// executors.
+  /// executors when these crashed.
   size_t mostLostRuns(const jobs::JobId &Job) const;
 
   const std::vector<std::string> &violations() const {
@@ -67,7 +69,7 @@
     int64_t AcknowledgedFailures = 0;
     std::set<std::string> Checkpoints;
     size_t Crashes = 0;
-    /// Runs that ended with their executor.
+    /// Runs that ended with an executor that crashed.
     size_t LostRuns = 0;
     /// Starts after MaxCrashes executors had crashed under the task.
     size_t StartsAfterCrashes = 0;
--- a/src/libs/simulation/runchecker.cpp
+++ b/src/libs/simulation/runchecker.cpp
@@ -139,10 +139,15 @@
 
 void RunChecker::noteExecutorLost(const ExecutorId &Executor) {
   for (auto &[Task, History] : this->Tasks)
-    History.LostRuns += History.Running.erase(Executor);
+    History.Running.erase(Executor);
   this->Ends.erase(Executor);
 }
 
+void RunChecker::noteExecutorCrashed(const ExecutorId &Executor) {
+  for (auto &[Task, History] : this->Tasks)
+    History.LostRuns += History.Running.count(Executor);
+}
+
 size_t RunChecker::mostLostRuns(const jobs::JobId &Job) const {
   size_t Most = 0;
   for (const auto &[Task, History] : this->Tasks)
--- a/src/libs/simulation/simulatedplatform.cpp
+++ b/src/libs/simulation/simulatedplatform.cpp
@@ -1,20 +1,15 @@
 #include "whintack/simulation/simulatedplatform.h"
 
-#include "simulatedexecutor.h"
+#include "simulatedplatform_p.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace whintack::simulation {
 
-using jobs::DecodeError;
 using jobs::GatewayError;
 using jobs::GatewayErrorCode;
 using jobs::MachineState;
-
-static const std::string ConfigurationKey = "declared/configuration";
-static const std::string WavePrefix = "declared/wave/";
-static const std::string ExecutorPrefix = "executors/";
+using namespace Internal;
 
 /// One-way network delay between an entry VM and a machine or the platform.
 static constexpr Duration NetworkDelay = std::chrono::milliseconds(1);
@@ -30,22 +25,6 @@
 /// holder's order.
 static constexpr Duration MinHolderChangeInterval = std::chrono::seconds(3);
 
-/// A machine and the executor that runs on it.
-class SimulatedPlatform::Machine {
-public:
-  MachineSetup Setup;
-  MachineState State = MachineState::Down;
-  std::shared_ptr<Internal::SimulatedExecutor> Executor;
-  /// The executor that starts again under its id; null if the next one has
-  /// another id.
-  std::shared_ptr<Internal::SimulatedExecutor> Restarting;
-  ExecutorRestart Restart;
-  uint64_t HighestToken = 0;
-  std::string LastHolder;
-  TimePoint LastOrder = TimePoint::min();
-  std::set<uint64_t> CompletedWaves;
-};
-
 static std::vector<std::string> labelsFor(const MachineSetup &Setup) {
   return {"standard", Setup.Rack};
 }
@@ -56,9 +35,8 @@
   return Machine.text() + " " + std::to_string(Incarnation);
 }
 
-/// The registration of an executor on a machine.
-static jobs::ExecutorInfo makeExecutorInfo(const MachineSetup &Setup,
-                                           const jobs::ExecutorId &Id) {
+jobs::ExecutorInfo Internal::makeExecutorInfo(const MachineSetup &Setup,
+                                              const jobs::ExecutorId &Id) {
   jobs::ExecutorInfo Info;
   Info.Id = Id;
   Info.Service = Setup.Pool;
@@ -211,6 +189,8 @@
 void SimulatedPlatform::takeDown(Machine &Target, MachineState NewState,
                                  Duration DownTime, const ServiceName &Pool) {
   if (Target.Executor) {
+    if (NewState == MachineState::Down)
+      this->Checker.noteExecutorCrashed(Target.Executor->info().Id);
     Target.Executor->terminate();
     const jobs::ExecutorInfo &Info = Target.Executor->info();
     const std::string Key = ExecutorPrefix + Info.Id.text();
@@ -520,83 +500,4 @@
   return Gateway;
 }
 
-template <typename Number>
-static std::optional<Number> parseNumber(const std::string &Text) {
-  Number Read = 0;
-  const char *End = Text.data() + Text.size();
-  const auto Parsed = std::from_chars(Text.data(), End, Read);
-  if (Parsed.ec != std::errc() || Parsed.ptr != End)
-    return std::nullopt;
-  return Read;
-}
-
-jobs::PlatformCodec SimulatedPlatform::codec() {
-  jobs::PlatformCodec Words;
-  Words.ConfigurationKey = ConfigurationKey;
-  Words.OperatorPrefix = "declared/";
-  Words.ExecutorPrefix = ExecutorPrefix;
-  Words.WavePrefix = WavePrefix;
-  Words.WaveStatusKey = [](uint64_t Wave) {
-    return "reported/wave/" + std::to_string(Wave);
-  };
-  Words.EncodeWaveStatus = [](bool IsCompleted) {
-    return std::string(IsCompleted ? "completed" : "running");
-  };
-  Words.DecodeConfiguration = [this](const std::string &Text)
-      -> jobs::DecodeResult<jobs::FleetConfiguration> {
-    const auto Version = parseNumber<uint64_t>(Text);
-    if (!Version || !this->Configurations.contains(*Version))
-      return failure(DecodeError{"no such configuration: " + Text});
-    return this->Configurations.at(*Version);
-  };
-  Words.DecodeWave =
-      [this](const std::string &Text) -> jobs::DecodeResult<jobs::WaveRequest> {
-    const auto Number = parseNumber<uint64_t>(Text);
-    if (!Number || !this->Waves.contains(*Number))
-      return failure(DecodeError{"no such wave: " + Text});
-    return this->Waves.at(*Number);
-  };
-  Words.DecodeExecutor = [this](const std::string &Key, const std::string &Text)
-      -> jobs::DecodeResult<jobs::ExecutorInfo> {
-    const size_t Separator = Text.find(' ');
-    const auto Found =
-        this->Machines.find(jobs::MachineName(Text.substr(0, Separator)));
-    const jobs::ExecutorId Id(Key.substr(ExecutorPrefix.size()));
-    if (Found == this->Machines.end() || Separator == std::string::npos)
-      return failure(DecodeError{"no such machine: " + Text});
-    const auto Incarnation =
-        parseNumber<jobs::ExecutorIncarnation>(Text.substr(Separator + 1));
-    if (!Incarnation)
-      return failure(DecodeError{"no such incarnation: " + Text});
-    const Machine &Target = *Found->second;
-    if (Target.Executor && Target.Executor->info().Id == Id &&
-        Target.Executor->info().Incarnation == *Incarnation)
-      return Target.Executor->info();
-    const auto Earlier = this->EarlierIncarnations.find({Id, *Incarnation});
-    if (Earlier != this->EarlierIncarnations.end())
-      return Earlier->second;
-    // The registration of an executor that has ended stays for
-    // ExecutorEntryTtl.
-    jobs::ExecutorInfo Info = makeExecutorInfo(Target.Setup, Id);
-    Info.Incarnation = *Incarnation;
-    return Info;
-  };
-  Words.DecodeJob =
-      [this](const jobs::JobId &Id,
-             const std::string &Body) -> jobs::DecodeResult<jobs::JobSpec> {
-    const auto Found = this->Templates.find(Body);
-    if (Found == this->Templates.end())
-      return failure(DecodeError{"no such template: " + Body});
-    jobs::JobSpec Spec = Found->second;
-    Spec.Id = Id;
-    Spec.TaskPayload = Body;
-    return Spec;
-  };
-  Words.EncodeState = [](jobs::JobState State) {
-    return std::string(nameOf(jobs::JobStateNames, State));
-  };
-  Words.EncodeWaiting = [](size_t Waiting) { return std::to_string(Waiting); };
-  return Words;
-}
-
 } // namespace whintack::simulation
--- /dev/null
+++ b/src/libs/simulation/simulatedplatform_p.h
@@ -0,0 +1,39 @@
+#ifndef WHINTACK_SIMULATION_SIMULATEDPLATFORM_P_H
+#define WHINTACK_SIMULATION_SIMULATEDPLATFORM_P_H
+
+#include "simulatedexecutor.h"
+#include "whintack/simulation/simulatedplatform.h"
+
+namespace whintack::simulation {
+
+namespace Internal {
+
+inline const std::string ConfigurationKey = "declared/configuration";
+inline const std::string WavePrefix = "declared/wave/";
+inline const std::string ExecutorPrefix = "executors/";
+
+/// The registration of an executor on a machine.
+jobs::ExecutorInfo makeExecutorInfo(const MachineSetup &Setup,
+                                    const jobs::ExecutorId &Id);
+
+} // namespace Internal
+
+/// A machine and the executor that runs on it.
+class SimulatedPlatform::Machine {
+public:
+  MachineSetup Setup;
+  jobs::MachineState State = jobs::MachineState::Down;
+  std::shared_ptr<Internal::SimulatedExecutor> Executor;
+  /// The executor that starts again under its id; null if the next one has
+  /// another id.
+  std::shared_ptr<Internal::SimulatedExecutor> Restarting;
+  ExecutorRestart Restart;
+  uint64_t HighestToken = 0;
+  std::string LastHolder;
+  TimePoint LastOrder = TimePoint::min();
+  std::set<uint64_t> CompletedWaves;
+};
+
+} // namespace whintack::simulation
+
+#endif // WHINTACK_SIMULATION_SIMULATEDPLATFORM_P_H
