--- a/src/libs/dispatch/executorlink.cpp
+++ b/src/libs/dispatch/executorlink.cpp
@@ -109,7 +109,7 @@
 }
 
 ExecutorLink::CallContext ExecutorLink::callContext() const {
-  return {this->Shared.now(), this->IncarnationsSeen, this->Clocks.latest()};
+  return {this->IncarnationsSeen, this->Clocks.latest()};
 }
 
 bool ExecutorLink::isFromSameIncarnation(
--- a/src/libs/dispatch/executorlink.h
+++ b/src/libs/dispatch/executorlink.h
@@ -91,7 +91,6 @@
 
   /// What was known of the executor when a call was sent.
   struct CallContext {
-    TimePoint SentAt;
     /// Number of incarnations seen by then.
     uint64_t Incarnations = 0;
     /// Latest time on the executor's clock.
