Tenants, Dispatch: Check clients' keys and keep tenants apart

The new deployments give their tenants keys, which the configuration adds and removes. Until now each call was served whatever its key.

The codec decodes tenants and public routes; the errors name the field and never show a key. tenants::AccessPolicy decides from the queue, the key and the age of the configuration, and JobRequestHandler carries the decision out. The tenant is stored with the job, also in its final record, and goes to the planner with it. Calls for a job of another tenant are answered with 403 by the planner and, where the record is read, by the request handler.

An empty list of tenants means that no key is valid: otherwise the removal of the last tenant would open all queues.

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -139,9 +139,13 @@
         const auto Alive = Weak.lock();
         return Alive && Alive->answerLocally(Call, Respond);
       });
+  tenants::AccessBounds Bounds;
+  Bounds.ConfigurationTime = this->Self.ConfigurationTime;
+  if (this->Self.RefusesStaleKeys)
+    Bounds.RevocationTime = this->Self.KeyRevocationTime;
   this->RequestHandler = std::make_shared<JobRequestHandler>(
       this->Shared, this->Connections.Codec, this->Calls,
-      this->configurationHooks());
+      this->configurationHooks(), Bounds);
   this->Claimer = std::make_shared<ShardClaimer>(
       this->Shared, this->Self.Name, this->Tracker, this->Lease, this->Members,
       [Weak](const HeldClaim &Acquired) {
--- a/src/libs/dispatch/fleetcoreconfiguration.cpp
+++ b/src/libs/dispatch/fleetcoreconfiguration.cpp
@@ -49,15 +49,18 @@
                                    uint64_t Revision) {
   if (this->Queues && Newest.Version <= this->Queues->configuration().Version)
     return;
-  logEvent(LogLevel::Info, "configuration-adopted",
-           {{"version", Newest.Version},
-            {"revision", Revision},
-            {"age-ms", toMilliseconds(this->Shared.now() -
-                                      this->OperatorItems->knownThrough())},
-            {"by", nameOf(ReportKindNames, this->OperatorItems->lastReport())},
-            {"via", this->OperatorItems->lastReportVia()},
-            {"queues", Newest.Queues.size()},
-            {"services", Newest.Services.size()}});
+  logEvent(
+      LogLevel::Info, "configuration-adopted",
+      {{"version", Newest.Version},
+       {"revision", Revision},
+       {"age-ms", toMilliseconds(this->Shared.now() -
+                                 this->OperatorItems->knownThrough())},
+       {"by", nameOf(ReportKindNames, this->OperatorItems->lastReport())},
+       {"via", this->OperatorItems->lastReportVia()},
+       {"queues", Newest.Queues.size()},
+       {"services", Newest.Services.size()},
+       {"tenants", Newest.Tenants.size()},
+       {"client-keys", Newest.RequiresKeys ? "required" : "not-required"}});
   this->Queues = std::make_shared<const jobs::QueueTable>(std::move(Newest));
   std::set<std::string> RequiredShards = {keys::FleetShard};
   for (const jobs::ServicePolicy &Service :
--- a/src/libs/dispatch/jobrecords.cpp
+++ b/src/libs/dispatch/jobrecords.cpp
@@ -10,6 +10,8 @@
   value Record = value::object();
   Record["queue"] = value::string(Job.QueueName);
   Record["accepted-us"] = value::number(toMicroseconds(Job.Accepted));
+  if (!Job.Tenant.isEmpty())
+    Record["tenant"] = value::string(Job.Tenant.text());
   if (Job.End)
     Record["end"] =
         value::string(std::string(nameOf(jobs::JobStateNames, *Job.End)));
@@ -25,6 +27,8 @@
     Job.QueueName = Record.at("queue").as_string();
     Job.Accepted = wallTimeFromMicroseconds(
         Record.at("accepted-us").as_number().to_int64());
+    if (Record.has_field("tenant"))
+      Job.Tenant = TenantName(Record.at("tenant").as_string());
     if (Record.has_field("body"))
       Job.Body = Record.at("body").as_string();
     if (!Record.has_field("end"))
--- a/src/libs/dispatch/jobrecords.h
+++ b/src/libs/dispatch/jobrecords.h
@@ -1,6 +1,7 @@
 #ifndef WHINTACK_DISPATCH_JOBRECORDS_H
 #define WHINTACK_DISPATCH_JOBRECORDS_H
 
+#include "whintack/base/identifier.h"
 #include "whintack/base/result.h"
 #include "whintack/base/time.h"
 #include "whintack/jobs/jobspec.h"
@@ -18,6 +19,8 @@
   std::string Body;
   /// Final state of the job; nothing while it has not ended.
   std::optional<jobs::JobState> End;
+  /// The tenant that submitted the job; empty if it has none.
+  TenantName Tenant = TenantName();
 };
 
 /// Why a job's record cannot be decoded.
--- /dev/null
+++ b/src/libs/dispatch/jobrequestaccess.cpp
@@ -0,0 +1,211 @@
+#include "jobrequesthandler.h"
+
+#include "jobresponses.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace whintack::dispatch::Internal {
+
+namespace status = http::status;
+
+static constexpr size_t IdDigits = 16;
+/// Time for a request without a deadline of its own.
+static constexpr Duration DefaultTimeout = std::chrono::seconds(3);
+/// Reserved from the client's deadline for sending the answer.
+static constexpr Duration AnswerMargin = std::chrono::milliseconds(300);
+/// Maximum time spent on one request.
+static constexpr Duration MaxRequestTime = std::chrono::seconds(5);
+/// At most one unknown queue is logged in this interval.
+static constexpr Duration UnknownQueueLogInterval = std::chrono::seconds(1);
+static constexpr size_t MaxLoggedPathBytes = 80;
+/// At most MaxKeyLogLines refused keys are logged in each KeyLogWindow, because
+/// a client that tries keys would otherwise fill the log.
+static constexpr Duration KeyLogWindow = std::chrono::seconds(1);
+static constexpr size_t MaxKeyLogLines = 20;
+
+static bool isJobId(std::string_view Text) {
+  return Text.size() == IdDigits &&
+         Text.find_first_not_of("0123456789abcdefABCDEF") ==
+             std::string_view::npos;
+}
+
+static Duration clientTimeout(const http::HttpRequest &Request) {
+  const std::optional<std::string> Given = Request.Headers.find("Deadline-Ms");
+  if (!Given)
+    return DefaultTimeout;
+  int64_t Millis = 0;
+  const char *End = Given->data() + Given->size();
+  const auto Read = std::from_chars(Given->data(), End, Millis);
+  if (Read.ec != std::errc() || Millis <= 0)
+    return DefaultTimeout;
+  return std::chrono::milliseconds(Millis);
+}
+
+static std::string requestHost(const http::HttpRequest &Request) {
+  const std::optional<std::string> Host = Request.Headers.find("Host");
+  return Host ? Host->substr(0, Host->find(':')) : std::string();
+}
+
+void JobRequestHandler::handle(const http::HttpRequest &Request,
+                               http::Responder Respond) {
+  if (!this->Configuration.Queues()) {
+    Respond(errorResponse(status::ServiceUnavailable, "no configuration yet"));
+    return;
+  }
+  const TimePoint Arrived = this->Shared.now();
+  if (!this->mustRefresh()) {
+    this->route(Request, std::move(Respond), Arrived);
+    return;
+  }
+  this->Configuration.Refresh([Weak = this->weak_from_this(), Request, Arrived,
+                               Respond = std::move(Respond)]() mutable {
+    if (const auto Self = Weak.lock())
+      Self->route(Request, std::move(Respond), Arrived);
+  });
+}
+
+Duration JobRequestHandler::configurationAge(TimePoint At) const {
+  const TimePoint Known = this->Configuration.KnownThrough();
+  return Known == TimePoint::min() ? Duration::max() : At - Known;
+}
+
+bool JobRequestHandler::mustRefresh() const {
+  const Duration Age = this->configurationAge(this->Shared.now());
+  const bool HasKeys = needsKey(*this->Configuration.Queues(), nullptr);
+  return !this->Policy.isConfirmed(Age) ||
+         (HasKeys && this->Policy.isStale(Age));
+}
+
+tenants::AccessDecision JobRequestHandler::decideAccess(
+    const jobs::QueueTable &Queues, const jobs::Queue *Queue,
+    const std::string &Key, TimePoint Arrived) const {
+  tenants::AccessRequest Asked;
+  if (Queue)
+    Asked.Queue = needsKey(Queues, Queue) ? tenants::QueueAccess::Keyed
+                                          : tenants::QueueAccess::Open;
+  Asked.Key = Key;
+  Asked.Age = this->configurationAge(this->Shared.now());
+  Asked.AgeAtArrival = this->configurationAge(Arrived);
+  return this->Policy.decide(Queues.tenants(), Asked);
+}
+
+/// The response to a call that may not proceed.
+static http::HttpResponse refusalOf(tenants::AccessOutcome Outcome) {
+  switch (Outcome) {
+  case tenants::AccessOutcome::QueueUnknown:
+    return errorResponse(status::NotFound, "no such queue");
+  case tenants::AccessOutcome::KeyMissing:
+  case tenants::AccessOutcome::KeyUnknown:
+    return errorResponse(status::Unauthorized, "a valid key is required");
+  case tenants::AccessOutcome::Allowed:
+  case tenants::AccessOutcome::QueueUnconfirmed:
+  case tenants::AccessOutcome::KeyUnconfirmed:
+  case tenants::AccessOutcome::ConfigurationStale:
+    break;
+  }
+  return errorResponse(status::ServiceUnavailable,
+                       "the configuration may be out of date");
+}
+
+void JobRequestHandler::route(const http::HttpRequest &Request,
+                              http::Responder Respond, TimePoint Arrived) {
+  const std::shared_ptr<const jobs::QueueTable> CurrentQueues =
+      this->Configuration.Queues();
+  const std::string Path = Request.Target.substr(0, Request.Target.find('?'));
+  const jobs::Queue *Queue = CurrentQueues->find(requestHost(Request), Path);
+  const std::string Key = Request.Headers.find("Key").value_or("");
+  const tenants::AccessDecision Access =
+      this->decideAccess(*CurrentQueues, Queue, Key, Arrived);
+  if (Access.Outcome != tenants::AccessOutcome::Allowed) {
+    const http::HttpResponse Refusal = refusalOf(Access.Outcome);
+    if (Queue)
+      this->logKeyRefusal(Access, Refusal.Status, Queue->Name, Key);
+    else
+      this->logUnknownQueue(requestHost(Request), Path,
+                            CurrentQueues->configuration().Version);
+    Respond(Refusal);
+    return;
+  }
+  const std::string IdText = Path.substr(Queue->Prefix.size());
+  if (IdText.empty() && Request.Method == "GET") {
+    this->showWaiting(Queue->Name, Queue->Service, Respond);
+    return;
+  }
+  if (!isJobId(IdText)) {
+    Respond(errorResponse(status::NotFound,
+                          "expected a job of 16 hexadecimal digits"));
+    return;
+  }
+  auto Job = std::make_shared<JobRequest>();
+  Job->Id = jobs::JobId(IdText);
+  Job->QueueName = Queue->Name;
+  Job->Service = Queue->Service;
+  Job->Tenant = Access.Tenant;
+  Job->Queues = CurrentQueues;
+  Job->Respond = std::move(Respond);
+  Job->Deadline =
+      this->Shared.now() +
+      std::min(MaxRequestTime, clientTimeout(Request) - AnswerMargin);
+  const size_t MaxBytes = CurrentQueues->configuration().MaxBodyBytes;
+  if (Request.Method == "POST" && MaxBytes > 0 &&
+      Request.Body.size() > MaxBytes)
+    Job->Respond(
+        errorResponse(status::ContentTooLarge, "the body is too large"));
+  else if (Request.Method == "POST")
+    this->submit(Job, Request.Body);
+  else if (Request.Method == "GET")
+    this->showState(Job);
+  else if (Request.Method == "DELETE")
+    this->cancel(Job);
+  else
+    Job->Respond(
+        errorResponse(status::MethodNotAllowed, "expected GET, POST, DELETE"));
+}
+
+/// Logs from which configuration a request for an unknown queue is rejected.
+void JobRequestHandler::logUnknownQueue(const std::string &Host,
+                                        const std::string &Path,
+                                        uint64_t Version) {
+  const TimePoint Now = this->Shared.now();
+  if (Now < this->NextUnknownQueueLog) {
+    ++this->UnloggedUnknownQueues;
+    return;
+  }
+  this->NextUnknownQueueLog = Now + UnknownQueueLogInterval;
+  logEvent(
+      LogLevel::Info, "queue-unknown",
+      {{"host", Host.substr(0, MaxLoggedPathBytes)},
+       {"path", Path.substr(0, MaxLoggedPathBytes)},
+       {"version", Version},
+       {"age-ms", toMilliseconds(Now - this->Configuration.KnownThrough())},
+       {"not-logged", std::exchange(this->UnloggedUnknownQueues, 0)}});
+}
+
+/// Logs why a key, or the lack of one, was refused. Shows only a digest of the
+/// key.
+void JobRequestHandler::logKeyRefusal(const tenants::AccessDecision &Access,
+                                      int Status, const std::string &QueueName,
+                                      const std::string &Key) {
+  const TimePoint Now = this->Shared.now();
+  if (Now >= this->KeyLogWindowEnd) {
+    this->KeyLogWindowEnd = Now + KeyLogWindow;
+    this->KeyLogLines = 0;
+  }
+  if (this->KeyLogLines >= MaxKeyLogLines) {
+    ++this->UnloggedKeyRefusals;
+    return;
+  }
+  ++this->KeyLogLines;
+  logEvent(LogLevel::Info, "key-refused",
+           {{"queue", QueueName},
+            {"status", Status},
+            {"reason", nameOf(tenants::AccessOutcomeNames, Access.Outcome)},
+            {"tenant", Access.Tenant},
+            {"key-digest", Key.empty() ? "" : tenants::keyDigest(Key)},
+            {"version", this->Configuration.Queues()->configuration().Version},
+            {"age-ms", toMilliseconds(this->configurationAge(Now))},
+            {"not-logged", std::exchange(this->UnloggedKeyRefusals, 0)}});
+}
+
+} // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/jobrequesthandler.cpp
+++ b/src/libs/dispatch/jobrequesthandler.cpp
@@ -1,173 +1,44 @@
 #include "jobrequesthandler.h"
 
+#include "jobresponses.h"
 #include "storekeys.h"
 
-#include <algorithm>
 #include <charconv>
 
 namespace whintack::dispatch::Internal {
 
 namespace status = http::status;
 
+static constexpr int Forbidden = 403;
 static constexpr int Gone = 410;
-static constexpr size_t IdDigits = 16;
-/// Time for a request without a deadline of its own.
-static constexpr Duration DefaultTimeout = std::chrono::seconds(3);
-/// Reserved from the client's deadline for sending the answer.
-static constexpr Duration AnswerMargin = std::chrono::milliseconds(300);
-/// Maximum time spent on one request.
-static constexpr Duration MaxRequestTime = std::chrono::seconds(5);
 static constexpr Duration StoreRetryDelay = std::chrono::milliseconds(120);
 /// How long to wait for a planner before reading the store instead.
 static constexpr Duration PlannerTimeout = std::chrono::milliseconds(500);
 /// Maximum age of a cached count of waiting jobs.
 static constexpr Duration MaxCountAge = std::chrono::milliseconds(1500);
 static constexpr int64_t MaxNoticeAttempts = 20;
-/// At most one unknown queue is logged in this interval.
-static constexpr Duration UnknownQueueLogInterval = std::chrono::seconds(1);
-static constexpr size_t MaxLoggedPathBytes = 80;
-/// Age above which the configuration is read again before a request is handled.
-/// A change must be in force 2 s after it was acknowledged.
-static constexpr Duration MaxConfigurationAge = std::chrono::milliseconds(1500);
 
 JobRequestHandler::JobRequestHandler(Context Shared, jobs::PlatformCodec Codec,
                                      std::shared_ptr<ServiceCalls> Calls,
-                                     ConfigurationHooks Configuration)
+                                     ConfigurationHooks Configuration,
+                                     const tenants::AccessBounds &Bounds)
     : Shared(std::move(Shared)), Codec(std::move(Codec)),
-      Calls(std::move(Calls)), Configuration(std::move(Configuration)) {}
+      Calls(std::move(Calls)), Configuration(std::move(Configuration)),
+      Policy(Bounds) {}
 
-static http::HttpResponse errorResponse(int Status, const std::string &Reason) {
-  std::string Escaped;
-  for (const char Byte : Reason)
-    if (Byte >= ' ' && Byte != '"' && Byte != '\\')
-      Escaped += Byte;
-  http::HttpResponse Response =
-      http::jsonResponse(Status, R"({"error":")" + Escaped + "\"}");
-  if (Status == status::ServiceUnavailable)
-    Response.Headers.set("Retry-After", "1");
-  return Response;
+bool JobRequestHandler::isOtherTenant(const JobRequest &Job,
+                                      const StoredJob &Stored) {
+  return !mayAccess(*Job.Queues, Job.Tenant,
+                    JobOrigin{Stored.QueueName, Stored.Tenant});
 }
 
-static void logRefusal(const jobs::JobId &Job, int Status,
-                       const std::string &Reason) {
+void JobRequestHandler::refuseOtherTenant(const SharedJobRequest &Job) {
   logEvent(LogLevel::Info, "request-refused",
-           {{"job", Job}, {"status", Status}, {"reason", Reason}});
-}
-
-static bool isJobId(std::string_view Text) {
-  return Text.size() == IdDigits &&
-         Text.find_first_not_of("0123456789abcdefABCDEF") ==
-             std::string_view::npos;
-}
-
-static Duration clientTimeout(const http::HttpRequest &Request) {
-  const std::optional<std::string> Given = Request.Headers.find("Deadline-Ms");
-  if (!Given)
-    return DefaultTimeout;
-  int64_t Millis = 0;
-  const char *End = Given->data() + Given->size();
-  const auto Read = std::from_chars(Given->data(), End, Millis);
-  if (Read.ec != std::errc() || Millis <= 0)
-    return DefaultTimeout;
-  return std::chrono::milliseconds(Millis);
-}
-
-static std::string requestHost(const http::HttpRequest &Request) {
-  const std::string Host = Request.Headers.find("Host").value_or("");
-  return Host.substr(0, Host.find(':'));
-}
-
-void JobRequestHandler::handle(const http::HttpRequest &Request,
-                               http::Responder Respond) {
-  if (!this->Configuration.Queues()) {
-    Respond(errorResponse(status::ServiceUnavailable, "no configuration yet"));
-    return;
-  }
-  if (this->isConfigurationFresh()) {
-    this->route(Request, std::move(Respond), true);
-    return;
-  }
-  this->Configuration.Refresh([Weak = this->weak_from_this(), Request,
-                               Respond = std::move(Respond)]() mutable {
-    if (const auto Self = Weak.lock())
-      Self->route(Request, std::move(Respond), Self->isConfigurationFresh());
-  });
-}
-
-bool JobRequestHandler::isConfigurationFresh() const {
-  return this->Configuration.KnownThrough() >=
-         this->Shared.now() - MaxConfigurationAge;
-}
-
-void JobRequestHandler::route(const http::HttpRequest &Request,
-                              http::Responder Respond, bool IsConfirmed) {
-  const std::shared_ptr<const jobs::QueueTable> CurrentQueues =
-      this->Configuration.Queues();
-  const std::string Path = Request.Target.substr(0, Request.Target.find('?'));
-  const jobs::Queue *Queue = CurrentQueues->find(requestHost(Request), Path);
-  if (!Queue)
-    this->logUnknownQueue(requestHost(Request), Path,
-                          CurrentQueues->configuration().Version);
-  if (!Queue && !IsConfirmed) {
-    Respond(errorResponse(status::ServiceUnavailable,
-                          "the configuration may be out of date"));
-    return;
-  }
-  if (!Queue) {
-    Respond(errorResponse(status::NotFound, "no such queue"));
-    return;
-  }
-  const std::string IdText = Path.substr(Queue->Prefix.size());
-  if (IdText.empty() && Request.Method == "GET") {
-    this->showWaiting(Queue->Name, Queue->Service, Respond);
-    return;
-  }
-  if (!isJobId(IdText)) {
-    Respond(errorResponse(status::NotFound,
-                          "expected a job of 16 hexadecimal digits"));
-    return;
-  }
-  auto Job = std::make_shared<JobRequest>();
-  Job->Id = jobs::JobId(IdText);
-  Job->QueueName = Queue->Name;
-  Job->Service = Queue->Service;
-  Job->Respond = std::move(Respond);
-  Job->Deadline =
-      this->Shared.now() +
-      std::min(MaxRequestTime, clientTimeout(Request) - AnswerMargin);
-  const size_t MaxBytes = CurrentQueues->configuration().MaxBodyBytes;
-  if (Request.Method == "POST" && MaxBytes > 0 &&
-      Request.Body.size() > MaxBytes)
-    Job->Respond(
-        errorResponse(status::ContentTooLarge, "the body is too large"));
-  else if (Request.Method == "POST")
-    this->submit(Job, Request.Body);
-  else if (Request.Method == "GET")
-    this->showState(Job);
-  else if (Request.Method == "DELETE")
-    this->cancel(Job);
-  else
-    Job->Respond(
-        errorResponse(status::MethodNotAllowed, "expected GET, POST, DELETE"));
-}
-
-/// Logs from which configuration a request for an unknown queue is rejected.
-void JobRequestHandler::logUnknownQueue(const std::string &Host,
-                                        const std::string &Path,
-                                        uint64_t Version) {
-  const TimePoint Now = this->Shared.now();
-  if (Now < this->NextUnknownQueueLog) {
-    ++this->UnloggedUnknownQueues;
-    return;
-  }
-  this->NextUnknownQueueLog = Now + UnknownQueueLogInterval;
-  logEvent(
-      LogLevel::Info, "queue-unknown",
-      {{"host", Host.substr(0, MaxLoggedPathBytes)},
-       {"path", Path.substr(0, MaxLoggedPathBytes)},
-       {"version", Version},
-       {"age-ms", toMilliseconds(Now - this->Configuration.KnownThrough())},
-       {"not-logged", std::exchange(this->UnloggedUnknownQueues, 0)}});
+           {{"job", Job->Id},
+            {"status", Forbidden},
+            {"reason", "other-tenant"},
+            {"tenant", Job->Tenant}});
+  Job->Respond(errorResponse(Forbidden, "the job belongs to another tenant"));
 }
 
 void JobRequestHandler::submit(const SharedJobRequest &Job,
@@ -178,8 +49,8 @@
     Job->Respond(errorResponse(status::BadRequest, Spec.error().Message));
     return;
   }
-  Job->Record = encodeStoredJob(
-      {Job->QueueName, this->Shared.Time.WallNow(), Body, std::nullopt});
+  Job->Record = encodeStoredJob({Job->QueueName, this->Shared.Time.WallNow(),
+                                 Body, std::nullopt, Job->Tenant});
   this->storeJob(Job);
 }
 
@@ -225,6 +96,11 @@
 void JobRequestHandler::accept(const SharedJobRequest &Job,
                                const store::CommitAnswer &Answer,
                                const std::string &Stored) {
+  if (const auto Read = decodeStoredJob(Stored);
+      Read && isOtherTenant(*Job, Read.value())) {
+    this->refuseOtherTenant(Job);
+    return;
+  }
   logEvent(LogLevel::Info, "job-accepted",
            {{"job", Job->Id},
             {"queue", Job->QueueName},
@@ -354,7 +230,8 @@
 
 void JobRequestHandler::showState(const SharedJobRequest &Job) {
   this->Calls->call(
-      {0, Job->Service, peers::ServiceCallKind::JobState, Job->Id.text(), ""},
+      {0, Job->Service, peers::ServiceCallKind::JobState, Job->Id.text(),
+       Job->Tenant.text()},
       PlannerTimeout,
       [Weak = this->weak_from_this(), Job](const CallResult &Answer) {
         const auto Self = Weak.lock();
@@ -366,6 +243,10 @@
               http::jsonResponse(status::Ok, Self->Codec.EncodeState(*State)));
           return;
         }
+        if (Answer.Outcome == CallOutcome::OtherTenant) {
+          Self->refuseOtherTenant(Job);
+          return;
+        }
         const bool IsUnknown = Answer.Outcome == CallOutcome::Unknown;
         Self->readRecord(Job, [Self, Job, IsUnknown](
                                   store::StoreResult<std::string> Record) {
@@ -383,6 +264,10 @@
             return;
           }
           const auto Stored = decodeStoredJob(Record.value());
+          if (Stored && isOtherTenant(*Job, Stored.value())) {
+            Self->refuseOtherTenant(Job);
+            return;
+          }
           const jobs::JobState Shown = Stored && Stored.value().End
                                            ? *Stored.value().End
                                            : jobs::JobState::Queued;
@@ -396,7 +281,8 @@
 
 void JobRequestHandler::cancel(const SharedJobRequest &Job) {
   this->Calls->call(
-      {0, Job->Service, peers::ServiceCallKind::CancelJob, Job->Id.text(), ""},
+      {0, Job->Service, peers::ServiceCallKind::CancelJob, Job->Id.text(),
+       Job->Tenant.text()},
       PlannerTimeout,
       [Weak = this->weak_from_this(), Job](const CallResult &Answer) {
         const auto Self = Weak.lock();
@@ -404,6 +290,8 @@
           return;
         if (Answer.Outcome == CallOutcome::Done)
           Job->Respond(http::jsonResponse(status::Ok, "{}"));
+        else if (Answer.Outcome == CallOutcome::OtherTenant)
+          Self->refuseOtherTenant(Job);
         else
           Self->cancelInStore(Job, Answer.Outcome == CallOutcome::Unknown);
       });
@@ -426,6 +314,10 @@
       return;
     }
     const auto Stored = decodeStoredJob(Record.value());
+    if (Stored && isOtherTenant(*Job, Stored.value())) {
+      Self->refuseOtherTenant(Job);
+      return;
+    }
     if (Stored && Stored.value().End) {
       Job->Respond(http::jsonResponse(status::Ok, "{}"));
       return;
--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -1,11 +1,13 @@
 #ifndef WHINTACK_DISPATCH_JOBREQUESTHANDLER_H
 #define WHINTACK_DISPATCH_JOBREQUESTHANDLER_H
 
+#include "jobownership.h"
 #include "jobrecords.h"
 #include "servicecalls.h"
 
 #include "whintack/http/httpserver.h"
 #include "whintack/jobs/gateways.h"
+#include "whintack/tenants/accesspolicy.h"
 
 namespace whintack::dispatch::Internal {
 
@@ -25,27 +27,43 @@
 /// A job is accepted only after it is stored. "Not accepted" is only answered
 /// for a job whose record was certainly not written. An unknown outcome is
 /// answered as a time-out, never as "not accepted" or "no such job".
+///
+/// A call's key is checked once, against the configuration that is current then
+/// and with the time at which the call arrived. What follows may take long and
+/// does not check the key again: a key that is removed meanwhile was valid when
+/// the call was sent.
 class JobRequestHandler
     : public std::enable_shared_from_this<JobRequestHandler> {
 public:
   JobRequestHandler(Context Shared, jobs::PlatformCodec Codec,
                     std::shared_ptr<ServiceCalls> Calls,
-                    ConfigurationHooks Configuration);
+                    ConfigurationHooks Configuration,
+                    const tenants::AccessBounds &Bounds);
 
   /// Handles a request; must be called on the loop's thread.
   void handle(const http::HttpRequest &Request, http::Responder Respond);
 
 private:
-  bool isConfigurationFresh() const;
-  /// Handles the request by the current configuration. If that is not
-  /// \p IsConfirmed, a queue that it lacks may exist.
+  /// Age of the configuration at \p At; Duration::max() if it is not known.
+  Duration configurationAge(TimePoint At) const;
+  /// Whether the configuration must be read again before a request is handled.
+  bool mustRefresh() const;
+  tenants::AccessDecision decideAccess(const jobs::QueueTable &Queues,
+                                       const jobs::Queue *Queue,
+                                       const std::string &Key,
+                                       TimePoint Arrived) const;
+  /// Handles a request by the current configuration.
   void route(const http::HttpRequest &Request, http::Responder Respond,
-             bool IsConfirmed);
+             TimePoint Arrived);
   /// A request that concerns one job and is not answered yet.
   struct JobRequest {
     jobs::JobId Id;
     std::string QueueName;
     ServiceName Service;
+    /// The tenant whose key came with the request; empty if it needed none.
+    TenantName Tenant;
+    /// The configuration by which the request was let in.
+    std::shared_ptr<const jobs::QueueTable> Queues;
     http::Responder Respond;
     TimePoint Deadline;
     /// The record to store, for a submitted job.
@@ -59,6 +77,12 @@
 
   void logUnknownQueue(const std::string &Host, const std::string &Path,
                        uint64_t Version);
+  void logKeyRefusal(const tenants::AccessDecision &Access, int Status,
+                     const std::string &QueueName, const std::string &Key);
+  /// Whether the stored job belongs to a tenant that the request may not act
+  /// for.
+  static bool isOtherTenant(const JobRequest &Job, const StoredJob &Stored);
+  void refuseOtherTenant(const SharedJobRequest &Job);
   void submit(const SharedJobRequest &Job, const std::string &Body);
   void storeJob(const SharedJobRequest &Job);
   void handleStored(const SharedJobRequest &Job,
@@ -87,9 +111,14 @@
   jobs::PlatformCodec Codec;
   std::shared_ptr<ServiceCalls> Calls;
   ConfigurationHooks Configuration;
+  tenants::AccessPolicy Policy;
   /// Unknown queues are logged again from this time on.
   TimePoint NextUnknownQueueLog = TimePoint::min();
   size_t UnloggedUnknownQueues = 0;
+  TimePoint KeyLogWindowEnd = TimePoint::min();
+  /// Number of refused keys logged in the current window.
+  size_t KeyLogLines = 0;
+  size_t UnloggedKeyRefusals = 0;
   struct CachedCount {
     std::string Waiting;
     TimePoint ValidUntil;
--- a/src/libs/dispatch/progresswriter.cpp
+++ b/src/libs/dispatch/progresswriter.cpp
@@ -155,6 +155,7 @@
   StoredJob Final;
   Final.QueueName = this->Hooks.QueueName(Write.Job);
   Final.End = Write.Progress.State;
+  Final.Tenant = this->Hooks.Tenant(Write.Job);
   Change.Puts.push_back(
       {keys::jobs(this->Service) + Id, encodeStoredJob(Final), 0});
   Change.Removals.push_back(keys::progress(this->Service) + Id);
--- a/src/libs/dispatch/progresswriter.h
+++ b/src/libs/dispatch/progresswriter.h
@@ -21,6 +21,8 @@
   std::function<void(const std::vector<jobs::JobWrite> &)> OnWritten;
   /// Returns the queue of a job.
   std::function<std::string(const jobs::JobId &)> QueueName;
+  /// Returns the tenant of a job; an empty name if it has none.
+  std::function<TenantName(const jobs::JobId &)> Tenant;
   /// Another planner holds the claim.
   std::function<void()> OnSuperseded;
 };
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -121,7 +121,7 @@
              {{"job", Id}, {"cause", Stored.error().Message}});
     return false;
   }
-  this->QueueNames[Id] = Stored.value().QueueName;
+  this->Origins[Id] = {Stored.value().QueueName, Stored.value().Tenant};
   if (Stored.value().End) {
     this->Planner.restoreFinalJob(Id, *Stored.value().End);
     this->cancelIfPending(Id);
@@ -140,6 +140,7 @@
     Job.Policy = *Policy;
   else
     Job.Policy.Name = Stored.value().QueueName;
+  Job.Tenant = Stored.value().Tenant;
   const Duration Age = this->Shared.Time.WallNow() - Stored.value().Accepted;
   Job.Accepted = this->Shared.now() - std::max(Age, Duration::zero());
   Job.MayHaveRun = Earlier != nullptr || this->IsCatchingUp;
@@ -546,9 +547,9 @@
           }));
 }
 
-std::string ServiceShard::queueName(const jobs::JobId &Job) const {
-  const auto Found = this->QueueNames.find(Job);
-  return Found == this->QueueNames.end() ? std::string() : Found->second;
+JobOrigin ServiceShard::originOf(const jobs::JobId &Job) const {
+  const auto Found = this->Origins.find(Job);
+  return Found == this->Origins.end() ? JobOrigin() : Found->second;
 }
 
 void ServiceShard::reportLoss(const std::string &Cause) {
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -2,6 +2,7 @@
 #define WHINTACK_DISPATCH_SERVICESHARD_H
 
 #include "executorlink.h"
+#include "jobownership.h"
 #include "progresswriter.h"
 #include "servicecalls.h"
 #include "shardclaimer.h"
@@ -131,7 +132,10 @@
   void endDrainIfStored();
   void checkBacklog();
   void reportLoss(const std::string &Cause);
-  std::string queueName(const jobs::JobId &Job) const;
+  /// The queue and the tenant of a job; empty names if the job is not known.
+  JobOrigin originOf(const jobs::JobId &Job) const;
+  /// Whether the tenant in the call's content may not access the job.
+  bool isOtherTenant(const peers::ServiceCall &Call) const;
   void answerCancel(const peers::ServiceCall &Call,
                     const AnswerCallback &Respond);
   /// Reports the demand of the pool and releases machines for other pools.
@@ -150,7 +154,7 @@
   StoreBacklogMonitor BacklogMonitor;
   std::shared_ptr<PrefixWatch> Notices;
   std::map<jobs::ExecutorId, std::shared_ptr<ExecutorLink>> Links;
-  std::unordered_map<jobs::JobId, std::string> QueueNames;
+  std::unordered_map<jobs::JobId, JobOrigin> Origins;
   /// Executors that do not answer.
   std::set<jobs::ExecutorId> Silent;
   /// Executors that were silent when the machines were last requested.
--- a/src/libs/dispatch/serviceshardanswers.cpp
+++ b/src/libs/dispatch/serviceshardanswers.cpp
@@ -44,6 +44,11 @@
     this->Environment.RefreshExecutors();
 }
 
+bool ServiceShard::isOtherTenant(const peers::ServiceCall &Call) const {
+  return !mayAccess(*this->Environment.Queues(), TenantName(Call.Content),
+                    this->originOf(jobs::JobId(Call.Subject)));
+}
+
 void ServiceShard::answer(const peers::ServiceCall &Call,
                           const AnswerCallback &Respond) {
   using peers::ServiceOutcome;
@@ -61,9 +66,16 @@
     return;
   }
   case peers::ServiceCallKind::CancelJob:
-    this->answerCancel(Call, Respond);
+    if (this->isOtherTenant(Call))
+      Respond({Call.Id, ServiceOutcome::OtherTenant, ""});
+    else
+      this->answerCancel(Call, Respond);
     return;
   case peers::ServiceCallKind::JobState: {
+    if (this->isOtherTenant(Call)) {
+      Respond({Call.Id, ServiceOutcome::OtherTenant, ""});
+      return;
+    }
     const auto State = this->Planner.shownState(jobs::JobId(Call.Subject));
     if (State)
       Respond({Call.Id, ServiceOutcome::Done,
--- a/src/libs/dispatch/serviceshardwrites.cpp
+++ b/src/libs/dispatch/serviceshardwrites.cpp
@@ -20,7 +20,10 @@
     this->handleWritten(Writes);
   };
   Hooks.QueueName = [this](const jobs::JobId &Job) {
-    return this->queueName(Job);
+    return this->originOf(Job).QueueName;
+  };
+  Hooks.Tenant = [this](const jobs::JobId &Job) {
+    return this->originOf(Job).Tenant;
   };
   Hooks.OnSuperseded = [this] {
     this->reportLoss("another planner holds the claim");
--- a/src/libs/jobs/include/whintack/jobs/configuration.h
+++ b/src/libs/jobs/include/whintack/jobs/configuration.h
@@ -62,8 +62,10 @@
   uint64_t Version = 0;
   std::vector<Queue> Queues;
   std::vector<ServicePolicy> Services;
-  /// Without tenants, clients need no key for any queue.
   std::vector<tenants::Tenant> Tenants;
+  /// The configuration has a list of tenants, which may be empty. Without one,
+  /// clients need no key for any queue.
+  bool RequiresKeys = false;
   size_t MaxHeaderBytes = 0;
   size_t MaxBodyBytes = 0;
 };
--- a/src/libs/peers/include/whintack/peers/message.h
+++ b/src/libs/peers/include/whintack/peers/message.h
@@ -149,6 +149,8 @@
   ServiceCallKind Kind = ServiceCallKind::JobState;
   /// Name of the job, queue or executor.
   std::string Subject;
+  /// For CancelJob and JobState, the name of the calling tenant; empty if the
+  /// call needs no key.
   std::string Content;
 };
 
--- a/src/libs/simulation/examplefleet.cpp
+++ b/src/libs/simulation/examplefleet.cpp
@@ -14,9 +14,9 @@
   return Step;
 }
 
-static jobs::FleetConfiguration exampleConfiguration() {
+jobs::FleetConfiguration exampleConfiguration(uint64_t Version) {
   jobs::FleetConfiguration Configuration;
-  Configuration.Version = 1;
+  Configuration.Version = Version;
   for (const char *Name : {"quotes", "payouts"}) {
     jobs::Queue Queue;
     Queue.Name = Name;
@@ -39,8 +39,19 @@
   return Configuration;
 }
 
+std::vector<tenants::Tenant> exampleTenants() {
+  std::vector<tenants::Tenant> Tenants;
+  for (const std::string Name : {"alder", "birch"}) {
+    tenants::Tenant Each;
+    Each.Name = TenantName(Name);
+    Each.Keys = {Name + "-key"};
+    Tenants.push_back(std::move(Each));
+  }
+  return Tenants;
+}
+
 void addExampleFleet(SimulatedPlatform &Platform) {
-  Platform.configure(exampleConfiguration());
+  Platform.configure(exampleConfiguration(1));
   jobs::JobSpec Short;
   Short.Steps = {makeStep(4, 2000, milliseconds(400))};
   Platform.addTemplate("short", Short);
--- a/src/libs/simulation/include/whintack/simulation/examplefleet.h
+++ b/src/libs/simulation/include/whintack/simulation/examplefleet.h
@@ -10,6 +10,13 @@
 /// Number of failed runs of a task after which its job fails.
 inline constexpr int64_t ExampleMaxAttempts = 3;
 
+/// A configuration with the queues and services of the example fleet, which has
+/// no tenants.
+jobs::FleetConfiguration exampleConfiguration(uint64_t Version);
+/// The tenants "alder" and "birch" with the keys "alder-key" and "birch-key",
+/// and no maximum.
+std::vector<tenants::Tenant> exampleTenants();
+
 /// Sets up a small fleet in two data centres: the services "quotes" and
 /// "payouts" with a queue and five machines each, and two spare machines. Adds
 /// the job templates "short" (one step), "chain" (two steps) and "lasting"
--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -43,6 +43,14 @@
   this->runFor(seconds(5));
 }
 
+Clock SimulatedFleet::clock() const {
+  Clock Time = this->Loop.Time.clock();
+  Time.WallNow = [Direct = Time.WallNow, Offset = this->WallOffset] {
+    return Direct() + *Offset;
+  };
+  return Time;
+}
+
 void SimulatedFleet::startNode(const std::string &Name,
                                const std::string &DataCentre,
                                double ProcessorShare) {
@@ -61,14 +69,17 @@
         this->WrapExecutors(std::move(Connections.Executors));
   Connections.Machines = this->Platform.machines(Vm);
   Connections.Codec = this->Platform.codec();
-  Context Shared{this->Loop.Time.clock(), this->Source, this->Loop.Queue,
+  Context Shared{this->clock(), this->Source, this->Loop.Queue,
                  Connections.Store};
-  const CoreIdentity Self{Vm,
-                          DataCentreName(DataCentre),
-                          Address{"127.0.0.1", 9000},
-                          Started.Incarnation,
-                          ProcessorShare,
-                          MaxLease};
+  CoreIdentity Self{Vm,
+                    DataCentreName(DataCentre),
+                    Address{"127.0.0.1", 9000},
+                    Started.Incarnation,
+                    ProcessorShare,
+                    MaxLease};
+  Self.RefusesStaleKeys = this->KeyRevocationTime.has_value();
+  Self.KeyRevocationTime =
+      this->KeyRevocationTime.value_or(Self.KeyRevocationTime);
   Started.Core = std::make_shared<FleetCore>(Self, Connections, Shared,
                                              this->transportOf(Name));
   this->Loop.Queue.post([Core = std::weak_ptr(Started.Core)] {
@@ -226,6 +237,8 @@
   Request.Method = Method;
   Request.Target = Path;
   Request.Headers.set("Host", simulation::ExampleHost);
+  if (!this->Key.empty())
+    Request.Headers.set("Key", this->Key);
   Request.Body = Body;
   if (const auto Core = this->Nodes.at(Node).Core)
     this->Loop.Queue.post([Weak = std::weak_ptr(Core), Request, Answer] {
--- a/tests/auto/dispatch/simulatedfleet.h
+++ b/tests/auto/dispatch/simulatedfleet.h
@@ -7,6 +7,7 @@
 #include "whintack/simulation/simulatedplatform.h"
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace whintack::tests {
@@ -69,6 +70,14 @@
   /// The VM that plans the service; empty if there is none.
   std::string plannerOf(const std::string &Service) const;
 
+  /// Sets the key that requests carry from now on; empty for none.
+  void setKey(std::string Key) { this->Key = std::move(Key); }
+  /// Lets VMs that start from now on refuse calls with keys while their
+  /// configuration may be older than \p Bound.
+  void refuseStaleKeys(Duration Bound) { this->KeyRevocationTime = Bound; }
+  /// Sets the wall clocks of all VMs forward, or back.
+  void jumpWallClock(Duration By) { *this->WallOffset += By; }
+
   /// Sends a request to a VM; the answer is filled in when it arrives.
   std::shared_ptr<ClientAnswer> send(const std::string &Node,
                                      const std::string &Method,
@@ -111,7 +120,13 @@
   void tryToSubmit(const std::string &Path, const std::string &Template,
                    size_t Attempt);
 
+  Clock clock() const;
+
   std::map<std::string, Node> Nodes;
+  std::string Key;
+  std::optional<Duration> KeyRevocationTime;
+  std::shared_ptr<Duration> WallOffset =
+      std::make_shared<Duration>(Duration::zero());
   std::set<std::string> CutOff;
   std::map<std::string, Duration> SendDelays;
   std::map<std::string, std::function<CommitFault()>> CommitFaults;
--- a/tests/auto/dispatch/tst_jobrequesthandler.cpp
+++ b/tests/auto/dispatch/tst_jobrequesthandler.cpp
@@ -50,7 +50,8 @@
     Configuration.Queues = [Queues] { return Queues; };
     Configuration.KnownThrough = [this] { return this->Loop.Time.now(); };
     this->Handler = std::make_shared<JobRequestHandler>(
-        Shared, this->Platform.codec(), Calls, Configuration);
+        Shared, this->Platform.codec(), Calls, Configuration,
+        tenants::AccessBounds{seconds(2), std::nullopt});
   }
 
   /// Submits the job and returns the status of the answer; 0 if there was none.
--- a/tests/auto/dispatch/tst_progresswriter.cpp
+++ b/tests/auto/dispatch/tst_progresswriter.cpp
@@ -59,6 +59,7 @@
       this->Written += Writes.size();
     };
     Hooks.QueueName = [](const jobs::JobId &) { return std::string("queue"); };
+    Hooks.Tenant = [](const jobs::JobId &) { return TenantName("alder"); };
     Hooks.OnSuperseded = [this] { this->IsSuperseded = true; };
     this->Writer = std::make_shared<ProgressWriter>(
         Shared, ServiceName("quotes"), Token, std::move(Hooks));
--- a/tests/auto/platform/tst_platformcodec.cpp
+++ b/tests/auto/platform/tst_platformcodec.cpp
@@ -146,3 +146,78 @@
   CHECK(Wave.value().Length == std::chrono::milliseconds(20500));
   CHECK_FALSE(Codec.DecodeWave(R"({"wave":1,"machines":["m"],"maximum":0})"));
 }
+
+namespace {
+
+/// Decodes a configuration with \p Fields besides the required ones.
+DecodeResult<FleetConfiguration> decodeWith(const std::string &Fields) {
+  return Codec.DecodeConfiguration(R"({"version":1,"routes":[],"services":[])" +
+                                   Fields + "}");
+}
+
+} // namespace
+
+TEST_CASE("tenants and public queues are decoded") {
+  const auto Read = Codec.DecodeConfiguration(
+      R"({"version":1,"services":[],"routes":[)"
+      R"({"name":"a","host":"h","prefix":"/a/","service":"s"},)"
+      R"({"name":"b","host":"h","prefix":"/b/","service":"s","public":true}],)"
+      R"("tenants":[{"name":"alder","api-keys":["k1","k2"],"weight":2.5,)"
+      R"("priority":3,"maximum":{"cpu":4000,"mem-mb":512,"gpu":1}},)"
+      R"({"name":"birch","api-keys":[]}]})");
+  REQUIRE(Read);
+  CHECK_FALSE(Read.value().Queues[0].IsPublic);
+  CHECK(Read.value().Queues[1].IsPublic);
+  REQUIRE(Read.value().Tenants.size() == 2);
+  const tenants::Tenant &First = Read.value().Tenants[0];
+  CHECK(First.Name == TenantName("alder"));
+  CHECK(First.Keys == std::vector<std::string>{"k1", "k2"});
+  CHECK(First.Weight == 2.5);
+  CHECK(First.Maximum.MilliCores == 4000);
+  CHECK(First.Maximum.MemoryMb == 512);
+  CHECK(First.Maximum.Gpus == 1);
+  CHECK(Read.value().Tenants[1].Keys.empty());
+  CHECK(Read.value().Tenants[1].Weight == 1);
+  CHECK(Read.value().Tenants[1].Maximum.MilliCores == 0);
+}
+
+// Guards against an empty list of tenants that opens all queues.
+TEST_CASE(
+    "keys are required if there is a list of tenants, even an empty one") {
+  CHECK_FALSE(decodeWith("").value().RequiresKeys);
+  CHECK(decodeWith(R"(,"tenants":[])").value().RequiresKeys);
+  CHECK(decodeWith(R"(,"tenants":[{"name":"a"}])").value().RequiresKeys);
+}
+
+// Guards against errors that do not name the field, or that show a key in logs.
+TEST_CASE(
+    "a malformed tenant is rejected with a message that names the field") {
+  const std::string Good = R"({"name":"a","api-keys":["secret-1"]})";
+  const std::vector<std::pair<std::string, std::string>> Rows = {
+      {R"({"name":"b","weight":0})", "tenants[1].weight"},
+      {R"({"name":"b","weight":-1})", "tenants[1].weight"},
+      {R"({"name":"b","weight":"2"})", "tenants[1].weight"},
+      {R"({"api-keys":["secret-2"]})", "tenants[1].name"},
+      {R"({"name":""})", "tenants[1].name"},
+      {R"({"name":"a"})", "tenants[1].name"},
+      {R"({"name":"b","api-keys":"secret-2"})", "tenants[1].api-keys"},
+      {R"({"name":"b","api-keys":[7]})", "tenants[1].api-keys"},
+      {R"({"name":"b","api-keys":[""]})", "tenants[1].api-keys"},
+      {R"({"name":"b","api-keys":["secret-1"]})", "tenants[1].api-keys"},
+      {R"({"name":"b","maximum":7})", "tenants[1].maximum"},
+      {R"({"name":"b","maximum":{"cpu":-1}})", "tenants[1].maximum.cpu"},
+      {R"({"name":"b","maximum":{"mem-mb":0.5}})", "tenants[1].maximum.mem-mb"},
+      {R"({"name":"b","maximum":{"gpu":"1"}})", "tenants[1].maximum.gpu"},
+      {R"("b")", "tenants[1]"}};
+  for (const auto &[Row, Path] : Rows) {
+    const auto Read = decodeWith(R"(,"tenants":[)" + Good + "," + Row + "]");
+    INFO(Row);
+    REQUIRE_FALSE(Read);
+    CHECK(Read.error().Message.starts_with(Path));
+    CHECK(Read.error().Message.find("secret") == std::string::npos);
+  }
+  CHECK_FALSE(decodeWith(R"(,"tenants":{})"));
+  CHECK_FALSE(Codec.DecodeConfiguration(
+      R"({"version":1,"services":[],"routes":[{"name":"a","host":"h",)"
+      R"("prefix":"/a/","service":"s","public":"yes"}]})"));
+}
