Tests: Fill in the settings' template, and try a public queue beside keyed ones

deploy/entry.yaml was read by no test, so an error in its new sections would show only at a deployment. A public queue may share its service with queues that need keys; the planner's refusal of calls through it was tested only by the handler.

--- a/tests/auto/dispatch/tst_tenantfleet.cpp
+++ b/tests/auto/dispatch/tst_tenantfleet.cpp
@@ -37,8 +37,12 @@
   /// Lets the operator acknowledge a configuration with these tenants.
   void adopt(std::vector<tenants::Tenant> Tenants) {
     jobs::FleetConfiguration Next =
-        simulation::exampleConfiguration(++this->LastVersion);
+        simulation::exampleConfiguration(this->LastVersion);
     Next.Tenants = std::move(Tenants);
+    this->adopt(std::move(Next));
+  }
+  void adopt(jobs::FleetConfiguration Next) {
+    Next.Version = ++this->LastVersion;
     this->Platform.configure(Next);
     this->ChangedAt = this->Loop.Time.now();
   }
@@ -155,6 +159,35 @@
   Fleet.checkGuarantees();
 }
 
+// Guards against a planner that lets calls without a key reach a tenant's job,
+// because a public queue shares the service of the job's queue.
+TEST_CASE("a public queue of the same service gives no access to the job") {
+  TenantFleet Fleet;
+  jobs::FleetConfiguration Shared = simulation::exampleConfiguration(0);
+  Shared.Tenants = simulation::exampleTenants();
+  Shared.Queues[1].Service = ServiceName("quotes");
+  Shared.Queues[1].IsPublic = true;
+  Fleet.adopt(Shared);
+  const std::string Job = Fleet.submitAs("alder-key", "lasting");
+  Fleet.runFor(seconds(4));
+  REQUIRE(Fleet.Accepted.contains(Job));
+  const std::string Public = "/payouts/" + Job.substr(Job.rfind('/') + 1);
+  for (const std::string &Name : Fleet.nodeNames())
+    for (const char *Method : {"GET", "DELETE", "POST"}) {
+      INFO(Name << " " << Method);
+      CHECK(Fleet.statusAs("", Name, Method, Public) == Forbidden);
+    }
+  Fleet.setKey("alder-key");
+  CHECK(Fleet.stateOf(Job) == "running");
+  // Once the job's queue is public, too, no key is needed.
+  Shared.Queues[0].IsPublic = true;
+  Fleet.adopt(Shared);
+  Fleet.runFor(ApplyTime);
+  for (const std::string &Name : Fleet.nodeNames())
+    CHECK(Fleet.statusAs("", Name, "GET", Job) == Ok);
+  Fleet.checkGuarantees();
+}
+
 // Guards against an ended job that every tenant can read, because its final
 // record has lost the tenant.
 TEST_CASE("the final record keeps the tenant") {
--- a/tests/auto/settings/tst_settings.cpp
+++ b/tests/auto/settings/tst_settings.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 #include <fstream>
+#include <map>
 #include <set>
 
 using namespace whintack;
@@ -85,3 +86,69 @@
                       Row.Expected + " |") != std::string::npos);
   }
 }
+
+/// Fills in a template as the platform does: a section between {{#KEY}} and
+/// {{/KEY}} is kept if the key has a value, which {{.}} stands for within it.
+static std::string fillIn(std::string Text,
+                          const std::map<std::string, std::string> &Values) {
+  for (size_t Start = Text.find("{{#"); Start != std::string::npos;
+       Start = Text.find("{{#")) {
+    const size_t NameEnd = Text.find("}}", Start);
+    const std::string Key = Text.substr(Start + 3, NameEnd - Start - 3);
+    const std::string Close = "{{/" + Key + "}}";
+    const size_t End = Text.find(Close, NameEnd);
+    REQUIRE(End != std::string::npos);
+    std::string Section = Text.substr(NameEnd + 2, End - NameEnd - 2);
+    const auto Found = Values.find(Key);
+    if (Found == Values.end())
+      Section.clear();
+    else if (const size_t Dot = Section.find("{{.}}"); Dot != std::string::npos)
+      Section.replace(Dot, 5, Found->second);
+    Text.replace(Start, End + Close.size() - Start, Section);
+  }
+  for (size_t Start = Text.find("{{"); Start != std::string::npos;
+       Start = Text.find("{{")) {
+    const size_t End = Text.find("}}", Start);
+    const std::string Key = Text.substr(Start + 2, End - Start - 2);
+    INFO(Key);
+    REQUIRE(Values.contains(Key));
+    Text.replace(Start, End + 2 - Start, Values.at(Key));
+  }
+  return Text;
+}
+
+// Guards against a template that gives settings which an entry VM rejects, or
+// that loses a bound, where the platform has or lacks the bounds of keys.
+TEST_CASE("the template of the settings is valid with and without bounds") {
+  std::ifstream Stream(std::string(WHINTACK_SOURCE_DIR) + "/deploy/entry.yaml");
+  const std::string Template((std::istreambuf_iterator<char>(Stream)),
+                             std::istreambuf_iterator<char>());
+  std::map<std::string, std::string> Values = {
+      {"node", "e1"},
+      {"zone", "d1"},
+      {"ip", "127.0.0.1"},
+      {"listen-addresses.front", "127.0.0.1:8080"},
+      {"listen-addresses.ready", "127.0.0.1:8083"},
+      {"internal-port-range.0", "8081"},
+      {"internal-port-range.1", "8082"},
+      {"platform.address", "127.0.0.2:80"},
+      {"cloud-api.address", "127.0.0.2:81"},
+      {"advice", "127.0.0.2:82"},
+      {"limits.cpu-share", "0.25"},
+      {"bounds.hold-max-ms", "6000"},
+      {"bounds.grace-s", "5"},
+      {"bounds.config-apply-ms", "3000"}};
+  const auto Read = [&] {
+    const auto Parsed =
+        parseEntrySettings("entry.yaml", fillIn(Template, Values));
+    INFO((Parsed ? "" : Parsed.error().text()));
+    REQUIRE(Parsed);
+    return Parsed.value().Fleet;
+  };
+  CHECK(Read().ConfigurationTime == std::chrono::seconds(3));
+  CHECK_FALSE(Read().RefusesStaleKeys);
+  Values["bounds.revoke-ms"] = "4000";
+  Values["bounds.fail-closed"] = "true";
+  CHECK(Read().KeyRevocationTime == std::chrono::seconds(4));
+  CHECK(Read().RefusesStaleKeys);
+}
