Planner, Tenants: Hold quotas and divide a short pool by weight

A tenant could start as much as the pool of a service held, whatever its quota, and one with many jobs delayed those of all others.

QuotaLedger counts the runs of each tenant and scales a share with its maximum. The planner books every run there and places nothing beyond the share in force; after a take-over, executors that have not reported count as in use. fairShares divides the pool, and JobRank ranks jobs of tenants above their part and jobs beyond the weight per second behind the others. Without tenants, the rank of a job is unchanged.

--- a/src/libs/jobs/include/whintack/jobs/jobrank.h
+++ b/src/libs/jobs/include/whintack/jobs/jobrank.h
@@ -7,6 +7,17 @@
 
 namespace whintack::jobs {
 
+/// How a job's tenant has been served, while work waits that does not fit.
+enum class ServiceStanding {
+  /// The tenant uses less than the part of the pool that it is entitled to.
+  /// Also the standing of all jobs if nothing has to be divided among tenants.
+  BelowShare,
+  AboveShare,
+  /// The tenant has submitted more jobs than it has a guarantee of service for,
+  /// and this is one of those in excess.
+  BeyondGuarantee,
+};
+
 /// The properties of a job that determine its rank among the waiting jobs.
 struct JobRank {
   /// 0 is the highest priority.
@@ -14,6 +25,7 @@
   /// The job has tasks that run until it is cancelled. Such a job needs few
   /// resources and earns value all the time, so it ranks before jobs that end.
   bool IsLongRunning = false;
+  ServiceStanding Standing = ServiceStanding::BelowShare;
   /// The job will be late and would soon have no value at all.
   bool IsLastChance = false;
   TimePoint Accepted;
@@ -37,7 +49,9 @@
 /// follow, earliest deadline first, so that large jobs do not starve. All
 /// others come last, oldest first. A few of the late jobs that would soon have
 /// no value go before all that (see IsLastChance), so that a long turn does not
-/// leave those without any answer that came at its beginning.
+/// leave those without any answer that came at its beginning. Among jobs of the
+/// same priority, the standing of the tenants takes precedence over all that,
+/// so that a tenant that submits more than its share delays only its own jobs.
 bool ranksBefore(const JobRank &First, const JobRank &Second, TimePoint Now);
 
 } // namespace whintack::jobs
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -6,7 +6,9 @@
 #include "whintack/jobs/executor.h"
 #include "whintack/jobs/jobprogress.h"
 #include "whintack/jobs/poolpolicy.h"
+#include "whintack/jobs/tenantstatus.h"
 #include "whintack/jobs/wavescheduler.h"
+#include "whintack/tenants/quota.h"
 
 #include <functional>
 #include <memory>
@@ -193,6 +195,17 @@
   /// Number of the last end that the executor may discard.
   uint64_t lastDiscardableEnd(const ExecutorId &Id) const;
 
+  /// Adopts the service's shares of the tenants' quotas. Older plans than the
+  /// last are ignored.
+  void adoptQuota(const tenants::QuotaGrants &Granted);
+  /// What is in use of each quota, what waits, and which shares apply.
+  tenants::QuotaReport quotaReport(TimePoint Now) const;
+  /// Whether tasks of tenants with a maximum may start, as while the
+  /// configuration is known to be current. They may not before the first call.
+  void setMayStartLimited(bool MayStart);
+  /// Figures of all tenants, by name.
+  std::vector<TenantStatus> tenantStatus(TimePoint Now) const;
+
   /// Demand of the pool, for the policy that moves machines. The cores of
   /// executors in \p Arrived that are not listed yet count as the pool's.
   PoolDemand demand(TimePoint Now,
--- a/src/libs/jobs/jobrank.cpp
+++ b/src/libs/jobs/jobrank.cpp
@@ -23,6 +23,8 @@
     return First.Priority < Second.Priority;
   if (First.IsLongRunning != Second.IsLongRunning)
     return First.IsLongRunning;
+  if (First.Standing != Second.Standing)
+    return First.Standing < Second.Standing;
   if (First.IsLastChance != Second.IsLastChance)
     return First.IsLastChance;
   const ExpectedOutcome FirstOutcome = expectedOutcome(First, Now);
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -105,6 +105,7 @@
   Job.Policy = std::move(Given.Policy);
   Job.Accepted = Given.Accepted;
   Job.MayHaveRun = Given.MayHaveRun;
+  Job.Tenant.Account = this->Tenants.addJob(Given.Tenant);
   Job.Occurrences.resize(static_cast<size_t>(Job.Spec.occurrences()));
   for (OccurrenceRecord &Occurrence : Job.Occurrences) {
     Occurrence.Steps.resize(Job.Spec.Steps.size());
@@ -189,6 +190,7 @@
     return;
   this->FinalJobs[Id] = Job->ShownState;
   this->removeStartable(*Job);
+  TenantAccounts::removeJob(Job->Tenant);
   this->Advice.erase(this->Advice.lower_bound(StepKey{Id, 0, 0}),
                      this->Advice.upper_bound(StepKey{Id, INT64_MAX, 0}));
   this->JobIndex.erase(Id);
@@ -296,6 +298,7 @@
 }
 
 void Planner::setQueues(const QueueTable &Queues) {
+  this->D->Tenants.configure(Queues.tenants());
   this->D->Services.clear();
   for (const ServicePolicy &Service : Queues.configuration().Services)
     this->D->Services[Service.Name] = Service;
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -2,6 +2,7 @@
 #define WHINTACK_JOBS_PLANNER_P_H
 
 #include "stepplacement.h"
+#include "tenantaccounts.h"
 #include "whintack/jobs/arrivalmeter.h"
 #include "whintack/jobs/besteffortthrottle.h"
 #include "whintack/jobs/executorhealthtracker.h"
@@ -151,6 +152,7 @@
   std::optional<size_t> StartablePosition;
   /// Whether tasks can start must be determined anew.
   bool NeedsReview = false;
+  TenantJob Tenant;
 
   StepRecord &step(const StepKey &Key);
   const StepRecord &step(const StepKey &Key) const;
@@ -204,6 +206,8 @@
   bool IsListed = false;
   bool IsReachable = true;
   bool HasReported = false;
+  /// An earlier planner may have started runs there that are not known yet.
+  bool MayHoldEarlierRuns = false;
   TimePoint EvacuatingUntil = TimePoint::min();
   /// The executor has runs that do not belong to any known job, or that
   /// duplicate a known run.
@@ -250,6 +254,8 @@
   ComputeResources LeastNeed;
   /// Planning the job may have an effect even if no task fits anywhere.
   bool IsAlwaysPlanned = false;
+  /// Determined only for a job with a tenant.
+  WaitingTasks Waiting;
 };
 
 /// A startable job in one planning pass.
@@ -437,6 +443,22 @@
   /// Whether planning the job has no effect, because its tasks do not fit.
   bool isUnplaceable(const Internal::StartableJob &Job) const;
 
+  // Quotas and shares of tenants.
+  /// Determines what may be running without being booked.
+  void updateUnknownUse();
+  /// Whether the quota lets one task of the step, or the gang, start.
+  bool mayStartByQuota(const Internal::JobRecord &Job,
+                       const StepSpec &Spec) const;
+  /// Whether planning the job has no effect, because its quota is used up.
+  bool isHeldBackByQuota(const Internal::StartableJob &Job) const;
+  Internal::WaitingTasks waitingTasks(const Internal::JobRecord &Job) const;
+  /// Determines the standing of the tenants for this pass.
+  void divideAmongTenants(const std::vector<Internal::StartableJob> &Waiting,
+                          TimePoint Now);
+  void logTenants(TimePoint Now);
+  /// What waits now, by tenant. Tenants without waiting tasks are left out.
+  std::map<TenantName, Internal::TenantBacklog> backlogs(TimePoint Now);
+
   void log(std::string_view Event, std::initializer_list<LogField> Fields) {
     if (this->Setup.Log)
       this->Setup.Log(Event, Fields);
@@ -455,6 +477,7 @@
   std::map<StepKey, Internal::AdviceRecord> Advice;
   std::set<ExecutorId> AwaitedExecutors;
   bool IsDiscoveringExecutors = false;
+  bool HasExecutorList = false;
   bool IsCatchingUp = false;
   /// Ends of jobs that are not known yet, by job.
   std::map<JobId, std::vector<Internal::DeferredEnd>> DeferredEnds;
@@ -463,6 +486,7 @@
   std::map<std::string, std::pair<double, size_t>> MeanWorkByQueue;
   /// Work of the accepted jobs that are not periodic.
   ArrivalMeter Arrivals;
+  Internal::TenantAccounts Tenants;
   std::vector<Order> Orders;
   /// The earliest NextStopAt of all runs, or earlier.
   TimePoint NextStopAt = TimePoint::max();
--- a/src/libs/jobs/plannercrashes.cpp
+++ b/src/libs/jobs/plannercrashes.cpp
@@ -240,6 +240,8 @@
     this->D->removeIfFinished(Key.Step.Job);
   }
   Found->second.HasReported = false;
+  Found->second.HasUnknownRuns = false;
+  Found->second.MayHoldEarlierRuns = false;
   // An executor whose leases have expired may only have been silent.
   if (Cause != ExecutorLoss::LeasesExpired)
     this->D->countCrash(std::exchange(Unexplained, {}), Id, Now);
--- a/src/libs/jobs/plannerdemand.cpp
+++ b/src/libs/jobs/plannerdemand.cpp
@@ -35,6 +35,7 @@
 std::vector<std::string> Planner::Private::displacedTaskLabels(TimePoint Now) {
   std::vector<std::string> Displaced;
   std::vector<Candidate> Places = this->candidates(Now);
+  std::map<const TenantAccount *, ComputeResources> Counted;
   for (const auto &[Id, Job] : this->Jobs) {
     if (isFinal(Job.State) || Job.Spec.isPeriodic())
       continue;
@@ -45,6 +46,13 @@
       const auto &Tasks = Job.Occurrences[0].Steps[Step].Tasks;
       for (size_t Index = 0; Index < Tasks.size(); ++Index) {
         const auto &Current = Tasks[Index].Current;
+        if (!Current && Job.Tenant.Account) {
+          ComputeResources Sum = Counted[Job.Tenant.Account];
+          Sum += Job.Spec.Steps[Step].Need;
+          if (!this->Tenants.mayStart(Job.Tenant.Account, Sum))
+            continue;
+          Counted[Job.Tenant.Account] = Sum;
+        }
         const bool IsLeaving =
             Current && Now < this->Executors[Current->Executor].EvacuatingUntil;
         if (!Current || (IsLeaving && !this->takeOtherCandidate(
@@ -66,15 +74,23 @@
     if (!Label.empty())
       Demand.DisplacedLabels.push_back(std::move(Label));
   }
+  // Machines do not help with what the quotas hold back.
+  std::map<const TenantAccount *, double> MayStart;
+  this->D->updateUnknownUse();
+  for (const auto &[Tenant, Backlog] : this->D->backlogs(Now))
+    MayStart[&this->D->Tenants.accounts()[Tenant]] =
+        this->D->Tenants.ledger().partThatMayStart(Tenant, Backlog.Tasks.Need);
   for (const auto &[Id, Job] : this->D->Jobs) {
     if (Job.Spec.isPeriodic() || !Job.StartablePosition || isFinal(Job.State))
       continue;
+    const auto Part = MayStart.find(Job.Tenant.Account);
+    const double Helped = Part == MayStart.end() ? 1 : Part->second;
     switch (expectedOutcome(Job.Rank, Now)) {
     case ExpectedOutcome::OnTime:
-      Demand.WaitingWork += this->D->startableWork(Job);
+      Demand.WaitingWork += Helped * this->D->startableWork(Job);
       break;
     case ExpectedOutcome::Late:
-      Demand.LateWork += this->D->startableWork(Job);
+      Demand.LateWork += Helped * this->D->startableWork(Job);
       break;
     case ExpectedOutcome::Worthless:
       break;
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -12,6 +12,7 @@
   ExecutorRecord &Executor = this->Executors[Run.Executor];
   const StepSpec &Spec = this->stepSpec(Job, Key.Step);
   Executor.Booked += Spec.bookedResources();
+  this->Tenants.book(Job.Tenant, Spec);
   if (Spec.IsLongRunning)
     Executor.LongRunningMilliCores += Spec.bookedResources().MilliCores;
   if (Run.IsLastChance)
@@ -28,6 +29,7 @@
   ExecutorRecord &Executor = this->Executors[Task.Current->Executor];
   const StepSpec &Spec = this->stepSpec(Job, Key.Step);
   Executor.Booked -= Spec.bookedResources();
+  this->Tenants.release(Job.Tenant, Spec);
   if (Spec.IsLongRunning)
     Executor.LongRunningMilliCores -= Spec.bookedResources().MilliCores;
   if (Task.Current->IsLastChance)
@@ -75,6 +77,10 @@
 
 void Planner::setExecutors(const std::vector<ExecutorInfo> &Listed) {
   std::set<ExecutorId> Seen;
+  // An earlier planner has no runs on executors that are listed for the first
+  // time after the recovery.
+  const bool IsFirstList = !std::exchange(this->D->HasExecutorList, true);
+  const bool MayHoldEarlierRuns = this->isRecovering() || IsFirstList;
   for (const ExecutorInfo &Info : Listed) {
     if (Info.Service != this->D->Setup.Service)
       continue;
@@ -86,6 +92,8 @@
                  {{"executor", Info.Id},
                   {"draining", Info.IsDraining ? "yes" : "no"},
                   {"address", Info.Server.text()}});
+    if (MayHoldEarlierRuns && Executor.Info.Id.isEmpty())
+      Executor.MayHoldEarlierRuns = true;
     Executor.Info = Info;
     Executor.IsListed = true;
     if (Info.IsDraining)
@@ -479,6 +487,7 @@
   // listed yet.
   if (!Report.IsTruncated) {
     this->D->releaseMissingRuns(Executor, Report, Now);
+    Executor.MayHoldEarlierRuns = false;
     this->D->AwaitedExecutors.erase(Id);
   }
   this->D->updateThrottle(Executor, Report, Now);
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -46,6 +46,7 @@
   Rank.IsLastChance =
       expectedOutcome(Rank, Now) == ExpectedOutcome::Late &&
       expectedOutcome(Rank, Now + LastChanceTime) == ExpectedOutcome::Worthless;
+  Rank.Standing = this->Tenants.standing(Job.Tenant);
   if (Job.QueueWork)
     Rank.RemainingWork = std::min(Rank.RemainingWork, Job.QueueWork->first);
   return Rank;
@@ -56,7 +57,7 @@
   if (Job.StartablePosition)
     return;
   Job.StartablePosition = this->Startable.size();
-  this->Startable.push_back({&Job, {}, true});
+  this->Startable.push_back({&Job, {}, true, {}});
 }
 
 void Planner::Private::removeStartable(JobRecord &Job) {
@@ -67,6 +68,7 @@
   this->Startable[Position].Job->StartablePosition = Position;
   this->Startable.pop_back();
   Job.StartablePosition.reset();
+  Job.Tenant.WaitingSince = TimePoint::max();
 }
 
 /// Whether a pass may start or reserve something for the task, now or later.
@@ -116,7 +118,7 @@
   // The occurrences of a periodic job become due, and advice expires, without
   // any event.
   if (Job.Spec.isPeriodic() || Job.Policy.Advice)
-    return StartableJob{&Job, {}, true};
+    return StartableJob{&Job, {}, true, this->waitingTasks(Job)};
   std::optional<ComputeResources> Least;
   for (size_t Index = 0; Index < Job.Spec.Steps.size(); ++Index) {
     const StepSpec &Spec = Job.Spec.Steps[Index];
@@ -129,7 +131,7 @@
   }
   if (!Least)
     return std::nullopt;
-  return StartableJob{&Job, *Least, false};
+  return StartableJob{&Job, *Least, false, this->waitingTasks(Job)};
 }
 
 bool Planner::Private::isUnplaceable(const StartableJob &Job) const {
@@ -274,7 +276,8 @@
   for (size_t Index = 0; Index < Count; ++Index)
     if (this->findTask({Step, Index})->Current)
       return;
-  if (!this->isCrashStored(Job, {Step, 0}))
+  if (!this->isCrashStored(Job, {Step, 0}) ||
+      !this->mayStartByQuota(Job, this->stepSpec(Job, Step)))
     return;
   // Place all members on a copy of the candidates first, so that either all of
   // them start or none does.
@@ -325,6 +328,8 @@
     if (Task.Stored.IsDone || Task.Current || Now < Task.EarliestStart ||
         !this->isCrashStored(Job, Key))
       continue;
+    if (!this->mayStartByQuota(Job, Spec))
+      return;
     Candidate *Place = this->chooseCandidate(Job, Key, Candidates, Now);
     const StartCaution Caution = this->startCaution(Key);
     if (!Place && Caution == StartCaution::Alone)
@@ -356,6 +361,10 @@
                          Job.Spec.Interval * static_cast<int64_t>(Occurrence);
     if (Job.Spec.isPeriodic() && WallNow < Due)
       return;
+    if (Occurrence >= Job.Tenant.DueOccurrences) {
+      Job.Tenant.DueOccurrences = Occurrence + 1;
+      this->markForReview(Job);
+    }
     if (Job.Occurrences[Occurrence].isDone())
       continue;
     for (size_t Step = 0; Step < Job.Spec.Steps.size(); ++Step) {
@@ -390,9 +399,11 @@
       std::any_of(Waiting.begin(), Waiting.end(), [](const StartableJob &Each) {
         return Each.Job->Rank.IsLongRunning;
       });
+  this->divideAmongTenants(Waiting, Now);
   std::vector<RankedJob> Ranked;
   for (const StartableJob &Each : Waiting)
-    if (MayReserve || !this->isUnplaceable(Each))
+    if ((MayReserve || !this->isUnplaceable(Each)) &&
+        !this->isHeldBackByQuota(Each))
       Ranked.push_back({this->rankOf(*Each.Job, Now), Each});
   return Ranked;
 }
@@ -430,8 +441,17 @@
       std::push_heap(Waiting.begin(), Waiting.end(), IsLater);
       continue;
     }
+    // The starts of this pass may have used up the tenant's share.
+    const ServiceStanding Standing =
+        this->Tenants.standing(Waiting.back().Startable.Job->Tenant);
+    if (std::exchange(Waiting.back().Rank.Standing, Standing) != Standing) {
+      std::push_heap(Waiting.begin(), Waiting.end(), IsLater);
+      continue;
+    }
     const RankedJob Next = Waiting.back();
     Waiting.pop_back();
+    if (this->isHeldBackByQuota(Next.Startable))
+      continue;
     this->IsPlanningLastChance = Next.Rank.IsLastChance;
     const std::optional<ComputeResources> EarlierNeed = this->UnplaceableNeed;
     this->planJob(*Next.Startable.Job, Candidates, Now, WallNow);
@@ -453,6 +473,7 @@
 
 void Planner::plan(TimePoint Now, WallTime WallNow) {
   this->repeatStops(Now);
+  this->D->updateUnknownUse();
   std::vector<Candidate> Candidates = this->D->candidates(Now);
   if (Candidates.empty())
     return;
--- a/src/libs/tenants/include/whintack/tenants/quotaledger.h
+++ b/src/libs/tenants/include/whintack/tenants/quotaledger.h
@@ -24,12 +24,23 @@
 
   /// Whether the tenant has a maximum in the configuration.
   bool isLimited(const TenantName &Tenant) const;
-  /// Whether a task with this need may start now.
+  /// Whether tasks that together have this need may start now. If more is in
+  /// use than the share of any resource allows, nothing may start, not even a
+  /// task that does not need this resource.
   bool mayStart(const TenantName &Tenant, const ComputeResources &Need) const;
+  /// The part of \p Need, from 0 to 1, that fits into what the share leaves.
+  /// 1 for a tenant without a maximum.
+  double partThatMayStart(const TenantName &Tenant,
+                          const ComputeResources &Need) const;
+  /// What the tenant has running, without the unknown use.
+  ComputeResources booked(const TenantName &Tenant) const;
   /// What the tenant has running, including the unknown use.
   ComputeResources inUse(const TenantName &Tenant) const;
-  /// The share that applies now.
+  /// The share that applies now; 0 for resources without a limit.
   ComputeResources share(const TenantName &Tenant) const;
+  /// The tenant's maximum in the configuration; 0 for resources without a
+  /// limit.
+  ComputeResources maximum(const TenantName &Tenant) const;
   /// Reports what is in use of each tenant that has a maximum. Does not fill in
   /// what waits.
   QuotaReport report() const;
@@ -37,6 +48,7 @@
 private:
   std::map<TenantName, ComputeResources> Maximums;
   QuotaGrants Granted;
+  /// Tenants with runs.
   std::map<TenantName, ComputeResources> Booked;
   ComputeResources UnknownUse;
 };
