Planner: Test quotas and shares of tenants

The planner's handling of tenants had no tests. The random series of tst_plannerproperties now also run with tenants whose small maximums and shares change: no start may exceed the share in force, and no more may be running than the planner counts.

--- a/tests/auto/jobs/tst_plannerproperties.cpp
+++ b/tests/auto/jobs/tst_plannerproperties.cpp
@@ -1,4 +1,4 @@
-#include "plannerfixture.h"
+#include "tenantfixture.h"
 
 #include <catch2/catch.hpp>
 #include <cstdio>
@@ -39,7 +39,10 @@
 public:
   /// If \p ReviewsAll is set, the planner determines anew before each pass what
   /// every job can start.
-  explicit SimulatedCluster(bool ReviewsAll = false) : ReviewsAll(ReviewsAll) {
+  /// With \p HasTenants, the jobs belong to tenants with small maximums, whose
+  /// shares and maximums change.
+  explicit SimulatedCluster(bool ReviewsAll = false, bool HasTenants = false)
+      : ReviewsAll(ReviewsAll), HasTenants(HasTenants) {
     for (int Number = 0; Number < 3; ++Number)
       this->addExecutor();
     this->replacePlanner();
@@ -47,6 +50,8 @@
     Second.Dependencies = {0};
     for (const std::string Id : {"1", "2"}) {
       AcceptedJob Job = job(Id, {step(3), Second}, 3);
+      if (HasTenants)
+        Job.Tenant = Id == "1" ? Acme : Other;
       this->Accepted.push_back(Job);
       this->Planner->addJob(Job);
     }
@@ -54,6 +59,8 @@
 
   void perform(uint8_t Action, size_t Choice) {
     this->Time.advance(std::chrono::milliseconds(50));
+    if (this->HasTenants && Choice % 6 == 5)
+      this->changeQuota(Choice / 6);
     switch (Action % 10) {
     case 0:
     case 1:
@@ -87,6 +94,8 @@
 
   /// Text of all orders so far.
   const std::string &orders() const { return this->Orders; }
+  /// Number of starts of tenants that had a maximum then.
+  size_t limitedStarts() const { return this->LimitedStarts; }
 
 private:
   void addExecutor() {
@@ -106,6 +115,11 @@
     ++this->Token;
     this->Planner = std::make_unique<jobs::Planner>(
         PlannerSetup{TestService, this->Token, {}});
+    if (this->HasTenants) {
+      this->reviewAll();
+      this->Planner->adoptQuota(this->Granted);
+      this->Planner->setMayStartLimited(this->MayStartLimited);
+    }
     this->Planner->beginExecutorDiscovery();
     for (const AcceptedJob &Job : this->Accepted) {
       const auto Found = this->Stored.find(Job.Spec.Id);
@@ -130,19 +144,91 @@
   /// Adopting the policies makes the planner review all jobs.
   void reviewAll() {
     FleetConfiguration Unchanged;
-    Unchanged.Queues = {this->Accepted.front().Policy};
+    Unchanged.Queues = {job("any", {}, 3).Policy};
+    for (const auto &[Tenant, Maximum] : this->Maximums)
+      if (this->HasTenants)
+        Unchanged.Tenants.push_back(tenant(Tenant, 100, Maximum));
     this->Planner->setQueues(QueueTable(Unchanged));
   }
 
+  /// Changes a maximum, or grants other shares.
+  void changeQuota(size_t Choice) {
+    const TenantName &Tenant = Choice % 2 == 0 ? Acme : Other;
+    const auto Cores = static_cast<int64_t>(Choice / 2 % 5);
+    switch (Choice / 10 % 3) {
+    case 0:
+      this->Maximums[Tenant] = {Cores * 1000, 0, 0};
+      this->reviewAll();
+      break;
+    case 1: {
+      const ComputeResources Maximum = this->Maximums[Tenant];
+      this->Granted.Tenants[Tenant] = {
+          {std::min(Cores * 1000, Maximum.MilliCores), 0, 0}, Maximum};
+      ++this->Granted.Plan;
+      this->Planner->adoptQuota(this->Granted);
+      break;
+    }
+    case 2:
+      this->MayStartLimited = Cores != 0;
+      this->Planner->setMayStartLimited(this->MayStartLimited);
+      break;
+    }
+  }
+
+  /// The share in force, std::nullopt if the tenant has no maximum.
+  std::optional<int64_t> shareOf(const TenantName &Tenant) const {
+    const auto Maximum = this->Maximums.find(Tenant);
+    if (Maximum == this->Maximums.end() || Maximum->second.MilliCores == 0)
+      return std::nullopt;
+    const auto Grant = this->Granted.Tenants.find(Tenant);
+    if (Grant == this->Granted.Tenants.end() ||
+        Grant->second.Maximum.MilliCores == 0)
+      return 0;
+    const auto &[Share, Under] = Grant->second;
+    return std::min(Share.MilliCores, Share.MilliCores *
+                                          Maximum->second.MilliCores /
+                                          Under.MilliCores);
+  }
+
+  /// What the tenant really has running.
+  int64_t running(const TenantName &Tenant) const {
+    int64_t Sum = 0;
+    for (const SimulatedExecutor &Each : this->Executors)
+      for (const auto &[Task, Run] : Each.Running)
+        if ((Task.Step.Job == JobId("1") ? Acme : Other) == Tenant)
+          Sum += 1000;
+    return Sum;
+  }
+
+  /// Called after a pass that has started a task.
+  void checkQuota(const TaskKey &Started) {
+    const TenantName &Tenant = Started.Step.Job == JobId("1") ? Acme : Other;
+    const std::optional<int64_t> Share = this->shareOf(Tenant);
+    if (!this->HasTenants || !Share)
+      return;
+    const int64_t Use = this->Planner->quotaReport(this->Time.now())
+                            .Tenants.at(Tenant)
+                            .InUse.MilliCores;
+    if (!this->MayStartLimited)
+      this->fail("started while nothing limited may start");
+    if (Use > *Share)
+      this->fail("started beyond the share: " + Started.text());
+    if (this->running(Tenant) > Use)
+      this->fail("more is running than the planner counts");
+    ++this->LimitedStarts;
+  }
+
   void plan() {
     if (this->ReviewsAll)
       this->reviewAll();
     this->Planner->plan(this->Time.now(), WallTime());
     for (const Order &Given : this->Planner->takeOrders()) {
-      if (const auto *Start = std::get_if<StartOrder>(&Given))
+      if (const auto *Start = std::get_if<StartOrder>(&Given)) {
         this->InFlight.push_back({*Start, this->Token});
-      else if (const auto *Stop = std::get_if<StopOrder>(&Given))
+        this->checkQuota(Start->Task);
+      } else if (const auto *Stop = std::get_if<StopOrder>(&Given)) {
         this->InFlight.push_back({*Stop, this->Token});
+      }
       std::visit([this](const auto &Each) { this->record(Each); }, Given);
     }
   }
@@ -312,6 +398,14 @@
   }
 
   bool ReviewsAll = false;
+  bool HasTenants = false;
+  std::map<TenantName, ComputeResources> Maximums = {{Acme, {2000, 0, 0}},
+                                                     {Other, {3000, 0, 0}}};
+  tenants::QuotaGrants Granted = {1,
+                                  {{Acme, {{2000, 0, 0}, {2000, 0, 0}}},
+                                   {Other, {{1000, 0, 0}, {3000, 0, 0}}}}};
+  bool MayStartLimited = true;
+  size_t LimitedStarts = 0;
   std::string Orders;
   ManualClock Time;
   std::unique_ptr<jobs::Planner> Planner;
@@ -342,12 +436,29 @@
   }));
 }
 
+// Guards against starts beyond a share that a tenant's planner counts wrongly
+// after losses, late starts and take-overs.
+TEST_CASE("no interleaving starts anything beyond the share of a tenant") {
+  size_t LimitedStarts = 0;
+  CHECK(rc::check("quota", [&LimitedStarts] {
+    SimulatedCluster Cluster(false, true);
+    const auto Actions =
+        *rc::gen::container<std::vector<std::pair<uint8_t, uint16_t>>>(
+            400, rc::gen::arbitrary<std::pair<uint8_t, uint16_t>>());
+    for (const auto &[Action, Choice] : Actions)
+      Cluster.perform(Action, Choice);
+    LimitedStarts += Cluster.limitedStarts();
+  }));
+  CHECK(LimitedStarts > 100);
+}
+
 // Guards against a job that waits for good because the planner does not look at
 // it again after a change.
 TEST_CASE("passes over changed jobs give the same orders as passes over all") {
   CHECK(rc::check("same orders", [] {
-    SimulatedCluster Changed;
-    SimulatedCluster All(true);
+    const bool HasTenants = *rc::gen::arbitrary<bool>();
+    SimulatedCluster Changed(false, HasTenants);
+    SimulatedCluster All(true, HasTenants);
     const auto Actions =
         *rc::gen::container<std::vector<std::pair<uint8_t, uint16_t>>>(
             400, rc::gen::arbitrary<std::pair<uint8_t, uint16_t>>());
