Planner: Check the quota over jobs that start during a take-over

In the random series all jobs had been known to an earlier planner, so none could start before the executors had reported, and a planner that ignored what they may hold passed. The planner's private header loses two functions that need no state of it.

--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -446,16 +446,12 @@
   // Quotas and shares of tenants.
   /// Determines what may be running without being booked.
   void updateUnknownUse();
-  /// Whether the quota lets one task of the step, or the gang, start.
-  bool mayStartByQuota(const Internal::JobRecord &Job,
-                       const StepSpec &Spec) const;
   /// Whether planning the job has no effect, because its quota is used up.
   bool isHeldBackByQuota(const Internal::StartableJob &Job) const;
   Internal::WaitingTasks waitingTasks(const Internal::JobRecord &Job) const;
   /// Determines the standing of the tenants for this pass.
   void divideAmongTenants(const std::vector<Internal::StartableJob> &Waiting,
                           TimePoint Now);
-  void logTenants(TimePoint Now);
   /// What waits now, by tenant. Tenants without waiting tasks are left out.
   std::map<TenantName, Internal::TenantBacklog> backlogs(TimePoint Now);
 
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -277,7 +277,7 @@
     if (this->findTask({Step, Index})->Current)
       return;
   if (!this->isCrashStored(Job, {Step, 0}) ||
-      !this->mayStartByQuota(Job, this->stepSpec(Job, Step)))
+      !this->Tenants.mayStart(Job.Tenant, this->stepSpec(Job, Step)))
     return;
   // Place all members on a copy of the candidates first, so that either all of
   // them start or none does.
@@ -328,7 +328,7 @@
     if (Task.Stored.IsDone || Task.Current || Now < Task.EarliestStart ||
         !this->isCrashStored(Job, Key))
       continue;
-    if (!this->mayStartByQuota(Job, Spec))
+    if (!this->Tenants.mayStart(Job.Tenant, Spec))
       return;
     Candidate *Place = this->chooseCandidate(Job, Key, Candidates, Now);
     const StartCaution Caution = this->startCaution(Key);
--- a/src/libs/jobs/plannerquota.cpp
+++ b/src/libs/jobs/plannerquota.cpp
@@ -35,11 +35,6 @@
   this->Tenants.ledger().setUnknownUse(IsUnbounded ? UnboundedUse : Unknown);
 }
 
-bool Planner::Private::mayStartByQuota(const JobRecord &Job,
-                                       const StepSpec &Spec) const {
-  return this->Tenants.mayStart(Job.Tenant.Account, needAtOnce(Spec));
-}
-
 bool Planner::Private::isHeldBackByQuota(const StartableJob &Given) const {
   const JobRecord &Job = *Given.Job;
   // A long-running task that leaves its executor is planned in any case, and
@@ -70,6 +65,38 @@
   return Waiting;
 }
 
+static std::string textOf(const ComputeResources &Resources) {
+  return std::to_string(Resources.MilliCores) + "/" +
+         std::to_string(Resources.MemoryMb) + "/" +
+         std::to_string(Resources.Gpus);
+}
+
+static void logTenants(TenantAccounts &Tenants, const DecisionLog &Log,
+                       TimePoint Now) {
+  for (auto &[Name, Account] : Tenants.accounts()) {
+    const bool IsHeldBack = Tenants.isHeldBack(Account, Account.Waiting);
+    const ShareState State = Tenants.shareState(Account);
+    const bool HasHeldBackChanged = Account.HeldBack.update(IsHeldBack, Now);
+    const bool HasShareChanged = Account.Share.update(State, Now);
+    if (!HasHeldBackChanged && !HasShareChanged)
+      continue;
+    const TenantStatus Status = Tenants.status(Account, Account.Waiting);
+    if (HasHeldBackChanged)
+      Log("tenant-quota", {{"tenant", Name},
+                           {"held-back", IsHeldBack ? "yes" : "no"},
+                           {"use", textOf(Status.Use)},
+                           {"share", textOf(Status.Share)},
+                           {"maximum", textOf(Status.Maximum)},
+                           {"waiting", textOf(Status.Waiting)}});
+    if (HasShareChanged)
+      Log("tenant-share", {{"tenant", Name},
+                           {"state", nameOf(ShareStateNames, State)},
+                           {"used-part", Status.UsedPart},
+                           {"entitled-part", Status.EntitledPart},
+                           {"weight", Account.Weight}});
+  }
+}
+
 void Planner::Private::divideAmongTenants(
     const std::vector<StartableJob> &Waiting, TimePoint Now) {
   if (this->Tenants.isEmpty())
@@ -112,38 +139,8 @@
   Capacity -= Booked;
   Capacity += this->Tenants.booked();
   this->Tenants.divide(Capacity, IsScarce || !Free.covers(WaitingSum));
-  this->logTenants(Now);
-}
-
-static std::string textOf(const ComputeResources &Resources) {
-  return std::to_string(Resources.MilliCores) + "/" +
-         std::to_string(Resources.MemoryMb) + "/" +
-         std::to_string(Resources.Gpus);
-}
-
-void Planner::Private::logTenants(TimePoint Now) {
-  for (auto &[Name, Account] : this->Tenants.accounts()) {
-    const bool IsHeldBack = this->Tenants.isHeldBack(Account, Account.Waiting);
-    const ShareState State = this->Tenants.shareState(Account);
-    const bool HasHeldBackChanged = Account.HeldBack.update(IsHeldBack, Now);
-    const bool HasShareChanged = Account.Share.update(State, Now);
-    if (!HasHeldBackChanged && !HasShareChanged)
-      continue;
-    const TenantStatus Status = this->Tenants.status(Account, Account.Waiting);
-    if (HasHeldBackChanged)
-      this->log("tenant-quota", {{"tenant", Name},
-                                 {"held-back", IsHeldBack ? "yes" : "no"},
-                                 {"use", textOf(Status.Use)},
-                                 {"share", textOf(Status.Share)},
-                                 {"maximum", textOf(Status.Maximum)},
-                                 {"waiting", textOf(Status.Waiting)}});
-    if (HasShareChanged)
-      this->log("tenant-share", {{"tenant", Name},
-                                 {"state", nameOf(ShareStateNames, State)},
-                                 {"used-part", Status.UsedPart},
-                                 {"entitled-part", Status.EntitledPart},
-                                 {"weight", Account.Weight}});
-  }
+  if (this->Setup.Log)
+    logTenants(this->Tenants, this->Setup.Log, Now);
 }
 
 void Planner::adoptQuota(const tenants::QuotaGrants &Granted) {
--- a/src/libs/jobs/tenantaccounts.h
+++ b/src/libs/jobs/tenantaccounts.h
@@ -113,8 +113,14 @@
   void setMayStartLimited(bool MayStart) { this->MayStartLimited = MayStart; }
 
   bool isEmpty() const { return this->Accounts.empty(); }
+  /// Whether the quota lets tasks that together have this need start. \p
+  /// Account is null for a job without a tenant.
   bool mayStart(const TenantAccount *Account,
                 const ComputeResources &Need) const;
+  /// Whether the quota lets one task of the step, or the gang, start.
+  bool mayStart(const TenantJob &Job, const StepSpec &Step) const {
+    return this->mayStart(Job.Account, needAtOnce(Step));
+  }
 
   /// Begins a planning pass: forgets what waited in the last one.
   void clearWaiting();
--- a/tests/auto/jobs/tst_plannerproperties.cpp
+++ b/tests/auto/jobs/tst_plannerproperties.cpp
@@ -139,6 +139,8 @@
       Ids.push_back(Info.Id);
     this->Planner->awaitReports(Ids);
     this->Planner->endExecutorDiscovery();
+    if (this->HasTenants)
+      this->addNewJob();
   }
 
   /// Adopting the policies makes the planner review all jobs.
@@ -190,19 +192,37 @@
                                           Under.MilliCores);
   }
 
+  TenantName tenantOf(const JobId &Id) const {
+    for (const AcceptedJob &Each : this->Accepted)
+      if (Each.Spec.Id == Id)
+        return Each.Tenant;
+    return {};
+  }
+
   /// What the tenant really has running.
   int64_t running(const TenantName &Tenant) const {
     int64_t Sum = 0;
     for (const SimulatedExecutor &Each : this->Executors)
       for (const auto &[Task, Run] : Each.Running)
-        if ((Task.Step.Job == JobId("1") ? Acme : Other) == Tenant)
+        if (this->tenantOf(Task.Step.Job) == Tenant)
           Sum += 1000;
     return Sum;
   }
 
+  /// Adds a job that no earlier planner has known, so that it may start before
+  /// the executors have reported.
+  void addNewJob() {
+    const std::string Id = "new" + std::to_string(this->Token);
+    AcceptedJob Job = tenantJob(Id, this->Token % 2 == 0 ? Acme : Other,
+                                {step(1 + this->Token % 2)});
+    Job.Policy.MaxAttempts = 3;
+    this->Accepted.push_back(Job);
+    this->Planner->addJob(Job);
+  }
+
   /// Called after a pass that has started a task.
   void checkQuota(const TaskKey &Started) {
-    const TenantName &Tenant = Started.Step.Job == JobId("1") ? Acme : Other;
+    const TenantName Tenant = this->tenantOf(Started.Step.Job);
     const std::optional<int64_t> Share = this->shareOf(Tenant);
     if (!this->HasTenants || !Share)
       return;
