Tests: Try removed keys on VMs that can do all but read the configuration

In the outages tried so far, a waiting watch could still tell the change, or calls failed for other reasons, so a check of the age that did nothing was seen only by the wording of a 503. Watches that wait are lost now, and a further case hides only the operator's items, so that calls with the removed key succeed until the bound.

--- a/tests/auto/dispatch/tst_tenantfleet.cpp
+++ b/tests/auto/dispatch/tst_tenantfleet.cpp
@@ -18,6 +18,8 @@
 constexpr Duration RevocationTime = seconds(5);
 /// Time in which a request is answered if nothing is wrong.
 constexpr Duration AnswerTime = milliseconds(900);
+/// Prefix of the keys that the operator writes.
+const std::string OperatorPrefix = "declared/";
 constexpr int Ok = 200;
 constexpr int Unauthorized = 401;
 constexpr int Forbidden = 403;
@@ -29,6 +31,9 @@
 public:
   TenantFleet() {
     this->refuseStaleKeys(RevocationTime);
+    this->WrapStore = [this](store::AsyncStore Store) {
+      return this->withHiddenItems(std::move(Store));
+    };
     this->startAll();
     this->adopt(simulation::exampleTenants());
     this->runFor(ApplyTime);
@@ -54,6 +59,24 @@
   }
   void grantAlder() { this->adopt(simulation::exampleTenants()); }
 
+  /// Lets all reads of the operator's items fail, while the store and the VMs
+  /// do everything else as before.
+  void hideOperatorItems(bool AreHidden) {
+    this->AreItemsHidden = AreHidden;
+    if (AreHidden)
+      for (const std::string &Name : this->nodeNames())
+        this->loseWatch(Name);
+  }
+  /// Loses the answer to the VM's watch of the operator's items that waits.
+  void loseWatch(const std::string &Name) {
+    this->Platform.store().loseWatches(EntryName(Name), OperatorPrefix, 1);
+  }
+  /// Cuts the VM off before it can learn of a change.
+  void cutOff(const std::string &Name) {
+    this->loseWatch(Name);
+    this->setCut(Name, true);
+  }
+
   std::shared_ptr<ClientAnswer> sendAs(const std::string &Key,
                                        const std::string &Node,
                                        const std::string &Method,
@@ -119,6 +142,33 @@
   }
 
 private:
+  store::AsyncStore withHiddenItems(store::AsyncStore Store) {
+    const auto IsHidden = [this](const std::string &Prefix) {
+      return this->AreItemsHidden && Prefix == OperatorPrefix;
+    };
+    const store::StoreError Cause{store::StoreErrorCode::Ambiguous, "hidden"};
+    store::AsyncStore Wrapped = Store;
+    Wrapped.Range = [=, Direct = Store.Range](
+                        const std::string &Prefix, const std::string &After,
+                        store::ReadKind Kind,
+                        const store::StoreCallback<store::StorePage> &Done) {
+      if (IsHidden(Prefix))
+        Done(failure(Cause));
+      else
+        Direct(Prefix, After, Kind, Done);
+    };
+    Wrapped.Watch = [=, Direct = Store.Watch](
+                        const std::string &Prefix, uint64_t AsOf, Duration Wait,
+                        const store::StoreCallback<store::WatchAnswer> &Done) {
+      if (IsHidden(Prefix))
+        Done(failure(Cause));
+      else
+        Direct(Prefix, AsOf, Wait, Done);
+    };
+    return Wrapped;
+  }
+
+  bool AreItemsHidden = false;
   uint64_t LastVersion = 1;
   TimePoint ChangedAt;
 };
@@ -241,6 +291,8 @@
        {StoreFaultMode::Silent, StoreFaultMode::Refused,
         StoreFaultMode::AnswersLost}) {
     TenantFleet Fleet;
+    for (const std::string &Name : Fleet.nodeNames())
+      Fleet.loseWatch(Name);
     Fleet.Platform.store().setFaultModeForAll(Mode);
     Fleet.revokeAlder();
     Fleet.probeRevoked(seconds(8), RevocationTime);
@@ -260,6 +312,22 @@
   }
 }
 
+// Guards against a removed key that works on VMs that can do all but read the
+// configuration, so that nothing else keeps calls from succeeding.
+TEST_CASE("a removed key stops working while the configuration is unreadable") {
+  TenantFleet Fleet;
+  Fleet.hideOperatorItems(true);
+  Fleet.revokeAlder();
+  Fleet.runFor(seconds(3));
+  Fleet.checkAll("alder-key", Ok);
+  Fleet.probeRevoked(seconds(4), RevocationTime);
+  Fleet.checkAll("birch-key", ServiceUnavailable);
+  Fleet.hideOperatorItems(false);
+  Fleet.runFor(seconds(2));
+  Fleet.checkAll("alder-key", Unauthorized);
+  Fleet.checkAll("birch-key", Ok);
+}
+
 // Guards against a VM that keeps an old configuration because the store turns
 // it away, though its peers can read for it.
 TEST_CASE("a removed key stops working on a VM that the store turns away") {
@@ -282,7 +350,7 @@
 // store nor a peer.
 TEST_CASE("a removed key stops working on a VM that is cut off") {
   TenantFleet Fleet;
-  Fleet.setCut("e3", true);
+  Fleet.cutOff("e3");
   Fleet.revokeAlder();
   Fleet.probeRevoked(seconds(8), RevocationTime);
   const auto Answer = Fleet.sendAs("birch-key", "e3", "GET", "/quotes/");
@@ -332,7 +400,7 @@
     TenantFleet Fleet;
     Fleet.jumpWallClock(Jump);
     Fleet.checkAll("alder-key", Ok);
-    Fleet.setCut("e3", true);
+    Fleet.cutOff("e3");
     Fleet.revokeAlder();
     Fleet.jumpWallClock(-2 * Jump);
     Fleet.probeRevoked(seconds(7), RevocationTime);
@@ -347,7 +415,7 @@
 // configuration for as new as before.
 TEST_CASE("a VM that stood still does not accept a removed key") {
   TenantFleet Fleet;
-  Fleet.setCut("e3", true);
+  Fleet.cutOff("e3");
   Fleet.revokeAlder();
   Fleet.Loop.Time.advance(RevocationTime + milliseconds(1));
   const auto Answer = Fleet.sendAs("alder-key", "e3", "GET", "/quotes/");
