Planner: Test the log lines on shares of tenants

Nothing guarded the line that tells when a tenant is served above or below its share, nor its bound of one per second. tst_jobs passes (109 cases).

--- a/tests/auto/jobs/tst_tenantshares.cpp
+++ b/tests/auto/jobs/tst_tenantshares.cpp
@@ -140,6 +140,39 @@
   CHECK(Counts[Other] == 2);
 }
 
+TEST_CASE("the log tells when tenants are served above or below their share") {
+  std::vector<std::string> Lines;
+  Planner Logged({TestService, 1,
+                  [&Lines](std::string_view Event,
+                           std::initializer_list<LogField> Fields) {
+                    std::string Line;
+                    for (const LogField &Each : Fields)
+                      Line += Each.Value + " ";
+                    if (Event == "tenant-share")
+                      Lines.push_back(Line);
+                  }});
+  ManualClock Time;
+  Logged.setExecutors({executor("a")});
+  Logged.noteReport(ExecutorId("a"), {}, Time.now());
+  configure(Logged, {tenant(Acme, 5), tenant(Other, 5)});
+  Logged.addJob(tenantJob("1", Acme, {step(8)}));
+  Logged.plan(Time.now(), WallTime());
+  CHECK(Lines.empty());
+  Logged.addJob(tenantJob("2", Other, {step(8)}));
+  for (int Pass = 0; Pass < 10; ++Pass) {
+    Time.advance(40ms);
+    Logged.plan(Time.now(), WallTime());
+  }
+  CHECK(Lines == std::vector<std::string>{"acme above-share 1 0.5 5 ",
+                                          "other below-share 0 0.5 5 "});
+  Logged.cancel(JobId("2"), Time.now());
+  Time.advance(1s);
+  Logged.plan(Time.now(), WallTime());
+  REQUIRE(Lines.size() == 4);
+  CHECK(Lines[2].starts_with("acme at-share "));
+  CHECK(Lines[3].starts_with("other at-share "));
+}
+
 namespace {
 
 /// A pool of a few executors with four tenants of equal weight, in virtual
