Tenants, Dispatch: Divide the quotas of tenants among the services

Cause: a maximum holds for all services together, and each planner can only count what it runs itself. Change: QuotaAllocator divides each maximum by demand. A share falls once its planner has confirmed a lower one; one conditional commit stores that and the shares that grow by it. QuotaCoordinator runs it under the claim of the fleet shard, only while a tenant has a maximum. A commit without an answer is resolved by reading the records again and rewriting them, before anything is granted. ServiceShard reads the stored shares before it plans, applies and confirms shares under a valid claim, and tells the planner whether the configuration is recent enough. The planner's side is a stub.

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -280,6 +280,7 @@
         return Maintenance->machinesInProgress();
       });
   this->Rebalancer->start();
+  this->openQuotas(Acquired);
 }
 
 void FleetCore::openServiceShard(const HeldClaim &Acquired) {
@@ -296,6 +297,10 @@
   Environment.ExecutorsKnownThrough = [Executors = this->Executors] {
     return Executors->knownThrough();
   };
+  Environment.ConfigurationKnownThrough = [Items = this->OperatorItems] {
+    return Items->knownThrough();
+  };
+  Environment.MaxConfigurationAge = maxConfigurationAge();
   Environment.Loads = this->Loads;
   Environment.MaxLease = this->Self.MaxLease;
   Environment.OnLost = this->shardLossHandler();
@@ -319,6 +324,8 @@
   this->Maintenance.reset();
   this->Rebalancer->stop();
   this->Rebalancer.reset();
+  this->Quotas->stop();
+  this->Quotas.reset();
 }
 
 void FleetCore::dropShard(const std::string &Shard, const std::string &Cause) {
--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -6,6 +6,7 @@
 #include "machineorders.h"
 #include "membership.h"
 #include "poolrebalancer.h"
+#include "quotacoordinator.h"
 #include "serviceshard.h"
 #include "shardbalancer.h"
 #include "storerelay.h"
@@ -85,6 +86,7 @@
   void adoptConfiguration(jobs::FleetConfiguration Newest, uint64_t Revision);
   void handleClaimAcquired(const HeldClaim &Acquired);
   void openFleetShard(const HeldClaim &Acquired);
+  void openQuotas(const HeldClaim &Acquired);
   void openServiceShard(const HeldClaim &Acquired);
   void dropShard(const std::string &Shard, const std::string &Cause);
   /// Releases the claim of a shard that was not loaded in time.
@@ -112,6 +114,9 @@
   std::function<void(const std::string &Shard, const std::string &Cause)>
   shardLossHandler();
   std::function<TimePoint()> claimValidity() const;
+  /// How old the configuration may be when a task of a tenant with a maximum is
+  /// started.
+  Duration maxConfigurationAge() const;
 
   CoreIdentity Self;
   NodeConnections Connections;
@@ -136,6 +141,7 @@
   std::map<std::string, unsigned> GiveUps;
   std::shared_ptr<WaveManager> Maintenance;
   std::shared_ptr<PoolRebalancer> Rebalancer;
+  std::shared_ptr<QuotaCoordinator> Quotas;
   /// Token of the claim that is being handed over; 0 for none.
   uint64_t HandingOver = 0;
   TimePoint NextCheck = TimePoint::max();
--- a/src/libs/dispatch/fleetcoreconfiguration.cpp
+++ b/src/libs/dispatch/fleetcoreconfiguration.cpp
@@ -4,6 +4,29 @@
 
 namespace whintack::dispatch::Internal {
 
+/// Subtracted from the time within which a configuration must be in force: the
+/// time from the decision to start a task to the start.
+static constexpr Duration StartMargin = std::chrono::milliseconds(500);
+
+Duration FleetCore::maxConfigurationAge() const {
+  return this->Self.ConfigurationTime - StartMargin;
+}
+
+void FleetCore::openQuotas(const HeldClaim &Acquired) {
+  QuotaEnvironment Environment;
+  Environment.Call = [Calls = this->Calls](const peers::ServiceCall &Call,
+                                           Duration Timeout,
+                                           ResultCallback Done) {
+    Calls->call(Call, Timeout, std::move(Done));
+  };
+  Environment.ClaimValidUntil = this->claimValidity();
+  Environment.OnLost = this->shardLossHandler();
+  this->Quotas = std::make_shared<QuotaCoordinator>(
+      this->Shared, std::move(Environment), Acquired);
+  if (this->Queues)
+    this->Quotas->setTenants(this->Queues->configuration());
+}
+
 ConfigurationHooks FleetCore::configurationHooks() {
   const std::weak_ptr<FleetCore> Weak = this->weak_from_this();
   ConfigurationHooks Hooks;
@@ -66,6 +89,8 @@
       RequiredShards.insert(Service.Name.text());
   for (const auto &[Name, Shard] : this->Shards)
     Shard->setQueues(*this->Queues);
+  if (this->Quotas)
+    this->Quotas->setTenants(this->Queues->configuration());
   this->Claimer->setShards(std::move(RequiredShards));
   this->IsReadyNow = this->canServe();
 }
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -66,6 +66,7 @@
   this->Records = std::make_shared<ShardStore>(
       this->Shared, this->Environment.Loads, this->Service);
   this->Records->load(
+      this->hasQuotas(),
       [Weak = this->weak_from_this()](const ShardStore::Contents &Loaded) {
         if (const auto Self = Weak.lock())
           Self->handleContents(Loaded);
@@ -175,6 +176,7 @@
   for (const store::StoreItem &Item : Loaded.Progress)
     Progress[Item.Key.substr(keys::progress(this->Service).size())] =
         Item.Value;
+  this->adoptStoredQuotas(Loaded);
   for (const store::StoreItem &Item : Loaded.Jobs)
     this->restore(Item, Progress);
   this->KnownAsOf = Loaded.AsOf;
@@ -487,6 +489,7 @@
   if (this->IsStopped || !this->IsLoaded)
     return;
   this->reportStartPause();
+  this->checkConfigurationAge();
   if (this->canStartTasks())
     this->Planner.plan(Now, this->Shared.Time.WallNow());
   else if (this->isClaimValid())
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -28,6 +28,11 @@
   std::function<void()> RefreshExecutors;
   /// Time through which all changes of the list of executors are known.
   std::function<TimePoint()> ExecutorsKnownThrough;
+  /// Time through which all changes of the configuration are known.
+  std::function<TimePoint()> ConfigurationKnownThrough;
+  /// How old the knowledge of the configuration may be when a task of a tenant
+  /// with a maximum is started.
+  Duration MaxConfigurationAge = Duration::zero();
   Duration MaxLease = Duration::zero();
   /// Time in which the shard must be loaded.
   Duration LoadTime = Duration::zero();
@@ -85,6 +90,7 @@
   void listMachines(MachineListHandler Handle);
   void handleMachines(const MachineList &Found);
   void handleContents(const ShardStore::Contents &Loaded);
+  void adoptStoredQuotas(const ShardStore::Contents &Loaded);
   void restore(const store::StoreItem &Item,
                const std::unordered_map<std::string, std::string> &Progress);
   /// Handles the notices whose keys are in \p Changed.
@@ -106,6 +112,10 @@
   void checkLoaded();
   /// Logs when starts are paused and resumed.
   void reportStartPause();
+  /// Whether the current configuration has a tenant with a maximum.
+  bool hasQuotas() const;
+  /// Tells the planner whether it may start tasks of tenants with a maximum.
+  void checkConfigurationAge();
   void requestPlan();
   void plan();
   void execute(const jobs::Order &Order);
@@ -134,6 +144,10 @@
   std::string queueName(const jobs::JobId &Job) const;
   void answerCancel(const peers::ServiceCall &Call,
                     const AnswerCallback &Respond);
+  /// Applies the shares in the call, if there are any, and reports what is in
+  /// use and waits.
+  void answerQuota(const peers::ServiceCall &Call,
+                   const AnswerCallback &Respond);
   /// Reports the demand of the pool and releases machines for other pools.
   /// Reads the list of executors anew if the caller knows of one that is
   /// missing.
@@ -180,6 +194,7 @@
   bool IsRemovingNotices = false;
   bool IsStopped = false;
   bool IsStartPaused = false;
+  bool IsConfigurationCheckDue = false;
   /// Jobs that were announced to an earlier planner may be missing. Each job
   /// that is announced to this one may have been announced to that one before,
   /// whenever it was accepted.
--- a/src/libs/dispatch/serviceshardanswers.cpp
+++ b/src/libs/dispatch/serviceshardanswers.cpp
@@ -80,7 +80,7 @@
     this->answerDemand(Call, Respond);
     return;
   case peers::ServiceCallKind::TenantQuota:
-    Respond({Call.Id, ServiceOutcome::Failed, ""});
+    this->answerQuota(Call, Respond);
     return;
   case peers::ServiceCallKind::EvacuateExecutor: {
     const jobs::ExecutorId Id(Call.Subject);
--- a/src/libs/dispatch/shardstore.cpp
+++ b/src/libs/dispatch/shardstore.cpp
@@ -24,6 +24,9 @@
     this->Reading->stop();
   // Ends this shard's turn to load.
   this->Reading.reset();
+  if (this->QuotaReading)
+    this->QuotaReading->stop();
+  this->QuotaReading.reset();
 }
 
 void ShardStore::read(const std::string &Prefix,
@@ -33,15 +36,22 @@
   this->Reading->start();
 }
 
-void ShardStore::load(std::function<void(Contents)> Done) {
-  this->Loads->enter([Weak = this->weak_from_this(),
+void ShardStore::load(bool HasQuotas, std::function<void(Contents)> Done) {
+  this->Loads->enter([Weak = this->weak_from_this(), HasQuotas,
                       Done = std::move(Done)](LoadQueue::Turn Turn) {
     if (const auto Self = Weak.lock(); Self && !Self->IsStopped)
-      Self->readJobs(std::move(Turn), Done);
+      Self->readJobs(std::move(Turn), HasQuotas, Done);
   });
 }
 
-void ShardStore::readJobs(LoadQueue::Turn Turn,
+void ShardStore::readQuotas(
+    std::function<void(std::vector<store::StoreItem>)> Done) {
+  this->QuotaReading =
+      std::make_shared<QuotaRecordReader>(this->Shared, std::move(Done));
+  this->QuotaReading->start();
+}
+
+void ShardStore::readJobs(LoadQueue::Turn Turn, bool HasQuotas,
                           std::function<void(Contents)> Done) {
   auto Loaded = std::make_shared<Contents>();
   Loaded->Began = this->Shared.now();
@@ -49,14 +59,23 @@
   // record and no progress, which then reads as no progress yet. Under this
   // planner's claim nobody else writes either kind of record.
   this->read(keys::jobs(this->Service), [this, Turn = std::move(Turn), Loaded,
-                                         Done = std::move(Done)](
+                                         HasQuotas, Done = std::move(Done)](
                                             PortionedRead::Contents Jobs) {
     Loaded->Jobs = std::move(Jobs.Items);
     Loaded->AsOf = Jobs.AsOf;
     this->read(keys::progress(this->Service),
-               [Turn, Loaded, Done](PortionedRead::Contents Progress) {
+               [this, Turn, Loaded, HasQuotas,
+                Done](PortionedRead::Contents Progress) {
                  Loaded->Progress = std::move(Progress.Items);
-                 Done(std::move(*Loaded));
+                 if (!HasQuotas) {
+                   Done(std::move(*Loaded));
+                   return;
+                 }
+                 this->readQuotas(
+                     [Turn, Loaded, Done](std::vector<store::StoreItem> Items) {
+                       Loaded->Quotas = std::move(Items);
+                       Done(std::move(*Loaded));
+                     });
                });
   });
 }
--- a/src/libs/dispatch/shardstore.h
+++ b/src/libs/dispatch/shardstore.h
@@ -4,6 +4,7 @@
 #include "context.h"
 #include "loadqueue.h"
 #include "portionedread.h"
+#include "quotarecordreader.h"
 
 #include "whintack/jobs/taskkey.h"
 
@@ -21,12 +22,15 @@
   struct Contents {
     std::vector<store::StoreItem> Jobs;
     std::vector<store::StoreItem> Progress;
+    /// Records of the tenants' quotas, if these were requested.
+    std::vector<store::StoreItem> Quotas;
     /// Time and revision of the store when the read began.
     TimePoint Began;
     uint64_t AsOf = 0;
   };
-  /// Reads all records; retries until that succeeds or stop() is called.
-  void load(std::function<void(Contents)> Done);
+  /// Reads all records, and those of the tenants' quotas if \p HasQuotas is
+  /// set; retries until that succeeds or stop() is called.
+  void load(bool HasQuotas, std::function<void(Contents)> Done);
   /// Called with jobs and the revision through which they are complete.
   using JobsHook =
       std::function<void(std::vector<store::StoreItem> Jobs, uint64_t Through)>;
@@ -50,7 +54,9 @@
 
   void read(const std::string &Prefix,
             std::function<void(PortionedRead::Contents)> Done);
-  void readJobs(LoadQueue::Turn Turn, std::function<void(Contents)> Done);
+  void readJobs(LoadQueue::Turn Turn, bool HasQuotas,
+                std::function<void(Contents)> Done);
+  void readQuotas(std::function<void(std::vector<store::StoreItem>)> Done);
   void findTarget(const std::shared_ptr<ChangeRead> &Current);
   void readChanges(const std::shared_ptr<ChangeRead> &Current);
   void handleChanges(const std::shared_ptr<ChangeRead> &Current,
@@ -64,6 +70,7 @@
   Context Shared;
   std::shared_ptr<LoadQueue> Loads;
   std::shared_ptr<PortionedRead> Reading;
+  std::shared_ptr<QuotaRecordReader> QuotaReading;
   ServiceName Service;
   bool IsStopped = false;
 };
--- a/src/libs/dispatch/storekeys.h
+++ b/src/libs/dispatch/storekeys.h
@@ -19,6 +19,8 @@
 inline const std::string Waves = "whintack/wave/";
 /// The most recent machine orders of the holder of the fleet shard.
 inline const std::string MachineOrders = "whintack/machine-orders";
+/// Shares of the tenants' quotas, by quotaRecord().
+inline const std::string Quotas = "whintack/quota/";
 
 /// The shard that maintains and moves machines.
 inline const std::string FleetShard = "fleet";
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -7,6 +7,7 @@
 #include "whintack/jobs/jobprogress.h"
 #include "whintack/jobs/poolpolicy.h"
 #include "whintack/jobs/wavescheduler.h"
+#include "whintack/tenants/quota.h"
 
 #include <functional>
 #include <memory>
@@ -198,6 +199,13 @@
   PoolDemand demand(TimePoint Now,
                     const std::vector<ArrivedExecutor> &Arrived = {}) const;
 
+  /// Applies the service's shares of the tenants' quotas.
+  void adoptQuota(const tenants::QuotaGrants &Granted);
+  /// What the tenants with a maximum have in use and waiting.
+  tenants::QuotaReport quotaReport(TimePoint Now) const;
+  /// Sets whether tasks of tenants with a maximum may be started.
+  void setMayStartLimited(bool MayStart);
+
 private:
   class Private;
   std::unique_ptr<Private> D;
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -7,6 +7,7 @@
 #include "whintack/jobs/executorhealthtracker.h"
 #include "whintack/jobs/jobrank.h"
 #include "whintack/jobs/planner.h"
+#include "whintack/tenants/quotaledger.h"
 
 #include <deque>
 #include <map>
@@ -484,6 +485,9 @@
   /// The most that was free on any executor when the pass began, separately for
   /// each resource.
   ComputeResources MostFree;
+  tenants::QuotaLedger Quota;
+  /// Number of the plan whose shares are applied.
+  uint64_t QuotaPlan = 0;
 };
 
 } // namespace whintack::jobs
--- a/tests/auto/dispatch/tst_serviceshard.cpp
+++ b/tests/auto/dispatch/tst_serviceshard.cpp
@@ -1,4 +1,5 @@
 #include "jobrecords.h"
+#include "quotarecords.h"
 #include "serviceshard.h"
 #include "steppedloop.h"
 #include "storekeys.h"
@@ -23,15 +24,24 @@
 /// Number of tasks of the example template "short".
 constexpr size_t TasksPerJob = 4;
 constexpr Duration MaxLease = seconds(6);
+const TenantName Acme("acme");
+/// Number of the plan in the record of the tenants' shares.
+constexpr uint64_t StoredPlan = 7;
 
 /// A service shard whose executors answer as the test says. The clocks of the
 /// executors equal that of the test.
 class Fixture {
 public:
-  explicit Fixture(uint64_t Generation = 1) {
+  explicit Fixture(uint64_t Generation = 1,
+                   std::vector<tenants::Tenant> Tenants = {}) {
     simulation::addExampleFleet(this->Platform);
-    this->Queues = std::make_shared<jobs::QueueTable>(
-        this->Platform.codec().DecodeConfiguration("1").value());
+    jobs::FleetConfiguration Configuration =
+        this->Platform.codec().DecodeConfiguration("1").value();
+    Configuration.Tenants = std::move(Tenants);
+    this->Queues = std::make_shared<jobs::QueueTable>(std::move(Configuration));
+    this->Platform.store().put(
+        quotaRecordKey(0),
+        encodeQuotaRecord({StoredPlan, {{Acme, {{100, 0, 0}, {}}}}}));
     const EntryName Vm("e1");
     Context Shared{this->Loop.Time.clock(), seededRandom(3), this->Loop.Queue,
                    this->storeOf(Vm)};
@@ -43,6 +53,7 @@
           Token = Answer.value().Revision;
         });
     this->Loop.runFor(milliseconds(10));
+    this->Token = Token;
     this->Shard = std::make_shared<ServiceShard>(
         Shared, this->environment(),
         HeldClaim{Service.text(), Token, Generation, Shared.now()});
@@ -85,6 +96,16 @@
     this->Loop.runFor(milliseconds(50));
   }
 
+  /// Asks the shard for a report of the tenants' quotas.
+  peers::ServiceAnswer askQuota(const std::string &Content) {
+    peers::ServiceAnswer Given;
+    this->Shard->answer(
+        {1, Service, peers::ServiceCallKind::TenantQuota, "", Content},
+        [&Given](const peers::ServiceAnswer &Answer) { Given = Answer; });
+    this->Loop.runFor(milliseconds(50));
+    return Given;
+  }
+
   /// Answers all start orders that were sent to the executor.
   void answerStarts(const jobs::ExecutorId &Id, jobs::StartOutcome Outcome) {
     for (auto &[Order, Done] : this->Starts)
@@ -124,6 +145,10 @@
   /// Reads of the claim, with which the shard begins to look for jobs that it
   /// has missed, are not answered until this is reset.
   bool IsClaimReadHeld = false;
+  /// Number of reads of the records of the tenants' shares.
+  size_t QuotaReads = 0;
+  uint64_t Token = 0;
+  TimePoint ClaimValidUntil = TimePoint::max();
   /// Executors that answer no report call.
   std::set<jobs::ExecutorId> Silent;
   /// What each executor lists as running.
@@ -136,6 +161,8 @@
                       const std::string &Prefix, const std::string &After,
                       store::ReadKind Kind,
                       const store::StoreCallback<store::StorePage> &Done) {
+      if (Prefix.starts_with(keys::Quotas))
+        ++this->QuotaReads;
       this->readWhenReleased(Prefix,
                              [=] { Direct(Prefix, After, Kind, Done); });
     };
@@ -158,7 +185,7 @@
     Environment.Executors = this->executors();
     Environment.DecodeJob = this->Platform.codec().DecodeJob;
     Environment.Queues = [this] { return this->Queues; };
-    Environment.ClaimValidUntil = [] { return TimePoint::max(); };
+    Environment.ClaimValidUntil = [this] { return this->ClaimValidUntil; };
     Environment.ListMachines =
         [this](
             TimePoint,
@@ -309,3 +336,36 @@
   Fleet.announce("00000000000000a1");
   CHECK(Fleet.starts(Second) == TasksPerJob);
 }
+
+// Guards against reads in deployments without tenants.
+TEST_CASE("stored shares are read only if a tenant has a maximum") {
+  SECTION("no tenants") { CHECK(Fixture().QuotaReads == 0); }
+  SECTION("tenants without a maximum") {
+    CHECK(Fixture(1, {{Acme, {"key"}, 1, {}}}).QuotaReads == 0);
+  }
+  SECTION("a tenant with a maximum") {
+    CHECK(Fixture(1, {{Acme, {"key"}, 1, {100, 0, 0}}}).QuotaReads == 1);
+  }
+}
+
+// Guards against confirmations that the coordinator would trust although
+// another planner may hold the claim.
+TEST_CASE("a planner reports its quotas with its token, under a valid claim") {
+  Fixture Fleet(1, {{Acme, {"key"}, 1, {100, 0, 0}}});
+  peers::ServiceAnswer Answer = Fleet.askQuota("");
+  REQUIRE(Answer.Outcome == peers::ServiceOutcome::Done);
+  auto Read = decodeQuotaAnswer(Answer.Content, {});
+  REQUIRE(Read);
+  CHECK(Read.value().ClaimToken == Fleet.Token);
+  CHECK(Read.value().Report.ConfirmedPlan == StoredPlan);
+
+  Answer = Fleet.askQuota(
+      encodeQuotaGrants({StoredPlan + 2, {{Acme, {{50, 0, 0}, {100, 0, 0}}}}}));
+  Read = decodeQuotaAnswer(Answer.Content, {});
+  REQUIRE(Read);
+  CHECK(Read.value().Report.ConfirmedPlan == StoredPlan + 2);
+
+  CHECK(Fleet.askQuota("{}").Outcome == peers::ServiceOutcome::Failed);
+  Fleet.ClaimValidUntil = TimePoint::min();
+  CHECK(Fleet.askQuota("").Outcome == peers::ServiceOutcome::NotPlanner);
+}
