Planner: Reserve room for large tasks if reserve-room is set

Small tasks filled every gap, so large ones waited until none was left. A pass now reserves an executor for up to one task for every two executors (24 at most), in rank order, for jobs that still have value and whose task needs an eighth of the largest executor. Tasks of a lower rank are placed there only if they end in time or leave the reserved part free. Gangs and long-running tasks get no reservation, but respect those made before them. Without the setting the reservations of a pass are limited to none and placement takes the same path as before. fleetcore passes the setting on to the planners.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 	$(BUILD)/bench/bench_planner
 	$(BUILD)/bench/bench_configuration
 	$(BUILD)/bench/policy_under_load
+	$(BUILD)/bench/placement_under_load
 
 build: packages
 	cmake -G Ninja -B $(BUILD) -S .
--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -298,6 +298,7 @@
   };
   Environment.Loads = this->Loads;
   Environment.MaxLease = this->Self.MaxLease;
+  Environment.ReservesRoom = this->Self.ReservesRoom;
   Environment.OnLost = this->shardLossHandler();
   Environment.LoadTime =
       LoadTime * (1U << std::min(this->GiveUps[Acquired.Shard], MaxDoublings));
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -38,7 +38,8 @@
            [Service = this->Service](std::string_view Event,
                                      std::initializer_list<LogField> Fields) {
              logEvent(LogLevel::Info, Event, Fields);
-           }}),
+           },
+           this->Environment.ReservesRoom}),
       BacklogMonitor(this->Service, [](std::string_view Event,
                                        std::initializer_list<LogField> Fields) {
         logEvent(LogLevel::Warning, Event, Fields);
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -29,6 +29,8 @@
   /// Time through which all changes of the list of executors are known.
   std::function<TimePoint()> ExecutorsKnownThrough;
   Duration MaxLease = Duration::zero();
+  /// The planner reserves room for large tasks that wait.
+  bool ReservesRoom = false;
   /// Time in which the shard must be loaded.
   Duration LoadTime = Duration::zero();
   /// The shard was not loaded in time; the claim should be released.
--- a/src/libs/jobs/include/whintack/jobs/jobrank.h
+++ b/src/libs/jobs/include/whintack/jobs/jobrank.h
@@ -30,6 +30,9 @@
 
 ExpectedOutcome expectedOutcome(const JobRank &Job, TimePoint Now);
 
+/// Until when the job may start what is left and still have some value.
+TimePoint lastUsefulStart(const JobRank &Job);
+
 /// Whether \p First gets resources before \p Second. The queues take turns in
 /// submitting several times what their pool can hold, so the order matters:
 /// jobs that can still be on time come first, least work first, so that as many
--- a/src/libs/jobs/jobrank.cpp
+++ b/src/libs/jobs/jobrank.cpp
@@ -18,6 +18,10 @@
   return ExpectedOutcome::Worthless;
 }
 
+TimePoint lastUsefulStart(const JobRank &Job) {
+  return lateDeadline(Job) - Job.RemainingCriticalPath;
+}
+
 bool ranksBefore(const JobRank &First, const JobRank &Second, TimePoint Now) {
   if (First.Priority != Second.Priority)
     return First.Priority < Second.Priority;
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -1,6 +1,7 @@
 #ifndef WHINTACK_JOBS_PLANNER_P_H
 #define WHINTACK_JOBS_PLANNER_P_H
 
+#include "roomplan.h"
 #include "stepplacement.h"
 #include "whintack/jobs/arrivalmeter.h"
 #include "whintack/jobs/besteffortthrottle.h"
@@ -107,6 +108,7 @@
   size_t DoneTasks = 0;
   /// Rack chosen for a step whose tasks stay on one rack.
   std::string Rack;
+  estimates::StepRunTimes RunTimes;
 
   bool isDone() const { return this->DoneTasks == this->Tasks.size(); }
 };
@@ -236,6 +238,7 @@
   /// Runs that are to be counted if it turns out that the executor has crashed.
   std::vector<SuspectRun> UnexplainedRuns;
   std::vector<BarredRun> BarredRuns;
+  ExpectedEnds Ends;
 
   ComputeResources free() const;
   /// Whether the list shows the incarnation that reports. If not, its capacity
@@ -264,13 +267,16 @@
   ExecutorRecord *Executor = nullptr;
   ComputeResources Free;
   std::string Rack;
+  /// Position in the pass's list of candidates.
+  size_t Position = 0;
 };
 
 } // namespace Internal
 
 class Planner::Private {
 public:
-  explicit Private(PlannerSetup Setup) : Setup(std::move(Setup)) {}
+  explicit Private(PlannerSetup Setup)
+      : Setup(std::move(Setup)), Room(this->Setup.Log) {}
 
   // Jobs.
   Internal::JobRecord &insertJob(AcceptedJob Job);
@@ -388,7 +394,8 @@
   bool canStart(const Internal::JobRecord &Job, const StepKey &Step) const;
   Internal::Candidate *
   chooseCandidate(const Internal::JobRecord &Job, const TaskKey &Key,
-                  std::vector<Internal::Candidate> &Candidates, TimePoint Now);
+                  std::vector<Internal::Candidate> &Candidates, TimePoint Now,
+                  bool *IsHeldBack = nullptr);
   void chooseRack(const StepSpec &Spec, Internal::StepRecord &Step,
                   const std::vector<Internal::Candidate> &Candidates);
   bool canRunOn(const Internal::JobRecord &Job, const TaskKey &Key,
@@ -436,6 +443,36 @@
                    WallTime WallNow);
   /// Whether planning the job has no effect, because its tasks do not fit.
   bool isUnplaceable(const Internal::StartableJob &Job) const;
+  /// Whether planning the job has no effect, not even a reservation.
+  bool isDroppable(const Internal::RankedJob &Job, TimePoint Now) const;
+
+  // Reservations for large tasks, see RoomPlan.
+  void beginReservations(const std::vector<Internal::Candidate> &Candidates);
+  /// Learns from the end of a run that is still the task's current one.
+  void learnRunTime(Internal::JobRecord &Job, const EndReport &End,
+                    const Internal::RunRecord &Run, TimePoint Now);
+  estimates::RunTimeEstimate expectedRunTime(const Internal::JobRecord &Job,
+                                             const StepKey &Step) const;
+  const std::vector<placement::EndingRun> &
+  endingRuns(Internal::ExecutorRecord &Executor, TimePoint Now);
+  bool mayReserveRoom(const JobRank &Rank, const ComputeResources &Need,
+                      TimePoint Now) const;
+  /// Reserves an executor for a task that cannot be placed now, if it is large
+  /// and its job still has value.
+  void reserveRoom(Internal::JobRecord &Job, const TaskKey &Key,
+                   std::vector<Internal::Candidate> &Candidates,
+                   bool IsHeldBack, TimePoint Now);
+  void reserveRoomForStep(Internal::JobRecord &Job, const StepKey &Step,
+                          std::vector<Internal::Candidate> &Candidates,
+                          TimePoint Now);
+  /// Whether placing the task delays no reservation.
+  bool isAdmitted(const Internal::JobRecord &Job, const TaskKey &Key,
+                  const Internal::Candidate &Target, TimePoint Now) const;
+  /// When a run of the step that starts now has ended, almost certainly.
+  TimePoint latestEnd(const Internal::JobRecord &Job, const StepKey &Step,
+                      TimePoint Now) const;
+  /// Counts a task that fits only where it is not admitted.
+  void noteRefusal(std::vector<Internal::Candidate> &Candidates);
 
   void log(std::string_view Event, std::initializer_list<LogField> Fields) {
     if (this->Setup.Log)
@@ -443,6 +480,7 @@
   }
 
   PlannerSetup Setup;
+  Internal::RoomPlan Room;
   std::map<JobId, Internal::JobRecord> Jobs;
   /// Entries of Jobs, which do not move, for the many searches of each report.
   std::unordered_map<JobId, Internal::JobRecord *> JobIndex;
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -12,6 +12,7 @@
   ExecutorRecord &Executor = this->Executors[Run.Executor];
   const StepSpec &Spec = this->stepSpec(Job, Key.Step);
   Executor.Booked += Spec.bookedResources();
+  Executor.Ends.ValidUntil = TimePoint::min();
   if (Spec.IsLongRunning)
     Executor.LongRunningMilliCores += Spec.bookedResources().MilliCores;
   if (Run.IsLastChance)
@@ -28,6 +29,7 @@
   ExecutorRecord &Executor = this->Executors[Task.Current->Executor];
   const StepSpec &Spec = this->stepSpec(Job, Key.Step);
   Executor.Booked -= Spec.bookedResources();
+  Executor.Ends.ValidUntil = TimePoint::min();
   if (Spec.IsLongRunning)
     Executor.LongRunningMilliCores -= Spec.bookedResources().MilliCores;
   if (Task.Current->IsLastChance)
@@ -253,8 +255,10 @@
   Job->HasStarted = true;
   Task->LastRun = std::max(Task->LastRun, End.Run);
   this->clearCrash(End.Task, End.Run);
-  if (IsCurrent)
+  if (IsCurrent) {
+    this->learnRunTime(*Job, End, *Task->Current, Now);
     this->releaseRun(End.Task, *Task);
+  }
   const StepSpec &Spec = this->stepSpec(*Job, End.Task.Step);
   if (!End.Checkpoint.empty() && Spec.IsCheckpointing && !Task->Stored.IsDone) {
     TaskRecord &CheckpointOwner =
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -38,7 +38,10 @@
   }
   // If all executors are suspect, the cause is not a single faulty executor, so
   // all are used.
-  return Healthy.empty() ? Suspect : Healthy;
+  std::vector<Candidate> &Used = Healthy.empty() ? Suspect : Healthy;
+  for (size_t Position = 0; Position < Used.size(); ++Position)
+    Used[Position].Position = Position;
+  return std::move(Used);
 }
 
 JobRank Planner::Private::rankOf(const JobRecord &Job, TimePoint Now) const {
@@ -140,6 +143,11 @@
           Job.LeastNeed.covers(*this->UnplaceableNeed));
 }
 
+bool Planner::Private::isDroppable(const RankedJob &Job, TimePoint Now) const {
+  return this->isUnplaceable(Job.Startable) &&
+         !this->mayReserveRoom(Job.Rank, Job.Startable.LeastNeed, Now);
+}
+
 static ComputeResources mostFree(const std::vector<Candidate> &Candidates) {
   ComputeResources Most;
   for (const Candidate &Each : Candidates) {
@@ -199,7 +207,7 @@
 Candidate *Planner::Private::chooseCandidate(const JobRecord &Job,
                                              const TaskKey &Key,
                                              std::vector<Candidate> &Candidates,
-                                             TimePoint Now) {
+                                             TimePoint Now, bool *IsHeldBack) {
   const StepSpec &Spec = this->stepSpec(Job, Key.Step);
   const ExecutorId &LastFailedOn = this->findTask(Key)->LastFailedOn;
   const StartCaution Caution = this->startCaution(Key);
@@ -209,6 +217,11 @@
     if (!isOpenFor(*Each.Executor, Key, Caution, Now) ||
         !this->canRunOn(Job, Key, Each, Now))
       continue;
+    if (!this->isAdmitted(Job, Key, Each, Now)) {
+      if (IsHeldBack)
+        *IsHeldBack = true;
+      continue;
+    }
     PlacementScore Score = scorePlacement(Spec, Each.Free, Each.Rack);
     Score.HasFailedThere = Each.Executor->Info.Id == LastFailedOn;
     if (Spec.IsLongRunning)
@@ -253,6 +266,9 @@
   this->bookRun(Key, Task, std::move(Record));
   this->noteStartOrdered(*Target.Executor, Key, Now);
   Target.Free -= Spec.bookedResources();
+  if (this->Room.Reservations.hasReservations())
+    this->Room.Reservations.notePlaced(Target.Position, Spec.bookedResources(),
+                                       this->latestEnd(Job, Key.Step, Now));
   this->Orders.push_back(std::move(Start));
 }
 
@@ -279,6 +295,9 @@
   // Place all members on a copy of the candidates first, so that either all of
   // them start or none does.
   std::vector<Candidate> Trial = Candidates;
+  if (this->Room.Reservations.hasReservations())
+    for (Candidate &Each : Trial)
+      Each.Free = this->Room.Reservations.unreserved(Each.Position, Each.Free);
   std::map<ExecutorId, size_t> Taken;
   std::vector<size_t> Places;
   const StepSpec &Spec = this->stepSpec(Job, Step);
@@ -308,8 +327,10 @@
   if (Record.isDone() || !this->ensureTickets(Job, Step, Candidates, Now))
     return;
   const ComputeResources Need = Spec.bookedResources();
-  if (this->UnplaceableNeed && Need.covers(*this->UnplaceableNeed))
+  if (this->UnplaceableNeed && Need.covers(*this->UnplaceableNeed)) {
+    this->reserveRoomForStep(Job, Step, Candidates, Now);
     return;
+  }
   this->chooseRack(Spec, Record, Candidates);
   if (Spec.IsGang) {
     this->planGang(Job, Step, Candidates, Now);
@@ -325,7 +346,9 @@
     if (Task.Stored.IsDone || Task.Current || Now < Task.EarliestStart ||
         !this->isCrashStored(Job, Key))
       continue;
-    Candidate *Place = this->chooseCandidate(Job, Key, Candidates, Now);
+    bool IsHeldBack = false;
+    Candidate *Place =
+        this->chooseCandidate(Job, Key, Candidates, Now, &IsHeldBack);
     const StartCaution Caution = this->startCaution(Key);
     if (!Place && Caution == StartCaution::Alone)
       this->reserveForSuspect(Job, Key, Candidates, Now);
@@ -335,6 +358,12 @@
       this->reserveCandidate(Job, Key, Candidates, Now);
       return;
     }
+    if (!Place && this->Setup.ReservesRoom)
+      this->reserveRoom(Job, Key, Candidates, IsHeldBack, Now);
+    if (!Place && IsHeldBack) {
+      this->noteRefusal(Candidates);
+      return;
+    }
     if (!Place) {
       const bool IsUnconstrained =
           Spec.RequiredLabel.empty() && !Spec.IsOnOneRack &&
@@ -391,9 +420,11 @@
         return Each.Job->Rank.IsLongRunning;
       });
   std::vector<RankedJob> Ranked;
-  for (const StartableJob &Each : Waiting)
-    if (MayReserve || !this->isUnplaceable(Each))
+  for (const StartableJob &Each : Waiting) {
+    if (MayReserve || !this->isUnplaceable(Each) ||
+        this->mayReserveRoom(Each.Job->Rank, Each.LeastNeed, Now))
       Ranked.push_back({this->rankOf(*Each.Job, Now), Each});
+  }
   return Ranked;
 }
 
@@ -434,16 +465,19 @@
     Waiting.pop_back();
     this->IsPlanningLastChance = Next.Rank.IsLastChance;
     const std::optional<ComputeResources> EarlierNeed = this->UnplaceableNeed;
+    const bool MightReserve = this->Room.Reservations.mayReserve();
     this->planJob(*Next.Startable.Job, Candidates, Now, WallNow);
     if (Next.Rank.IsLongRunning)
       --LongRunning;
     // What does not fit anywhere determines whether an executor is reserved for
     // a long-running task, so all jobs that rank before it are planned.
-    const bool HasLessRoom = this->UnplaceableNeed != EarlierNeed;
+    const bool HasLessRoom =
+        this->UnplaceableNeed != EarlierNeed ||
+        MightReserve != this->Room.Reservations.mayReserve();
     const bool MayDrop =
         LongRunning == 0 && (HasLessRoom || Next.Rank.IsLongRunning);
-    if (MayDrop && std::erase_if(Waiting, [this](const RankedJob &Each) {
-                     return this->isUnplaceable(Each.Startable);
+    if (MayDrop && std::erase_if(Waiting, [this, Now](const RankedJob &Each) {
+                     return this->isDroppable(Each, Now);
                    }) > 0)
       std::make_heap(Waiting.begin(), Waiting.end(), IsLater);
   }
@@ -463,8 +497,10 @@
                       [](int64_t Sum, const Candidate &Each) {
                         return Sum + Each.Executor->Info.Capacity.MilliCores;
                       });
+  this->D->beginReservations(Candidates);
   this->D->planInOrder(this->D->rankStartable(Now, this->isRecovering()),
                        Candidates, Now, WallNow);
+  this->D->Room.Changes.endPass(Now);
 }
 
 std::vector<Order> Planner::takeOrders() {
--- a/tests/auto/jobs/plannerfixture.h
+++ b/tests/auto/jobs/plannerfixture.h
@@ -49,8 +49,13 @@
 /// A planner, and the answers of executors that carry out every order.
 class PlannerFixture {
 public:
-  explicit PlannerFixture(uint64_t Generation = 1)
-      : Planner({TestService, Generation, {}}) {}
+  explicit PlannerFixture(uint64_t Generation = 1, bool ReservesRoom = false)
+      : Planner(
+            {TestService, Generation,
+             [this](std::string_view Event, std::initializer_list<LogField>) {
+               this->Logged.emplace_back(Event);
+             },
+             ReservesRoom}) {}
 
   /// Lists executors and reports for each that nothing runs on it.
   void list(const std::vector<jobs::ExecutorInfo> &Infos) {
@@ -110,6 +115,8 @@
   }
 
   ManualClock Time;
+  /// Events that the planner has logged.
+  std::vector<std::string> Logged;
   jobs::Planner Planner;
   jobs::ExecutorTime ExecutorNow = 1000;
   uint64_t LastEnd = 0;
--- a/tests/auto/jobs/tst_plannerproperties.cpp
+++ b/tests/auto/jobs/tst_plannerproperties.cpp
@@ -39,7 +39,8 @@
 public:
   /// If \p ReviewsAll is set, the planner determines anew before each pass what
   /// every job can start.
-  explicit SimulatedCluster(bool ReviewsAll = false) : ReviewsAll(ReviewsAll) {
+  explicit SimulatedCluster(bool ReviewsAll = false, bool ReservesRoom = false)
+      : ReviewsAll(ReviewsAll), ReservesRoom(ReservesRoom) {
     for (int Number = 0; Number < 3; ++Number)
       this->addExecutor();
     this->replacePlanner();
@@ -105,7 +106,7 @@
   void replacePlanner() {
     ++this->Token;
     this->Planner = std::make_unique<jobs::Planner>(
-        PlannerSetup{TestService, this->Token, {}});
+        PlannerSetup{TestService, this->Token, {}, this->ReservesRoom});
     this->Planner->beginExecutorDiscovery();
     for (const AcceptedJob &Job : this->Accepted) {
       const auto Found = this->Stored.find(Job.Spec.Id);
@@ -312,6 +313,7 @@
   }
 
   bool ReviewsAll = false;
+  bool ReservesRoom = false;
   std::string Orders;
   ManualClock Time;
   std::unique_ptr<jobs::Planner> Planner;
@@ -342,6 +344,19 @@
   }));
 }
 
+// Guards against reservations that break a rule: each task needs a third of an
+// executor, so room is reserved for every one that waits.
+TEST_CASE("reservations violate no invariant under losses and take-overs") {
+  CHECK(rc::check("planner with reservations", [] {
+    SimulatedCluster Cluster(false, true);
+    const auto Actions =
+        *rc::gen::container<std::vector<std::pair<uint8_t, uint16_t>>>(
+            400, rc::gen::arbitrary<std::pair<uint8_t, uint16_t>>());
+    for (const auto &[Action, Choice] : Actions)
+      Cluster.perform(Action, Choice);
+  }));
+}
+
 // Guards against a job that waits for good because the planner does not look at
 // it again after a change.
 TEST_CASE("passes over changed jobs give the same orders as passes over all") {
