Planner: Use learned run times for ranks and for the demand

Clients' estimates are off by 50 to 90 %.

tst_jobs, tst_plannerproperties and tst_placementload pass.

--- a/src/libs/jobs/stepplacement.cpp
+++ b/src/libs/jobs/stepplacement.cpp
@@ -56,7 +56,7 @@
   std::vector<RemainingStep> All;
   All.reserve(Spec.Steps.size());
   for (const StepSpec &Step : Spec.Steps)
-    All.push_back({Step.Count, false});
+    All.push_back({Step.Count, false, Step.Estimate});
   return estimateRemainingEffort(Spec, All);
 }
 
@@ -72,12 +72,13 @@
     Duration Begin = Duration::zero();
     for (const size_t Earlier : Step.Dependencies)
       Begin = std::max(Begin, Ends[Earlier]);
-    Ends[Index] = Begin + Step.Estimate;
+    Ends[Index] = Begin + Left[Index].RunTime;
     Effort.CriticalPath = std::max(Effort.CriticalPath, Ends[Index]);
     Effort.Work +=
         static_cast<double>(Left[Index].WaitingTasks) *
         (static_cast<double>(Step.Need.MilliCores) / MilliCoresPerCore) *
-        (static_cast<double>(toMilliseconds(Step.Estimate)) / MillisPerSecond);
+        (static_cast<double>(toMilliseconds(Left[Index].RunTime)) /
+         MillisPerSecond);
   }
   return Effort;
 }
