Dispatch: Let holders of claims go on while the store does not answer

Cause: holders stop 2 s after their last renewed lease, so that nothing is placed and no machine is moved in longer outages of the store. Change: with store-outage-grace, NodeLease has a second deadline. Planners start tasks and extend leases until then, and keep new jobs, new executors and losses of executors for later; the holder of the machines orders without a record, and its successor waits. With 0 nothing changes.

--- a/src/libs/dispatch/executorlink.cpp
+++ b/src/libs/dispatch/executorlink.cpp
@@ -67,6 +67,12 @@
     this->scheduleReport(CoalesceTime);
     return;
   }
+  // What an executor reports for the first time may be all that is left of
+  // what a successor has already read there.
+  if (!this->Clocks.isKnown() && !this->canConcludeLoss()) {
+    this->scheduleReport(MinRetryDelay);
+    return;
+  }
   jobs::ReportRequest Request;
   Request.Token = this->Setup.Token;
   // The first call returns the executor's clock and everything that runs there.
@@ -132,6 +138,14 @@
     this->handleFailure(Answer.error());
     return;
   }
+  const bool IsOther = this->Incarnation != 0 &&
+                       Answer.value().Incarnation != 0 &&
+                       Answer.value().Incarnation != this->Incarnation;
+  if ((IsOther || !this->Clocks.isKnown()) && !this->canConcludeLoss()) {
+    this->handleFailure(
+        {jobs::GatewayErrorCode::NoAnswer, "unknown incarnation"});
+    return;
+  }
   this->Failures = 0;
   this->IsEmptyReported = false;
   Answer.value().RequestedAt = RequestedAt;
@@ -213,6 +227,8 @@
 void ExecutorLink::handleFailure(const jobs::GatewayError &Cause) {
   switch (Cause.Code) {
   case jobs::GatewayErrorCode::OtherIncarnation:
+    if (!this->canConcludeLoss())
+      break;
     this->Hooks.OnEmpty(this->Setup.Executor.Id, jobs::ExecutorLoss::Replaced);
     this->IsClosed = true;
     return;
@@ -242,7 +258,7 @@
 /// Reports once that all leases of an executor that does not answer have
 /// expired, so that nothing can run there.
 void ExecutorLink::checkLeaseExpiry() {
-  if (this->IsEmptyReported)
+  if (this->IsEmptyReported || !this->canConcludeLoss())
     return;
   TimePoint LeasesEnd = this->Clocks.leasesExpiredAt();
   // Until this planner has sent a lease, those of earlier planners count, also
--- a/src/libs/dispatch/executorlink.h
+++ b/src/libs/dispatch/executorlink.h
@@ -14,6 +14,9 @@
 struct LinkHooks {
   /// Whether this process may still send orders.
   std::function<bool()> CanOrder;
+  /// Whether runs may be taken as over because their executor is lost or has
+  /// started again; null if always. Otherwise a successor may know more of them.
+  std::function<bool()> CanConcludeLoss;
   /// Whether it may send start orders, too.
   std::function<bool()> CanStart;
   /// Whether the planner still wants the run that the order is to start.
@@ -118,6 +121,9 @@
                          const jobs::StartAnswer &Answer);
   void scheduleReport(Duration Delay);
   void checkLeaseExpiry();
+  bool canConcludeLoss() const {
+    return !this->Hooks.CanConcludeLoss || this->Hooks.CanConcludeLoss();
+  }
   void noteListed(const std::vector<jobs::EndReport> &Ended);
   /// Counts the ends that are acknowledged, and logs the counts if the executor
   /// had to repeat ends.
--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -72,6 +72,7 @@
   this->openClaims();
   this->openBalancer();
   this->openWatches();
+  this->openGraceMonitor();
   this->Members->start();
   this->Lease->start();
   this->Tracker->start();
@@ -96,7 +97,8 @@
 
 void FleetCore::openMembership() {
   const std::weak_ptr<FleetCore> Weak = this->weak_from_this();
-  this->Lease = std::make_shared<NodeLease>(this->Shared);
+  this->Lease =
+      std::make_shared<NodeLease>(this->Shared, this->Self.StoreOutageGrace);
   this->Members = std::make_shared<Membership>(
       this->Shared,
       Member{peers::PeerEndpoint{this->Self.Name, this->Self.DataCentre,
@@ -173,6 +175,19 @@
       std::move(Hooks));
 }
 
+void FleetCore::openGraceMonitor() {
+  this->Grace = std::make_shared<GraceMonitor>(
+      this->Shared, this->Lease, [Weak = this->weak_from_this()] {
+        std::set<std::string> Held;
+        if (const auto Alive = Weak.lock())
+          for (const auto &[Shard, Claimed] : Alive->OwnClaims)
+            Held.insert(Shard);
+        return Held;
+      });
+  if (this->Self.StoreOutageGrace > Duration::zero())
+    this->Grace->start();
+}
+
 void FleetCore::openWatches() {
   const std::weak_ptr<FleetCore> Weak = this->weak_from_this();
   this->Executors = std::make_shared<ExecutorListMonitor>(
@@ -257,17 +272,21 @@
                   Shard = Acquired.Shard](const std::string &Cause) {
     ReportLoss(Shard, Cause);
   };
-  const auto Orders = std::make_shared<MachineOrders>(
+  const auto Phase = [Lease = this->Lease] { return Lease->phase(); };
+  Hooks.Phase = Phase;
+  this->Orders = std::make_shared<MachineOrders>(
       this->Shared, OrderingProcess{this->Self.Name, this->Self.Incarnation},
       store::ExpectedRevision{keys::Claims + Acquired.Shard, Acquired.Token},
-      std::move(Hooks));
-  Orders->load();
+      std::move(Hooks),
+      HolderGrace{this->Self.StoreOutageGrace, NodeLease::Length,
+                  Acquired.ClaimedAt});
+  this->Orders->load();
   const FleetShardEnvironment Environment{this->Connections.Machines,
                                           this->Connections.Codec,
                                           this->Calls,
                                           this->queueSource(),
-                                          this->claimValidity(),
-                                          Orders,
+                                          Phase,
+                                          this->Orders,
                                           std::make_shared<DemandTracker>(),
                                           this->shardLossHandler()};
   this->Maintenance = std::make_shared<WaveManager>(this->Shared, Environment,
@@ -289,6 +308,10 @@
   Environment.DecodeJob = this->Connections.Codec.DecodeJob;
   Environment.Queues = this->queueSource();
   Environment.ClaimValidUntil = this->claimValidity();
+  Environment.GraceUntil = [Lease = this->Lease] {
+    return Lease->graceUntil();
+  };
+  Environment.StoreOutageGrace = this->Self.StoreOutageGrace;
   Environment.ListMachines = this->Connections.Machines.List;
   Environment.RefreshExecutors = [Executors = this->Executors] {
     Executors->refresh();
@@ -319,6 +342,10 @@
   this->Maintenance.reset();
   this->Rebalancer->stop();
   this->Rebalancer.reset();
+  if (this->Self.StoreOutageGrace > Duration::zero())
+    this->Orders->stop();
+  else
+    this->Orders.reset();
 }
 
 void FleetCore::dropShard(const std::string &Shard, const std::string &Cause) {
@@ -326,6 +353,7 @@
     return;
   logEvent(LogLevel::Warning, "shard-dropped",
            {{"shard", Shard}, {"cause", Cause}});
+  this->Grace->noteDropped(Shard, Cause);
   if (Shard == keys::FleetShard)
     this->closeFleetShard();
   if (const auto Found = this->Shards.find(Shard);
--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -2,6 +2,7 @@
 #define WHINTACK_DISPATCH_FLEETCORE_H
 
 #include "executorlistmonitor.h"
+#include "gracemonitor.h"
 #include "jobrequesthandler.h"
 #include "machineorders.h"
 #include "membership.h"
@@ -98,6 +99,7 @@
   /// Whether \p Process has been replaced by another process on its VM.
   bool hasEnded(const OrderingProcess &Process) const;
   void openBalancer();
+  void openGraceMonitor();
   std::vector<HeldClaim> movableShards() const;
   void handOverShard(const std::string &Shard);
   /// Stops planning the shard and releases the claim.
@@ -119,6 +121,7 @@
   PeerTransport Transport;
   std::shared_ptr<StoreRelay> Relay;
   std::shared_ptr<NodeLease> Lease;
+  std::shared_ptr<GraceMonitor> Grace;
   std::shared_ptr<ClaimTracker> Tracker;
   std::shared_ptr<ShardClaimer> Claimer;
   std::shared_ptr<Membership> Members;
@@ -134,6 +137,8 @@
   std::map<std::string, std::shared_ptr<ServiceShard>> Shards;
   /// How often this process gave up each shard.
   std::map<std::string, unsigned> GiveUps;
+  /// Kept after the fleet shard is closed until it has told its successor.
+  std::shared_ptr<MachineOrders> Orders;
   std::shared_ptr<WaveManager> Maintenance;
   std::shared_ptr<PoolRebalancer> Rebalancer;
   /// Token of the claim that is being handed over; 0 for none.
--- a/src/libs/dispatch/machineorders.cpp
+++ b/src/libs/dispatch/machineorders.cpp
@@ -17,12 +17,17 @@
 /// the time until a lost claim is taken over.
 static constexpr Duration RecordRetention = std::chrono::seconds(8);
 static constexpr Duration RetryDelay = std::chrono::milliseconds(150);
+/// Interval at which a holder that waits looks whether its predecessor has
+/// released the claim, and at which orders of the grace are recorded.
+static constexpr Duration GraceCheckInterval = std::chrono::milliseconds(400);
 
 MachineOrders::MachineOrders(Context Shared, OrderingProcess Self,
                              store::ExpectedRevision Claim,
-                             MachineOrdersHooks Hooks)
+                             MachineOrdersHooks Hooks, HolderGrace Grace)
     : Shared(std::move(Shared)), Self(std::move(Self)), Claim(std::move(Claim)),
-      Hooks(std::move(Hooks)) {}
+      Hooks(std::move(Hooks)),
+      Holders(this->Shared, {this->Self, this->Claim.Revision}, Grace,
+              this->Hooks.HasEnded) {}
 
 void MachineOrders::load() {
   this->Shared.Store.Range(
@@ -43,9 +48,96 @@
                 [](MachineOrders &Owner) { Owner.load(); });
     return;
   }
-  for (const store::StoreItem &Item : Answer.value().Items)
+  for (const store::StoreItem &Item : Answer.value().Items) {
     this->readRecord(Item);
+    this->Holders.readRelease(Item);
+  }
   this->IsLoaded = true;
+  if (!this->Holders.isEnabled())
+    return;
+  this->NeedsWrite = true;
+  this->requestWrite();
+  if (!this->mustWait())
+    return;
+  logEvent(LogLevel::Info, "machine-orders-waiting",
+           {{"cause", "an earlier holder may go on without the store"}});
+  this->readReleasesLater();
+}
+
+void MachineOrders::readReleasesLater() {
+  if (this->IsStopped)
+    return;
+  if (!this->mustWait()) {
+    logEvent(LogLevel::Info, "machine-orders-resumed", {});
+    // The record still names the earlier holder.
+    this->NeedsWrite = true;
+    this->requestWrite();
+    return;
+  }
+  scheduleFor(
+      this->Shared.Loop, this->shared_from_this(),
+      this->Shared.now() + GraceCheckInterval, [](MachineOrders &Owner) {
+        Owner.Shared.Store.Range(
+            keys::MachineReleases, "", store::ReadKind::Current,
+            onLoop<MachineOrders, store::StoreResult<store::StorePage>>(
+                Owner.Shared.Loop, Owner.shared_from_this(),
+                [](MachineOrders &Self,
+                   const store::StoreResult<store::StorePage> &Answer) {
+                  if (Answer)
+                    for (const store::StoreItem &Item : Answer.value().Items)
+                      Self.Holders.readRelease(Item);
+                  Self.readReleasesLater();
+                }));
+      });
+}
+
+void MachineOrders::stop() {
+  if (std::exchange(this->IsStopped, true) || !this->Holders.isEnabled())
+    return;
+  this->scheduleRelease(
+      std::max(this->Shared.now(), this->LastUnrecorded + MinHolderInterval));
+}
+
+void MachineOrders::sendUnrecorded() {
+  const TimePoint Now = this->Shared.now();
+  for (const PendingOrder &Each : std::exchange(this->PendingOrders, {})) {
+    if (!this->mayOrderInGrace()) {
+      Each.GiveUp();
+      continue;
+    }
+    this->RecentOrders[Each.Machine] = {this->Self, Now + RecordRetention};
+    this->LastUnrecorded = Now;
+    this->NeedsWrite = true;
+    Each.Send();
+  }
+  this->recordLater();
+}
+
+void MachineOrders::recordLater() {
+  if (std::exchange(this->IsRecordScheduled, true))
+    return;
+  scheduleFor(this->Shared.Loop, this->shared_from_this(),
+              this->Shared.now() + GraceCheckInterval,
+              [](MachineOrders &Owner) {
+                Owner.IsRecordScheduled = false;
+                Owner.write();
+              });
+}
+
+void MachineOrders::scheduleRelease(TimePoint At) {
+  scheduleFor(
+      this->Shared.Loop, this->shared_from_this(), At, [](MachineOrders &Self) {
+        Self.Shared.Store.Commit(
+            Self.Holders.release(),
+            onLoop<MachineOrders, store::StoreResult<store::CommitAnswer>>(
+                Self.Shared.Loop, Self.shared_from_this(),
+                [](MachineOrders &Owner,
+                   const store::StoreResult<store::CommitAnswer> &Answer) {
+                  if (!Answer)
+                    Owner.scheduleRelease(Owner.Shared.now() +
+                                          GraceCheckInterval);
+                }));
+      });
 }
 
 void MachineOrders::readRecord(const store::StoreItem &Item) {
@@ -55,6 +147,10 @@
   try {
     const value Rows = value::parse(Item.Value);
     for (const value &Row : Rows.as_array()) {
+      if (MachineHolders::isHolderRow(Row)) {
+        this->Holders.readRow(Row);
+        continue;
+      }
       RecordedOrder Order;
       Order.OrderedBy = {EntryName(Row.at("vm").as_string()),
                          Row.at("process").as_number().to_uint64()};
@@ -71,12 +167,13 @@
     logEvent(LogLevel::Error, "machine-orders-unreadable",
              {{"cause", Error.what()}});
     this->AllHeldUntil = this->Shared.now() + HolderChangeDelay;
+    this->Holders.assumeUnknownHolder();
   }
 }
 
 bool MachineOrders::isHeld(const jobs::MachineName &Machine) const {
   const TimePoint Now = this->Shared.now();
-  if (!this->IsLoaded || Now < this->AllHeldUntil)
+  if (!this->IsLoaded || Now < this->AllHeldUntil || this->mustWait())
     return true;
   const auto Found = this->RecentOrders.find(Machine);
   return Found != this->RecentOrders.end() && Now < Found->second.HeldUntil &&
@@ -88,7 +185,14 @@
                                   std::function<void()> GiveUp) {
   this->PendingOrders.push_back(
       {Machine, SendBy, std::move(Send), std::move(GiveUp)});
-  if (this->IsWriteRequested || !this->OrdersInWrite.empty())
+  if (this->isInGrace())
+    this->sendUnrecorded();
+  else
+    this->requestWrite();
+}
+
+void MachineOrders::requestWrite() {
+  if (this->IsWriteRequested || this->IsWriting)
     return;
   this->IsWriteRequested = true;
   // Orders that are decided together are recorded in one write.
@@ -120,8 +224,13 @@
 void MachineOrders::write() {
   this->IsWriteRequested = false;
   this->dropOutdated();
-  if (this->IsStopped || this->PendingOrders.empty())
+  if (this->IsStopped || this->IsWriting ||
+      (this->PendingOrders.empty() && !this->NeedsWrite))
+    return;
+  if (this->isInGrace()) {
+    this->sendUnrecorded();
     return;
+  }
   const TimePoint Now = this->Shared.now();
   std::erase_if(this->RecentOrders, [Now](const auto &Entry) {
     return Entry.second.KeptUntil <= Now;
@@ -131,6 +240,8 @@
     this->RecentOrders[Each.Machine] = {this->Self, Now + RecordRetention};
   value Rows = value::array();
   size_t Next = 0;
+  for (const value &Holder : this->Holders.rows())
+    Rows[Next++] = Holder;
   for (const auto &[Name, Order] : this->RecentOrders) {
     Rows[Next]["machine"] = value::string(Name.text());
     Rows[Next]["vm"] = value::string(Order.OrderedBy.Vm.text());
@@ -140,6 +251,8 @@
   store::StoreTransaction Change;
   Change.Expect = {this->Claim, {keys::MachineOrders, this->RecordRevision}};
   Change.Puts = {{keys::MachineOrders, Rows.serialize(), 0}};
+  this->IsWriting = true;
+  this->IsWriteOfNeeded = std::exchange(this->NeedsWrite, false);
   this->Shared.Store.Commit(
       Change, onLoop<MachineOrders, store::StoreResult<store::CommitAnswer>>(
                   this->Shared.Loop, this->shared_from_this(),
@@ -151,6 +264,7 @@
 
 void MachineOrders::handleWriteResult(
     const store::StoreResult<store::CommitAnswer> &Answer) {
+  this->IsWriting = false;
   if (this->IsStopped)
     return;
   const bool IsConflict =
@@ -162,6 +276,7 @@
     this->RecordRevision =
         store::revisionOf(Answer.value().Current, keys::MachineOrders);
   if (!Answer || IsConflict) {
+    this->NeedsWrite = this->NeedsWrite || this->IsWriteOfNeeded;
     this->PendingOrders.insert(this->PendingOrders.begin(),
                                this->OrdersInWrite.begin(),
                                this->OrdersInWrite.end());
@@ -178,6 +293,7 @@
     return;
   }
   this->RecordRevision = Answer.value().Revision;
+  this->IsHolderRecorded = this->Holders.isEnabled();
   const TimePoint Now = this->Shared.now();
   for (const PendingOrder &Each : Written) {
     this->RecentOrders[Each.Machine].Revision = Answer.value().Revision;
--- a/src/libs/dispatch/machineorders.h
+++ b/src/libs/dispatch/machineorders.h
@@ -1,7 +1,8 @@
 #ifndef WHINTACK_DISPATCH_MACHINEORDERS_H
 #define WHINTACK_DISPATCH_MACHINEORDERS_H
 
-#include "context.h"
+#include "claimphase.h"
+#include "machineholders.h"
 
 #include "whintack/jobs/taskkey.h"
 
@@ -11,15 +12,6 @@
 
 namespace whintack::dispatch::Internal {
 
-/// A process that sends orders for machines. A later process on the same VM
-/// counts as a different one.
-struct OrderingProcess {
-  EntryName Vm;
-  uint64_t Incarnation = 0;
-
-  bool operator==(const OrderingProcess &) const = default;
-};
-
 /// Callbacks of MachineOrders.
 struct MachineOrdersHooks {
   /// Returns the latest time at which a store revision can have been written.
@@ -28,23 +20,36 @@
   std::function<bool(const OrderingProcess &)> HasEnded;
   /// Another process holds the claim.
   std::function<void(const std::string &Cause)> OnLost;
+  /// What may be done under the claim; null if it is always valid.
+  std::function<ClaimPhase()> Phase;
 };
 
 /// Records in the store, under the claim, which machines are about to be
 /// ordered before the orders are sent. A holder that has lost its claim cannot
 /// write the record and therefore cannot send orders. For a while its successor
 /// leaves alone the machines in the record, unless the process that ordered
-/// them has ended.
+/// them has ended. In the grace of the claim, orders are sent without a record;
+/// a successor then orders nothing until the grace of its predecessors is over.
 class MachineOrders : public std::enable_shared_from_this<MachineOrders> {
 public:
   /// \p Claim holds the claim's key and revision.
   MachineOrders(Context Shared, OrderingProcess Self,
-                store::ExpectedRevision Claim, MachineOrdersHooks Hooks);
+                store::ExpectedRevision Claim, MachineOrdersHooks Hooks,
+                HolderGrace Grace = {});
 
   /// Reads the record of earlier holders; retries until that succeeds.
   void load();
   bool isLoaded() const { return this->IsLoaded; }
-  void stop() { this->IsStopped = true; }
+  /// Sends no more orders, and tells successors once the last one that was not
+  /// recorded is old enough. That takes as long as this object exists.
+  void stop();
+
+  /// Whether an earlier holder may send orders that are not recorded.
+  bool mustWait() const { return this->Holders.mustWait(); }
+  /// Whether orders may be sent in the grace: successors know this holder.
+  bool mayOrderInGrace() const {
+    return this->IsHolderRecorded && !this->mustWait();
+  }
 
   /// Whether an earlier holder's order prevents orders for the machine.
   bool isHeld(const jobs::MachineName &Machine) const;
@@ -74,6 +79,16 @@
     TimePoint HeldUntil = TimePoint::min();
   };
 
+  bool isInGrace() const {
+    return this->Hooks.Phase && this->Hooks.Phase() == ClaimPhase::Grace;
+  }
+  void requestWrite();
+  /// Sends the orders that wait, without a record.
+  void sendUnrecorded();
+  /// Records the orders sent in the grace once the claim is valid again.
+  void recordLater();
+  void readReleasesLater();
+  void scheduleRelease(TimePoint At);
   void handleRecord(store::StoreResult<store::StorePage> Answer);
   void readRecord(const store::StoreItem &Item);
   void write();
@@ -92,6 +107,15 @@
   std::map<jobs::MachineName, RecordedOrder> RecentOrders;
   std::vector<PendingOrder> PendingOrders;
   std::vector<PendingOrder> OrdersInWrite;
+  MachineHolders Holders;
+  /// When an order was last sent without a record.
+  TimePoint LastUnrecorded = TimePoint::min();
+  /// The record lacks what is known of holders or of orders sent in the grace.
+  bool NeedsWrite = false;
+  bool IsWriteOfNeeded = false;
+  bool IsHolderRecorded = false;
+  bool IsWriting = false;
+  bool IsRecordScheduled = false;
   bool IsLoaded = false;
   bool IsWriteRequested = false;
   bool IsStopped = false;
--- a/src/libs/dispatch/nodelease.cpp
+++ b/src/libs/dispatch/nodelease.cpp
@@ -1,5 +1,6 @@
 #include "nodelease.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace whintack::dispatch::Internal {
@@ -13,7 +14,11 @@
 /// byte sent.
 static constexpr Duration ExpiryMargin = std::chrono::milliseconds(200);
 
-NodeLease::NodeLease(Context Shared) : Shared(std::move(Shared)) {}
+/// Share of the grace that is given up for a clock that is 2 % slow.
+static constexpr int GraceMarginDivisor = 50;
+
+NodeLease::NodeLease(Context Shared, Duration Grace)
+    : Shared(std::move(Shared)), Grace(Grace - Grace / GraceMarginDivisor) {}
 
 void NodeLease::onGranted(std::function<void()> Hook) {
   this->GrantedHooks.push_back(std::move(Hook));
@@ -37,6 +42,16 @@
               });
 }
 
+void NodeLease::noteKept(TimePoint Sent) {
+  this->ValidUntil = std::max(this->ValidUntil, Sent + Length - ExpiryMargin);
+  this->GraceUntil = this->ValidUntil + this->Grace;
+}
+
+void NodeLease::noteEnded() {
+  this->ValidUntil = TimePoint::min();
+  this->GraceUntil = TimePoint::min();
+}
+
 void NodeLease::grant() {
   const TimePoint Sent = this->Shared.now();
   this->Shared.Store.GrantLease(
@@ -52,7 +67,7 @@
               return;
             }
             Self.Id = Answer.value();
-            Self.ValidUntil = Sent + Length - ExpiryMargin;
+            Self.noteKept(Sent);
             logEvent(LogLevel::Info, "lease-granted", {{"lease", Self.Id}});
             for (const auto &Hook : Self.GrantedHooks)
               Hook();
@@ -63,25 +78,40 @@
 void NodeLease::renew() {
   const TimePoint Sent = this->Shared.now();
   const store::LeaseId Renewed = this->Id;
+  const uint64_t Number = ++this->LastSent;
+  // A call may be unanswered for longer than the rest of the grace, so the next
+  // one does not wait for it.
+  if (this->Grace > Duration::zero())
+    scheduleFor(this->Shared.Loop, this->shared_from_this(),
+                Sent + RenewInterval, [Number, Renewed](NodeLease &Self) {
+                  if (Self.Id == Renewed && Self.LastSent == Number &&
+                      Self.LastAnswered != Number)
+                    Self.renew();
+                });
   this->Shared.Store.KeepLease(
       Renewed,
       onLoop<NodeLease, store::StoreResult<void>>(
           this->Shared.Loop, this->shared_from_this(),
-          [Sent, Renewed](NodeLease &Self, store::StoreResult<void> Answer) {
+          [Sent, Renewed, Number](NodeLease &Self,
+                                  store::StoreResult<void> Answer) {
             if (Self.Id != Renewed)
               return;
+            Self.LastAnswered = std::max(Self.LastAnswered, Number);
+            const bool IsNewest = Number == Self.LastSent;
             if (Answer) {
-              Self.ValidUntil = Sent + Length - ExpiryMargin;
-              Self.scheduleNext(RenewInterval);
+              Self.noteKept(Sent);
+              if (IsNewest)
+                Self.scheduleNext(RenewInterval);
               return;
             }
             if (Answer.error().Code != store::StoreErrorCode::LeaseExpired) {
-              Self.scheduleNext(Self.Shared.jittered(RetryDelay));
+              if (IsNewest)
+                Self.scheduleNext(Self.Shared.jittered(RetryDelay));
               return;
             }
             logEvent(LogLevel::Warning, "lease-lapsed", {{"lease", Renewed}});
             Self.Id = 0;
-            Self.ValidUntil = TimePoint::min();
+            Self.noteEnded();
             for (const auto &Hook : Self.ExpiredHooks)
               Hook();
             Self.grant();
@@ -92,7 +122,7 @@
   this->IsEnding = true;
   const store::LeaseId Ended = std::exchange(this->Id, 0);
   // Others may take over what was held as soon as the call is on its way.
-  this->ValidUntil = TimePoint::min();
+  this->noteEnded();
   if (Ended == 0) {
     Done();
     return;
--- a/src/libs/dispatch/nodelease.h
+++ b/src/libs/dispatch/nodelease.h
@@ -1,6 +1,7 @@
 #ifndef WHINTACK_DISPATCH_NODELEASE_H
 #define WHINTACK_DISPATCH_NODELEASE_H
 
+#include "claimphase.h"
 #include "context.h"
 
 #include <vector>
@@ -12,7 +13,9 @@
 /// has expired.
 class NodeLease : public std::enable_shared_from_this<NodeLease> {
 public:
-  explicit NodeLease(Context Shared);
+  /// \p Grace is how long holders of claims go on after the lease may have
+  /// expired, while the store does not answer; zero if they do not.
+  explicit NodeLease(Context Shared, Duration Grace = Duration::zero());
 
   /// Length of the lease; a holder that died is replaced after this time.
   static constexpr Duration Length = std::chrono::seconds(2);
@@ -31,6 +34,13 @@
     return this->Id != 0 && this->Shared.now() < this->ValidUntil;
   }
 
+  /// Time until which orders may be sent if the store has not reported that the
+  /// lease has ended; counted from the last renewal that succeeded.
+  TimePoint graceUntil() const { return this->GraceUntil; }
+  ClaimPhase phase() const {
+    return claimPhase(this->Shared.now(), this->ValidUntil, this->GraceUntil);
+  }
+
   /// Calls \p Hook each time a new lease is granted.
   void onGranted(std::function<void()> Hook);
   /// Calls \p Hook each time the store reports that the lease has expired.
@@ -39,11 +49,19 @@
 private:
   void grant();
   void renew();
+  void noteKept(TimePoint Sent);
+  void noteEnded();
   void scheduleNext(Duration Delay);
 
   Context Shared;
   store::LeaseId Id = 0;
+  Duration Grace;
   TimePoint ValidUntil = TimePoint::min();
+  TimePoint GraceUntil = TimePoint::min();
+  /// Number of the last renewal that was sent, and of the last one that was
+  /// answered.
+  uint64_t LastSent = 0;
+  uint64_t LastAnswered = 0;
   bool IsEnding = false;
   std::vector<std::function<void()>> GrantedHooks;
   std::vector<std::function<void()>> ExpiredHooks;
--- a/src/libs/dispatch/poolrebalancer.cpp
+++ b/src/libs/dispatch/poolrebalancer.cpp
@@ -40,8 +40,17 @@
 }
 
 bool PoolRebalancer::canOrder() const {
-  return !this->IsStopped && this->Environment.Orders->isLoaded() &&
-         this->Shared.now() < this->Environment.ClaimValidUntil();
+  if (this->IsStopped || !this->Environment.Orders->isLoaded())
+    return false;
+  switch (this->Environment.Phase()) {
+  case ClaimPhase::Valid:
+    return true;
+  case ClaimPhase::Grace:
+    return this->Environment.Orders->mayOrderInGrace();
+  case ClaimPhase::Over:
+    break;
+  }
+  return false;
 }
 
 void PoolRebalancer::listMachines() {
@@ -176,7 +185,7 @@
 }
 
 void PoolRebalancer::decide() {
-  if (!this->canOrder())
+  if (!this->canOrder() || this->Environment.Orders->mustWait())
     return;
   const TimePoint Now = this->Shared.now();
   std::erase_if(this->LastOrders,
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -12,11 +12,6 @@
 /// queue up there.
 static constexpr Duration AdviceMargin = std::chrono::milliseconds(1500);
 static constexpr Duration DiscoveryTimeout = std::chrono::milliseconds(1000);
-/// How old the knowledge of the notices and of the list of executors may be
-/// when a task is started. Request handlers acknowledge a cancellation once its
-/// notice is stored, and an executor that drains or shrinks says so in the
-/// list.
-static constexpr Duration MaxKnowledgeAge = std::chrono::milliseconds(2000);
 /// Wait of one watch call for notices. While none come, what is known is as old
 /// as two calls, which must stay below MaxKnowledgeAge also with slow answers.
 static constexpr Duration NoticeWait = std::chrono::milliseconds(500);
@@ -26,6 +21,7 @@
 static constexpr Duration RescanDelay =
     NodeLease::Length + std::chrono::seconds(1);
 static constexpr Duration DiscoveryRetryDelay = std::chrono::milliseconds(200);
+static constexpr Duration MissedJobsRetryDelay = std::chrono::milliseconds(500);
 /// Reserved from a ticket's validity for sending the order.
 static constexpr Duration TicketMargin = std::chrono::milliseconds(100);
 
@@ -46,11 +42,12 @@
 
 void ServiceShard::start() {
   this->ClaimedAt = this->Shared.now();
-  // An earlier planner may have sent leases until its own claim expired, each
-  // at most as long as the maximum that executors grant.
+  // An earlier planner may have sent leases until its own claim expired and its
+  // grace ended, each at most as long as the maximum that executors grant.
   if (this->OwnClaim.Generation > 1)
     this->EarlierLeasesEnd =
         this->ClaimedAt + NodeLease::Length +
+        this->Environment.StoreOutageGrace +
         Duration(static_cast<int64_t>(
             static_cast<double>(this->Environment.MaxLease.count()) /
             jobs::MinClockRate));
@@ -102,17 +99,6 @@
   this->Links.clear();
 }
 
-bool ServiceShard::isClaimValid() const {
-  return this->Shared.now() < this->Environment.ClaimValidUntil();
-}
-
-bool ServiceShard::canStartTasks() const {
-  const TimePoint Oldest = this->Shared.now() - MaxKnowledgeAge;
-  return !this->IsStopped && this->isClaimValid() && this->Notices &&
-         this->Notices->knownThrough() >= Oldest &&
-         this->Environment.ExecutorsKnownThrough() >= Oldest;
-}
-
 bool ServiceShard::addStoredJob(const jobs::JobId &Id, const std::string &Text,
                                 const jobs::JobProgress *Earlier) {
   const auto Stored = decodeStoredJob(Text);
@@ -219,6 +205,10 @@
     return;
   if (!this->IsLoaded)
     return;
+  // A successor may already place tasks on executors that are new. The list is
+  // delivered again after the next read.
+  if (this->isInGrace())
+    return;
   this->Planner.setExecutors(Listed);
   std::set<jobs::ExecutorId> Seen;
   for (const jobs::ExecutorInfo &Info : Listed) {
@@ -288,15 +278,9 @@
   this->Planner.awaitReports(Unlisted);
   this->Planner.endExecutorDiscovery();
   this->Discovery = DiscoveryState::Done;
-  scheduleFor(this->Shared.Loop, this->shared_from_this(),
-              this->EarlierLeasesEnd, [Unlisted](ServiceShard &Self) {
-                for (const jobs::ExecutorId &Id : Unlisted)
-                  if (!Self.Links.contains(Id))
-                    Self.Planner.noteEmpty(Id,
-                                           jobs::ExecutorLoss::LeasesExpired,
-                                           Self.Shared.now());
-                Self.requestPlan();
-              });
+  scheduleFor(
+      this->Shared.Loop, this->shared_from_this(), this->EarlierLeasesEnd,
+      [Unlisted](ServiceShard &Self) { Self.noteUnlistedEmpty(Unlisted); });
   this->requestPlan();
 }
 
@@ -304,7 +288,8 @@
   // Links run on the same loop as this object and are closed by it, so
   // capturing this is safe.
   LinkHooks Hooks;
-  Hooks.CanOrder = [this] { return !this->IsStopped && this->isClaimValid(); };
+  Hooks.CanOrder = [this] { return this->canOrder(); };
+  Hooks.CanConcludeLoss = [this] { return !this->isInGrace(); };
   Hooks.CanStart = [this] { return this->canStartTasks(); };
   Hooks.IsCurrent = [this](const jobs::StartOrder &Order) {
     return this->Planner.isCurrent(Order);
@@ -356,7 +341,8 @@
 void ServiceShard::handleSilentMachines(const MachineList &Found) {
   if (this->IsStopped)
     return;
-  if (Found && !Found.value().empty()) {
+  // A successor may have read what ended on a machine that was moved since.
+  if (Found && !Found.value().empty() && !this->isInGrace()) {
     std::set<jobs::ExecutorId> Up;
     for (const jobs::MachineInfo &Machine : Found.value())
       if (Machine.State == jobs::MachineState::Up)
@@ -423,6 +409,14 @@
         const auto Self = Weak.lock();
         if (!Self || Self->IsStopped)
           return;
+        // A successor may have read the same jobs and started them.
+        if (Self->isInGrace()) {
+          scheduleFor(
+              Self->Shared.Loop, Self,
+              Self->Shared.now() + MissedJobsRetryDelay,
+              [Done](ServiceShard &Owner) { Owner.readMissedJobs(Done); });
+          return;
+        }
         const size_t Prefix = keys::jobs(Self->Service).size();
         size_t Missed = 0;
         for (const store::StoreItem &Item : Changed) {
@@ -473,23 +467,17 @@
               [](ServiceShard &Self) { Self.plan(); });
 }
 
-void ServiceShard::reportStartPause() {
-  const bool IsPaused = this->isClaimValid() && !this->canStartTasks();
-  if (std::exchange(this->IsStartPaused, IsPaused) == IsPaused)
-    return;
-  logEvent(LogLevel::Warning, IsPaused ? "starts-paused" : "starts-resumed",
-           {{"shard", this->OwnClaim.Shard}});
-}
-
 void ServiceShard::plan() {
   this->IsPlanRequested = false;
   const TimePoint Now = this->Shared.now();
   if (this->IsStopped || !this->IsLoaded)
     return;
+  if (this->isClaimValid())
+    this->endGrace();
   this->reportStartPause();
   if (this->canStartTasks())
     this->Planner.plan(Now, this->Shared.Time.WallNow());
-  else if (this->isClaimValid())
+  else if (this->canOrder())
     this->Planner.repeatStops(Now);
   for (const jobs::Order &Order : this->Planner.takeOrders())
     this->execute(Order);
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -22,6 +22,12 @@
   std::function<std::shared_ptr<const jobs::QueueTable>()> Queues;
   /// Time until which the claim certainly holds.
   std::function<TimePoint()> ClaimValidUntil;
+  /// Time until which orders may be sent while the store does not answer; null
+  /// if that is not longer.
+  std::function<TimePoint()> GraceUntil;
+  /// How long holders of claims go on while the store does not answer; those of
+  /// earlier claims may have, too.
+  Duration StoreOutageGrace = Duration::zero();
   decltype(jobs::MachineGateway::List) ListMachines;
   std::shared_ptr<LoadQueue> Loads;
   /// Requests a new list of executors.
@@ -110,11 +116,24 @@
   void plan();
   void execute(const jobs::Order &Order);
   void askAdvice(const jobs::AdviceOrder &Order);
-  bool isClaimValid() const;
+  ClaimPhase phase() const;
+  bool isClaimValid() const { return this->phase() == ClaimPhase::Valid; }
+  bool isInGrace() const { return this->phase() == ClaimPhase::Grace; }
+  /// Whether stop orders, extensions of leases and paces may be sent.
+  bool canOrder() const;
   /// Whether this process holds the claim and knows of all cancellations that
   /// were acknowledged, and of all executors that drain or shrink, since longer
-  /// than MaxKnowledgeAge.
+  /// than MaxKnowledgeAge. In the grace that knowledge is not required where
+  /// executors check admission.
   bool canStartTasks() const;
+  bool doExecutorsCheckAdmission() const;
+  /// Keeps the new jobs among the changed notices until the claim is valid
+  /// again; returns the other changes.
+  std::set<std::string> deferNewJobs(const ItemMap &Items,
+                                     const std::set<std::string> &Changed);
+  /// Adds the jobs that were kept back in the grace.
+  void endGrace();
+  void noteUnlistedEmpty(const std::vector<jobs::ExecutorId> &Unlisted);
   void checkSilentExecutors();
   void handleSilentMachines(
       const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found);
@@ -159,6 +178,8 @@
   std::set<jobs::JobId> PendingCancellations;
   /// Keys of the notices whose effect is stored.
   std::set<std::string> HandledNotices;
+  /// Notices of new jobs that were read in the grace.
+  ItemMap DeferredNotices;
   /// Answers that wait until a change of a job is stored.
   struct AwaitingAnswer {
     uint64_t Change = 0;
@@ -180,6 +201,8 @@
   bool IsRemovingNotices = false;
   bool IsStopped = false;
   bool IsStartPaused = false;
+  /// The loaded shard was planned under a valid claim.
+  bool HasPlannedUnderClaim = false;
   /// Jobs that were announced to an earlier planner may be missing. Each job
   /// that is announced to this one may have been announced to that one before,
   /// whenever it was accepted.
--- a/src/libs/dispatch/serviceshardanswers.cpp
+++ b/src/libs/dispatch/serviceshardanswers.cpp
@@ -47,7 +47,15 @@
 void ServiceShard::answer(const peers::ServiceCall &Call,
                           const AnswerCallback &Respond) {
   using peers::ServiceOutcome;
-  if (this->IsStopped || !this->IsLoaded || !this->isClaimValid()) {
+  // What these answers lead to is undone if there is a successor: a machine
+  // that it uses may be moved, and its runs start again. The other answers
+  // commit this planner to something that a successor must know.
+  const bool IsAnsweredInGrace =
+      Call.Kind == peers::ServiceCallKind::PoolDemand ||
+      Call.Kind == peers::ServiceCallKind::EvacuateExecutor;
+  const bool MayAnswer =
+      IsAnsweredInGrace ? this->canOrder() : this->isClaimValid();
+  if (this->IsStopped || !this->IsLoaded || !MayAnswer) {
     Respond({Call.Id, ServiceOutcome::NotPlanner, ""});
     return;
   }
--- a/src/libs/dispatch/serviceshardnotices.cpp
+++ b/src/libs/dispatch/serviceshardnotices.cpp
@@ -15,7 +15,7 @@
     return;
   const std::string Jobs = keys::newJobs(this->Service);
   const std::string Cancels = keys::cancellations(this->Service);
-  for (const std::string &Key : Changed) {
+  for (const std::string &Key : this->deferNewJobs(Items, Changed)) {
     const auto Found = Items.find(Key);
     if (Found == Items.end())
       continue;
--- a/src/libs/dispatch/storekeys.h
+++ b/src/libs/dispatch/storekeys.h
@@ -19,6 +19,9 @@
 inline const std::string Waves = "whintack/wave/";
 /// The most recent machine orders of the holder of the fleet shard.
 inline const std::string MachineOrders = "whintack/machine-orders";
+/// By VM: the claim of the fleet shard under which its process sends no more
+/// orders.
+inline const std::string MachineReleases = MachineOrders + "/released/";
 
 /// The shard that maintains and moves machines.
 inline const std::string FleetShard = "fleet";
--- a/src/libs/dispatch/wavemanager.cpp
+++ b/src/libs/dispatch/wavemanager.cpp
@@ -31,7 +31,8 @@
 
 bool WaveManager::canOrder() const {
   return !this->IsStopped && this->Environment.Orders->isLoaded() &&
-         this->Shared.now() < this->Environment.ClaimValidUntil();
+         !this->Environment.Orders->mustWait() &&
+         this->Environment.Phase() == ClaimPhase::Valid;
 }
 
 void WaveManager::load() {
--- a/src/libs/dispatch/wavemanager.h
+++ b/src/libs/dispatch/wavemanager.h
@@ -16,7 +16,8 @@
   jobs::PlatformCodec Codec;
   std::shared_ptr<ServiceCalls> Calls;
   std::function<std::shared_ptr<const jobs::QueueTable>()> Queues;
-  std::function<TimePoint()> ClaimValidUntil;
+  /// What may be done under the claim.
+  std::function<ClaimPhase()> Phase;
   std::shared_ptr<MachineOrders> Orders;
   std::shared_ptr<DemandTracker> Demands;
   std::function<void(const std::string &Shard, const std::string &Cause)>
--- a/tests/auto/dispatch/faultseries.h
+++ b/tests/auto/dispatch/faultseries.h
@@ -22,8 +22,11 @@
 /// repeat. Then all faults end and every guarantee must hold.
 class FaultSeries {
 public:
-  explicit FaultSeries(uint64_t Seed, FaultKinds Kinds = FaultKinds::Plain)
-      : Fleet(Seed), Kinds(Kinds) {}
+  explicit FaultSeries(uint64_t Seed, FaultKinds Kinds = FaultKinds::Plain,
+                       Duration StoreOutageGrace = Duration::zero())
+      : Fleet(Seed), Kinds(Kinds) {
+    this->Fleet.setStoreOutageGrace(StoreOutageGrace);
+  }
 
   std::vector<std::string> run() {
     this->Fleet.startAll();
@@ -240,20 +243,25 @@
   std::set<std::string> CrashingPaths;
 };
 
+/// Grace of the series that are also played with one, and how many seeds of
+/// these are played by default.
+inline constexpr Duration SeriesGrace = std::chrono::seconds(4);
+inline constexpr uint64_t GraceSeedCount = 15;
+
 /// Seeds of WithRestarts in which a late start order reaches an incarnation
 /// that knows nothing of it.
 inline const std::set<uint64_t> LateOrderSeeds = {14, 40};
 
 /// Plays one series and checks that it violates no guarantee.
-inline void checkSeries(uint64_t Seed, FaultKinds Kinds) {
-  FaultSeries Series(Seed, Kinds);
+inline void checkSeries(uint64_t Seed, FaultKinds Kinds,
+                        Duration StoreOutageGrace = Duration::zero()) {
+  FaultSeries Series(Seed, Kinds, StoreOutageGrace);
   for (const std::string &Text : Series.run())
     FAIL_CHECK("seed " << Seed << ": " << Text);
 }
 
 /// Returns the first and last seed to run.
-inline std::pair<uint64_t, uint64_t> seedsToRun() {
-  constexpr uint64_t DefaultCount = 40;
+inline std::pair<uint64_t, uint64_t> seedsToRun(uint64_t DefaultCount = 40) {
   const char *Given = std::getenv("WHINTACK_FLEET_SEEDS");
   if (!Given)
     return {1, DefaultCount};
--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -63,12 +63,13 @@
   Connections.Codec = this->Platform.codec();
   Context Shared{this->Loop.Time.clock(), this->Source, this->Loop.Queue,
                  Connections.Store};
-  const CoreIdentity Self{Vm,
-                          DataCentreName(DataCentre),
-                          Address{"127.0.0.1", 9000},
-                          Started.Incarnation,
-                          ProcessorShare,
-                          MaxLease};
+  CoreIdentity Self{Vm,
+                    DataCentreName(DataCentre),
+                    Address{"127.0.0.1", 9000},
+                    Started.Incarnation,
+                    ProcessorShare,
+                    MaxLease};
+  Self.StoreOutageGrace = this->StoreOutageGrace;
   Started.Core = std::make_shared<FleetCore>(Self, Connections, Shared,
                                              this->transportOf(Name));
   this->Loop.Queue.post([Core = std::weak_ptr(Started.Core)] {
--- a/tests/auto/dispatch/simulatedfleet.h
+++ b/tests/auto/dispatch/simulatedfleet.h
@@ -40,6 +40,9 @@
   void startAll();
   void startNode(const std::string &Name, const std::string &DataCentre,
                  double ProcessorShare = 1);
+  /// Sets how long the VMs that start from now on go on while the store does
+  /// not answer.
+  void setStoreOutageGrace(Duration Length) { this->StoreOutageGrace = Length; }
   /// Ends the process without a shutdown.
   void killNode(const std::string &Name);
   void restartNode(const std::string &Name);
@@ -115,6 +118,7 @@
   std::set<std::string> CutOff;
   std::map<std::string, Duration> SendDelays;
   std::map<std::string, std::function<CommitFault()>> CommitFaults;
+  Duration StoreOutageGrace = Duration::zero();
   uint64_t LastJob = 0;
   std::map<std::string, unsigned> Attempts;
 };
--- a/tests/auto/dispatch/tst_fleetfaults.cpp
+++ b/tests/auto/dispatch/tst_fleetfaults.cpp
@@ -38,3 +38,18 @@
       FAIL_CHECK("seed " << Seed << ": " << Text);
   }
 }
+
+// Guards against holders that go on without the store and run a task twice, or
+// order a machine beside their successor.
+TEST_CASE("no series with a grace for outages violates a guarantee") {
+  const auto [First, Last] = seedsToRun(GraceSeedCount);
+  for (uint64_t Seed = First; Seed <= Last; ++Seed)
+    checkSeries(Seed, FaultKinds::Plain, SeriesGrace);
+}
+
+TEST_CASE("no series with a grace and crashing executors violates a "
+          "guarantee") {
+  const auto [First, Last] = seedsToRun(GraceSeedCount);
+  for (uint64_t Seed = First; Seed <= Last; ++Seed)
+    checkSeries(Seed, FaultKinds::WithCrashes, SeriesGrace);
+}
