Dispatch: Show machines that are moved during an outage of the store

Cause: the test's pool had all spare machines before the outage began, so that nothing was left to move. Change: its second step begins in the grace, from ends that are not stored.

--- a/tests/auto/dispatch/tst_storeoutagegrace.cpp
+++ b/tests/auto/dispatch/tst_storeoutagegrace.cpp
@@ -13,6 +13,14 @@
 constexpr Duration Grace = seconds(4);
 constexpr Duration Outage = milliseconds(4700);
 
+jobs::StepSpec makeStep(size_t Count, Duration Estimate) {
+  jobs::StepSpec Step;
+  Step.Count = Count;
+  Step.Need = {2000, 256, 0};
+  Step.Estimate = Estimate;
+  return Step;
+}
+
 /// A fleet whose holders go on for a while without the store.
 class GraceFleet : public SimulatedFleet {
 public:
@@ -21,12 +29,29 @@
     this->setStoreOutageGrace(Length);
     this->startAll();
     jobs::JobSpec Slow;
-    jobs::StepSpec Step;
-    Step.Count = 40;
-    Step.Need = {2000, 256, 0};
-    Step.Estimate = milliseconds(3500);
-    Slow.Steps = {Step};
+    Slow.Steps = {makeStep(40, milliseconds(3500))};
     this->Platform.addTemplate("slow", Slow);
+    jobs::JobSpec Growing;
+    Growing.Steps = {makeStep(1, milliseconds(20200)),
+                     makeStep(800, milliseconds(900))};
+    Growing.Steps[1].Dependencies = {0};
+    this->Platform.addTemplate("growing", Growing);
+  }
+
+  /// Gives the jobs of all queues enough time not to be late, and lets
+  /// all executors check admission.
+  void relaxObjectives() {
+    const jobs::PlatformCodec Codec = this->Platform.codec();
+    const auto Text = this->Platform.store().value(Codec.ConfigurationKey);
+    jobs::FleetConfiguration Newest =
+        Codec.DecodeConfiguration(Text.value()).value();
+    ++Newest.Version;
+    for (jobs::Queue &Each : Newest.Queues)
+      Each.Objective = seconds(30);
+    for (jobs::ServicePolicy &Each : Newest.Services)
+      Each.ExecutorsCheckAdmission = true;
+    this->Platform.configure(Newest);
+    this->runFor(seconds(1));
   }
 
   void submitMany(const char *Queue, const char *Template, size_t Count) {
@@ -164,17 +189,22 @@
   Fleet.finishAndCheck();
 }
 
-// Guards against a pool that waits for machines until the store is back.
+// Guards against a pool that waits for machines until the store is back, and
+// against steps that wait until the ends of the steps before are stored.
 TEST_CASE("machines are moved during an outage of the store") {
   GraceFleet Fleet;
-  Fleet.submitMany("quotes", "short", 250);
-  Fleet.submitMany("payouts", "slow", 1);
-  Fleet.runFor(milliseconds(700));
+  Fleet.relaxObjectives();
+  // The machines that the arrival of the jobs lets move are back in the spare
+  // pool when the second step begins, 3 s after the store went away.
+  Fleet.submitMany("quotes", "growing", 3);
+  Fleet.runFor(milliseconds(17300));
   Fleet.setStore(StoreFaultMode::Silent);
   Fleet.runFor(milliseconds(2200));
   const auto Before = Fleet.pools();
+  const size_t StartsBefore = Fleet.Platform.runChecker().starts();
   Fleet.runFor(Outage - milliseconds(2200));
   CHECK(Fleet.countMoved(Before) > 0);
+  CHECK(Fleet.Platform.runChecker().starts() > StartsBefore);
   Fleet.finishAndCheck();
 }
 
