--- a/src/libs/dispatch/storekeys.h
+++ b/src/libs/dispatch/storekeys.h
@@ -21,6 +21,9 @@
 inline const std::string MachineOrders = "whintack/machine-orders";
 /// Shares of the tenants' quotas, by quotaRecord().
 inline const std::string Quotas = "whintack/quota/";
+/// By VM: the claim of the fleet shard under which its process sends no more
+/// orders.
+inline const std::string MachineReleases = MachineOrders + "/released/";
 
 /// The shard that maintains and moves machines.
 inline const std::string FleetShard = "fleet";
