--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -116,12 +116,8 @@
   auto &[Mean, Count] = this->MeanWorkByQueue[Job.Policy.Name];
   ++Count;
   Mean += (Job.Effort.Work - Mean) / static_cast<double>(Count);
-  const estimates::RunTimeEstimator &Estimator = this->Room.Estimator;
-  const double Factor = Estimator.isTrusted(Job.Policy.Name)
-                            ? Estimator.factor(Job.Policy.Name)
-                            : 1;
   if (!Job.Spec.isPeriodic())
-    this->Arrivals.note(Job.Effort.Work * Factor, Job.Accepted);
+    this->Arrivals.note(Job.Effort.Work, Job.Accepted);
   const JobId Id = Job.Spec.Id;
   JobRecord &Inserted =
       this->Jobs.insert_or_assign(Id, std::move(Job)).first->second;
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -441,7 +441,7 @@
   /// until the job is marked for review again.
   std::optional<Internal::StartableJob> review(Internal::JobRecord &Job);
   /// Determines the effort of the steps that are not done, for the job's rank.
-  void updateRemainingEffort(Internal::JobRecord &Job) const;
+  static void updateRemainingEffort(Internal::JobRecord &Job);
   std::vector<Internal::RankedJob> rankStartable(TimePoint Now,
                                                  bool IsRecovering);
   void planInOrder(std::vector<Internal::RankedJob> Waiting,
@@ -459,12 +459,6 @@
                     const Internal::RunRecord &Run, TimePoint Now);
   estimates::RunTimeEstimate expectedRunTime(const Internal::JobRecord &Job,
                                              const StepKey &Step) const;
-  /// Run times for the rank of a job and for the demand of the pool. Until
-  /// enough steps of the queue have ended, both are the client's estimate.
-  Duration rankedRunTime(const Internal::JobRecord &Job,
-                         const StepKey &Step) const;
-  Duration demandedRunTime(const Internal::JobRecord &Job,
-                           const StepKey &Step) const;
   const std::vector<placement::EndingRun> &
   endingRuns(Internal::ExecutorRecord &Executor, TimePoint Now);
   bool mayReserveRoom(const JobRank &Rank, const ComputeResources &Need,
--- a/src/libs/jobs/plannerdemand.cpp
+++ b/src/libs/jobs/plannerdemand.cpp
@@ -16,8 +16,9 @@
   for (size_t Occurrence = 0; Occurrence < Job.Occurrences.size(); ++Occurrence)
     for (size_t Step = 0; Step < Job.Spec.Steps.size(); ++Step) {
       const StepSpec &Spec = Job.Spec.Steps[Step];
-      const StepKey Key{Job.Spec.Id, static_cast<int64_t>(Occurrence), Step};
-      if (Spec.IsLongRunning || !this->canStart(Job, Key))
+      if (Spec.IsLongRunning ||
+          !this->canStart(
+              Job, {Job.Spec.Id, static_cast<int64_t>(Occurrence), Step}))
         continue;
       const auto &Tasks = Job.Occurrences[Occurrence].Steps[Step].Tasks;
       const auto Waiting =
@@ -26,8 +27,7 @@
           });
       Work += static_cast<double>(Waiting) *
               static_cast<double>(Spec.Need.MilliCores) / MilliCoresPerCore *
-              static_cast<double>(this->demandedRunTime(Job, Key).count()) /
-              MicrosPerSecond;
+              static_cast<double>(Spec.Estimate.count()) / MicrosPerSecond;
     }
   return Work;
 }
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -98,18 +98,15 @@
   Least.Gpus = std::min(Least.Gpus, Need.Gpus);
 }
 
-void Planner::Private::updateRemainingEffort(JobRecord &Job) const {
+void Planner::Private::updateRemainingEffort(JobRecord &Job) {
   std::vector<RemainingStep> Left;
   Left.reserve(Job.Spec.Steps.size());
-  for (size_t Index = 0; Index < Job.Spec.Steps.size(); ++Index) {
-    const StepKey Key{Job.Spec.Id, 0, Index};
-    const StepRecord &Step = Job.step(Key);
+  for (const StepRecord &Step : Job.Occurrences.front().Steps) {
     const auto Waiting = std::count_if(
         Step.Tasks.begin(), Step.Tasks.end(), [](const TaskRecord &Task) {
           return !Task.Stored.IsDone && !Task.Current;
         });
-    Left.push_back({static_cast<size_t>(Waiting), Step.isDone(),
-                    this->rankedRunTime(Job, Key)});
+    Left.push_back({static_cast<size_t>(Waiting), Step.isDone()});
   }
   const JobEffort Effort = estimateRemainingEffort(Job.Spec, Left);
   Job.Rank.RemainingWork = Effort.Work;
--- a/src/libs/jobs/plannerreservations.cpp
+++ b/src/libs/jobs/plannerreservations.cpp
@@ -32,25 +32,6 @@
                                            Job.step(Step).RunTimes);
 }
 
-Duration Planner::Private::rankedRunTime(const JobRecord &Job,
-                                         const StepKey &Step) const {
-  // The queue's factor is left out: whether a job is on time is judged by its
-  // client's estimate, and with the factor 1 % fewer jobs were on time in
-  // bench/placement_under_load.
-  const Duration Median = Job.step(Step).RunTimes.median();
-  return this->Room.Estimator.isTrusted(Job.Policy.Name) &&
-                 Median > Duration::zero()
-             ? Median
-             : Job.Spec.Steps[Step.Index].Estimate;
-}
-
-Duration Planner::Private::demandedRunTime(const JobRecord &Job,
-                                           const StepKey &Step) const {
-  return this->Room.Estimator.isTrusted(Job.Policy.Name)
-             ? this->expectedRunTime(Job, Step).Length
-             : Job.Spec.Steps[Step.Index].Estimate;
-}
-
 void Planner::Private::learnRunTime(JobRecord &Job, const EndReport &End,
                                     const RunRecord &Run, TimePoint Now) {
   const StepSpec &Spec = this->stepSpec(Job, End.Task.Step);
--- a/src/libs/jobs/stepplacement.cpp
+++ b/src/libs/jobs/stepplacement.cpp
@@ -56,7 +56,7 @@
   std::vector<RemainingStep> All;
   All.reserve(Spec.Steps.size());
   for (const StepSpec &Step : Spec.Steps)
-    All.push_back({Step.Count, false, Step.Estimate});
+    All.push_back({Step.Count, false});
   return estimateRemainingEffort(Spec, All);
 }
 
@@ -72,13 +72,12 @@
     Duration Begin = Duration::zero();
     for (const size_t Earlier : Step.Dependencies)
       Begin = std::max(Begin, Ends[Earlier]);
-    Ends[Index] = Begin + Left[Index].RunTime;
+    Ends[Index] = Begin + Step.Estimate;
     Effort.CriticalPath = std::max(Effort.CriticalPath, Ends[Index]);
     Effort.Work +=
         static_cast<double>(Left[Index].WaitingTasks) *
         (static_cast<double>(Step.Need.MilliCores) / MilliCoresPerCore) *
-        (static_cast<double>(toMilliseconds(Left[Index].RunTime)) /
-         MillisPerSecond);
+        (static_cast<double>(toMilliseconds(Step.Estimate)) / MillisPerSecond);
   }
   return Effort;
 }
--- a/src/libs/jobs/stepplacement.h
+++ b/src/libs/jobs/stepplacement.h
@@ -60,8 +60,6 @@
   /// Number of tasks that are neither done nor running.
   size_t WaitingTasks = 0;
   bool IsDone = false;
-  /// Expected time of a run.
-  Duration RunTime = Duration::zero();
 };
 
 /// Estimates the effort of what is left of a job, with one entry of \p Left for
