Settings: Give the holder of the machines a grace of its own

A successor of a holder that is lost for good moves no machines for 5.3 s plus the grace, while machines that are moved during an outage can be used only after it. So planners and the holder of fleet are switched apart; both are off by default.

Not built or measured at this commit.

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -282,7 +282,7 @@
       this->Shared, OrderingProcess{this->Self.Name, this->Self.Incarnation},
       store::ExpectedRevision{keys::Claims + Acquired.Shard, Acquired.Token},
       std::move(Hooks),
-      HolderGrace{this->Self.StoreOutageGrace, NodeLease::Length,
+      HolderGrace{this->Self.MachineOrderGrace, NodeLease::Length,
                   Acquired.ClaimedAt});
   this->Orders->load();
   const FleetShardEnvironment Environment{this->Connections.Machines,
@@ -354,7 +354,7 @@
   this->Rebalancer.reset();
   this->Quotas->stop();
   this->Quotas.reset();
-  if (this->Self.StoreOutageGrace > Duration::zero())
+  if (this->Self.MachineOrderGrace > Duration::zero())
     this->Orders->stop();
   else
     this->Orders.reset();
--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -36,6 +36,7 @@
   Duration KeyRevocationTime = std::chrono::seconds(5);
   bool RefusesStaleKeys = false;
   Duration StoreOutageGrace = Duration::zero();
+  Duration MachineOrderGrace = Duration::zero();
   bool ReservesRoom = false;
 };
 
--- a/src/libs/dispatch/fleetnode.cpp
+++ b/src/libs/dispatch/fleetnode.cpp
@@ -88,6 +88,7 @@
                    this->Settings.Fleet.KeyRevocationTime,
                    this->Settings.Fleet.RefusesStaleKeys,
                    this->Settings.Fleet.StoreOutageGrace,
+                   this->Settings.Fleet.MachineOrderGrace,
                    this->Settings.Fleet.ReservesRoom},
       this->Connections, this->Shared, std::move(Transport));
 }
--- a/src/libs/settings/include/whintack/settings/settings.h
+++ b/src/libs/settings/include/whintack/settings/settings.h
@@ -63,8 +63,11 @@
   /// Refuse calls with keys while the configuration is not known to be newer
   /// than KeyRevocationTime.
   bool RefusesStaleKeys = false;
-  /// How long the holder of a claim goes on while the store does not answer.
+  /// How long the planner of a service goes on while the store does not answer.
   Duration StoreOutageGrace = Duration::zero();
+  /// How long the holder of the fleet shard goes on ordering machines then. A
+  /// successor of a holder that was lost orders none for that time.
+  Duration MachineOrderGrace = Duration::zero();
   /// Reserve room for large tasks that wait.
   bool ReservesRoom = false;
 };
--- a/src/libs/settings/settings.cpp
+++ b/src/libs/settings/settings.cpp
@@ -120,6 +120,9 @@
     Fleet.StoreOutageGrace =
         Reader.duration("store-outage-grace", Fleet.StoreOutageGrace,
                         Duration::zero(), std::chrono::minutes(1));
+    Fleet.MachineOrderGrace =
+        Reader.duration("machine-order-grace", Fleet.MachineOrderGrace,
+                        Duration::zero(), std::chrono::minutes(1));
     Fleet.ReservesRoom = Reader.boolean("reserve-room", Fleet.ReservesRoom);
   });
 }
@@ -237,7 +240,10 @@
        "refuse calls with keys while the configuration may be older than that",
        "true or false, false"},
       {"fleet.store-outage-grace",
-       "how long holders of claims go on while the store does not answer",
+       "how long planners go on while the store does not answer",
+       "0s to 1min, 0s"},
+      {"fleet.machine-order-grace",
+       "how long machines are still moved while the store does not answer",
        "0s to 1min, 0s"},
       {"fleet.reserve-room", "reserve room for large tasks that wait",
        "true or false, false"},
