Tenants, Dispatch: Reserve vectors, and capture a binding by name

Cause: clang-tidy reports vectors that grow in loops, and clang 14 cannot capture a structured binding implicitly. Change: reserve the vectors, name the captured binding.

--- a/src/libs/dispatch/quotarecords.cpp
+++ b/src/libs/dispatch/quotarecords.cpp
@@ -4,7 +4,9 @@
 
 #include "whintack/base/digest.h"
 
+#include <algorithm>
 #include <cpprest/json.h>
+#include <stdexcept>
 
 namespace whintack::dispatch::Internal {
 
@@ -100,6 +102,7 @@
 template <typename Value>
 std::vector<TenantName> namesOf(const std::map<TenantName, Value> &Given) {
   std::vector<TenantName> Names;
+  Names.reserve(Given.size());
   for (const auto &[Name, Each] : Given)
     Names.push_back(Name);
   return Names;
--- a/src/libs/tenants/quotatargets.cpp
+++ b/src/libs/tenants/quotatargets.cpp
@@ -58,6 +58,7 @@
 /// allows; equal parts that are too small for any task would start none.
 QuotaAllocator::Shares QuotaAllocator::targetsByDemand(const Row &Of) const {
   std::vector<std::pair<ServiceName, const Part *>> Order;
+  Order.reserve(Of.Parts.size());
   for (const auto &[Service, Each] : Of.Parts)
     if (this->isConfigured(Service))
       Order.emplace_back(Service, &Each);
@@ -85,6 +86,7 @@
     for (auto &[Service, Share] : Targets)
       Share.*Kind = 0;
     std::vector<int64_t> Demands;
+    Demands.reserve(Order.size());
     for (size_t Index = 0; Index < Order.size(); ++Index) {
       const Part &Each = *Order[Index].second;
       const int64_t Demand = Each.IsReported
@@ -154,11 +156,12 @@
   std::set<ServiceName> Used;
   size_t Total = Plan.Confirmations.size();
   for (const auto &[Service, Each] : Of.Parts) {
-    const bool IsUseful = std::any_of(
-        ResourceKinds.begin(), ResourceKinds.end(), [&](const auto Kind) {
-          return Of.Maximum.*Kind > 0 &&
-                 Each.Confirmed.*Kind < Each.Certain.*Kind;
-        });
+    const bool IsUseful =
+        std::any_of(ResourceKinds.begin(), ResourceKinds.end(),
+                    [&Of, &Each = Each](const auto Kind) {
+                      return Of.Maximum.*Kind > 0 &&
+                             Each.Confirmed.*Kind < Each.Certain.*Kind;
+                    });
     if (!IsUseful || !Each.IsReported)
       continue;
     if (!Plan.Confirmations.contains(Service) &&
@@ -176,6 +179,7 @@
                      const std::set<ServiceName> &Used) const {
   Shares Next;
   std::vector<std::pair<ServiceName, const Part *>> Order;
+  Order.reserve(Of.Parts.size());
   for (const auto &[Service, Each] : Of.Parts) {
     Next[Service] = Used.contains(Service) ? Each.Granted : Each.Stored;
     Order.emplace_back(Service, &Each);
@@ -194,6 +198,7 @@
     int64_t FreeShares = Of.Maximum.*Kind;
     int64_t FreeUse = Of.Maximum.*Kind;
     std::vector<int64_t> Reached;
+    Reached.reserve(Order.size());
     for (const auto &[Service, Each] : Order) {
       int64_t Bound =
           Used.contains(Service) ? Each->Confirmed.*Kind : Each->Certain.*Kind;
@@ -225,6 +230,7 @@
                          Reached[Index]);
     }
     std::vector<int64_t> Lacking;
+    Lacking.reserve(Order.size());
     for (size_t Index = 0; Index < Order.size(); ++Index)
       Lacking.push_back(std::max<int64_t>(
           0, Targets.at(Order[Index].first).*Kind - Reached[Index]));
