--- a/src/libs/dispatch/executorlink.h
+++ b/src/libs/dispatch/executorlink.h
@@ -15,7 +15,8 @@
   /// Whether this process may still send orders.
   std::function<bool()> CanOrder;
   /// Whether runs may be taken as over because their executor is lost or has
-  /// started again; null if always. Otherwise a successor may know more of them.
+  /// started again; null if always. Otherwise a successor may know more of
+  /// them.
   std::function<bool()> CanConcludeLoss;
   /// Whether it may send start orders, too.
   std::function<bool()> CanStart;
