Store outage grace: Guard against a successor also after the grace

Found by review. The holder of the machines went on for the planners' grace, although its successor waits for its own. Guards against a successor tested for the grace, but a renewal that is answered late can bring the grace back after they were open. The list of machines was acted on in the grace, a dropped list of executors counted as known, and services without admission checks could start tasks.

The guards now hold while the claim is not valid, and the holder of the machines has a phase of its own. Two tests are new.

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -30,7 +30,11 @@
                      Context Shared, PeerTransport Transport)
     : Self(std::move(Self)), Connections(std::move(Connections)),
       Shared(std::move(Shared)), Transport(std::move(Transport)),
-      Loads(std::make_shared<LoadQueue>(this->Shared.Loop)) {}
+      Loads(std::make_shared<LoadQueue>(this->Shared.Loop)) {
+  // The lease knows of one grace only. A successor would wait in vain for more.
+  this->Self.MachineOrderGrace =
+      std::min(this->Self.MachineOrderGrace, this->Self.StoreOutageGrace);
+}
 
 std::function<std::shared_ptr<const jobs::QueueTable>()>
 FleetCore::queueSource() {
@@ -276,7 +280,13 @@
                   Shard = Acquired.Shard](const std::string &Cause) {
     ReportLoss(Shard, Cause);
   };
-  const auto Phase = [Lease = this->Lease] { return Lease->phase(); };
+  const auto Phase = [Lease = this->Lease, Time = this->Shared.Time.Now,
+                      Grace = this->Self.MachineOrderGrace] {
+    const TimePoint ValidUntil = Lease->validUntil();
+    return claimPhase(Time(), ValidUntil,
+                      std::min(Lease->graceUntil(),
+                               NodeLease::endOfGrace(ValidUntil, Grace)));
+  };
   Hooks.Phase = Phase;
   this->Orders = std::make_shared<MachineOrders>(
       this->Shared, OrderingProcess{this->Self.Name, this->Self.Incarnation},
--- a/src/libs/dispatch/nodelease.cpp
+++ b/src/libs/dispatch/nodelease.cpp
@@ -18,7 +18,11 @@
 static constexpr int GraceMarginDivisor = 50;
 
 NodeLease::NodeLease(Context Shared, Duration Grace)
-    : Shared(std::move(Shared)), Grace(Grace - Grace / GraceMarginDivisor) {}
+    : Shared(std::move(Shared)), Grace(Grace) {}
+
+TimePoint NodeLease::endOfGrace(TimePoint ValidUntil, Duration Grace) {
+  return ValidUntil + Grace - Grace / GraceMarginDivisor;
+}
 
 void NodeLease::onGranted(std::function<void()> Hook) {
   this->GrantedHooks.push_back(std::move(Hook));
@@ -44,7 +48,7 @@
 
 void NodeLease::noteKept(TimePoint Sent) {
   this->ValidUntil = std::max(this->ValidUntil, Sent + Length - ExpiryMargin);
-  this->GraceUntil = this->ValidUntil + this->Grace;
+  this->GraceUntil = endOfGrace(this->ValidUntil, this->Grace);
 }
 
 void NodeLease::noteEnded() {
--- a/src/libs/dispatch/nodelease.h
+++ b/src/libs/dispatch/nodelease.h
@@ -37,6 +37,8 @@
   /// Time until which orders may be sent if the store has not reported that the
   /// lease has ended; counted from the last renewal that succeeded.
   TimePoint graceUntil() const { return this->GraceUntil; }
+  /// When a grace of this length ends, by a clock that may be slow.
+  static TimePoint endOfGrace(TimePoint ValidUntil, Duration Grace);
   ClaimPhase phase() const {
     return claimPhase(this->Shared.now(), this->ValidUntil, this->GraceUntil);
   }
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -211,8 +211,11 @@
     return;
   // A successor may already place tasks on executors that are new. The list is
   // delivered again after the next read.
-  if (this->isInGrace())
+  if (this->mayBeSucceeded()) {
+    this->IsListDropped = true;
     return;
+  }
+  this->IsListDropped = false;
   this->Planner.setExecutors(Listed);
   std::set<jobs::ExecutorId> Seen;
   for (const jobs::ExecutorInfo &Info : Listed) {
@@ -263,7 +266,9 @@
   if (this->IsStopped)
     return;
   const TimePoint Now = this->Shared.now();
-  if (!Found && Now < this->EarlierLeasesEnd) {
+  // While there may be a successor, machines can have been moved since, and
+  // leases extended by it.
+  if (this->mayBeSucceeded() || (!Found && Now < this->EarlierLeasesEnd)) {
     scheduleFor(this->Shared.Loop, this->shared_from_this(),
                 Now + DiscoveryRetryDelay,
                 [](ServiceShard &Self) { Self.discoverExecutors(); });
@@ -293,7 +298,7 @@
   // capturing this is safe.
   LinkHooks Hooks;
   Hooks.CanOrder = [this] { return this->canOrder(); };
-  Hooks.CanConcludeLoss = [this] { return !this->isInGrace(); };
+  Hooks.CanConcludeLoss = [this] { return !this->mayBeSucceeded(); };
   Hooks.CanStart = [this] { return this->canStartTasks(); };
   Hooks.IsCurrent = [this](const jobs::StartOrder &Order) {
     return this->Planner.isCurrent(Order);
@@ -346,7 +351,7 @@
   if (this->IsStopped)
     return;
   // A successor may have read what ended on a machine that was moved since.
-  if (Found && !Found.value().empty() && !this->isInGrace()) {
+  if (Found && !Found.value().empty() && !this->mayBeSucceeded()) {
     std::set<jobs::ExecutorId> Up;
     for (const jobs::MachineInfo &Machine : Found.value())
       if (Machine.State == jobs::MachineState::Up)
@@ -414,7 +419,7 @@
         if (!Self || Self->IsStopped)
           return;
         // A successor may have read the same jobs and started them.
-        if (Self->isInGrace()) {
+        if (Self->mayBeSucceeded()) {
           scheduleFor(
               Self->Shared.Loop, Self,
               Self->Shared.now() + MissedJobsRetryDelay,
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -132,6 +132,13 @@
   ClaimPhase phase() const;
   bool isClaimValid() const { return this->phase() == ClaimPhase::Valid; }
   bool isInGrace() const { return this->phase() == ClaimPhase::Grace; }
+  /// Whether a successor may have claimed the shard while this process may
+  /// still, or again, send orders in its grace. A renewal that is answered late
+  /// can bring the grace back.
+  bool mayBeSucceeded() const {
+    return this->Environment.StoreOutageGrace > Duration::zero() &&
+           !this->isClaimValid();
+  }
   /// Whether stop orders, extensions of leases and paces may be sent.
   bool canOrder() const;
   /// Whether this process holds the claim and knows of all cancellations that
@@ -224,6 +231,9 @@
   bool IsConfigurationCheckDue = false;
   /// The loaded shard was planned under a valid claim.
   bool HasPlannedUnderClaim = false;
+  /// A list of executors was not adopted, so the age of the last one does not
+  /// tell how old the adopted one is.
+  bool IsListDropped = false;
   /// Jobs that were announced to an earlier planner may be missing. Each job
   /// that is announced to this one may have been announced to that one before,
   /// whenever it was accepted.
--- a/src/libs/dispatch/serviceshardgrace.cpp
+++ b/src/libs/dispatch/serviceshardgrace.cpp
@@ -33,13 +33,11 @@
 bool ServiceShard::canStartTasks() const {
   if (!this->canOrder() || !this->Notices)
     return false;
-  if (this->isInGrace()) {
-    // Jobs that are read in the grace may be known to a successor.
-    if (!this->HasPlannedUnderClaim)
-      return false;
-    if (this->doExecutorsCheckAdmission())
-      return true;
-  }
+  // Jobs that are read in the grace may be known to a successor.
+  if (this->isInGrace())
+    return this->HasPlannedUnderClaim && this->doExecutorsCheckAdmission();
+  if (this->IsListDropped)
+    return false;
   const TimePoint Oldest = this->Shared.now() - MaxKnowledgeAge;
   return this->Notices->knownThrough() >= Oldest &&
          this->Environment.ExecutorsKnownThrough() >= Oldest;
@@ -56,7 +54,7 @@
 std::set<std::string>
 ServiceShard::deferNewJobs(const ItemMap &Items,
                            const std::set<std::string> &Changed) {
-  if (!this->isInGrace())
+  if (!this->mayBeSucceeded())
     return Changed;
   const std::string Jobs = keys::newJobs(this->Service);
   std::set<std::string> Others;
@@ -72,6 +70,8 @@
 
 void ServiceShard::endGrace() {
   this->HasPlannedUnderClaim = true;
+  if (this->IsListDropped)
+    this->Environment.RefreshExecutors();
   if (this->DeferredNotices.empty())
     return;
   const ItemMap Deferred = std::exchange(this->DeferredNotices, {});
@@ -86,7 +86,7 @@
 /// its lease.
 void ServiceShard::noteUnlistedEmpty(
     const std::vector<jobs::ExecutorId> &Unlisted) {
-  if (this->isInGrace()) {
+  if (this->mayBeSucceeded()) {
     scheduleFor(
         this->Shared.Loop, this->shared_from_this(),
         this->Shared.now() + GraceRetryDelay,
--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -81,7 +81,7 @@
   Self.KeyRevocationTime =
       this->KeyRevocationTime.value_or(Self.KeyRevocationTime);
   Self.StoreOutageGrace = this->StoreOutageGrace;
-  Self.MachineOrderGrace = this->StoreOutageGrace;
+  Self.MachineOrderGrace = this->MachineOrderGrace;
   Started.Core = std::make_shared<FleetCore>(Self, Connections, Shared,
                                              this->transportOf(Name));
   this->Loop.Queue.post([Core = std::weak_ptr(Started.Core)] {
--- a/tests/auto/dispatch/simulatedfleet.h
+++ b/tests/auto/dispatch/simulatedfleet.h
@@ -43,7 +43,14 @@
                  double ProcessorShare = 1);
   /// Sets how long the VMs that start from now on go on while the store does
   /// not answer.
-  void setStoreOutageGrace(Duration Length) { this->StoreOutageGrace = Length; }
+  void setStoreOutageGrace(Duration Length) {
+    this->StoreOutageGrace = Length;
+    this->MachineOrderGrace = Length;
+  }
+  /// Sets how long the holder of the machines goes on, if not as long.
+  void setMachineOrderGrace(Duration Length) {
+    this->MachineOrderGrace = Length;
+  }
   /// Ends the process without a shutdown.
   void killNode(const std::string &Name);
   void restartNode(const std::string &Name);
@@ -134,6 +141,7 @@
   std::map<std::string, Duration> SendDelays;
   std::map<std::string, std::function<CommitFault()>> CommitFaults;
   Duration StoreOutageGrace = Duration::zero();
+  Duration MachineOrderGrace = Duration::zero();
   uint64_t LastJob = 0;
   std::map<std::string, unsigned> Attempts;
 };
--- a/tests/auto/dispatch/tst_storeoutagegrace.cpp
+++ b/tests/auto/dispatch/tst_storeoutagegrace.cpp
@@ -25,8 +25,11 @@
 class GraceFleet : public SimulatedFleet {
 public:
   explicit GraceFleet(Duration Length = Grace, uint64_t Seed = 1)
+      : GraceFleet(Length, Length, Seed) {}
+  GraceFleet(Duration Length, Duration MachineLength, uint64_t Seed)
       : SimulatedFleet(Seed) {
     this->setStoreOutageGrace(Length);
+    this->setMachineOrderGrace(MachineLength);
     this->startAll();
     jobs::JobSpec Slow;
     Slow.Steps = {makeStep(40, milliseconds(3500))};
@@ -38,9 +41,9 @@
     this->Platform.addTemplate("growing", Growing);
   }
 
-  /// Gives the jobs of all queues enough time not to be late, and lets
-  /// all executors check admission.
-  void relaxObjectives() {
+  /// Gives the jobs of all queues enough time not to be late, and sets whether
+  /// executors check admission.
+  void relaxObjectives(bool CheckAdmission = true) {
     const jobs::PlatformCodec Codec = this->Platform.codec();
     const auto Text = this->Platform.store().value(Codec.ConfigurationKey);
     jobs::FleetConfiguration Newest =
@@ -49,7 +52,7 @@
     for (jobs::Queue &Each : Newest.Queues)
       Each.Objective = seconds(30);
     for (jobs::ServicePolicy &Each : Newest.Services)
-      Each.ExecutorsCheckAdmission = true;
+      Each.ExecutorsCheckAdmission = CheckAdmission;
     this->Platform.configure(Newest);
     this->runFor(seconds(1));
   }
@@ -169,6 +172,21 @@
   Fleet.finishAndCheck();
 }
 
+// Guards against executors that are filled beyond their capacity because the
+// planner does not hear that it has shrunk.
+TEST_CASE("in the grace nothing starts where executors check no admission") {
+  GraceFleet Fleet;
+  Fleet.relaxObjectives(false);
+  Fleet.submitMany("quotes", "short", 250);
+  Fleet.runFor(milliseconds(100));
+  Fleet.setStore(StoreFaultMode::Silent);
+  const std::vector<size_t> Counts = Fleet.countStarts(Outage);
+  INFO(textOf(Counts));
+  for (size_t Part = 4; Part < Counts.size(); ++Part)
+    CHECK(Counts[Part] == 0);
+  Fleet.finishAndCheck();
+}
+
 // Guards against planners that stop because one data centre is cut off at the
 // same time.
 TEST_CASE("starts go on through an outage beside a data centre that is cut "
@@ -208,6 +226,21 @@
   Fleet.finishAndCheck();
 }
 
+// Guards against a holder of the machines that goes on for as long as planners,
+// although its successor waits only for its own, shorter grace.
+TEST_CASE("no machine is moved in an outage without a grace for machines") {
+  GraceFleet Fleet(Grace, Duration::zero(), 1);
+  Fleet.relaxObjectives();
+  Fleet.submitMany("quotes", "growing", 3);
+  Fleet.runFor(milliseconds(17300));
+  Fleet.setStore(StoreFaultMode::Silent);
+  Fleet.runFor(milliseconds(2200));
+  const auto Before = Fleet.pools();
+  Fleet.runFor(Outage - milliseconds(2200));
+  CHECK(Fleet.countMoved(Before) == 0);
+  Fleet.finishAndCheck();
+}
+
 // Guards against a holder and its successor that both start a task, where each
 // reaches executors that the other does not reach.
 TEST_CASE("a holder that is cut off alone and its successor run no task "
