Quotas: Count what runs before the next task, and keep recovering planners from taking shares

Found by review. A share was as large as the largest waiting task, although what the service already runs counts against it, so that quota stayed free while several services waited. A planner that recovers reports more in use than any maximum; that counted as demand. A removed tenant kept its maximum in the planners, but a new coordinator granted it nothing. A step that can never fit asked for shares.

--- a/src/libs/dispatch/quotacoordinator.cpp
+++ b/src/libs/dispatch/quotacoordinator.cpp
@@ -43,16 +43,14 @@
 
 void QuotaCoordinator::setTenants(
     const jobs::FleetConfiguration &Configuration) {
-  bool HasMaximum = false;
+  // A removed tenant has no maximum any more, here as in the planners. Both
+  // sides must know the same tenants, because idle ones are not reported by
+  // name.
+  this->Maximums.clear();
   for (const tenants::Tenant &Each : Configuration.Tenants)
-    if (Each.Maximum == ComputeResources()) {
-      this->Maximums.erase(Each.Name);
-    } else {
+    if (Each.Maximum != ComputeResources())
       this->Maximums[Each.Name] = Each.Maximum;
-      HasMaximum = true;
-    }
-  if (!HasMaximum)
-    this->Maximums.clear();
+  const bool HasMaximum = !this->Maximums.empty();
   std::set<ServiceName> Services;
   for (const jobs::ServicePolicy &Each : Configuration.Services)
     if (!Each.IsSpare)
--- a/src/libs/jobs/plannerquota.cpp
+++ b/src/libs/jobs/plannerquota.cpp
@@ -53,7 +53,9 @@
   for (size_t Occurrence = 0; Occurrence < Due; ++Occurrence)
     for (size_t Step = 0; Step < Job.Spec.Steps.size(); ++Step) {
       if (!this->canStart(
-              Job, {Job.Spec.Id, static_cast<int64_t>(Occurrence), Step}))
+              Job, {Job.Spec.Id, static_cast<int64_t>(Occurrence), Step}) ||
+          !TenantAccounts::fitsMaximum(*Job.Tenant.Account,
+                                       Job.Spec.Steps[Step]))
         continue;
       const auto &Tasks = Job.Occurrences[Occurrence].Steps[Step].Tasks;
       const auto Count =
--- a/src/libs/jobs/tenantaccounts.cpp
+++ b/src/libs/jobs/tenantaccounts.cpp
@@ -58,6 +58,11 @@
   std::erase_if(this->Accounts, [&Table](const auto &Entry) {
     return Entry.second.Jobs == 0 && !Table.named(Entry.first);
   });
+  // The jobs of a removed tenant go on without a maximum: no coordinator would
+  // grant them a share.
+  for (auto &[Name, Account] : this->Accounts)
+    if (!Table.named(Name))
+      Account.Maximum = {};
   for (const tenants::Tenant &Each : Table.tenants()) {
     TenantAccount &Account = this->Accounts[Each.Name];
     Account.Name = Each.Name;
@@ -105,6 +110,16 @@
   return this->MayStartLimited && this->Ledger.mayStart(Account->Name, Need);
 }
 
+bool TenantAccounts::fitsMaximum(const TenantAccount &Account,
+                                 const StepSpec &Step) {
+  const ComputeResources Need = needAtOnce(Step);
+  const auto Fits = [&](int64_t ComputeResources::*Part) {
+    return Account.Maximum.*Part == 0 || Need.*Part <= Account.Maximum.*Part;
+  };
+  return Fits(&ComputeResources::MilliCores) &&
+         Fits(&ComputeResources::MemoryMb) && Fits(&ComputeResources::Gpus);
+}
+
 void TenantAccounts::clearWaiting() {
   for (auto &[Name, Account] : this->Accounts)
     Account.Waiting = {};
--- a/src/libs/jobs/tenantaccounts.h
+++ b/src/libs/jobs/tenantaccounts.h
@@ -121,6 +121,9 @@
   bool mayStart(const TenantJob &Job, const StepSpec &Step) const {
     return this->mayStart(Job.Account, needAtOnce(Step));
   }
+  /// Whether one task of the step, or the gang, fits into the tenant's maximum
+  /// while nothing else runs.
+  static bool fitsMaximum(const TenantAccount &Account, const StepSpec &Step);
 
   /// Begins a planning pass: forgets what waited in the last one.
   void clearWaiting();
--- a/src/libs/settings/settings.cpp
+++ b/src/libs/settings/settings.cpp
@@ -240,10 +240,13 @@
        "refuse calls with keys while the configuration may be older than that",
        "true or false, false"},
       {"fleet.store-outage-grace",
-       "how long planners go on while the store does not answer",
+       "how long planners go on while the store does not answer; the same on "
+       "all "
+       "VMs",
        "0s to 1min, 0s"},
       {"fleet.machine-order-grace",
-       "how long machines are still moved while the store does not answer",
+       "how long machines are still moved then; a successor of a lost holder "
+       "moves none for this time and 5 s more",
        "0s to 1min, 0s"},
       {"fleet.reserve-room", "reserve room for large tasks that wait",
        "true or false, false"},
--- a/src/libs/tenants/include/whintack/tenants/quotaallocator.h
+++ b/src/libs/tenants/include/whintack/tenants/quotaallocator.h
@@ -140,6 +140,8 @@
   }
   void shrink(Row &Of, bool IsStrict);
   bool mayExceed(const Row &Of) const;
+  static bool isUseKnown(const Row &Of, const Part &Each);
+  static ComputeResources heldBy(const Row &Of, const Part &Each);
   bool isWaiting(const Row &Of) const;
   bool isUnallocated(const Row &Of) const;
   Shares targetsByDemand(const Row &Of) const;
--- a/src/libs/tenants/quotatargets.cpp
+++ b/src/libs/tenants/quotatargets.cpp
@@ -53,9 +53,22 @@
   return false;
 }
 
-/// The shares that the demand of the services asks for. The services that have
-/// waited longest get enough for their largest task, as far as the maximum
-/// allows; equal parts that are too small for any task would start none.
+/// What the service keeps in any case. A planner that does not know yet what
+/// its predecessor has running reports more than any maximum; that is no
+/// demand, so it keeps its share and asks for no more.
+ComputeResources QuotaAllocator::heldBy(const Row &Of, const Part &Each) {
+  return isUseKnown(Of, Each) ? Each.Use.InUse : Each.Stored;
+}
+
+bool QuotaAllocator::isUseKnown(const Row &Of, const Part &Each) {
+  return Each.IsReported &&
+         coversLimited(Of.Maximum, Of.Maximum, Each.Use.InUse);
+}
+
+/// The shares that the demand of the services asks for. Each service keeps what
+/// it has in use. Those that have waited longest get enough for their largest
+/// task besides, as far as the maximum allows; equal parts that are too small
+/// for any task would start none.
 QuotaAllocator::Shares QuotaAllocator::targetsByDemand(const Row &Of) const {
   std::vector<std::pair<ServiceName, const Part *>> Order;
   Order.reserve(Of.Parts.size());
@@ -68,13 +81,22 @@
       });
   std::vector<ComputeResources> Floors(Order.size());
   ComputeResources Reserved;
+  ComputeResources Held;
+  for (const auto &[Service, Each] : Order)
+    Held += heldBy(Of, *Each);
+  if (coversLimited(Of.Maximum, Of.Maximum, Held)) {
+    Reserved = Held;
+    for (size_t Index = 0; Index < Order.size(); ++Index)
+      Floors[Index] = heldBy(Of, *Order[Index].second);
+  }
   for (size_t Index = 0; Index < Order.size(); ++Index) {
     const QuotaUse &Use = Order[Index].second->Use;
     const ComputeResources With = sumOf(Reserved, Use.LargestWaiting);
     if (Use.Waiting == ComputeResources() ||
+        !isUseKnown(Of, *Order[Index].second) ||
         !coversLimited(Of.Maximum, Of.Maximum, With))
       continue;
-    Floors[Index] = Use.LargestWaiting;
+    Floors[Index] += Use.LargestWaiting;
     Reserved = With;
   }
   Shares Targets;
@@ -89,7 +111,7 @@
     Demands.reserve(Order.size());
     for (size_t Index = 0; Index < Order.size(); ++Index) {
       const Part &Each = *Order[Index].second;
-      const int64_t Demand = Each.IsReported
+      const int64_t Demand = isUseKnown(Of, Each)
                                  ? Each.Use.InUse.*Kind + Each.Use.Waiting.*Kind
                                  : Each.Stored.*Kind;
       Demands.push_back(std::max<int64_t>(0, Demand - Floors[Index].*Kind));
--- a/tests/auto/tenants/tst_quotaallocator.cpp
+++ b/tests/auto/tenants/tst_quotaallocator.cpp
@@ -316,3 +316,36 @@
   Test.settle();
   CHECK(Test.cores(Second) >= 60);
 }
+
+// Guards against quota that stays free while several services wait, each for
+// more than its part: what a service has in use counts before its next task.
+TEST_CASE("the service that has waited longest can start beside what it runs") {
+  Fixture Test({100, 0, 0});
+  Test.settle();
+  Test.run(First, 40);
+  Test.wait(First, 30, 30, seconds(2));
+  Test.run(Second, 30);
+  Test.wait(Second, 30, 30, seconds(1));
+  Test.settle();
+  CHECK(Test.cores(First) == 70);
+  CHECK(Test.cores(Second) == 30);
+}
+
+// Guards against a new planner that takes the shares of the others, because it
+// does not know yet what its predecessor has running.
+TEST_CASE("a planner that recovers keeps its share and gets no more") {
+  Fixture Test({100, 0, 0});
+  Test.settle();
+  REQUIRE(Test.cores(Second) == 50);
+  Test.run(First, 50);
+  Test.wait(First, 40, 10);
+  Test.settle();
+  // What nobody asks for is divided equally.
+  REQUIRE(Test.cores(First) == 95);
+  Test.run(First, 90);
+  ++Test.Tokens[Second];
+  Test.run(Second, 1'000'000'000'000);
+  Test.settle();
+  CHECK(Test.cores(First) == 95);
+  CHECK(Test.cores(Second) == 5);
+}
