Planner: Keep what a quota lets start between two changes

Each waiting job asks several times in a planning pass whether its quota lets it start; each time six look-ups by name. The answer is kept per tenant until the ledger changes, and the pool is divided among tenants only while room is short.

--- a/src/libs/jobs/tenantaccounts.cpp
+++ b/src/libs/jobs/tenantaccounts.cpp
@@ -105,9 +105,14 @@
 
 bool TenantAccounts::mayStart(const TenantAccount *Account,
                               const ComputeResources &Need) const {
-  if (!Account || !this->Ledger.isLimited(Account->Name))
+  if (!Account)
     return true;
-  return this->MayStartLimited && this->Ledger.mayStart(Account->Name, Need);
+  if (Account->RoomAsOf != this->Ledger.changes()) {
+    Account->Room = this->Ledger.room(Account->Name);
+    Account->RoomAsOf = this->Ledger.changes();
+  }
+  return !Account->Room ||
+         (this->MayStartLimited && Account->Room->covers(Need));
 }
 
 bool TenantAccounts::fitsMaximum(const TenantAccount &Account,
@@ -134,6 +139,9 @@
 void TenantAccounts::divide(const ComputeResources &Divided, bool IsShort) {
   this->Pool = Divided;
   this->IsScarce = IsShort && this->hasSeveralTenants();
+  // Nothing has to be divided.
+  if (!this->IsScarce)
+    return;
   std::map<TenantName, tenants::ShareClaim> Claims;
   for (const auto &[Name, Account] : this->Accounts) {
     tenants::ShareClaim &Claim = Claims[Name];
--- a/src/libs/jobs/tenantaccounts.h
+++ b/src/libs/jobs/tenantaccounts.h
@@ -80,6 +80,10 @@
   WaitingTasks Waiting;
   /// Part of the pool that the tenant is entitled to in this pass.
   double EntitledPart = 0;
+  /// What the ledger lets start, as of its change RoomAsOf: each waiting job
+  /// asks for it several times in a pass.
+  mutable std::optional<ComputeResources> Room;
+  mutable uint64_t RoomAsOf = 0;
   LoggedState<bool> HeldBack;
   LoggedState<ShareState> Share;
 };
--- a/src/libs/tenants/include/whintack/tenants/quotaledger.h
+++ b/src/libs/tenants/include/whintack/tenants/quotaledger.h
@@ -3,6 +3,8 @@
 
 #include "whintack/tenants/quota.h"
 
+#include <optional>
+
 namespace whintack::tenants {
 
 /// Counts what one service has running for each tenant, and decides whether
@@ -24,6 +26,11 @@
 
   /// Whether the tenant has a maximum in the configuration.
   bool isLimited(const TenantName &Tenant) const;
+  /// What may still start, separately for each resource; std::nullopt for a
+  /// tenant without a maximum. Negative where the share is exceeded.
+  std::optional<ComputeResources> room(const TenantName &Tenant) const;
+  /// Rises with each change that can affect room().
+  uint64_t changes() const { return this->Changes; }
   /// Whether tasks that together have this need may start now. If more is in
   /// use than the share of any resource allows, nothing may start, not even a
   /// task that does not need this resource.
@@ -51,6 +58,7 @@
   /// Tenants with runs.
   std::map<TenantName, ComputeResources> Booked;
   ComputeResources UnknownUse;
+  uint64_t Changes = 1;
 };
 
 } // namespace whintack::tenants
--- a/src/libs/tenants/quotaledger.cpp
+++ b/src/libs/tenants/quotaledger.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace whintack::tenants {
 
@@ -20,10 +21,6 @@
   return std::min(Share, static_cast<int64_t>(std::floor(Scaled)));
 }
 
-static bool isWithin(int64_t Use, int64_t Share, int64_t Maximum) {
-  return Maximum <= 0 || Use <= Share;
-}
-
 /// The part of the need for one resource that the share leaves room for.
 static double partWithin(int64_t Need, int64_t Use, int64_t Share,
                          int64_t Maximum) {
@@ -44,15 +41,19 @@
   this->Maximums = std::move(Given);
   std::erase_if(this->Maximums,
                 [](const auto &Entry) { return !hasLimit(Entry.second); });
+  ++this->Changes;
 }
 
 void QuotaLedger::adopt(const QuotaGrants &Newer) {
-  if (Newer.Plan >= this->Granted.Plan)
-    this->Granted = Newer;
+  if (Newer.Plan < this->Granted.Plan)
+    return;
+  this->Granted = Newer;
+  ++this->Changes;
 }
 
 void QuotaLedger::book(const TenantName &Tenant, const ComputeResources &Need) {
   this->Booked[Tenant] += Need;
+  ++this->Changes;
 }
 
 void QuotaLedger::release(const TenantName &Tenant,
@@ -60,33 +61,45 @@
   const auto Found = this->Booked.find(Tenant);
   if (Found == this->Booked.end())
     return;
+  ++this->Changes;
   Found->second -= Need;
   if (Found->second == ComputeResources())
     this->Booked.erase(Found);
 }
 
 void QuotaLedger::setUnknownUse(const ComputeResources &Use) {
+  if (this->UnknownUse == Use)
+    return;
   this->UnknownUse = Use;
+  ++this->Changes;
 }
 
 bool QuotaLedger::isLimited(const TenantName &Tenant) const {
   return this->Maximums.contains(Tenant);
 }
 
-bool QuotaLedger::mayStart(const TenantName &Tenant,
-                           const ComputeResources &Need) const {
+std::optional<ComputeResources>
+QuotaLedger::room(const TenantName &Tenant) const {
   const auto Found = this->Maximums.find(Tenant);
   if (Found == this->Maximums.end())
-    return true;
+    return std::nullopt;
   if (!this->Granted.Tenants.contains(Tenant))
-    return false;
+    return ComputeResources{-1, -1, -1};
   const ComputeResources &Maximum = Found->second;
-  const ComputeResources Share = this->share(Tenant);
-  ComputeResources Use = this->inUse(Tenant);
-  Use += Need;
-  return isWithin(Use.MilliCores, Share.MilliCores, Maximum.MilliCores) &&
-         isWithin(Use.MemoryMb, Share.MemoryMb, Maximum.MemoryMb) &&
-         isWithin(Use.Gpus, Share.Gpus, Maximum.Gpus);
+  ComputeResources Room = this->share(Tenant);
+  Room -= this->inUse(Tenant);
+  const auto Left = [](int64_t Limited, int64_t Limit) {
+    return Limit > 0 ? Limited : std::numeric_limits<int64_t>::max();
+  };
+  return ComputeResources{Left(Room.MilliCores, Maximum.MilliCores),
+                          Left(Room.MemoryMb, Maximum.MemoryMb),
+                          Left(Room.Gpus, Maximum.Gpus)};
+}
+
+bool QuotaLedger::mayStart(const TenantName &Tenant,
+                           const ComputeResources &Need) const {
+  const std::optional<ComputeResources> Room = this->room(Tenant);
+  return !Room || Room->covers(Need);
 }
 
 double QuotaLedger::partThatMayStart(const TenantName &Tenant,
