--- a/src/libs/dispatch/quotacoordinator.h
+++ b/src/libs/dispatch/quotacoordinator.h
@@ -29,8 +29,7 @@
                    HeldClaim OwnClaim);
 
   void stop();
-  /// Adopts the tenants and services of a configuration. A tenant that it no
-  /// longer contains keeps its last maximum while this process coordinates.
+  /// Adopts the tenants and services of a configuration.
   void setTenants(const jobs::FleetConfiguration &Configuration);
 
 private:
--- a/src/libs/jobs/include/whintack/jobs/tenantstatus.h
+++ b/src/libs/jobs/include/whintack/jobs/tenantstatus.h
@@ -22,7 +22,7 @@
   ComputeResources Waiting;
   /// Part of the pool, of the resource that the tenant uses most.
   double UsedPart = 0;
-  /// The part that the tenant was entitled to in the last planning pass.
+  /// The part that the tenant was entitled to when room was last short.
   double EntitledPart = 0;
   /// Tasks wait only because of the tenant's quota.
   bool IsHeldBack = false;
--- a/src/libs/jobs/tenantaccounts.h
+++ b/src/libs/jobs/tenantaccounts.h
@@ -78,7 +78,7 @@
   ComputeResources Booked;
   /// What waits in the present planning pass.
   WaitingTasks Waiting;
-  /// Part of the pool that the tenant is entitled to in this pass.
+  /// Part of the pool that the tenant was entitled to when room was last short.
   double EntitledPart = 0;
   /// What the ledger lets start, as of its change RoomAsOf: each waiting job
   /// asks for it several times in a pass.
@@ -106,7 +106,7 @@
 class TenantAccounts {
 public:
   /// Adopts the tenants of a configuration. A tenant that has been removed
-  /// keeps its maximum and its weight until its last job has ended.
+  /// keeps its weight until its last job has ended, and has no maximum.
   void configure(const tenants::TenantTable &Table);
   /// Adds a job. Returns null if \p Tenant is empty.
   TenantAccount *addJob(const TenantName &Tenant);
