Dispatch: Log saturated processors and slow start orders

processor-saturated compares the processor time of the process with its share, once a second; orders-slow gives the longest times of start orders until they were sent and until they were answered. No decision changes.

--- a/src/libs/base/include/whintack/base/time.h
+++ b/src/libs/base/include/whintack/base/time.h
@@ -26,6 +26,9 @@
 /// Returns the clock of this machine.
 Clock systemClock();
 
+/// Returns the processor time that this process has used.
+Duration processorTime();
+
 /// Formats \p Time as UTC in ISO 8601 with milliseconds.
 std::string formatWallTime(WallTime Time);
 
--- a/src/libs/base/time.cpp
+++ b/src/libs/base/time.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdio>
 #include <ctime>
+#include <sys/resource.h>
 
 namespace whintack {
 
@@ -25,6 +26,16 @@
   return Source;
 }
 
+Duration processorTime() {
+  rusage Usage{};
+  getrusage(RUSAGE_SELF, &Usage);
+  const auto Length = [](const timeval &Value) {
+    return std::chrono::seconds(Value.tv_sec) +
+           std::chrono::microseconds(Value.tv_usec);
+  };
+  return Length(Usage.ru_utime) + Length(Usage.ru_stime);
+}
+
 std::string formatWallTime(WallTime Time) {
   constexpr int64_t MicrosecondsPerSecond = 1000000;
   constexpr int64_t MicrosecondsPerMillisecond = 1000;
--- a/src/libs/commands/commandentry.cpp
+++ b/src/libs/commands/commandentry.cpp
@@ -55,6 +55,7 @@
   Connections.Advice =
       platform::makeAdviceGateway(Settings.Fleet.Advice, Calls);
   Connections.Codec = platform::makePlatformCodec();
+  Connections.ProcessorTime = processorTime;
   dispatch::FleetNode Node(Settings, std::move(Connections), Time,
                            systemRandom(), Loop, Timers);
   if (const auto Started = Node.start(); !Started) {
--- a/src/libs/dispatch/executorlink.cpp
+++ b/src/libs/dispatch/executorlink.cpp
@@ -126,8 +126,8 @@
 }
 
 void ExecutorLink::dropQueuedStarts() {
-  for (const jobs::StartOrder &Dropped : std::exchange(this->QueuedStarts, {}))
-    this->Hooks.OnStart(Dropped, jobs::StartOutcome::Unhealthy, 0);
+  for (const QueuedStart &Dropped : std::exchange(this->QueuedStarts, {}))
+    this->Hooks.OnStart(Dropped.Order, jobs::StartOutcome::Unhealthy, 0);
 }
 
 void ExecutorLink::handleReport(
@@ -273,13 +273,13 @@
 }
 
 void ExecutorLink::start(jobs::StartOrder Order) {
-  this->QueuedStarts.push_back(std::move(Order));
+  this->QueuedStarts.push_back({std::move(Order), this->Shared.now()});
   this->sendStarts();
 }
 
 void ExecutorLink::sendStarts() {
   while (!this->QueuedStarts.empty() && this->OpenStarts < MaxOpenStarts) {
-    const jobs::StartOrder Order = std::move(this->QueuedStarts.front());
+    const auto [Order, DecidedAt] = std::move(this->QueuedStarts.front());
     this->QueuedStarts.pop_front();
     // An order that was not sent cannot have started the task. While it waited,
     // the executor may have been declared empty and the task started elsewhere.
@@ -292,13 +292,16 @@
       continue;
     }
     ++this->OpenStarts;
+    const TimePoint Now = this->Shared.now();
     this->Gateway.Start(
         this->Setup.Executor, Order, this->Setup.Token, this->nextLease(),
-        this->Shared.now() + OrderTimeout,
+        Now + OrderTimeout,
         onLoop<ExecutorLink, jobs::StartAnswer>(
             this->Shared.Loop, this->shared_from_this(),
-            [Order, Call = this->callContext()](
-                ExecutorLink &Self, const jobs::StartAnswer &Answer) {
+            [Order = Order, DecidedAt = DecidedAt, Now,
+             Call = this->callContext()](ExecutorLink &Self,
+                                         const jobs::StartAnswer &Answer) {
+              Self.Hooks.OnStartAnswered(DecidedAt, Now);
               Self.handleStartAnswer(Order, Call, Answer);
             }));
   }
@@ -335,8 +338,8 @@
   // A start order that has not been sent yet is dropped.
   for (auto Each = this->QueuedStarts.begin(); Each != this->QueuedStarts.end();
        ++Each)
-    if (Each->Task == Order.Task && Each->Run == Order.Run) {
-      const jobs::StartOrder Dropped = *Each;
+    if (Each->Order.Task == Order.Task && Each->Order.Run == Order.Run) {
+      const jobs::StartOrder Dropped = Each->Order;
       this->QueuedStarts.erase(Each);
       this->Hooks.OnStart(Dropped, jobs::StartOutcome::Unhealthy, 0);
       return;
--- a/src/libs/dispatch/executorlink.h
+++ b/src/libs/dispatch/executorlink.h
@@ -26,6 +26,8 @@
   std::function<uint64_t(const jobs::ExecutorId &)> LastDiscardableEnd;
   std::function<void(const jobs::ExecutorId &, const jobs::ExecutorReport &)>
       OnReport;
+  /// A start order that was decided and sent at these times was answered.
+  std::function<void(TimePoint DecidedAt, TimePoint SentAt)> OnStartAnswered;
   /// The outcome of a start order. An order that was not sent is reported as
   /// Unhealthy or Late at time 0.
   std::function<void(const jobs::StartOrder &, jobs::StartOutcome,
@@ -93,6 +95,11 @@
     Duration LongestWait = Duration::zero();
   };
 
+  struct QueuedStart {
+    jobs::StartOrder Order;
+    TimePoint DecidedAt;
+  };
+
   /// What was known of the executor when a call was sent.
   struct CallContext {
     /// Number of incarnations seen by then.
@@ -139,7 +146,7 @@
   /// The incarnation that reported last; 0 if it is not known.
   jobs::ExecutorIncarnation Incarnation = 0;
   uint64_t IncarnationsSeen = 0;
-  std::deque<jobs::StartOrder> QueuedStarts;
+  std::deque<QueuedStart> QueuedStarts;
   size_t OpenStarts = 0;
   /// The last report listed runs.
   bool HasRuns = false;
--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -12,8 +12,6 @@
 static constexpr Duration StartupCheckInterval = std::chrono::milliseconds(200);
 /// Time to store the last changes of a shard that is handed over.
 static constexpr Duration DrainTimeout = std::chrono::milliseconds(1500);
-/// Lateness of the reconciliation above which the event loop counts as late.
-static constexpr Duration MaxLoopDelay = std::chrono::milliseconds(250);
 /// Time in which a claimed shard must be loaded. Leaves a second holder as much
 /// within the 12 s in which service must have recovered.
 static constexpr Duration LoadTime = std::chrono::seconds(5);
@@ -30,7 +28,12 @@
                      Context Shared, PeerTransport Transport)
     : Self(std::move(Self)), Connections(std::move(Connections)),
       Shared(std::move(Shared)), Transport(std::move(Transport)),
-      Loads(std::make_shared<LoadQueue>(this->Shared.Loop)) {
+      Loads(std::make_shared<LoadQueue>(this->Shared.Loop)),
+      Processor(
+          this->Self.ProcessorShare, this->Connections.ProcessorTime,
+          [](std::string_view Event, std::initializer_list<LogField> Fields) {
+            logEvent(LogLevel::Warning, Event, Fields);
+          }) {
   // The lease knows of one grace only. A successor would wait in vain for more.
   this->Self.MachineOrderGrace =
       std::min(this->Self.MachineOrderGrace, this->Self.StoreOutageGrace);
@@ -230,18 +233,9 @@
   this->Lease->end(Done);
 }
 
-/// Logs how late the event loop runs its timers. All work of this process waits
-/// that long.
-void FleetCore::reportLoopDelay() const {
-  const Duration Delay = this->Shared.now() - this->NextCheck;
-  if (Delay > MaxLoopDelay)
-    logEvent(LogLevel::Warning, "event-loop-late",
-             {{"delay-ms", toMilliseconds(Delay)},
-              {"shards", this->OwnClaims.size()}});
-}
-
 void FleetCore::checkPeriodically() {
   this->reportLoopDelay();
+  this->Processor.update(this->Shared.now());
   this->IsReadyNow = this->canServe();
   if (this->IsStopping)
     return;
--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -4,6 +4,7 @@
 #include "executorlistmonitor.h"
 #include "gracemonitor.h"
 #include "jobrequesthandler.h"
+#include "loadmonitor.h"
 #include "machineorders.h"
 #include "membership.h"
 #include "poolrebalancer.h"
@@ -134,6 +135,7 @@
   std::shared_ptr<ShardBalancer> Balancer;
   std::shared_ptr<ExecutorListMonitor> Executors;
   std::shared_ptr<LoadQueue> Loads;
+  ProcessorMonitor Processor;
   std::shared_ptr<ServiceCalls> Calls;
   std::shared_ptr<JobRequestHandler> RequestHandler;
   std::shared_ptr<PrefixWatch> OperatorItems;
--- a/src/libs/dispatch/include/whintack/dispatch/fleetnode.h
+++ b/src/libs/dispatch/include/whintack/dispatch/fleetnode.h
@@ -20,6 +20,9 @@
   jobs::MachineGateway Machines;
   jobs::AdviceGateway Advice;
   jobs::PlatformCodec Codec;
+  /// Returns the processor time that this process has used; null if that is not
+  /// known.
+  std::function<Duration()> ProcessorTime;
 };
 
 /// Error that prevents a node from starting.
--- /dev/null
+++ b/src/libs/dispatch/loadmonitor.cpp
@@ -0,0 +1,60 @@
+#include "loadmonitor.h"
+
+#include <utility>
+
+namespace whintack::dispatch::Internal {
+
+/// Part of its processor share above which a VM counts as saturated.
+static constexpr double SaturatedUse = 0.8;
+static constexpr Duration LogInterval = std::chrono::seconds(1);
+/// Time from the decision to the answer above which orders count as slow.
+/// Executors take milliseconds to answer.
+static constexpr Duration MaxOrderTime = std::chrono::milliseconds(100);
+
+ProcessorMonitor::ProcessorMonitor(double ProcessorShare,
+                                   std::function<Duration()> UsedTime,
+                                   jobs::DecisionLog Log)
+    : ProcessorShare(ProcessorShare), UsedTime(std::move(UsedTime)),
+      Log(std::move(Log)) {}
+
+void ProcessorMonitor::update(TimePoint Now) {
+  if (!this->UsedTime ||
+      (this->CheckedAt && Now < *this->CheckedAt + LogInterval))
+    return;
+  const Duration Used = this->UsedTime();
+  const Duration Recent = Used - std::exchange(this->UsedBefore, Used);
+  const std::optional<TimePoint> Earlier = std::exchange(this->CheckedAt, Now);
+  if (!Earlier)
+    return;
+  const Duration Elapsed = Now - *Earlier;
+  const auto Limit =
+      this->ProcessorShare * static_cast<double>(Elapsed.count());
+  if (static_cast<double>(Recent.count()) > SaturatedUse * Limit)
+    this->Log("processor-saturated", {{"used-ms", toMilliseconds(Recent)},
+                                      {"of-ms", toMilliseconds(Elapsed)},
+                                      {"share", this->ProcessorShare}});
+}
+
+OrderMonitor::OrderMonitor(ServiceName Service, jobs::DecisionLog Log)
+    : Service(std::move(Service)), Log(std::move(Log)) {}
+
+void OrderMonitor::noteAnswered(TimePoint DecidedAt, TimePoint SentAt,
+                                TimePoint Now) {
+  ++this->Orders;
+  this->LongestUnsent = std::max(this->LongestUnsent, SentAt - DecidedAt);
+  this->LongestUnanswered = std::max(this->LongestUnanswered, Now - SentAt);
+  if (Now < this->NextLogAt)
+    return;
+  this->NextLogAt = Now + LogInterval;
+  const size_t Counted = std::exchange(this->Orders, 0);
+  const Duration Unsent = std::exchange(this->LongestUnsent, Duration::zero());
+  const Duration Unanswered =
+      std::exchange(this->LongestUnanswered, Duration::zero());
+  if (Unsent + Unanswered > MaxOrderTime)
+    this->Log("orders-slow", {{"shard", this->Service},
+                              {"orders", Counted},
+                              {"unsent-ms", toMilliseconds(Unsent)},
+                              {"unanswered-ms", toMilliseconds(Unanswered)}});
+}
+
+} // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -25,6 +25,11 @@
 /// Reserved from a ticket's validity for sending the order.
 static constexpr Duration TicketMargin = std::chrono::milliseconds(100);
 
+static void logWarning(std::string_view Event,
+                       std::initializer_list<LogField> Fields) {
+  logEvent(LogLevel::Warning, Event, Fields);
+}
+
 ServiceShard::ServiceShard(Context Shared, ShardEnvironment Environment,
                            HeldClaim OwnClaim)
     : Shared(std::move(Shared)), Environment(std::move(Environment)),
@@ -36,10 +41,8 @@
              logEvent(LogLevel::Info, Event, Fields);
            },
            this->Environment.ReservesRoom}),
-      BacklogMonitor(this->Service, [](std::string_view Event,
-                                       std::initializer_list<LogField> Fields) {
-        logEvent(LogLevel::Warning, Event, Fields);
-      }) {}
+      BacklogMonitor(this->Service, logWarning),
+      OrderTimes(this->Service, logWarning) {}
 
 void ServiceShard::start() {
   this->ClaimedAt = this->Shared.now();
@@ -312,6 +315,9 @@
     this->requestFlush();
     this->requestPlan();
   };
+  Hooks.OnStartAnswered = [this](TimePoint DecidedAt, TimePoint SentAt) {
+    this->OrderTimes.noteAnswered(DecidedAt, SentAt, this->Shared.now());
+  };
   Hooks.OnStart = [this](const jobs::StartOrder &Order,
                          jobs::StartOutcome Outcome, jobs::ExecutorTime At) {
     this->Planner.noteStart(Order, Outcome, At, this->Shared.now());
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -3,6 +3,7 @@
 
 #include "executorlink.h"
 #include "jobownership.h"
+#include "loadmonitor.h"
 #include "progresswriter.h"
 #include "servicecalls.h"
 #include "shardclaimer.h"
@@ -194,6 +195,7 @@
   std::shared_ptr<ShardStore> Records;
   std::shared_ptr<ProgressWriter> Writer;
   StoreBacklogMonitor BacklogMonitor;
+  OrderMonitor OrderTimes;
   std::shared_ptr<PrefixWatch> Notices;
   std::map<jobs::ExecutorId, std::shared_ptr<ExecutorLink>> Links;
   std::unordered_map<jobs::JobId, JobOrigin> Origins;
