--- a/src/libs/dispatch/executorcall.cpp
+++ b/src/libs/dispatch/executorcall.cpp
@@ -88,8 +88,8 @@
   };
 }
 
-jobs::ExecutorGateway
-makeCallingGateway(std::function<void(ExecutorCall, ExecutorCallback)> Make) {
+jobs::ExecutorGateway makeCallingGateway(
+    const std::function<void(ExecutorCall, ExecutorCallback)> &Make) {
   jobs::ExecutorGateway Gateway;
   Gateway.Report = [Make](const jobs::ExecutorAddress &To,
                           const jobs::ReportRequest &Request,
--- a/src/libs/dispatch/executorcall.h
+++ b/src/libs/dispatch/executorcall.h
@@ -25,7 +25,7 @@
 
 /// Returns a gateway that passes each call, without an id, to \p Make.
 jobs::ExecutorGateway makeCallingGateway(
-    std::function<void(peers::ExecutorCall, ExecutorCallback)> Make);
+    const std::function<void(peers::ExecutorCall, ExecutorCallback)> &Make);
 
 } // namespace whintack::dispatch::Internal
 
