Dispatch, Peers: Split files that the relays made longer, and fold what stood twice

One interval for batches, one function for calls that are repeated directly, one for stop and pace, one warning log. No change of behaviour; tst_executorrelay, tst_peers, tst_queueturn and tst_executorlives pass.

--- a/src/libs/dispatch/context.h
+++ b/src/libs/dispatch/context.h
@@ -29,6 +29,12 @@
   }
 };
 
+/// A log for decisions that operators should look at.
+inline void logWarning(std::string_view Event,
+                       std::initializer_list<LogField> Fields) {
+  logEvent(LogLevel::Warning, Event, Fields);
+}
+
 /// Wraps \p Function so that it runs on the thread of \p Loop, and only if \p
 /// Object still exists then. The result may be called after \p Loop is gone.
 template <typename Owner, typename Argument, typename Call>
--- a/src/libs/dispatch/executorcall.cpp
+++ b/src/libs/dispatch/executorcall.cpp
@@ -105,20 +105,15 @@
     Make({0, To, Token, Deadline, peers::LeasedStart{Order, LeaseUntil}},
          expecting<jobs::StartAnswer>(std::move(Done)));
   };
-  Gateway.Stop = [Make](const jobs::ExecutorAddress &To,
-                        const jobs::StopOrder &Order, uint64_t Token,
-                        TimePoint Deadline,
-                        jobs::GatewayCallback<jobs::ExecutorTime> Done) {
-    Make({0, To, Token, Deadline, Order},
-         expecting<ConfirmationResult>(std::move(Done)));
-  };
-  Gateway.Pace = [Make](const jobs::ExecutorAddress &To,
-                        const jobs::PaceOrder &Order, uint64_t Token,
-                        TimePoint Deadline,
-                        jobs::GatewayCallback<jobs::ExecutorTime> Done) {
+  const auto Confirm = [Make](const jobs::ExecutorAddress &To,
+                              const auto &Order, uint64_t Token,
+                              TimePoint Deadline,
+                              jobs::GatewayCallback<jobs::ExecutorTime> Done) {
     Make({0, To, Token, Deadline, Order},
          expecting<ConfirmationResult>(std::move(Done)));
   };
+  Gateway.Stop = Confirm;
+  Gateway.Pace = Confirm;
   return Gateway;
 }
 
--- a/src/libs/dispatch/executorcall.h
+++ b/src/libs/dispatch/executorcall.h
@@ -5,6 +5,10 @@
 
 namespace whintack::dispatch::Internal {
 
+/// Minimum time between two messages with calls, or with answers, to the same
+/// VM. What comes up in that time shares one.
+inline constexpr Duration CallBatchInterval = std::chrono::milliseconds(4);
+
 using ExecutorCallback = std::function<void(peers::ExecutorResult)>;
 
 /// Makes the call through \p Gateway and passes its result to \p Done, on any
--- a/src/libs/dispatch/executorrelay.cpp
+++ b/src/libs/dispatch/executorrelay.cpp
@@ -9,9 +9,6 @@
 
 /// Number of executors per core of processor that a VM calls itself.
 static constexpr double DirectExecutorsPerCore = 100;
-/// Minimum time between two messages to the same relay. Calls of that time
-/// share one.
-static constexpr Duration BatchInterval = std::chrono::milliseconds(4);
 static constexpr Duration UpdateInterval = std::chrono::milliseconds(500);
 static constexpr Duration WatchInterval = std::chrono::milliseconds(100);
 /// Time without a message from a relay with open calls after which these are
@@ -118,7 +115,7 @@
   if (State.Queued.empty())
     return;
   const TimePoint Now = this->Shared.now();
-  State.NextFlush = Now + BatchInterval;
+  State.NextFlush = Now + CallBatchInterval;
   const bool IsSent = this->Hooks.Send(
       Name, peers::ExecutorCalls{this->Session, Now,
                                  std::exchange(State.Queued, {})});
@@ -137,12 +134,16 @@
   if (isUnanswered(Result))
     this->Routes[Ended.Call.To.Id].DirectUntil =
         this->Shared.now() + DirectTime;
-  if (!std::holds_alternative<peers::NotSent>(Result)) {
+  if (std::holds_alternative<peers::NotSent>(Result))
+    this->repeatDirectly(Ended, jobs::StartOutcome::Late);
+  else
     Ended.Done(std::move(Result));
-    return;
-  }
+}
+
+void ExecutorRelay::repeatDirectly(const PendingCall &Ended,
+                                   jobs::StartOutcome IfStart) {
   if (std::holds_alternative<peers::LeasedStart>(Ended.Call.Content))
-    Ended.Done(jobs::StartAnswer{jobs::StartOutcome::Late, std::nullopt});
+    Ended.Done(jobs::StartAnswer{IfStart, std::nullopt});
   else
     this->callDirectly(Ended.Call, Ended.Done);
 }
@@ -191,8 +192,6 @@
     this->watchRelays();
 }
 
-/// Makes the calls that can be repeated directly. A start order is not
-/// repeated: the next report tells whether it was carried out.
 void ExecutorRelay::giveUpRelay(const EntryName &Name) {
   RelayState &State = this->States[Name];
   logEvent(LogLevel::Warning, "relay-silent",
@@ -204,13 +203,8 @@
   for (const auto &[Id, Pending] : this->OpenCalls)
     if (Pending.Relay == Name)
       Open.push_back(Id);
-  for (const uint64_t Id : Open) {
-    const PendingCall Given = this->take(Id);
-    if (std::holds_alternative<peers::LeasedStart>(Given.Call.Content))
-      Given.Done(noAnswerTo(Given.Call));
-    else
-      this->callDirectly(Given.Call, Given.Done);
-  }
+  for (const uint64_t Id : Open)
+    this->repeatDirectly(this->take(Id), jobs::StartOutcome::Unknown);
 }
 
 } // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/executorrelay.h
+++ b/src/libs/dispatch/executorrelay.h
@@ -78,6 +78,9 @@
   void finish(uint64_t Id, peers::ExecutorResult Result);
   /// Takes the call out of those that are open.
   PendingCall take(uint64_t Id);
+  /// Makes the call directly, unless it is a start order, which ends with \p
+  /// IfStart: the next report tells whether it was carried out.
+  void repeatDirectly(const PendingCall &Ended, jobs::StartOutcome IfStart);
   void watchRelays();
   void checkRelays();
   void giveUpRelay(const EntryName &Name);
--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -29,11 +29,8 @@
     : Self(std::move(Self)), Connections(std::move(Connections)),
       Shared(std::move(Shared)), Transport(std::move(Transport)),
       Loads(std::make_shared<LoadQueue>(this->Shared.Loop)),
-      Processor(
-          this->Self.ProcessorShare, this->Connections.ProcessorTime,
-          [](std::string_view Event, std::initializer_list<LogField> Fields) {
-            logEvent(LogLevel::Warning, Event, Fields);
-          }) {
+      Processor(this->Self.ProcessorShare, this->Connections.ProcessorTime,
+                logWarning) {
   // The lease knows of one grace only. A successor would wait in vain for more.
   this->Self.MachineOrderGrace =
       std::min(this->Self.MachineOrderGrace, this->Self.StoreOutageGrace);
--- a/src/libs/dispatch/relayedcallhandler.cpp
+++ b/src/libs/dispatch/relayedcallhandler.cpp
@@ -9,9 +9,6 @@
 static constexpr Duration MaxLateness = std::chrono::milliseconds(300);
 /// Interval over which the fastest message is looked for.
 static constexpr Duration LatenessInterval = std::chrono::seconds(5);
-/// Minimum time between two messages to the same VM. Answers of that time share
-/// one.
-static constexpr Duration BatchInterval = std::chrono::milliseconds(4);
 /// Maximum time between two messages to a VM with open calls.
 static constexpr Duration AliveInterval = std::chrono::milliseconds(150);
 
@@ -75,7 +72,7 @@
   --Known.OpenCalls;
   Known.Queued.push_back(std::move(Answer));
   this->scheduleFlush(
-      To, std::max(this->Shared.now(), Known.LastFlush + BatchInterval));
+      To, std::max(this->Shared.now(), Known.LastFlush + CallBatchInterval));
 }
 
 void RelayedCallHandler::scheduleFlush(const EntryName &To, TimePoint At) {
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -8,27 +8,15 @@
 /// Minimum time between two planning passes. A pass looks at all executors and
 /// waiting jobs, so reports that arrive together share one.
 static constexpr Duration MinPlanInterval = std::chrono::milliseconds(5);
-/// Time for the advice service on top of the queue's policy, because calls
-/// queue up there.
-static constexpr Duration AdviceMargin = std::chrono::milliseconds(1500);
 static constexpr Duration DiscoveryTimeout = std::chrono::milliseconds(1000);
 /// Wait of one watch call for notices. While none come, what is known is as old
 /// as two calls, which must stay below MaxKnowledgeAge also with slow answers.
 static constexpr Duration NoticeWait = std::chrono::milliseconds(500);
-/// Interval between two checks of the machines while executors are silent.
-static constexpr Duration SilentCheckInterval = std::chrono::milliseconds(600);
 /// Time after which an earlier planner's claim has certainly expired.
 static constexpr Duration RescanDelay =
     NodeLease::Length + std::chrono::seconds(1);
 static constexpr Duration DiscoveryRetryDelay = std::chrono::milliseconds(200);
 static constexpr Duration MissedJobsRetryDelay = std::chrono::milliseconds(500);
-/// Reserved from a ticket's validity for sending the order.
-static constexpr Duration TicketMargin = std::chrono::milliseconds(100);
-
-static void logWarning(std::string_view Event,
-                       std::initializer_list<LogField> Fields) {
-  logEvent(LogLevel::Warning, Event, Fields);
-}
 
 ServiceShard::ServiceShard(Context Shared, ShardEnvironment Environment,
                            HeldClaim OwnClaim)
@@ -296,95 +284,6 @@
   this->requestPlan();
 }
 
-LinkHooks ServiceShard::linkHooks() {
-  // Links run on the same loop as this object and are closed by it, so
-  // capturing this is safe.
-  LinkHooks Hooks;
-  Hooks.CanOrder = [this] { return this->canOrder(); };
-  Hooks.CanConcludeLoss = [this] { return !this->mayBeSucceeded(); };
-  Hooks.CanStart = [this] { return this->canStartTasks(); };
-  Hooks.IsCurrent = [this](const jobs::StartOrder &Order) {
-    return this->Planner.isCurrent(Order);
-  };
-  Hooks.LastDiscardableEnd = [this](const jobs::ExecutorId &Id) {
-    return this->Planner.lastDiscardableEnd(Id);
-  };
-  Hooks.OnReport = [this](const jobs::ExecutorId &Id,
-                          const jobs::ExecutorReport &Report) {
-    this->Planner.noteReport(Id, Report, this->Shared.now());
-    this->requestFlush();
-    this->requestPlan();
-  };
-  Hooks.OnStartAnswered = [this](TimePoint DecidedAt, TimePoint SentAt) {
-    this->OrderTimes.noteAnswered(DecidedAt, SentAt, this->Shared.now());
-  };
-  Hooks.OnStart = [this](const jobs::StartOrder &Order,
-                         jobs::StartOutcome Outcome, jobs::ExecutorTime At) {
-    this->Planner.noteStart(Order, Outcome, At, this->Shared.now());
-    if (Outcome != jobs::StartOutcome::Started)
-      this->requestPlan();
-  };
-  Hooks.OnStop = [this](const jobs::StopOrder &Order,
-                        std::optional<jobs::ExecutorTime> At) {
-    this->Planner.noteStop(Order, At, this->Shared.now());
-  };
-  Hooks.OnReachable = [this](const jobs::ExecutorId &Id, bool IsReachable) {
-    this->Planner.setReachable(Id, IsReachable);
-    if (!IsReachable && this->Silent.insert(Id).second &&
-        this->Silent.size() == 1)
-      this->checkSilentExecutors();
-    if (IsReachable)
-      this->Silent.erase(Id);
-    this->requestPlan();
-  };
-  Hooks.OnEmpty = [this](const jobs::ExecutorId &Id, jobs::ExecutorLoss Cause) {
-    this->Planner.noteEmpty(Id, Cause, this->Shared.now());
-    this->requestFlush();
-    this->requestPlan();
-  };
-  Hooks.OnFenced = [this] { this->reportLoss("fenced by a later planner"); };
-  return Hooks;
-}
-
-/// Asks the platform about executors that do not answer. Nothing runs any more
-/// on an executor whose machine is down or runs another executor.
-void ServiceShard::checkSilentExecutors() {
-  this->SilentAtRequest = this->Silent;
-  this->listMachines(&ServiceShard::handleSilentMachines);
-}
-
-void ServiceShard::handleSilentMachines(const MachineList &Found) {
-  if (this->IsStopped)
-    return;
-  // A successor may have read what ended on a machine that was moved since.
-  if (Found && !Found.value().empty() && !this->mayBeSucceeded()) {
-    std::set<jobs::ExecutorId> Up;
-    for (const jobs::MachineInfo &Machine : Found.value())
-      if (Machine.State == jobs::MachineState::Up)
-        Up.insert(Machine.Executor);
-    std::erase_if(this->Silent, [&](const jobs::ExecutorId &Id) {
-      // The list may predate the moment when this executor became silent.
-      if (Up.contains(Id) || !this->SilentAtRequest.contains(Id))
-        return false;
-      this->Planner.noteEmpty(Id, jobs::ExecutorLoss::MachineLost,
-                              this->Shared.now());
-      return true;
-    });
-    this->requestFlush();
-    this->requestPlan();
-  }
-  if (this->Silent.empty())
-    return;
-  scheduleFor(this->Shared.Loop, this->shared_from_this(),
-              this->Shared.now() + SilentCheckInterval, [](ServiceShard &Self) {
-                std::erase_if(Self.Silent, [&Self](const auto &Id) {
-                  return Self.Planner.occupancy(Id) == jobs::Occupancy::Vacant;
-                });
-                if (!Self.IsStopped && !Self.Silent.empty())
-                  Self.checkSilentExecutors();
-              });
-}
-
 /// Looks for jobs that request handlers announced to an earlier planner while
 /// this one read the records.
 void ServiceShard::rescan() {
@@ -460,18 +359,6 @@
   this->requestPlan();
 }
 
-void ServiceShard::openLink(const jobs::ExecutorInfo &Info) {
-  LinkSetup Setup;
-  Setup.Executor = {Info.Id, Info.Server};
-  Setup.Token = this->OwnClaim.Token;
-  Setup.MaxLease = this->Environment.MaxLease;
-  Setup.EarlierLeasesEnd = this->EarlierLeasesEnd;
-  auto Link = std::make_shared<ExecutorLink>(
-      this->Shared, this->Environment.Executors, Setup, this->linkHooks());
-  this->Links[Info.Id] = Link;
-  Link->open();
-}
-
 void ServiceShard::requestPlan() {
   if (this->IsPlanRequested || this->IsStopped)
     return;
@@ -507,49 +394,6 @@
   this->LastPlan = Now;
 }
 
-void ServiceShard::execute(const jobs::Order &Order) {
-  const auto FindLink = [this](const jobs::ExecutorId &Id) {
-    const auto Found = this->Links.find(Id);
-    return Found == this->Links.end() ? nullptr : Found->second;
-  };
-  if (const auto *Start = std::get_if<jobs::StartOrder>(&Order)) {
-    if (const auto Link = FindLink(Start->Executor))
-      Link->start(*Start);
-    else
-      this->Planner.noteStart(*Start, jobs::StartOutcome::Unhealthy, 0,
-                              this->Shared.now());
-  } else if (const auto *Stop = std::get_if<jobs::StopOrder>(&Order)) {
-    if (const auto Link = FindLink(Stop->Executor))
-      Link->stop(*Stop);
-    else
-      this->Planner.noteStop(*Stop, std::nullopt, this->Shared.now());
-  } else if (const auto *Pace = std::get_if<jobs::PaceOrder>(&Order)) {
-    if (const auto Link = FindLink(Pace->Executor))
-      Link->pace(*Pace);
-  } else if (const auto *Question = std::get_if<jobs::AdviceOrder>(&Order)) {
-    this->askAdvice(*Question);
-  }
-}
-
-void ServiceShard::askAdvice(const jobs::AdviceOrder &Question) {
-  const TimePoint Sent = this->Shared.now();
-  this->Environment.Advice.Ask(
-      Question, Sent + AdviceMargin,
-      onLoop<ServiceShard, jobs::GatewayResult<jobs::AdviceAnswer>>(
-          this->Shared.Loop, this->shared_from_this(),
-          [Question](ServiceShard &Self,
-                     const jobs::GatewayResult<jobs::AdviceAnswer> &Answer) {
-            const TimePoint Now = Self.Shared.now();
-            if (Answer)
-              Self.Planner.noteAdvice(Question, Answer.value().Tickets,
-                                      Now + Answer.value().Validity -
-                                          TicketMargin);
-            else
-              Self.Planner.noteAdviceFailed(Question, Now);
-            Self.requestPlan();
-          }));
-}
-
 JobOrigin ServiceShard::originOf(const jobs::JobId &Job) const {
   const auto Found = this->Origins.find(Job);
   return Found == this->Origins.end() ? JobOrigin() : Found->second;
