Store relay: Log slow calls, large answers and answers that come too late

Logs could not tell whether a configuration is late for want of bandwidth, of processor time, or because of a lost watch. store-call-slow gives kind, prefix, duration, bytes and path of a call; store-answer-discarded a copy that arrives when its call has ended. No change of logic.

--- a/src/libs/dispatch/storerelay.cpp
+++ b/src/libs/dispatch/storerelay.cpp
@@ -25,6 +25,11 @@
 /// Wait of a watch that repeats an overdue one: it only looks for changes.
 static constexpr Duration OverdueWatchWait = std::chrono::milliseconds(10);
 
+/// Calls that take longer than they wait by this time are logged.
+static constexpr Duration SlowCallTime = std::chrono::seconds(1);
+/// Answers of this size are logged: they take a link of 10 Mbit/s for 0.2 s.
+static constexpr size_t LargeAnswerBytes = 256000;
+
 /// Whether a failed call of this kind indicates that the store is unreachable.
 /// A waiting watch is also cut off when nothing is wrong.
 static bool indicatesReachability(StoreCallKind Kind) {
@@ -83,6 +88,7 @@
   PendingCall &Opened = this->OpenCalls[Id];
   Opened.Call = std::move(Call);
   Opened.Done = std::move(Done);
+  Opened.Opened = this->Shared.now();
   // Only a repeatable call may probe whether the direct path works again.
   const bool IsBlocked = this->Shared.now() < this->DirectBlockedUntil ||
                          (this->IsDirectDown && !IsRepeatable);
@@ -130,8 +136,9 @@
       this->Shared.Store, Call,
       onLoop<StoreRelay, Reply>(
           this->Shared.Loop, this->shared_from_this(),
-          [Id, Kind = Call.Kind](StoreRelay &Self, Reply Answer) {
-            Self.handleDirectReply(Id, Kind, std::move(Answer));
+          [Id, Subject = CallSubject{Call.Kind, Call.Prefix}](StoreRelay &Self,
+                                                              Reply Answer) {
+            Self.handleDirectReply(Id, Subject, std::move(Answer));
           }));
 }
 
@@ -145,19 +152,26 @@
             {"peers", this->Hooks.UsablePeers().size()}});
 }
 
-void StoreRelay::handleDirectReply(peers::CallId Id, StoreCallKind Kind,
+void StoreRelay::handleDirectReply(peers::CallId Id, const CallSubject &Subject,
                                    Reply Answer) {
   const bool IsReached = Answer || !isUnreachable(Answer.error());
   const auto Found = this->OpenCalls.find(Id);
-  const bool IsIndicative = indicatesReachability(Kind);
+  const bool IsIndicative = indicatesReachability(Subject.Kind);
   if (IsReached && IsIndicative && std::exchange(this->IsDirectDown, false)) {
     this->DirectBlockedUntil = TimePoint::min();
     logEvent(LogLevel::Info, "store-regained", {});
   }
   if (!IsReached && IsIndicative)
     this->noteDirectFailure(Answer.error());
-  if (Found == this->OpenCalls.end())
+  if (Found == this->OpenCalls.end()) {
+    if (const size_t Bytes = Answer ? store::contentBytes(Answer.value()) : 0;
+        Bytes >= LargeAnswerBytes)
+      logEvent(LogLevel::Warning, "store-answer-discarded",
+               {{"call", nameOf(store::StoreCallNames, Subject.Kind)},
+                {"prefix", Subject.Prefix},
+                {"bytes", Bytes}});
     return;
+  }
   PendingCall &Current = Found->second;
   --Current.OpenDirectCalls;
   if (IsReached) {
@@ -243,8 +257,27 @@
     this->finish(Id, failure(StoreError(Current.Failure)));
 }
 
+void StoreRelay::logSlowCall(const PendingCall &Ended,
+                             const Reply &Answer) const {
+  const Duration Took = this->Shared.now() - Ended.Opened;
+  const bool IsWatch = Ended.Call.Kind == StoreCallKind::Watch;
+  const Duration Wait = IsWatch ? Ended.Call.Length : Duration::zero();
+  const size_t Bytes = Answer ? store::contentBytes(Answer.value()) : 0;
+  if (Took < Wait + SlowCallTime && Bytes < LargeAnswerBytes)
+    return;
+  logEvent(LogLevel::Info, "store-call-slow",
+           {{"call", nameOf(store::StoreCallNames, Ended.Call.Kind)},
+            {"prefix", Ended.Call.Prefix},
+            {"took-ms", toMilliseconds(Took)},
+            {"bytes", Bytes},
+            {"answered", Answer ? "yes" : "no"},
+            {"peer", Ended.Peer},
+            {"peers-tried", Ended.PeersTried}});
+}
+
 void StoreRelay::finish(peers::CallId Id, Reply Answer) {
   const auto Found = this->OpenCalls.find(Id);
+  this->logSlowCall(Found->second, Answer);
   const auto Done = std::move(Found->second.Done);
   // An attempt that was refused does not undo an earlier one.
   const bool IsUnknown = !Answer &&
--- a/src/libs/dispatch/storerelay.h
+++ b/src/libs/dispatch/storerelay.h
@@ -43,6 +43,7 @@
   struct PendingCall {
     store::StoreCall Call;
     store::StoreCallback<store::StoreReply> Done;
+    TimePoint Opened;
     bool IsDirectTried = false;
     /// Direct calls that have not been answered yet.
     unsigned OpenDirectCalls = 0;
@@ -62,18 +63,26 @@
     }
   };
 
+  /// What a call is about, for its answer.
+  struct CallSubject {
+    store::StoreCallKind Kind = store::StoreCallKind::Range;
+    std::string Prefix;
+  };
+
   void call(store::StoreCall Call,
             store::StoreCallback<store::StoreReply> Done);
   void callDirectly(peers::CallId Id);
   void hedge(peers::CallId Id);
   /// A repeated watch only looks for changes, because its bound is near.
   void shortenOverdueWatch(store::StoreCall &Call) const;
-  void handleDirectReply(peers::CallId Id, store::StoreCallKind Kind,
+  void handleDirectReply(peers::CallId Id, const CallSubject &Subject,
                          Reply Answer);
   /// Sends the call to the next peer; returns false if there is none left.
   bool callPeer(peers::CallId Id);
   void handlePeerReply(peers::CallId Id, Reply Answer);
   void finish(peers::CallId Id, Reply Answer);
+  /// Logs a call whose answer took long or was large.
+  void logSlowCall(const PendingCall &Ended, const Reply &Answer) const;
   void noteDirectFailure(const store::StoreError &Cause);
   bool canAskPeers() const;
 
--- a/src/libs/store/include/whintack/store/storecall.h
+++ b/src/libs/store/include/whintack/store/storecall.h
@@ -53,6 +53,9 @@
 /// harm.
 bool isRepeatable(const StoreCall &Call);
 
+/// Number of bytes of the keys and values in the answer.
+size_t contentBytes(const StoreReply &Reply);
+
 /// Executes the call \p Request on \p Store.
 void executeStoreCall(const AsyncStore &Store, const StoreCall &Request,
                       StoreCallback<StoreReply> Done);
--- a/src/libs/store/storecall.cpp
+++ b/src/libs/store/storecall.cpp
@@ -83,6 +83,21 @@
   return false;
 }
 
+static size_t contentBytes(const std::vector<StoreItem> &Items) {
+  size_t Bytes = 0;
+  for (const StoreItem &Item : Items)
+    Bytes += Item.Key.size() + Item.Value.size();
+  return Bytes;
+}
+
+size_t contentBytes(const StoreReply &Reply) {
+  size_t Bytes =
+      contentBytes(Reply.Page.Items) + contentBytes(Reply.Committed.Current);
+  for (const StoreChange &Change : Reply.Watched.Changes)
+    Bytes += Change.Key.size() + (Change.Item ? Change.Item->Value.size() : 0);
+  return Bytes;
+}
+
 void executeStoreCall(const AsyncStore &Store, const StoreCall &Request,
                       StoreCallback<StoreReply> Done) {
   switch (Request.Kind) {
