Tests, Known red: Reproduce configurations that are late on narrow links

Callers got 503 for queues added 2 s before, and jobs were accepted for a queue that had been removed, on VMs whose link of 10 Mbit/s carries a configuration of 5,600 queues in 1.2 s.

--- a/src/libs/simulation/simulatedcodec.cpp
+++ b/src/libs/simulation/simulatedcodec.cpp
@@ -31,7 +31,7 @@
   };
   Words.DecodeConfiguration = [this](const std::string &Text)
       -> jobs::DecodeResult<jobs::FleetConfiguration> {
-    const auto Version = parseNumber<uint64_t>(Text);
+    const auto Version = parseNumber<uint64_t>(Text.substr(0, Text.find('\n')));
     if (!Version || !this->Configurations.contains(*Version))
       return failure(DecodeError{"no such configuration: " + Text});
     return this->Configurations.at(*Version);
