--- a/src/libs/http/bodyreader.cpp
+++ b/src/libs/http/bodyreader.cpp
@@ -15,8 +15,10 @@
 /// for each chunk when it unwinds.
 class BodyReader : public std::enable_shared_from_this<BodyReader> {
 public:
-  BodyReader(const concurrency::streams::istream &Stream, size_t MaxBytes)
-      : Stream(Stream), MaxBytes(MaxBytes), Chunk(ChunkBytes) {}
+  BodyReader(const concurrency::streams::istream &Stream, size_t MaxBytes,
+             std::function<void()> OnPart)
+      : Stream(Stream), MaxBytes(MaxBytes), OnPart(std::move(OnPart)),
+        Chunk(ChunkBytes) {}
 
   pplx::task<BodyReadResult> read() {
     this->readNextChunk();
@@ -43,6 +45,8 @@
   void processChunk(size_t Count) {
     this->Body.Bytes.append(reinterpret_cast<const char *>(this->Chunk.data()),
                             Count);
+    if (Count > 0 && this->OnPart)
+      this->OnPart();
     if (this->Body.Bytes.size() > this->MaxBytes)
       this->Body.Status = BodyReadStatus::TooLarge;
     if (Count == 0 || this->Body.Status == BodyReadStatus::TooLarge)
@@ -55,6 +59,7 @@
 
   concurrency::streams::istream Stream;
   size_t MaxBytes;
+  std::function<void()> OnPart;
   std::vector<uint8_t> Chunk;
   BodyReadResult Body;
   pplx::task_completion_event<void> Ended;
@@ -63,8 +68,11 @@
 } // namespace
 
 pplx::task<BodyReadResult> readBody(web::http::details::http_msg_base &Message,
-                                    size_t MaxBytes) {
-  return std::make_shared<BodyReader>(Message.instream(), MaxBytes)->read();
+                                    size_t MaxBytes,
+                                    std::function<void()> OnPart) {
+  return std::make_shared<BodyReader>(Message.instream(), MaxBytes,
+                                      std::move(OnPart))
+      ->read();
 }
 
 } // namespace whintack::http::Internal
--- a/src/libs/http/bodyreader.h
+++ b/src/libs/http/bodyreader.h
@@ -2,6 +2,7 @@
 #define WHINTACK_HTTP_BODYREADER_H
 
 #include <cpprest/http_msg.h>
+#include <functional>
 #include <string>
 
 namespace whintack::http::Internal {
@@ -17,9 +18,10 @@
 
 /// Reads the body of \p Message; the outcome is TooLarge once the body exceeds
 /// \p MaxBytes. If the body ends early, the task fails with the library's
-/// exception.
+/// exception. Calls \p OnPart, unless it is null, after each part.
 pplx::task<BodyReadResult> readBody(web::http::details::http_msg_base &Message,
-                                    size_t MaxBytes);
+                                    size_t MaxBytes,
+                                    std::function<void()> OnPart = nullptr);
 
 } // namespace whintack::http::Internal
 
--- a/src/libs/http/callclient.cpp
+++ b/src/libs/http/callclient.cpp
@@ -25,7 +25,7 @@
                     std::shared_ptr<HttpConnection> Used);
   void dropIdle(const Address &Server);
   void call(const Address &Server, const HttpRequest &Request,
-            TimePoint Deadline, HttpCallback Done);
+            TimePoint Deadline, HttpCallback Done, ProgressHook OnProgress);
 
 private:
   struct IdleConnection {
@@ -83,7 +83,7 @@
 
 void CallClient::Private::call(const Address &Server,
                                const HttpRequest &Request, TimePoint Deadline,
-                               HttpCallback Done) {
+                               HttpCallback Done, ProgressHook OnProgress) {
   uint64_t Generation = 0;
   std::shared_ptr<HttpConnection> Connection =
       this->takeIdle(Server, Generation);
@@ -92,28 +92,29 @@
                                                   this->Timers);
   HttpConnection &Used = *Connection;
   const bool WasFresh = Used.isFresh();
-  Used.send(Request, Deadline,
-            [Weak = this->weak_from_this(), Server, Generation, WasFresh,
-             Connection = std::move(Connection),
-             Done = std::move(Done)](HttpResult Outcome) mutable {
-              const std::shared_ptr<Private> Client = Weak.lock();
-              if (Outcome) {
-                if (Client)
-                  Client->returnToPool(Server, Generation,
-                                       std::move(Connection));
-                Done(std::move(Outcome));
-                return;
-              }
-              if (Client)
-                Client->dropIdle(Server);
-              HttpError Cause = std::move(Outcome).error();
-              // The library sent the request on the reused connection first and
-              // failed to connect only when it repeated the request, so the
-              // server may have read it.
-              if (!WasFresh && Cause.Code == HttpErrorCode::NotConnected)
-                Cause.Code = HttpErrorCode::Broken;
-              Done(failure(std::move(Cause)));
-            });
+  Used.send(
+      Request, Deadline,
+      [Weak = this->weak_from_this(), Server, Generation, WasFresh,
+       Connection = std::move(Connection),
+       Done = std::move(Done)](HttpResult Outcome) mutable {
+        const std::shared_ptr<Private> Client = Weak.lock();
+        if (Outcome) {
+          if (Client)
+            Client->returnToPool(Server, Generation, std::move(Connection));
+          Done(std::move(Outcome));
+          return;
+        }
+        if (Client)
+          Client->dropIdle(Server);
+        HttpError Cause = std::move(Outcome).error();
+        // The library sent the request on the reused connection first and
+        // failed to connect only when it repeated the request, so the
+        // server may have read it.
+        if (!WasFresh && Cause.Code == HttpErrorCode::NotConnected)
+          Cause.Code = HttpErrorCode::Broken;
+        Done(failure(std::move(Cause)));
+      },
+      std::move(OnProgress));
 }
 
 CallClient::CallClient(Clock Time, TimerQueue &Timers, size_t MaxAnswerBytes)
@@ -122,8 +123,10 @@
 CallClient::~CallClient() = default;
 
 void CallClient::call(const Address &Server, const HttpRequest &Request,
-                      TimePoint Deadline, HttpCallback Done) {
-  this->D->call(Server, Request, Deadline, std::move(Done));
+                      TimePoint Deadline, HttpCallback Done,
+                      ProgressHook OnProgress) {
+  this->D->call(Server, Request, Deadline, std::move(Done),
+                std::move(OnProgress));
 }
 
 void CallClient::dropIdle(const Address &Server) { this->D->dropIdle(Server); }
--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -20,7 +20,10 @@
   pplx::cancellation_token_source Cancel;
   std::atomic<bool> IsDone{false};
   std::atomic<bool> IsLate{false};
-  TimerId Timer = 0;
+  std::atomic<TimerId> Timer{0};
+  /// Moved by OnProgress; the timer may still be set to an earlier time.
+  std::atomic<TimePoint> Deadline{TimePoint::max()};
+  ProgressHook OnProgress;
   TimerQueueRef Timers;
   HttpCallback Done;
 
@@ -151,7 +154,10 @@
 static pplx::task<PendingResult>
 readAnswer(const web::http::http_response &Answer, size_t MaxBytes,
            const std::shared_ptr<Internal::Call> &Call) {
-  return Internal::readBody(*Answer._get_impl(), MaxBytes)
+  std::function<void()> OnPart;
+  if (Call->OnProgress)
+    OnPart = [Call] { Call->Deadline = Call->OnProgress(); };
+  return Internal::readBody(*Answer._get_impl(), MaxBytes, std::move(OnPart))
       .then([Answer, Call](Internal::BodyReadResult Body) {
         if (Body.Status == Internal::BodyReadStatus::TooLarge) {
           Call->Cancel.cancel();
@@ -168,13 +174,20 @@
       });
 }
 
+/// Ends the call at its deadline. A deadline that has moved is set again on the
+/// thread of \p Timers, so that the queue exists then.
 static void armDeadline(const std::shared_ptr<Internal::Call> &Call,
-                        TimePoint Deadline, TimerQueue &Timers) {
+                        TimerQueue &Timers) {
   const std::weak_ptr<Internal::Call> Weak = Call;
-  Call->Timer = Timers.schedule(Deadline, [Weak] {
+  const TimePoint Deadline = Call->Deadline;
+  Call->Timer = Timers.schedule(Deadline, [Weak, Deadline, &Timers] {
     const std::shared_ptr<Internal::Call> Expired = Weak.lock();
-    if (!Expired)
+    if (!Expired || Expired->IsDone)
       return;
+    if (Expired->Deadline.load() > Deadline) {
+      armDeadline(Expired, Timers);
+      return;
+    }
     Expired->IsLate = true;
     Expired->Cancel.cancel();
     Expired->finish(
@@ -183,11 +196,13 @@
 }
 
 void HttpConnection::send(const HttpRequest &Request, TimePoint Deadline,
-                          HttpCallback Done) {
+                          HttpCallback Done, ProgressHook OnProgress) {
   this->D->IsFresh = false;
   auto Call = std::make_shared<Internal::Call>();
   Call->Timers = this->D->Timers.ref();
   Call->Done = std::move(Done);
+  Call->Deadline = Deadline;
+  Call->OnProgress = std::move(OnProgress);
   web::http::http_request Converted;
   try {
     Converted = toCppRestRequest(Request);
@@ -195,7 +210,7 @@
     Call->finish(failure(HttpError{HttpErrorCode::BadRequest, Error.what()}));
     return;
   }
-  armDeadline(Call, Deadline, this->D->Timers);
+  armDeadline(Call, this->D->Timers);
   const size_t MaxBytes = this->D->MaxAnswerBytes;
   // The task chain holds the connection's state, so that the client outlives
   // the call.
--- a/src/libs/http/include/whintack/http/callclient.h
+++ b/src/libs/http/include/whintack/http/callclient.h
@@ -19,9 +19,10 @@
   ~CallClient();
 
   /// Sends \p Request to \p Server and calls \p Done once, on a thread of the
-  /// HTTP library.
+  /// HTTP library. \p OnProgress is as in HttpConnection::send().
   void call(const Address &Server, const HttpRequest &Request,
-            TimePoint Deadline, HttpCallback Done);
+            TimePoint Deadline, HttpCallback Done,
+            ProgressHook OnProgress = nullptr);
 
   /// Closes the idle connections to \p Server. Connections in use are closed
   /// after their call.
--- a/src/libs/http/include/whintack/http/httpclient.h
+++ b/src/libs/http/include/whintack/http/httpclient.h
@@ -50,6 +50,10 @@
 using HttpResult = Result<HttpResponse, HttpError>;
 using HttpCallback = std::function<void(HttpResult)>;
 
+/// Called with each part of an answer's body that arrives; returns the deadline
+/// of the call from then on.
+using ProgressHook = std::function<TimePoint()>;
+
 /// Sets the number of threads that handle all HTTP traffic of this process.
 /// Must be called once, before any other function of this library.
 void initializeHttpThreads(unsigned Count);
@@ -79,8 +83,10 @@
 
   /// Sends \p Request and calls \p Done once, with the complete answer or an
   /// error, on a thread of the HTTP library. After an error the connection must
-  /// not be used again.
-  void send(const HttpRequest &Request, TimePoint Deadline, HttpCallback Done);
+  /// not be used again. \p OnProgress, unless it is null, may move the deadline
+  /// while the answer arrives.
+  void send(const HttpRequest &Request, TimePoint Deadline, HttpCallback Done,
+            ProgressHook OnProgress = nullptr);
 
 private:
   class Private;
--- a/tests/auto/http/tst_callclient.cpp
+++ b/tests/auto/http/tst_callclient.cpp
@@ -1,4 +1,5 @@
 #include "scriptedserver.h"
+#include "steppedloop.h"
 
 #include "whintack/http/callclient.h"
 
@@ -67,6 +68,76 @@
   CHECK(Backend.resets() == 1);
 }
 
+// Guards against large answers that are thrown away although they arrive, and
+// are then requested again from the start.
+TEST_CASE("a call whose answer still arrives is not ended") {
+  const Address Server = ownAddress(10, 18093);
+  constexpr size_t BodyBytes = 1 << 20;
+  constexpr size_t PartBytes = 1 << 17;
+  constexpr Duration PartTimeout = std::chrono::seconds(2);
+  SteppedLoop Loop;
+  std::atomic<unsigned> Progress{0};
+  ScriptedServer Backend(Server, [](const std::string &, unsigned) {
+    return ScriptedAnswer{
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(BodyBytes) +
+            "\r\n\r\n" + std::string(BodyBytes, '.'),
+        false, false};
+  });
+  REQUIRE(Backend.isOpen());
+  Backend.sendInParts(PartBytes, [&Loop, &Progress, Last = 0U]() mutable {
+    while (Progress == Last)
+      std::this_thread::yield();
+    Last = Progress;
+    Loop.runFor(std::chrono::seconds(1));
+  });
+  CallClient Calls(Loop.Time.clock(), Loop.Queue, BodyBytes);
+  std::promise<HttpResult> Ended;
+  HttpRequest Request;
+  Request.Method = "GET";
+  Request.Target = "/";
+  Calls.call(
+      Server, Request, Loop.Time.now() + PartTimeout,
+      [&Ended](HttpResult Outcome) { Ended.set_value(std::move(Outcome)); },
+      [&Loop, &Progress, PartTimeout] {
+        ++Progress;
+        return Loop.Time.now() + PartTimeout;
+      });
+  const HttpResult Outcome = Ended.get_future().get();
+  REQUIRE(Outcome);
+  CHECK(Outcome.value().Body.size() == BodyBytes);
+}
+
+// Guards against calls that never end because the server says nothing more.
+TEST_CASE("a call whose answer stops arriving is ended") {
+  const Address Server = ownAddress(11, 18094);
+  SteppedLoop Loop;
+  std::atomic<bool> HasProgress{false};
+  ScriptedServer Backend(Server, [](const std::string &, unsigned) {
+    return ScriptedAnswer{"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
+                              std::string(100000, '.'),
+                          false, false};
+  });
+  REQUIRE(Backend.isOpen());
+  CallClient Calls(Loop.Time.clock(), Loop.Queue, 1 << 20);
+  std::promise<HttpResult> Ended;
+  HttpRequest Request;
+  Request.Method = "GET";
+  Request.Target = "/";
+  Calls.call(
+      Server, Request, Loop.Time.now() + std::chrono::seconds(2),
+      [&Ended](HttpResult Outcome) { Ended.set_value(std::move(Outcome)); },
+      [&Loop, &HasProgress] {
+        HasProgress = true;
+        return Loop.Time.now() + std::chrono::seconds(2);
+      });
+  while (!HasProgress)
+    std::this_thread::yield();
+  Loop.runFor(std::chrono::seconds(5));
+  const HttpResult Outcome = Ended.get_future().get();
+  REQUIRE_FALSE(Outcome);
+  CHECK(Outcome.error().Code == HttpErrorCode::TimedOut);
+}
+
 // A call that ended after its timer queue was gone cancelled its timer there,
 // and an answer went back to the pool of a client that was gone.
 TEST_CASE("a call in flight may outlive its client and its timer queue") {
