Dispatch: Give the operator's items from VM to VM, and only what has changed

Requests were handled by a configuration that had been replaced more than 3 s before, on VMs with links of 10 Mbit/s: each change of a configuration of 4,250 routes sent 1.2 MB to each VM, several times where calls timed out or were sent on a second path, and the calls that renew leases shared the link with them.

Two VMs of a data centre, those with the widest links, now read the operator's items from the store; the others get from them what has changed, as contents found by digest, with the time through which it is known. What has arrived is kept when the source changes. A VM whose items become too old that way asks other peers and the store. Large items are not requested on two paths at once, and a refresh asks for changes instead of everything.

tst_largeconfiguration fails before and passes now.

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -17,10 +17,6 @@
 static constexpr Duration LoadTime = std::chrono::seconds(5);
 /// Number of times that a process doubles the time for a shard that it gave up.
 static constexpr unsigned MaxDoublings = 3;
-/// Wait of one watch call for the operator's items. While none change, they are
-/// known through up to two waits ago. An overdue call is repeated on another
-/// path 0.3 s later, and a configuration must be in force within 2 s.
-static constexpr Duration OperatorWait = std::chrono::milliseconds(600);
 /// Time for which a shard that was given up is left to the other VMs.
 static constexpr Duration HoldOffTime = std::chrono::seconds(30);
 
@@ -83,6 +79,7 @@
   this->Tracker->start();
   this->Executors->start();
   this->OperatorItems->start();
+  this->Feed->start();
   this->NextCheck = this->Shared.now();
   this->checkPeriodically();
 }
@@ -95,6 +92,10 @@
     const auto Alive = Weak.lock();
     return Alive ? Alive->usablePeers() : std::vector<EntryName>();
   };
+  Hooks.IsBulk = [Weak](const store::StoreCall &Call) {
+    const auto Alive = Weak.lock();
+    return Alive && Alive->isBulkCall(Call);
+  };
   this->Relay = std::make_shared<StoreRelay>(
       this->Shared, this->Self.Incarnation, std::move(Hooks));
   this->Shared.Store = this->Relay->store();
@@ -108,12 +109,13 @@
       this->Shared,
       Member{peers::PeerEndpoint{this->Self.Name, this->Self.DataCentre,
                                  this->Self.PeerListener},
-             this->Self.ProcessorShare},
+             this->Self.ProcessorShare, this->Self.Bandwidth},
       this->Lease, [Weak] {
         const auto Alive = Weak.lock();
         if (!Alive)
           return;
         Alive->Transport.SetPeers(Alive->Members->others());
+        Alive->updateItemSources();
         Alive->reconcileClaims();
       });
   this->Members->onLost([Weak] {
@@ -213,13 +215,7 @@
         for (const auto &[Name, Shard] : Alive->Shards)
           Shard->setExecutors(Listed);
       });
-  this->OperatorItems = std::make_shared<PrefixWatch>(
-      this->Shared, this->Connections.Codec.OperatorPrefix,
-      [Weak](const ItemMap &Items, const std::set<std::string> &) {
-        if (const auto Alive = Weak.lock())
-          Alive->handleOperatorItems(Items);
-      });
-  this->OperatorItems->setCallWait(OperatorWait);
+  this->openOperatorItems();
 }
 
 void FleetCore::handleRequest(const http::HttpRequest &Request,
@@ -238,6 +234,7 @@
   if (this->IsStopping)
     return;
   this->reconcileClaims();
+  this->updateItemSources();
   this->Balancer->check();
   this->NextCheck = this->Shared.now() +
                     (this->IsReadyNow ? CheckInterval : StartupCheckInterval);
@@ -393,6 +390,8 @@
     this->RelayedCalls->handle(From, *Wanted);
   else if (const auto *Made = std::get_if<peers::ExecutorAnswers>(&Received))
     this->ExecutorCalls->handle(From, *Made);
+  else
+    this->handleItemMessage(From, Received);
 }
 
 std::vector<EntryName> FleetCore::usablePeers() const {
--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -4,6 +4,7 @@
 #include "executorlistmonitor.h"
 #include "executorrelay.h"
 #include "gracemonitor.h"
+#include "itemfeed.h"
 #include "jobrequesthandler.h"
 #include "loadmonitor.h"
 #include "machineorders.h"
@@ -41,6 +42,7 @@
   Duration StoreOutageGrace = Duration::zero();
   Duration MachineOrderGrace = Duration::zero();
   bool ReservesRoom = false;
+  double Bandwidth = 0;
 };
 
 /// Access to the other entry VMs.
@@ -87,6 +89,10 @@
   void checkPeriodically();
   void reportLoopDelay() const;
   bool canServe() const;
+  void openOperatorItems();
+  void handleItemMessage(const EntryName &From, const peers::Message &Received);
+  bool isBulkCall(const store::StoreCall &Call) const;
+  void updateItemSources();
   void handleOperatorItems(const ItemMap &Items);
   void adoptConfiguration(jobs::FleetConfiguration Newest, uint64_t Revision);
   void handleClaimAcquired(const HeldClaim &Acquired);
@@ -146,6 +152,11 @@
   std::shared_ptr<RelayedCallHandler> RelayedCalls;
   std::shared_ptr<JobRequestHandler> RequestHandler;
   std::shared_ptr<PrefixWatch> OperatorItems;
+  std::shared_ptr<ItemFeed> Feed;
+  /// Peers to ask for the operator's items, the preferred ones first.
+  std::vector<EntryName> ItemSources;
+  /// Whether this VM reads the operator's items from the store for others.
+  bool IsItemReader = true;
   std::shared_ptr<const jobs::QueueTable> Queues;
   std::vector<jobs::WaveRequest> Waves;
   std::map<std::string, HeldClaim> OwnClaims;
--- a/src/libs/dispatch/fleetcoreconfiguration.cpp
+++ b/src/libs/dispatch/fleetcoreconfiguration.cpp
@@ -36,10 +36,13 @@
     return Alive ? Alive->OperatorItems->knownThrough() : TimePoint::min();
   };
   Hooks.Refresh = [Weak](std::function<void()> Done) {
-    if (const auto Alive = Weak.lock())
-      Alive->OperatorItems->refresh(std::move(Done));
-    else
+    const auto Alive = Weak.lock();
+    if (!Alive)
       Done();
+    else if (Alive->Feed->isTransferring())
+      Alive->OperatorItems->awaitReport(std::move(Done));
+    else
+      Alive->OperatorItems->refresh(std::move(Done));
   };
   return Hooks;
 }
--- a/src/libs/dispatch/fleetnode.cpp
+++ b/src/libs/dispatch/fleetnode.cpp
@@ -80,16 +80,16 @@
       Self->Peers->setPeers(Others);
   };
   this->Core = std::make_shared<FleetCore>(
-      CoreIdentity{this->Settings.Name, this->Settings.DataCentre,
-                   this->Settings.PeerListener, this->Incarnation,
-                   this->Settings.Fleet.ProcessorShare,
-                   this->Settings.Fleet.MaxLease,
-                   this->Settings.Fleet.ConfigurationTime,
-                   this->Settings.Fleet.KeyRevocationTime,
-                   this->Settings.Fleet.RefusesStaleKeys,
-                   this->Settings.Fleet.StoreOutageGrace,
-                   this->Settings.Fleet.MachineOrderGrace,
-                   this->Settings.Fleet.ReservesRoom},
+      CoreIdentity{
+          this->Settings.Name, this->Settings.DataCentre,
+          this->Settings.PeerListener, this->Incarnation,
+          this->Settings.Fleet.ProcessorShare, this->Settings.Fleet.MaxLease,
+          this->Settings.Fleet.ConfigurationTime,
+          this->Settings.Fleet.KeyRevocationTime,
+          this->Settings.Fleet.RefusesStaleKeys,
+          this->Settings.Fleet.StoreOutageGrace,
+          this->Settings.Fleet.MachineOrderGrace,
+          this->Settings.Fleet.ReservesRoom, this->Settings.Fleet.Bandwidth},
       this->Connections, this->Shared, std::move(Transport));
 }
 
--- a/src/libs/dispatch/membership.h
+++ b/src/libs/dispatch/membership.h
@@ -14,6 +14,8 @@
   peers::PeerEndpoint Endpoint;
   /// Share of a processor core that the VM may use.
   double ProcessorShare = 1;
+  /// Bandwidth of the VM's link in Mbit/s; 0 if it is not known.
+  double Bandwidth = 0;
   /// The VM hands its shards over and takes no others.
   bool IsStopping = false;
   /// Store lease of the process on the VM.
--- a/src/libs/dispatch/prefixwatch.cpp
+++ b/src/libs/dispatch/prefixwatch.cpp
@@ -16,6 +16,9 @@
 /// Number of failed watches after which everything is read again if that is
 /// done in portions: the changes may be too many for the link, and become more.
 static constexpr unsigned MaxWatchFailures = 3;
+/// Items with more bytes are not read whole only to learn whether they are
+/// current, nor with each of several versions.
+static constexpr size_t MaxSmallBytes = 64000;
 /// Delay of a watch's answer after which the items are logged as stale. A watch
 /// that finds no change is answered after the whole wait.
 static constexpr Duration MaxAnswerDelay = std::chrono::milliseconds(250);
@@ -28,6 +31,7 @@
       OnChange(std::move(OnChange)), OnRevision(std::move(OnRevision)) {}
 
 void PrefixWatch::start() {
+  this->IsReading = true;
   this->NewItems.clear();
   this->NewItemsAsOf = 0;
   this->NewItemsKnownThrough = this->Shared.now();
@@ -44,13 +48,21 @@
     this->Portions->stop();
 }
 
+void PrefixWatch::setPaused(bool IsPaused) {
+  if (std::exchange(this->IsPaused, IsPaused) == IsPaused)
+    return;
+  if (!IsPaused && !this->IsReading && !this->IsStopped)
+    this->watch(ProbeTimeout);
+}
+
+bool PrefixWatch::isLarge() const { return this->ValueBytes > MaxSmallBytes; }
+
 void PrefixWatch::readPortions(size_t Index) {
   if (Index == this->PortionPrefixes.size()) {
     if (this->OnRevision)
       this->OnRevision(this->NewItemsAsOf);
     this->replaceAll();
-    if (!this->IsStopped)
-      this->watch(this->CallWait);
+    this->continueWatching();
     return;
   }
   this->Portions = std::make_shared<PortionedRead>(
@@ -67,7 +79,7 @@
 
 void PrefixWatch::readPage(const std::string &After) {
   this->Shared.Store.Range(
-      this->Prefix, After, store::ReadKind::Current,
+      this->Prefix, After, this->Read,
       onLoop<PrefixWatch, store::StoreResult<store::StorePage>>(
           this->Shared.Loop, this->shared_from_this(),
           [](PrefixWatch &Self, store::StoreResult<store::StorePage> Answer) {
@@ -101,7 +113,7 @@
     return;
   }
   this->replaceAll();
-  this->watch(this->CallWait);
+  this->continueWatching();
 }
 
 /// Returns the keys under which the two sets of items differ.
@@ -134,7 +146,32 @@
   this->LastAnswerAt = this->Shared.now();
   if (!std::exchange(this->IsAgeChecked, true))
     this->checkAge();
+  this->countBytes();
   this->OnChange(this->Items, Changed);
+  if (this->OnReport)
+    this->OnReport();
+}
+
+void PrefixWatch::countBytes() {
+  this->ValueBytes = 0;
+  for (const auto &[Key, Item] : this->Items)
+    this->ValueBytes += Item.Value.size();
+}
+
+void PrefixWatch::report(TimePoint Through,
+                         const std::set<std::string> &Changed) {
+  this->KnownThrough = std::max(this->KnownThrough, Through);
+  this->LastAnswerAt = this->Shared.now();
+  this->IsCurrent = true;
+  if (this->OnRevision)
+    this->OnRevision(this->AsOf);
+  if (!Changed.empty()) {
+    this->countBytes();
+    this->OnChange(this->Items, Changed);
+  }
+  if (this->OnReport)
+    this->OnReport();
+  this->endRefresh(true);
 }
 
 void PrefixWatch::checkAge() {
@@ -162,18 +199,17 @@
     Done();
     return;
   }
+  const bool IsRequested = std::exchange(this->IsRefreshRequested, true);
+  this->awaitReport(std::move(Done));
+  if (!IsRequested)
+    this->requestRefresh();
+}
+
+void PrefixWatch::awaitReport(std::function<void()> Done) {
   this->AwaitingRefresh.push_back(std::move(Done));
   if (this->AwaitingRefresh.size() > 1)
     return;
-  this->Shared.Store.Range(
-      this->Prefix, "", store::ReadKind::Current,
-      onLoop<PrefixWatch, store::StoreResult<store::StorePage>>(
-          this->Shared.Loop, this->shared_from_this(),
-          [Sent = Now](PrefixWatch &Self,
-                       store::StoreResult<store::StorePage> Answer) {
-            Self.handleRefresh(Sent, std::move(Answer));
-          }));
-  this->RefreshDeadline = Now + RefreshTimeout;
+  this->RefreshDeadline = this->Shared.now() + RefreshTimeout;
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
               this->RefreshDeadline, [](PrefixWatch &Self) {
                 if (Self.Shared.now() >= Self.RefreshDeadline)
@@ -181,17 +217,59 @@
               });
 }
 
-void PrefixWatch::handleRefresh(TimePoint Sent,
-                                store::StoreResult<store::StorePage> Answer) {
+void PrefixWatch::requestRefresh() {
+  const TimePoint Sent = this->Shared.now();
+  if (this->isLarge()) {
+    this->Shared.Store.Watch(
+        this->Prefix, this->AsOf, ProbeTimeout,
+        onLoop<PrefixWatch, store::StoreResult<store::WatchAnswer>>(
+            this->Shared.Loop, this->shared_from_this(),
+            [Sent](PrefixWatch &Self,
+                   store::StoreResult<store::WatchAnswer> Answer) {
+              Self.handleRefreshChanges(Sent, std::move(Answer));
+            }));
+    return;
+  }
+  this->Shared.Store.Range(
+      this->Prefix, "", store::ReadKind::Current,
+      onLoop<PrefixWatch, store::StoreResult<store::StorePage>>(
+          this->Shared.Loop, this->shared_from_this(),
+          [Sent](PrefixWatch &Self,
+                 store::StoreResult<store::StorePage> Answer) {
+            Self.handleRefreshPage(Sent, std::move(Answer));
+          }));
+}
+
+void PrefixWatch::handleRefreshPage(
+    TimePoint Sent, store::StoreResult<store::StorePage> Answer) {
+  if (this->IsStopped)
+    return;
+  if (!Answer || Answer.value().HasMore) {
+    this->endRefresh(false);
+    return;
+  }
+  store::StorePage Page = std::move(Answer).value();
+  ItemMap Read;
+  for (store::StoreItem &Item : Page.Items)
+    Read[Item.Key] = std::move(Item);
+  this->adopt(std::move(Read), Page.AsOf, Sent, Page.Via);
+}
+
+void PrefixWatch::handleRefreshChanges(
+    TimePoint Sent, store::StoreResult<store::WatchAnswer> Answer) {
   if (this->IsStopped)
     return;
-  const bool IsRead = Answer && !Answer.value().HasMore;
-  if (IsRead)
-    this->adoptPage(Sent, std::move(Answer).value());
-  this->endRefresh(IsRead);
+  if (!Answer) {
+    this->endRefresh(false);
+    return;
+  }
+  this->LastReport = ReportKind::Watch;
+  this->LastReportVia = Answer.value().Via;
+  this->report(Sent, this->applyChanges(std::move(Answer).value()));
 }
 
 void PrefixWatch::endRefresh(bool IsRead) {
+  this->IsRefreshRequested = false;
   if (this->IsStopped || this->AwaitingRefresh.empty())
     return;
   if (!IsRead)
@@ -200,26 +278,33 @@
     Done();
 }
 
-/// Adopts a page that holds all items.
-void PrefixWatch::adoptPage(TimePoint Sent, store::StorePage Page) {
-  this->KnownThrough = std::max(this->KnownThrough, Sent);
-  if (Page.AsOf <= this->AsOf)
+void PrefixWatch::adopt(ItemMap Newest, uint64_t NewestAsOf, TimePoint Through,
+                        const EntryName &Via) {
+  if (this->IsStopped)
     return;
-  this->LastReport = ReportKind::Read;
-  this->LastReportVia = Page.Via;
-  ItemMap Read;
-  for (store::StoreItem &Item : Page.Items)
-    Read[Item.Key] = std::move(Item);
-  const std::set<std::string> Changed = changedKeys(this->Items, Read);
-  this->Items = std::move(Read);
-  this->AsOf = Page.AsOf;
-  if (this->OnRevision)
-    this->OnRevision(this->AsOf);
-  if (!Changed.empty())
-    this->OnChange(this->Items, Changed);
+  std::set<std::string> Changed;
+  if (NewestAsOf > this->AsOf) {
+    Changed = changedKeys(this->Items, Newest);
+    this->Items = std::move(Newest);
+    this->AsOf = NewestAsOf;
+    this->LastReport = ReportKind::Read;
+    this->LastReportVia = Via;
+  }
+  this->report(Through, Changed);
+}
+
+void PrefixWatch::confirm(uint64_t ConfirmedAsOf, TimePoint Through,
+                          const EntryName &Via) {
+  if (this->IsStopped)
+    return;
+  this->AsOf = std::max(this->AsOf, ConfirmedAsOf);
+  this->LastReport = ReportKind::Watch;
+  this->LastReportVia = Via;
+  this->report(Through, {});
 }
 
 void PrefixWatch::watch(Duration Wait) {
+  this->IsReading = true;
   const TimePoint Sent = this->Shared.now();
   this->Shared.Store.Watch(
       this->Prefix, this->AsOf, Wait,
@@ -240,13 +325,30 @@
         Answer.error().Code == store::StoreErrorCode::HistoryLost;
     const bool IsOverdue = ++this->WatchFailures >= MaxWatchFailures &&
                            !this->PortionPrefixes.empty();
-    this->retry(Answer.error(), IsLost || IsOverdue);
+    // Each watch is answered with all versions since; a read has the newest.
+    const bool HasBacklog =
+        this->WatchFailures > 1 && this->isLarge() &&
+        Answer.error().Code == store::StoreErrorCode::Ambiguous;
+    this->retry(Answer.error(), IsLost || IsOverdue || HasBacklog);
     return;
   }
   this->WatchFailures = 0;
   this->CallFailures = 0;
+  this->LastReport = ReportKind::Watch;
+  this->LastReportVia = Answer.value().Via;
+  this->report(Sent, this->applyChanges(std::move(Answer).value()));
+  this->continueWatching();
+}
+
+void PrefixWatch::continueWatching() {
+  this->IsReading = false;
+  if (!this->IsStopped && !this->IsPaused)
+    this->watch(this->CallWait);
+}
+
+std::set<std::string> PrefixWatch::applyChanges(store::WatchAnswer Answer) {
   std::set<std::string> Changed;
-  for (store::StoreChange &Change : Answer.value().Changes) {
+  for (store::StoreChange &Change : Answer.Changes) {
     // A refresh, or a later page of the first read, may have found a later
     // change.
     const auto Known = this->Items.find(Change.Key);
@@ -260,18 +362,8 @@
       this->Items.erase(Known);
     Changed.insert(Change.Key);
   }
-  this->AsOf = std::max(this->AsOf, Answer.value().AsOf);
-  this->KnownThrough = std::max(this->KnownThrough, Sent);
-  this->LastReport = ReportKind::Watch;
-  this->LastAnswerAt = this->Shared.now();
-  this->LastReportVia = Answer.value().Via;
-  if (this->OnRevision)
-    this->OnRevision(this->AsOf);
-  this->IsCurrent = true;
-  if (!Changed.empty())
-    this->OnChange(this->Items, Changed);
-  if (!this->IsStopped)
-    this->watch(this->CallWait);
+  this->AsOf = std::max(this->AsOf, Answer.AsOf);
+  return Changed;
 }
 
 void PrefixWatch::retry(const store::StoreError &Cause, bool ReadsAll) {
@@ -294,6 +386,8 @@
                   return;
                 if (ReadsAll)
                   Self.start();
+                else if (Self.IsPaused)
+                  Self.IsReading = false;
                 else
                   Self.watch(ProbeTimeout);
               });
--- a/src/libs/dispatch/prefixwatch.h
+++ b/src/libs/dispatch/prefixwatch.h
@@ -39,16 +39,45 @@
   void readInPortions(std::vector<std::string> Prefixes) {
     this->PortionPrefixes = std::move(Prefixes);
   }
+  /// Reads all items without a second copy on another path. Must be called
+  /// before start().
+  void readInBulk() { this->Read = store::ReadKind::Bulk; }
   /// Sets how long one watch call waits for a change, and so how old the
   /// knowledge of the items becomes while nothing changes.
   void setCallWait(Duration Wait) { this->CallWait = Wait; }
   void start();
   void stop();
-  /// Reads all items at once, beside the watch, and calls \p Done when that has
-  /// ended; knownThrough() tells whether it succeeded. Must not be used with
-  /// readInPortions().
+  /// Sets whether the store is no longer asked for changes, because they are
+  /// known from another source. The items are read once all the same.
+  void setPaused(bool IsPaused);
+  /// Asks for changes, beside the watch, and calls \p Done when an answer of
+  /// any kind has come or the time for it has passed; knownThrough() tells
+  /// whether it succeeded. Must not be used with readInPortions().
   void refresh(std::function<void()> Done);
-  /// Whether the last call to the store was answered.
+  /// Calls \p Done when an answer of any kind has come or the time for it has
+  /// passed, without asking for one.
+  void awaitReport(std::function<void()> Done);
+  /// Adopts all items as of the revision \p AsOf, which another entry VM has
+  /// sent. All changes are known through \p KnownThrough.
+  void adopt(ItemMap Newest, uint64_t AsOf, TimePoint KnownThrough,
+             const EntryName &Via);
+  /// Notes that there is no change that this VM does not know through \p
+  /// KnownThrough, as another entry VM has told.
+  void confirm(uint64_t AsOf, TimePoint KnownThrough, const EntryName &Via);
+  /// Calls \p Hook after each answer that advances knownThrough(), and after
+  /// the hook for changes.
+  void onReport(std::function<void()> Hook) {
+    this->OnReport = std::move(Hook);
+  }
+  const ItemMap &items() const { return this->Items; }
+  /// Number of bytes of all values.
+  size_t valueBytes() const { return this->ValueBytes; }
+  /// How long one watch call waits for a change.
+  Duration callWait() const { return this->CallWait; }
+  /// When the last watch, complete read or report was answered;
+  /// TimePoint::min() before the first complete read.
+  TimePoint lastAnswerAt() const { return this->LastAnswerAt; }
+  /// Whether the last call to the store was answered, or a report came since.
   bool isCurrent() const { return this->IsCurrent; }
   /// Store revision up to which the items are known.
   uint64_t asOf() const { return this->AsOf; }
@@ -67,12 +96,23 @@
   void watch(Duration Wait);
   void handleChanges(TimePoint Sent,
                      store::StoreResult<store::WatchAnswer> Answer);
+  /// Watches again after an answer, unless this is stopped or paused.
+  void continueWatching();
   void replaceAll();
+  void countBytes();
   /// Logs while no call has been answered for longer than a watch takes.
   void checkAge();
-  void handleRefresh(TimePoint Sent,
-                     store::StoreResult<store::StorePage> Answer);
-  void adoptPage(TimePoint Sent, store::StorePage Page);
+  void requestRefresh();
+  void handleRefreshPage(TimePoint Sent,
+                         store::StoreResult<store::StorePage> Answer);
+  void handleRefreshChanges(TimePoint Sent,
+                            store::StoreResult<store::WatchAnswer> Answer);
+  bool isLarge() const;
+  /// Applies changes and returns the keys under which the items now differ.
+  std::set<std::string> applyChanges(store::WatchAnswer Answer);
+  /// Notes an answer that says what is known through \p Through, and passes on
+  /// the changes that it has brought.
+  void report(TimePoint Through, const std::set<std::string> &Changed);
   /// Calls those that wait for the refresh.
   void endRefresh(bool IsRead);
   void retry(const store::StoreError &Cause, bool ReadsAll);
@@ -83,10 +123,13 @@
 
   Context Shared;
   std::string Prefix;
+  store::ReadKind Read = store::ReadKind::Current;
   Duration CallWait = DefaultCallWait;
   ItemHook OnChange;
   std::function<void(uint64_t Revision)> OnRevision;
+  std::function<void()> OnReport;
   ItemMap Items;
+  size_t ValueBytes = 0;
   ItemMap NewItems;
   uint64_t AsOf = 0;
   uint64_t NewItemsAsOf = 0;
@@ -97,6 +140,8 @@
   unsigned CallFailures = 0;
   /// Callers that wait for the open refresh.
   std::vector<std::function<void()>> AwaitingRefresh;
+  /// A call for the refresh is open.
+  bool IsRefreshRequested = false;
   TimePoint NextRefresh = TimePoint::min();
   TimePoint RefreshDeadline = TimePoint::max();
   TimePoint KnownThrough = TimePoint::min();
@@ -107,6 +152,9 @@
   EntryName LastReportVia;
   bool IsCurrent = false;
   bool IsAgeChecked = false;
+  bool IsPaused = false;
+  /// A call is open, or will be made again after a failure.
+  bool IsReading = false;
   bool IsStopped = false;
 };
 
--- a/src/libs/dispatch/storerelay.cpp
+++ b/src/libs/dispatch/storerelay.cpp
@@ -83,11 +83,13 @@
                       store::StoreCallback<store::StoreReply> Done) {
   const peers::CallId Id = ++this->LastId;
   const bool IsRepeatable = store::isRepeatable(Call);
-  const bool MayBeHedged = mayBeHedged(Call);
+  const bool IsBulk = this->isBulk(Call);
+  const bool MayBeHedged = mayBeHedged(Call) && !IsBulk;
   const TimePoint HedgeAt = this->Shared.now() + hedgeDelay(Call);
   PendingCall &Opened = this->OpenCalls[Id];
   Opened.Call = std::move(Call);
   Opened.Done = std::move(Done);
+  Opened.IsBulk = IsBulk;
   Opened.Opened = this->Shared.now();
   // Only a repeatable call may probe whether the direct path works again.
   const bool IsBlocked = this->Shared.now() < this->DirectBlockedUntil ||
@@ -190,7 +192,7 @@
 
 bool StoreRelay::callPeer(peers::CallId Id) {
   PendingCall &Current = this->OpenCalls.at(Id);
-  if (!this->canAskPeers())
+  if (Current.IsBulk || !this->canAskPeers())
     return false;
   std::vector<EntryName> Peers = this->Hooks.UsablePeers();
   std::erase(Peers, Current.Peer);
--- a/src/libs/dispatch/storerelay.h
+++ b/src/libs/dispatch/storerelay.h
@@ -15,6 +15,10 @@
   std::function<bool(const EntryName &, const peers::Message &)> Send;
   /// Returns the peers to which messages currently get through.
   std::function<std::vector<EntryName>()> UsablePeers;
+  /// Whether the answer to a call may fill a slow link, and its content can
+  /// also be had in another way. Such a call is sent to the store only, and
+  /// never twice at a time. Null if there are no such calls.
+  std::function<bool(const store::StoreCall &)> IsBulk;
 };
 
 /// Sends calls to the platform's store: directly while that works, otherwise
@@ -44,6 +48,8 @@
     store::StoreCall Call;
     store::StoreCallback<store::StoreReply> Done;
     TimePoint Opened;
+    /// See StoreRelayHooks::IsBulk.
+    bool IsBulk = false;
     bool IsDirectTried = false;
     /// Direct calls that have not been answered yet.
     unsigned OpenDirectCalls = 0;
@@ -85,6 +91,9 @@
   void logSlowCall(const PendingCall &Ended, const Reply &Answer) const;
   void noteDirectFailure(const store::StoreError &Cause);
   bool canAskPeers() const;
+  bool isBulk(const store::StoreCall &Call) const {
+    return this->Hooks.IsBulk && this->Hooks.IsBulk(Call);
+  }
 
   Context Shared;
   StoreRelayHooks Hooks;
--- a/src/libs/peers/include/whintack/peers/message.h
+++ b/src/libs/peers/include/whintack/peers/message.h
@@ -195,6 +195,38 @@
   store::StoreResult<store::StoreReply> Result = store::StoreReply();
 };
 
+/// Asks for the operator's items if they have changed after the revision AsOf
+/// of the store. The answer may wait for a change or a newer report.
+struct ItemsRequest {
+  CallId Id = 0;
+  uint64_t AsOf = 0;
+  /// Longest time that the answer may wait.
+  Duration Wait = Duration::zero();
+};
+
+/// One of the operator's items. Its value is a tree of contents, which are
+/// requested with a ContentRequest.
+struct ItemSummary {
+  std::string Key;
+  uint64_t Revision = 0;
+  unsigned Depth = 0;
+  std::string Root;
+};
+
+/// Answers an ItemsRequest.
+struct ItemsAnswer {
+  CallId Id = 0;
+  /// Revision of the store as of which the sender knows the items.
+  uint64_t AsOf = 0;
+  /// How long before the answer the sender knew of all changes.
+  Duration Age = Duration::zero();
+  /// Time from the arrival of the request to the answer.
+  Duration Held = Duration::zero();
+  /// Whether the items have changed; only then are all of them listed.
+  bool IsChanged = false;
+  std::vector<ItemSummary> Items;
+};
+
 /// Any message between two entry VMs.
 using Message =
     std::variant<Hello, Heartbeat, HeadNotice, ContentRequest, ContentAnswer,
@@ -203,7 +235,7 @@
                  ClaimForget, ClaimTableRequest, ClaimTablePart, RunningRequest,
                  RunningAnswer, TimelineRequest, TimelineAnswer, ServiceCall,
                  ServiceAnswer, StoreRequest, StoreResponse, ExecutorCalls,
-                 ExecutorAnswers>;
+                 ExecutorAnswers, ItemsRequest, ItemsAnswer>;
 
 } // namespace whintack::peers
 
--- a/src/libs/peers/messagecodec.cpp
+++ b/src/libs/peers/messagecodec.cpp
@@ -250,6 +250,30 @@
   void operator()(const ExecutorAnswers &Outgoing) const {
     this->Body.Set(Internal::toWire(Outgoing));
   }
+  void operator()(const ItemsRequest &Outgoing) const {
+    wire::ItemsRequestT Table;
+    Table.id = Outgoing.Id;
+    Table.as_of = Outgoing.AsOf;
+    Table.wait_us = static_cast<uint64_t>(Outgoing.Wait.count());
+    this->Body.Set(Table);
+  }
+  void operator()(const ItemsAnswer &Outgoing) const {
+    wire::ItemsAnswerT Table;
+    Table.id = Outgoing.Id;
+    Table.as_of = Outgoing.AsOf;
+    Table.age_us = static_cast<uint64_t>(Outgoing.Age.count());
+    Table.held_us = static_cast<uint64_t>(Outgoing.Held.count());
+    Table.is_changed = Outgoing.IsChanged;
+    for (const ItemSummary &Item : Outgoing.Items) {
+      auto Row = std::make_unique<wire::ItemSummaryT>();
+      Row->key = Item.Key;
+      Row->revision = Item.Revision;
+      Row->depth = Item.Depth;
+      Row->root = Item.Root;
+      Table.items.push_back(std::move(Row));
+    }
+    this->Body.Set(std::move(Table));
+  }
 };
 
 } // namespace
@@ -286,6 +310,18 @@
   return Answer;
 }
 
+static Message fromWire(const wire::ItemsAnswerT &Table) {
+  ItemsAnswer Answer;
+  Answer.Id = Table.id;
+  Answer.AsOf = Table.as_of;
+  Answer.Age = toDuration(Table.age_us);
+  Answer.Held = toDuration(Table.held_us);
+  Answer.IsChanged = Table.is_changed;
+  for (const auto &Row : Table.items)
+    Answer.Items.push_back({Row->key, Row->revision, Row->depth, Row->root});
+  return Answer;
+}
+
 static std::optional<Message> decodeClaimBody(wire::BodyUnion &Body) {
   switch (Body.type) {
   case wire::Body::ClaimRequest: {
@@ -366,6 +402,10 @@
     return Internal::fromWire(*Read);
   if (const auto *Read = Body.AsExecutorAnswers())
     return Internal::fromWire(*Read);
+  if (const auto *Read = Body.AsItemsRequest())
+    return ItemsRequest{Read->id, Read->as_of, toDuration(Read->wait_us)};
+  if (const auto *Read = Body.AsItemsAnswer())
+    return fromWire(*Read);
   return std::nullopt;
 }
 
--- a/src/libs/settings/include/whintack/settings/settings.h
+++ b/src/libs/settings/include/whintack/settings/settings.h
@@ -55,6 +55,9 @@
   Duration MaxLease = std::chrono::seconds(6);
   /// Share of a processor core that this VM may use; 2 means two cores.
   double ProcessorShare = 1;
+  /// Bandwidth of the VM's link in Mbit/s; 0 if it is not known. VMs with more
+  /// of it read the operator's items for the others of their data centre.
+  double Bandwidth = 0;
   /// Time within which a change of the configuration must be in force.
   Duration ConfigurationTime = std::chrono::seconds(2);
   /// Time after which a removed key must not work on any VM. Applies only if
--- a/src/libs/settings/settings.cpp
+++ b/src/libs/settings/settings.cpp
@@ -75,22 +75,35 @@
     Root.error("listen", "'listen' must set callers, operators and peers");
 }
 
-/// Reads the share of a processor core that this VM may use. Values above 1
-/// mean more than one core.
-static double readProcessorShare(document::FieldReader &Reader,
-                                 const std::string &Key) {
-  const std::string Text = Reader.text(Key, "1");
-  double Share = 0;
+/// What a setting that is not a whole number may be.
+struct RealRange {
+  double Min = 0;
+  double Max = 0;
+  double Default = 0;
+  const char *Expected = "";
+};
+
+/// Share of a processor core that this VM may use. Values above 1 mean more
+/// than one core.
+static constexpr RealRange ProcessorShareRange = {
+    0.01, 1024, 1, "a share of a core, 0.01 to 1024"};
+static constexpr RealRange BandwidthRange = {
+    0, 1e6, 0, "a number of Mbit/s, 0 to 1000000"};
+
+static double readReal(document::FieldReader &Reader, const std::string &Key,
+                       const RealRange &Range) {
+  const std::string Text = Reader.text(Key, "");
+  if (Text.empty())
+    return Range.Default;
+  double Number = 0;
   const char *End = Text.data() + Text.size();
-  const auto Read = std::from_chars(Text.data(), End, Share);
-  constexpr double MinShare = 0.01;
-  constexpr double MaxShare = 1024;
-  const bool IsShare = Read.ec == std::errc() && Read.ptr == End &&
-                       Share >= MinShare && Share <= MaxShare;
-  if (IsShare)
-    return Share;
-  Reader.error(Key, "'" + Text + "' is not a share of a core, 0.01 to 1024");
-  return 1;
+  const auto Read = std::from_chars(Text.data(), End, Number);
+  const bool IsInRange = Read.ec == std::errc() && Read.ptr == End &&
+                         Number >= Range.Min && Number <= Range.Max;
+  if (IsInRange)
+    return Number;
+  Reader.error(Key, "'" + Text + "' is not " + Range.Expected);
+  return Range.Default;
 }
 
 static void readFleet(document::FieldReader &Root, EntrySettings &Read) {
@@ -108,7 +121,9 @@
     Fleet.MaxLease =
         Reader.duration("longest-lease", Fleet.MaxLease,
                         std::chrono::milliseconds(100), std::chrono::hours(1));
-    Fleet.ProcessorShare = readProcessorShare(Reader, "processor-share");
+    Fleet.ProcessorShare =
+        readReal(Reader, "processor-share", ProcessorShareRange);
+    Fleet.Bandwidth = readReal(Reader, "bandwidth", BandwidthRange);
     Fleet.ConfigurationTime =
         Reader.duration("configuration-time", Fleet.ConfigurationTime,
                         std::chrono::milliseconds(1000), std::chrono::hours(1));
@@ -230,6 +245,10 @@
       {"fleet.longest-lease", "longest lease of tasks", "100ms to 1h, 6s"},
       {"fleet.processor-share", "share of a core that this VM may use",
        "0.01 to 1024, 1"},
+      {"fleet.bandwidth",
+       "bandwidth of this VM's link in Mbit/s; the VMs of a data centre with "
+       "most of it read the configuration for the others",
+       "0 to 1000000, 0"},
       {"fleet.configuration-time",
        "time within which a change of the configuration must be in force",
        "1s to 1h, 2s"},
--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -18,7 +18,7 @@
 static constexpr Duration LateCommitDelay = seconds(3);
 
 /// Number of bytes of an answer of the store that a peer passes on.
-static size_t answerSize(const peers::StoreResponse &Response) {
+static size_t wireSize(const peers::StoreResponse &Response) {
   if (!Response.Result)
     return 0;
   const store::StoreReply &Reply = Response.Result.value();
@@ -27,6 +27,30 @@
          simulation::wireSize(Reply.Committed);
 }
 
+static size_t wireSize(const peers::ItemsAnswer &Answer) {
+  constexpr size_t RowBytes = 100;
+  return Answer.Items.size() * RowBytes;
+}
+
+static size_t wireSize(const peers::ContentAnswer &Answer) {
+  constexpr size_t RowBytes = 12;
+  size_t Bytes = 0;
+  for (const std::string &Content : Answer.Contents)
+    Bytes += RowBytes + Content.size();
+  return Bytes;
+}
+
+/// Number of bytes of a message between two VMs; 0 if it is small.
+static size_t wireSize(const peers::Message &Sent) {
+  if (const auto *Response = std::get_if<peers::StoreResponse>(&Sent))
+    return wireSize(*Response);
+  if (const auto *Items = std::get_if<peers::ItemsAnswer>(&Sent))
+    return wireSize(*Items);
+  if (const auto *Contents = std::get_if<peers::ContentAnswer>(&Sent))
+    return wireSize(*Contents);
+  return 0;
+}
+
 SimulatedFleet::SimulatedFleet(uint64_t Seed)
     : Source(seededRandom(Seed)),
       Platform(this->Loop.Time.clock(), this->Loop.Queue, this->Source) {
@@ -82,6 +106,8 @@
       this->KeyRevocationTime.value_or(Self.KeyRevocationTime);
   Self.StoreOutageGrace = this->StoreOutageGrace;
   Self.MachineOrderGrace = this->MachineOrderGrace;
+  constexpr double BytesPerMegabit = 1e6 / 8;
+  Self.Bandwidth = this->LinkRates[Name] / BytesPerMegabit;
   Started.Core = std::make_shared<FleetCore>(Self, Connections, Shared,
                                              this->transportOf(Name));
   this->Loop.Queue.post([Core = std::weak_ptr(Started.Core)] {
@@ -90,6 +116,12 @@
   });
 }
 
+void SimulatedFleet::setLinkRate(const std::string &Name,
+                                 double BytesPerSecond) {
+  this->LinkRates[Name] = BytesPerSecond;
+  this->Platform.store().setLinkRate(EntryName(Name), BytesPerSecond);
+}
+
 store::AsyncStore SimulatedFleet::storeOf(const std::string &Name) {
   store::AsyncStore Store = this->Platform.store().interface(EntryName(Name));
   Store.Commit = [this, Name, Direct = Store.Commit](
@@ -203,10 +235,10 @@
     this->Loop.Queue.schedule(
         this->Loop.Time.now() + milliseconds(1) + this->SendDelays[Name],
         [this, To, Sent, Deliver] {
-          const auto *Response = std::get_if<peers::StoreResponse>(&Sent);
+          const size_t Bytes = wireSize(Sent);
           simulation::SharedLink *Link = this->Platform.store().linkOf(To);
-          if (Link && Response)
-            Link->start(answerSize(*Response), Deliver);
+          if (Link && Bytes > 0)
+            Link->start(Bytes, Deliver);
           else
             Deliver();
         });
--- a/tests/auto/dispatch/simulatedfleet.h
+++ b/tests/auto/dispatch/simulatedfleet.h
@@ -41,6 +41,8 @@
   void startAll();
   void startNode(const std::string &Name, const std::string &DataCentre,
                  double ProcessorShare = 1);
+  /// Limits the link of a VM that starts from now on, and tells the VM.
+  void setLinkRate(const std::string &Name, double BytesPerSecond);
   /// Sets how long the VMs that start from now on go on while the store does
   /// not answer.
   void setStoreOutageGrace(Duration Length) {
@@ -139,6 +141,8 @@
       std::make_shared<Duration>(Duration::zero());
   std::set<std::string> CutOff;
   std::map<std::string, Duration> SendDelays;
+  /// In bytes per second.
+  std::map<std::string, double> LinkRates;
   std::map<std::string, std::function<CommitFault()>> CommitFaults;
   Duration StoreOutageGrace = Duration::zero();
   Duration MachineOrderGrace = Duration::zero();
--- a/tests/auto/dispatch/tst_largeconfiguration.cpp
+++ b/tests/auto/dispatch/tst_largeconfiguration.cpp
@@ -82,7 +82,7 @@
 
 private:
   void startOn(const std::string &Name, double LinkRate) {
-    this->Platform.store().setLinkRate(EntryName(Name), LinkRate);
+    this->setLinkRate(Name, LinkRate);
     this->startNode(Name, "d1");
   }
 
@@ -137,3 +137,54 @@
   }
   CHECK(Fleet.plannerOf("quotes") == Planner);
 }
+
+// Guards against VMs that wait for a reader which was lost while it sent them a
+// large configuration.
+TEST_CASE("a large configuration is in force in time although a reader is lost",
+          "[holds]") {
+  for (const int Phase : {0, 100, 200, 300, 500}) {
+    GrowingFleet Fleet;
+    Fleet.addQueues(2 * QueuesPerChange);
+    Fleet.runFor(seconds(10));
+    Fleet.addQueues(QueuesPerChange / 2);
+    const std::string Removed = Fleet.replaceOldestQueue();
+    Fleet.runFor(milliseconds(Phase));
+    INFO("the reader was killed " << Phase << " ms after the change");
+    Fleet.killNode("w1");
+    Fleet.runFor(ApplyTime - milliseconds(Phase));
+    for (const char *Name : {"w2", "n1", "n2", "n3", "n4", "n5"}) {
+      INFO("requests to " << Name);
+      const auto Added = Fleet.send(Name, "GET", Fleet.newestPrefix());
+      const auto Dropped = Fleet.send(Name, "GET", Removed);
+      Fleet.runFor(seconds(1));
+      CHECK(Added->Status == Ok);
+      CHECK(Dropped->Status == NotFound);
+    }
+  }
+}
+
+// Guards against VMs that trust readers which hang, or which the store no
+// longer answers.
+TEST_CASE("a change is in force in time although all readers fail", "[holds]") {
+  for (const bool IsStoreSilent : {false, true}) {
+    GrowingFleet Fleet;
+    Fleet.addQueues(100);
+    Fleet.runFor(seconds(3));
+    for (const char *Reader : {"w1", "w2"}) {
+      if (IsStoreSilent)
+        Fleet.Platform.store().setFaultMode(EntryName(Reader),
+                                            simulation::StoreFaultMode::Silent);
+      else
+        Fleet.setSendDelay(Reader, seconds(20));
+    }
+    const std::string Removed = Fleet.replaceOldestQueue();
+    Fleet.runFor(ApplyTime);
+    INFO((IsStoreSilent ? "the store is silent" : "the readers hang"));
+    for (const char *Name : {"n1", "n2", "n3", "n4", "n5"}) {
+      INFO("requests to " << Name);
+      const auto Dropped = Fleet.send(Name, "GET", Removed);
+      Fleet.runFor(seconds(1));
+      CHECK(Dropped->Status == NotFound);
+    }
+  }
+}
--- a/tests/auto/peers/tst_messagecodec.cpp
+++ b/tests/auto/peers/tst_messagecodec.cpp
@@ -47,6 +47,14 @@
   REQUIRE(roundTrip(ClaimSettle{"k", makeClaim()}).Key == "k");
   REQUIRE(roundTrip(ClaimForget{"k", RequestId("r")}).Request.text() == "r");
   roundTrip(ClaimTableRequest{});
+  REQUIRE(roundTrip(ItemsRequest{1, 5, Duration(7)}).Wait == Duration(7));
+  const ItemsAnswer Listed = roundTrip(
+      ItemsAnswer{1, 6, Duration(2), Duration(3), true, {{"k", 4, 2, "d"}}});
+  REQUIRE(Listed.Age == Duration(2));
+  REQUIRE(Listed.Held == Duration(3));
+  REQUIRE(Listed.IsChanged);
+  REQUIRE(Listed.Items.at(0).Depth == 2);
+  REQUIRE(Listed.Items.at(0).Root == "d");
   REQUIRE(roundTrip(ClaimTablePart{{{"k", makeClaim()}}, true}).IsLast);
   REQUIRE(roundTrip(RunningRequest{3, {VmName("v"), 4}}).Leaving.Incarnation ==
           4);
