Access: Refuse requests by a configuration that is known to be replaced

A VM that knew of a newer configuration, but did not have it yet, went on serving queues of the old one whatever its age; callers got 200 for a queue that had been removed. A queue that the present configuration has is now refused with 503 and Retry-After if a newer configuration is known to exist and the present one has not been confirmed for 1.5 s. A VM that is cut off and knows of none serves on. tst_accesspolicy and tst_tenantrequests fail without the change.

--- a/src/libs/dispatch/fleetcoreconfiguration.cpp
+++ b/src/libs/dispatch/fleetcoreconfiguration.cpp
@@ -44,6 +44,10 @@
     else
       Alive->OperatorItems->refresh(std::move(Done));
   };
+  Hooks.IsOutdated = [Weak] {
+    const auto Alive = Weak.lock();
+    return Alive && Alive->Feed->isOutdated();
+  };
   return Hooks;
 }
 
--- a/src/libs/dispatch/jobrequestaccess.cpp
+++ b/src/libs/dispatch/jobrequestaccess.cpp
@@ -87,6 +87,7 @@
   Asked.Key = Key;
   Asked.Age = this->configurationAge(this->Shared.now());
   Asked.AgeAtArrival = this->configurationAge(Arrived);
+  Asked.IsOutdated = this->Configuration.IsOutdated();
   return this->Policy.decide(Queues.tenants(), Asked);
 }
 
--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -19,6 +19,8 @@
   std::function<TimePoint()> KnownThrough;
   /// Reads the configuration again and calls \p Done when that has ended.
   std::function<void(std::function<void()> Done)> Refresh;
+  /// Whether a newer configuration is known to exist.
+  std::function<bool()> IsOutdated;
 };
 
 /// Handles the requests of clients: accepts jobs, shows their state and cancels
--- a/src/libs/tenants/accesspolicy.cpp
+++ b/src/libs/tenants/accesspolicy.cpp
@@ -32,8 +32,13 @@
     return {IsConfirmed ? AccessOutcome::QueueUnknown
                         : AccessOutcome::QueueUnconfirmed,
             TenantName()};
+  // A VM that is cut off serves on; one that knows of a newer configuration
+  // must not act on the present one for longer than a change may take.
+  const bool IsOverdue = Request.IsOutdated && !IsConfirmed;
   if (Request.Queue == QueueAccess::Open)
-    return {AccessOutcome::Allowed, TenantName()};
+    return {IsOverdue ? AccessOutcome::ConfigurationStale
+                      : AccessOutcome::Allowed,
+            TenantName()};
   const Tenant *Owner = Table.findByKey(Request.Key);
   if (!Owner && !IsConfirmed)
     return {AccessOutcome::KeyUnconfirmed, TenantName()};
@@ -41,7 +46,7 @@
     return {Request.Key.empty() ? AccessOutcome::KeyMissing
                                 : AccessOutcome::KeyUnknown,
             TenantName()};
-  if (this->isStale(Request.AgeAtArrival))
+  if (IsOverdue || this->isStale(Request.AgeAtArrival))
     return {AccessOutcome::ConfigurationStale, Owner->Name};
   return {AccessOutcome::Allowed, Owner->Name};
 }
--- a/src/libs/tenants/include/whintack/tenants/accesspolicy.h
+++ b/src/libs/tenants/include/whintack/tenants/accesspolicy.h
@@ -44,7 +44,8 @@
   KeyUnknown,
   /// The key is missing or unknown, but a newer configuration may allow it.
   KeyUnconfirmed,
-  /// The key is known, but may have been removed too long ago.
+  /// The queue and the key are known, but the key may have been removed too
+  /// long ago, or a newer configuration should be in force by now.
   ConfigurationStale,
 };
 
@@ -70,6 +71,8 @@
   /// known key may still be used, because the bound applies to the time at
   /// which a call was sent, not to the time that its handling takes.
   Duration AgeAtArrival = Duration::zero();
+  /// A newer configuration is known to exist, but is not in force here yet.
+  bool IsOutdated = false;
 };
 
 /// The decision on a call.
--- a/tests/auto/dispatch/tst_jobrequesthandler.cpp
+++ b/tests/auto/dispatch/tst_jobrequesthandler.cpp
@@ -49,6 +49,7 @@
     ConfigurationHooks Configuration;
     Configuration.Queues = [Queues] { return Queues; };
     Configuration.KnownThrough = [this] { return this->Loop.Time.now(); };
+    Configuration.IsOutdated = [] { return false; };
     this->Handler = std::make_shared<JobRequestHandler>(
         Shared, this->Platform.codec(), Calls, Configuration,
         tenants::AccessBounds{seconds(2), std::nullopt});
--- a/tests/auto/dispatch/tst_tenantrequests.cpp
+++ b/tests/auto/dispatch/tst_tenantrequests.cpp
@@ -60,6 +60,7 @@
     ConfigurationHooks Configuration;
     Configuration.Queues = [this] { return this->Queues; };
     Configuration.KnownThrough = [this] { return this->KnownThrough; };
+    Configuration.IsOutdated = [this] { return this->IsOutdated; };
     Configuration.Refresh = [this](std::function<void()> Done) {
       ++this->Refreshes;
       this->Loop.Queue.schedule(this->Loop.Time.now() + this->RefreshDelay,
@@ -153,6 +154,7 @@
   std::function<void()> OnRefresh;
   size_t Refreshes = 0;
   size_t Commits = 0;
+  bool IsOutdated = false;
 
 private:
   uint64_t LastVersion = 0;
@@ -228,6 +230,27 @@
   CHECK(Entry.statusOf("GET", Path, "") == 200);
 }
 
+// Guards against requests that are handled by a configuration which the VM
+// knows to have been replaced, and which wait although a transfer does not end.
+TEST_CASE("an old configuration that is known to be replaced is not used") {
+  Fixture Entry;
+  Entry.setAge(milliseconds(1600));
+  Entry.IsOutdated = true;
+  SECTION("if the newer one does not come") {
+    const auto Got = Entry.send("GET", Path, "alder-key");
+    Entry.Loop.runFor(milliseconds(700));
+    CHECK(Got->Status == 503);
+    CHECK(Got->RetryAfter == "1");
+  }
+  SECTION("once the newer one has come") {
+    Entry.OnRefresh = [&Entry] {
+      Entry.adopt(simulation::exampleTenants());
+      Entry.IsOutdated = false;
+    };
+    CHECK(Entry.statusOf("GET", Path, "alder-key") == 200);
+  }
+}
+
 // Guards against a key that is refused although a newer version has it, or that
 // is accepted although a newer version lacks it.
 TEST_CASE("an old configuration is read again before the decision") {
--- a/tests/auto/tenants/tst_accesspolicy.cpp
+++ b/tests/auto/tenants/tst_accesspolicy.cpp
@@ -78,6 +78,23 @@
     }
 }
 
+// Guards against calls that a VM handles by a configuration which it knows to
+// have been replaced for longer than a change may take.
+TEST_CASE("a configuration known to be outdated is not used for long") {
+  const AccessPolicy Policy(WithoutRevocation);
+  for (const QueueAccess Queue : {QueueAccess::Open, QueueAccess::Keyed}) {
+    const auto Outcome = [&](Duration Age, bool IsOutdated) {
+      return Policy.decide(Table, {Queue, "alder-1", Age, Age, IsOutdated})
+          .Outcome;
+    };
+    INFO(nameOf(QueueAccessNames, Queue));
+    CHECK(Outcome(milliseconds(1500), true) == AccessOutcome::Allowed);
+    CHECK(Outcome(milliseconds(1501), true) ==
+          AccessOutcome::ConfigurationStale);
+    CHECK(Outcome(Duration::max(), false) == AccessOutcome::Allowed);
+  }
+}
+
 // Guards against a call with a removed key that succeeds after the bound.
 TEST_CASE("a known key is refused once it may have been removed too long ago") {
   const auto Outcome = [](const AccessBounds &Bounds, Duration Age) {
