Dispatch: Log where the processor time of a busy planner goes

Neither logs nor metrics told what a saturated planner does. planner-load gives, once a second, calls and processor time of passes, orders, reports and answers to starts, and the jobs that wait. The times are those of the process: work of other threads meanwhile counts too.

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -277,6 +277,7 @@
   };
   Environment.MaxConfigurationAge = maxConfigurationAge();
   Environment.Loads = this->Loads;
+  Environment.ProcessorTime = this->Connections.ProcessorTime;
   Environment.MaxLease = this->Self.MaxLease;
   Environment.ReservesRoom = this->Self.ReservesRoom;
   Environment.OnLost = this->shardLossHandler();
--- a/src/libs/dispatch/loadmonitor.cpp
+++ b/src/libs/dispatch/loadmonitor.cpp
@@ -1,5 +1,6 @@
 #include "loadmonitor.h"
 
+#include <sstream>
 #include <utility>
 
 namespace whintack::dispatch::Internal {
@@ -7,6 +8,8 @@
 /// Part of its processor share above which a VM counts as saturated.
 static constexpr double SaturatedUse = 0.8;
 static constexpr Duration LogInterval = std::chrono::seconds(1);
+/// Processor time in a second above which a planner's use is logged.
+static constexpr Duration MinLoggedTime = std::chrono::milliseconds(50);
 /// Time from the decision to the answer above which orders count as slow.
 /// Executors take milliseconds to answer.
 static constexpr Duration MaxOrderTime = std::chrono::milliseconds(100);
@@ -35,6 +38,32 @@
                                       {"share", this->ProcessorShare}});
 }
 
+PlannerLoadMonitor::PlannerLoadMonitor(ServiceName Service,
+                                       std::function<Duration()> UsedTime,
+                                       jobs::DecisionLog Log)
+    : Service(std::move(Service)), UsedTime(std::move(UsedTime)),
+      Log(std::move(Log)) {}
+
+void PlannerLoadMonitor::update(size_t Waiting, TimePoint Now) {
+  if (Now < this->NextLogAt)
+    return;
+  this->NextLogAt = Now + LogInterval;
+  const auto Recent = std::exchange(this->Uses, {});
+  Duration Total = Duration::zero();
+  for (const Use &Each : Recent)
+    Total += Each.Time;
+  if (Total < MinLoggedTime)
+    return;
+  std::ostringstream Parts;
+  for (size_t Kind = 0; Kind < Recent.size(); ++Kind)
+    Parts << (Kind > 0 ? "," : "") << PlannerWorkNames[Kind].Name << ":"
+          << Recent[Kind].Calls << ":" << toMilliseconds(Recent[Kind].Time);
+  this->Log("planner-load", {{"shard", this->Service},
+                             {"used-ms", toMilliseconds(Total)},
+                             {"parts", Parts.str()},
+                             {"waiting-jobs", Waiting}});
+}
+
 OrderMonitor::OrderMonitor(ServiceName Service, jobs::DecisionLog Log)
     : Service(std::move(Service)), Log(std::move(Log)) {}
 
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -30,7 +30,8 @@
            },
            this->Environment.ReservesRoom}),
       BacklogMonitor(this->Service, logWarning),
-      OrderTimes(this->Service, logWarning) {}
+      OrderTimes(this->Service, logWarning),
+      Load(this->Service, this->Environment.ProcessorTime, logWarning) {}
 
 void ServiceShard::start() {
   this->ClaimedAt = this->Shared.now();
@@ -378,12 +379,17 @@
     this->endGrace();
   this->reportStartPause();
   this->checkConfigurationAge();
-  if (this->canStartTasks())
-    this->Planner.plan(Now, this->Shared.Time.WallNow());
-  else if (this->canOrder())
-    this->Planner.repeatStops(Now);
-  for (const jobs::Order &Order : this->Planner.takeOrders())
-    this->execute(Order);
+  this->Load.measure(PlannerWork::Pass, [this, Now] {
+    if (this->canStartTasks())
+      this->Planner.plan(Now, this->Shared.Time.WallNow());
+    else if (this->canOrder())
+      this->Planner.repeatStops(Now);
+  });
+  this->Load.measure(PlannerWork::Orders, [this] {
+    for (const jobs::Order &Order : this->Planner.takeOrders())
+      this->execute(Order);
+  });
+  this->Load.update(this->Planner.startableJobs(), Now);
   this->checkBacklog();
   this->requestFlush();
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -31,6 +31,9 @@
   /// earlier claims may have, too.
   Duration StoreOutageGrace = Duration::zero();
   decltype(jobs::MachineGateway::List) ListMachines;
+  /// Returns the processor time that this process has used; null if that is not
+  /// known.
+  std::function<Duration()> ProcessorTime;
   std::shared_ptr<LoadQueue> Loads;
   /// Requests a new list of executors.
   std::function<void()> RefreshExecutors;
@@ -196,6 +199,7 @@
   std::shared_ptr<ProgressWriter> Writer;
   StoreBacklogMonitor BacklogMonitor;
   OrderMonitor OrderTimes;
+  PlannerLoadMonitor Load;
   std::shared_ptr<PrefixWatch> Notices;
   std::map<jobs::ExecutorId, std::shared_ptr<ExecutorLink>> Links;
   std::unordered_map<jobs::JobId, JobOrigin> Origins;
--- a/src/libs/dispatch/serviceshardlinks.cpp
+++ b/src/libs/dispatch/serviceshardlinks.cpp
@@ -37,7 +37,9 @@
   };
   Hooks.OnReport = [this](const jobs::ExecutorId &Id,
                           const jobs::ExecutorReport &Report) {
-    this->Planner.noteReport(Id, Report, this->Shared.now());
+    this->Load.measure(PlannerWork::Reports, [&] {
+      this->Planner.noteReport(Id, Report, this->Shared.now());
+    });
     this->requestFlush();
     this->requestPlan();
   };
@@ -46,7 +48,9 @@
   };
   Hooks.OnStart = [this](const jobs::StartOrder &Order,
                          jobs::StartOutcome Outcome, jobs::ExecutorTime At) {
-    this->Planner.noteStart(Order, Outcome, At, this->Shared.now());
+    this->Load.measure(PlannerWork::StartAnswers, [&] {
+      this->Planner.noteStart(Order, Outcome, At, this->Shared.now());
+    });
     if (Outcome != jobs::StartOutcome::Started)
       this->requestPlan();
   };
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -171,6 +171,8 @@
   void plan(TimePoint Now, WallTime WallNow);
   /// Returns the orders issued since the last call.
   std::vector<Order> takeOrders();
+  /// Number of jobs that a pass looks at.
+  size_t startableJobs() const;
   /// Time at which plan() should be called again if no other event occurs.
   TimePoint nextPlan(TimePoint Now) const;
 
--- a/src/libs/jobs/plannerpass.cpp
+++ b/src/libs/jobs/plannerpass.cpp
@@ -148,6 +148,8 @@
   return std::exchange(this->D->Orders, {});
 }
 
+size_t Planner::startableJobs() const { return this->D->Startable.size(); }
+
 TimePoint Planner::nextPlan(TimePoint Now) const { return Now + PlanInterval; }
 
 } // namespace whintack::jobs
