Items: Ask no process of an earlier version, and decode a configuration once

A process of an earlier version closes the link on which it gets a message that it does not know, so that an upgrade in turn would have lost links all the time; members say their bandwidth now, and only those that do are asked. What a peer knew long ago no longer shows that the store can be reached. A change of a wave made every VM decode the whole configuration again.

--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -158,6 +158,8 @@
   /// Whether this VM reads the operator's items from the store for others.
   bool IsItemReader = true;
   std::shared_ptr<const jobs::QueueTable> Queues;
+  /// Revision of the configuration that was decoded last.
+  uint64_t ConfigurationRevision = 0;
   std::vector<jobs::WaveRequest> Waves;
   std::map<std::string, HeldClaim> OwnClaims;
   std::map<std::string, std::shared_ptr<ServiceShard>> Shards;
--- a/src/libs/dispatch/fleetcoreconfiguration.cpp
+++ b/src/libs/dispatch/fleetcoreconfiguration.cpp
@@ -56,6 +56,10 @@
   this->Waves.clear();
   for (const auto &[Key, Item] : Items) {
     if (Key == Codec.ConfigurationKey) {
+      // A large configuration takes long to decode.
+      if (std::exchange(this->ConfigurationRevision, Item.Revision) ==
+          Item.Revision)
+        continue;
       auto Read = Codec.DecodeConfiguration(Item.Value);
       if (Read)
         this->adoptConfiguration(std::move(Read).value(), Item.Revision);
--- a/src/libs/dispatch/fleetcoreitems.cpp
+++ b/src/libs/dispatch/fleetcoreitems.cpp
@@ -81,11 +81,12 @@
   for (const Member &Each : this->Members->all()) {
     const EntryName &Name = Each.Endpoint.Name;
     const bool IsSelf = Name == this->Self.Name;
-    if (!IsSelf &&
-        std::find(Usable.begin(), Usable.end(), Name) == Usable.end())
+    const bool IsLinked =
+        std::find(Usable.begin(), Usable.end(), Name) != Usable.end();
+    if (!Each.Bandwidth || !(IsSelf || IsLinked))
       continue;
     if (Each.Endpoint.DataCentre == this->Self.DataCentre)
-      Near.push_back({Each.Bandwidth, Name});
+      Near.push_back({*Each.Bandwidth, Name});
     else
       Far.push_back(Name);
   }
--- a/src/libs/dispatch/membership.cpp
+++ b/src/libs/dispatch/membership.cpp
@@ -25,7 +25,7 @@
 static std::string encodeMember(const Member &Written) {
   value Body = value::object();
   Body["strength"] = value::number(Written.ProcessorShare);
-  Body["bandwidth"] = value::number(Written.Bandwidth);
+  Body["bandwidth"] = value::number(Written.Bandwidth.value_or(0));
   Body["data-centre"] = value::string(Written.Endpoint.DataCentre.text());
   Body["link"] = value::string(Written.Endpoint.Link.text());
   if (Written.IsStopping)
@@ -44,7 +44,9 @@
                             DataCentreName(Body.at("data-centre").as_string()),
                             *Link},
         Body.at("strength").as_double(),
-        Body.has_field("bandwidth") ? Body.at("bandwidth").as_double() : 0,
+        Body.has_field("bandwidth")
+            ? std::optional<double>(Body.at("bandwidth").as_double())
+            : std::nullopt,
         Body.has_field("stopping"), Item.Lease};
   } catch (const std::exception &Error) {
     logEvent(LogLevel::Error, "member-unreadable",
--- a/src/libs/dispatch/membership.h
+++ b/src/libs/dispatch/membership.h
@@ -14,8 +14,9 @@
   peers::PeerEndpoint Endpoint;
   /// Share of a processor core that the VM may use.
   double ProcessorShare = 1;
-  /// Bandwidth of the VM's link in Mbit/s; 0 if it is not known.
-  double Bandwidth = 0;
+  /// Bandwidth of the VM's link in Mbit/s; 0 if it is not known. Not set for a
+  /// process of an earlier version, which gives no items to others.
+  std::optional<double> Bandwidth = std::nullopt;
   /// The VM hands its shards over and takes no others.
   bool IsStopping = false;
   /// Store lease of the process on the VM.
--- a/src/libs/dispatch/prefixwatch.cpp
+++ b/src/libs/dispatch/prefixwatch.cpp
@@ -22,6 +22,8 @@
 /// Delay of a watch's answer after which the items are logged as stale. A watch
 /// that finds no change is answered after the whole wait.
 static constexpr Duration MaxAnswerDelay = std::chrono::milliseconds(250);
+/// Age of a report up to which it shows that the store can be reached.
+static constexpr Duration MaxCurrentAge = std::chrono::milliseconds(2500);
 /// Interval at which items that stay stale are logged again.
 static constexpr Duration StaleLogInterval = std::chrono::seconds(1);
 
@@ -160,9 +162,13 @@
 
 void PrefixWatch::report(TimePoint Through,
                          const std::set<std::string> &Changed) {
+  const TimePoint Now = this->Shared.now();
+  if (Through > this->KnownThrough)
+    this->LastAnswerAt = Now;
   this->KnownThrough = std::max(this->KnownThrough, Through);
-  this->LastAnswerAt = this->Shared.now();
-  this->IsCurrent = true;
+  // Another entry VM may tell of what was known long ago.
+  if (Now <= Through + MaxCurrentAge)
+    this->IsCurrent = true;
   if (this->OnRevision)
     this->OnRevision(this->AsOf);
   if (!Changed.empty()) {
