--- a/review/world.py
+++ b/review/world.py
@@ -1,7 +1,7 @@
 """A small deployment on loopback addresses: the platform's store, its machines,
 executors, clients and the operator, after the users' pages. The entry VMs are
 processes of the deploy file. Used by review/N/run.sh."""
-import asyncio, base64, json, os, re, secrets, shutil, signal, socket, sys, tempfile, time, urllib.parse
+import asyncio, base64, bisect, json, os, re, secrets, shutil, signal, socket, sys, tempfile, time, urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 BOUNDS = {"seed-lag-s": 3, "address-reuse-s": 2, "contact-ms": 3000, "ack-ms": 4000,
@@ -18,10 +18,17 @@
     return time.monotonic() * 1000
 
 
+taken_ports = set()
+
+
 def free_port(ip):
-    with socket.socket() as s:
-        s.bind((ip, 0))
-        return s.getsockname()[1]
+    while True:
+        with socket.socket() as s:
+            s.bind((ip, 0))
+            port = s.getsockname()[1]
+        if port not in taken_ports:
+            taken_ports.add(port)
+            return port
 
 
 def render(text, fields):
@@ -155,20 +162,14 @@
         self.world = world
         self.revision = 100
         self.items = {}
-        self.keys = []          # sorted keys, rebuilt when needed
-        self.dirty = True
+        self.keys = []          # sorted
         self.history = []       # (revision, key)
         self.lost_through = 100
         self.leases = {}        # id -> [ttl, end]
         self.next_lease = 70000
         self.changed = asyncio.Condition()
         self.tick = asyncio.Event()
-
-    def sorted_keys(self):
-        if self.dirty:
-            self.keys = sorted(self.items)
-            self.dirty = False
-        return self.keys
+        self.pages = 0          # answers that had more
 
     def put(self, key, value, lease=0, revision=None):
         if revision is None:
@@ -176,7 +177,7 @@
             revision = self.revision
         old = self.items.get(key)
         if old is None:
-            self.dirty = True
+            bisect.insort(self.keys, key)
         self.items[key] = {"key": key, "value": base64.b64encode(value).decode(), "revision": revision,
                            "created": old["created"] if old else revision, "lease": lease}
         self.history.append((revision, key, self.items[key]))
@@ -188,7 +189,7 @@
             self.revision += 1
             revision = self.revision
         del self.items[key]
-        self.dirty = True
+        del self.keys[bisect.bisect_left(self.keys, key)]
         self.history.append((revision, key, {"key": key, "revision": revision, "deleted": True}))
 
     def wake(self):
@@ -201,6 +202,17 @@
         self.wake()
         return self.revision
 
+    async def copy(self, key, copies):
+        """Items like that of the key, of the same revision; does not hold up
+        other calls. The copies are sorted and lie side by side."""
+        for start in range(0, len(copies), 2000):
+            for each in copies[start:start + 2000]:
+                self.items[each] = dict(self.items[key], key=each)
+            await asyncio.sleep(0.002)
+        at = bisect.bisect_left(self.keys, copies[0])
+        near = bisect.bisect_right(self.keys, copies[-1])
+        self.keys[at:near] = sorted(self.keys[at:near] + copies)
+
     def erase(self, key):
         self.delete(key)
         self.wake()
@@ -257,14 +269,14 @@
         return 400, {}
 
     def range(self, prefix, after):
-        import bisect
-        keys = self.sorted_keys()
+        keys = self.keys
         at = bisect.bisect_left(keys, prefix)
         if after:
             at = max(at, bisect.bisect_right(keys, after))
         items, size = [], 0
         while at < len(keys) and keys[at].startswith(prefix):
             if len(items) >= 500 or size > 1000000:
+                self.pages += 1
                 return {"items": items, "has-more": True, "as-of": self.revision}
             item = self.items[keys[at]]
             items.append(item)
@@ -278,7 +290,6 @@
         if after < self.lost_through:
             return 410, {"as-of": self.revision}
         while True:
-            import bisect
             at = bisect.bisect_right(self.history, after, key=lambda row: row[0])
             events = [row[2] for row in self.history[at:] if row[1].startswith(prefix)]
             if events or steady_ms() >= end:
@@ -383,7 +394,7 @@
 
     def end(self, run, how):
         self.running.pop(run.task, None)
-        self.barred[run.task] = max(self.barred.get(run.task, 0), run.run) if how == "stopped" else self.barred.get(run.task, 0)
+        self.barred[run.task] = max(self.barred.get(run.task, 0), run.run)
         self.ended.append([self.next_end, run.task, run.run, how, run.saved])
         self.lapses_at_end[self.next_end] = self.lapses
         self.next_end += 1
@@ -465,8 +476,7 @@
         run = self.running.get(task)
         if run and run.run == number:
             return 200, base
-        if number <= self.barred.get(task, 0) or (run and run.run >= number) or \
-           any(e[1] == task and e[2] >= number for e in self.ended):
+        if number <= self.barred.get(task, 0) or (run and run.run >= number):
             return 409, dict(base, reason="old")
         if given.get("deadline-ms", 0) <= self.clock():
             return 409, dict(base, reason="late")
@@ -527,6 +537,7 @@
         self.config = None
         self.tickets = None
         self.live = {}          # task -> {(executor, run)}
+        self.ends = {}          # task -> how its runs ended
         self.done = {}          # task -> {(executor, run): when it was noted, what started after}
         self.store = Store(self)
         self.cloud_hook = None
@@ -589,6 +600,7 @@
         others[id(run)] = (executor.id, run.run)
 
     def run_over(self, executor, run, how):
+        self.ends.setdefault(run.task, []).append(how)
         self.live.get(run.task, {}).pop(id(run), None)
         if how == "done":
             self.done.setdefault(run.task, {})[(executor, run.run)] = {"noted": None, "again": None}
@@ -617,6 +629,17 @@
         self.note(f"executor {made.id} of {machine} in {made.service}")
         return made
 
+    def lose(self, executor):
+        """The executor crashes for good; its entry goes after three intervals."""
+        self.machines[executor.machine].update(state="down", id=None)
+        del self.executors[executor.id]
+        executor.leave(erase=False)
+
+        async def expire():
+            await asyncio.sleep(4.5)
+            self.store.erase("servers/" + executor.id)
+        self.spawn(expire())
+
     async def handle_cloud(self, method, target, headers, body):
         given = json.loads(body) if body else {}
         if self.cloud_hook:
@@ -723,16 +746,29 @@
             await asyncio.sleep(back_after)
             self.start_node(name)
 
+    async def stop_node(self, name):
+        """SIGTERM, and SIGKILL after grace-s."""
+        self.signal_node(name, signal.SIGTERM)
+        end = time.monotonic() + BOUNDS["grace-s"]
+        while self.nodes[name]["process"].poll() is None:
+            if time.monotonic() > end:
+                await self.kill_node(name)
+                return
+            await asyncio.sleep(0.05)
+        self.note(f"node {name} has ended")
+
     def holder(self, shard):
         text = self.store.read("whintack/claim/" + shard)
         return json.loads(text)["holder"] if text else None
 
-    async def set_up(self, zones, services, machines, nodes, admission=True, routes=None, settle=5, cpu=32000, spare=True):
+    async def set_up(self, zones, services, machines, nodes, admission=True, routes=None, settle=5, cpu=32000, spare=True,
+                     per_rack=1):
         """A fleet that has settled, with a quiet start."""
         for service in services + (["clerkdesk"] if spare else []):
             for index in range(machines):
-                self.add_machine(f"m-{service}-{index}", service, zones[index % len(zones)],
-                                 ["a", f"r{index % len(zones)}-{index // len(zones)}"], cpu)
+                rack = index // per_rack
+                self.add_machine(f"m-{service}-{index}", service, zones[rack % len(zones)],
+                                 ["a", f"{service}-{rack}"], cpu)
         self.put_config(standard_config(services, routes or [make_route("quote", "/quote1/", "portal"),
                                                              make_route("redeem", "/redeem2/", "payouts")],
                                         admission=admission, spare="clerkdesk" if spare else None))
