--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,102 +1,63 @@
-"""The planner of a service is killed after the service has completed many jobs."""
-import asyncio, os, secrets, sys
+"""A configuration sends queues to another service while their jobs run."""
+import asyncio, copy, os, sys
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from world import *
 
-STEPS = [{"count": 3, "cpu": 2300, "mem-mb": 4700, "estimated-ms": 600, "work-ms": 600}]
-# A day of the queue `quote` at the 8.47 jobs a second of its sheet.
-HISTORY = int(os.environ.get("HISTORY", 86400 * 8.47))
+SHORT = [{"count": 3, "cpu": 2300, "mem-mb": 4700, "estimated-ms": 600, "work-ms": 600}]
+LONG = [{"count": 3, "cpu": 2300, "mem-mb": 4700, "estimated-ms": 9000, "work-ms": 9000}]
 
 
 async def scenario(world):
     zones = ["olympia-a", "tacoma-b", "salem-c"]
-    history = sorted(secrets.token_hex(8) for _ in range(HISTORY))
-    await world.set_up(zones, ["portal", "payouts"], machines=4, nodes=3)
-    job, status = await world.submit("front-1", "quote", STEPS)
-    for _ in range(50):
-        await asyncio.sleep(0.2)
-        _, body = await world.request("front-1", "GET", "quote", job)
-        if body == {"state": "completed"}:
-            break
-    else:
-        raise Reply(2, "the first job did not complete")
-    await asyncio.sleep(2)
-    # What the system has stored for this job stands in the store once for each
-    # job of the day, under an ID of its own. Nothing else is left of a job.
-    keys = [key for key in world.store.keys if job in key]
-    value = world.store.read(keys[0])
-    world.note(f"the system keeps {keys}: {value.decode()}")
-    if len(keys) != 1:
-        raise Reply(2, "more than one record of a completed job")
-    await world.store.copy(keys[0], [keys[0].replace(job, each) for each in history])
-    world.note(f"{HISTORY} jobs have completed on portal")
-    await asyncio.sleep(3)
-
-    world.spawn(guard(world))
-    holder = world.holder("portal")
-    killed = next(name for name in world.nodes if name in holder)
-    world.note(f"the planner of portal is {holder}")
-    if world.trouble:
-        world.spawn(world.kill_node(killed, 1.0))
-    # Clients go on for ten seconds, by the other nodes.
-    others = [name for name in world.nodes if name != killed]
+    await world.set_up(zones, ["portal", "payouts"], machines=4, nodes=3,
+                       routes=[make_route("quote", "/quote1/", "portal"), make_route("lookup", "/lookup3/", "portal"),
+                               make_route("redeem", "/redeem2/", "payouts")])
     jobs = []
-    for index in range(20):
-        job, status = await world.submit(others[index % 2], "quote", STEPS)
-        if status == 200:
-            jobs.append(job)
-        await asyncio.sleep(0.5)
-    world.note("the traffic ends")
-    await asyncio.sleep(BOUNDS["finish_s"])
-    if not jobs:
-        raise Reply(2, "no job was accepted")
-    await stalled(world, jobs)
-    # How long it lasts.
-    for _ in range(int(os.environ.get("WATCH", "12"))):
-        await asyncio.sleep(3)
-        world.note(f"planner of portal: {world.holder('portal')}; pages of records read: {world.store.pages}; memory in MB: "
-                   f"{ {name: memory(node) for name, node in world.nodes.items()} }; "
-                   f"jobs of {len(jobs)} that have started: {len([j for j in jobs if started(world, j)])}")
-
-
-def started(world, job):
-    return any(task.startswith(job + ".") for task in world.live)
-
-
-async def stalled(world, jobs):
-    """Jobs with nothing running for 3 s, on executors of which under half is used."""
-    idle = {job for job in jobs}
-    end = time.monotonic() + 3.2
-    while time.monotonic() < end:
-        idle = {job for job in idle if not started(world, job)}
-        used = sum(e.used("cpu") for e in world.executors.values() if e.service == "portal")
-        room = sum(e.capacity["cpu"] for e in world.executors.values() if e.service == "portal")
-        if used * 2 >= room:
-            raise Reply(2, "the service is in use")
-        await asyncio.sleep(0.1)
-    for job in sorted(idle):
-        _, body = await world.request("front-1", "GET", "quote", job)
-        age = time.monotonic() - world.jobs[job]["accepted"]
-        world.broken(f"LOST: job {job}, accepted {age:.0f} s ago and shown as {json.dumps(body)}, has nothing "
-                     f"running for 3 s; {used} of {room} mCPU of its service are in use")
-
-
-def memory(node):
-    try:
-        with open(f"/proc/{node['process'].pid}/status") as status:
-            return int(re.search(r"VmRSS:\s+(\d+)", status.read())[1]) // 1024
-    except (OSError, TypeError):
-        return 0
+    for queue in ("quote", "lookup"):
+        for steps in [SHORT] * 2 + [LONG] * 2:
+            job, status = await world.submit("front-1", queue, steps)
+            if status != 200:
+                raise Reply(2, f"a job was answered {status}")
+            jobs.append((job, queue, steps))
+    await asyncio.sleep(2.5)
+    for job, queue, _ in jobs:
+        status, body = await world.request("front-2", "GET", queue, job)
+        if status != 200:
+            raise Reply(2, f"a state was answered {status} before the change")
+
+    # The operator's change. `quote` keeps its name and gets another service;
+    # for `lookup` the route is removed, and one of another name, to another
+    # service, is added for the same host and prefix. Without the disruption
+    # the version changes time-outs only.
+    config = copy.deepcopy(world.config)
+    config["version"] += 4
+    for route in config["routes"][:2]:
+        if world.trouble:
+            route["service"] = "payouts"
+        else:
+            route["timeout-ms"] = 4000
+    if world.trouble:
+        config["routes"][1]["name"] = "lookup-b"
+    old = {route["name"]: route for route in world.config["routes"]}
+    world.put_config(config)
+    # One of the requests of each queue arrives again, seconds after its 2xx.
+    await asyncio.sleep(BOUNDS["config-apply-ms"] / 1000 + 0.5)
+    await asyncio.gather(*(ask(world, old[queue], job) for job, queue, _ in jobs))
+    for job, queue, steps in (jobs[3], jobs[7]):
+        sent = {"task-spec": "x", "steps": [{k: v for k, v in s.items() if k != "work-ms"} for s in steps]}
+        await world.request("front-3", "POST", old[queue], job, sent)
+    await asyncio.sleep(3)
+    await asyncio.gather(*(ask(world, old[queue], job) for job, queue, _ in jobs))
+    await asyncio.sleep(10)
 
 
-async def guard(world):
-    """The platform kills what exceeds memory-mb, and starts it again."""
-    while True:
-        await asyncio.sleep(0.05)
-        for name, node in world.nodes.items():
-            if memory(node) > 260:
-                world.note(f"{name} uses {memory(node)} MB, over its limit")
-                await world.kill_node(name, 1.0)
+async def ask(world, route, job):
+    status, body = await world.request("front-2", "GET", route, job)
+    if status == 410:
+        late = time.monotonic() - world.jobs[job]["accepted"]
+        if late > BOUNDS["visible_ms"] / 1000:
+            world.broken(f"LOST: GET {route['prefix']}{job} of the accepted job is answered 410, {late:.1f} s "
+                         f"after its 2xx")
 
 
 play(scenario, os.path.dirname(os.path.abspath(__file__)))
