--- a/review/world.py
+++ b/review/world.py
@@ -531,7 +531,7 @@
         self.record = open(os.path.join(folder, "record.txt"), "w")
         self.temporary = tempfile.mkdtemp()
         self.breaks, self.tasks = [], set()
-        self.nodes = {}
+        self.nodes, self.processes = {}, []
         self.machines, self.executors = {}, {}
         self.jobs = {}          # id -> {"body", "queue", "accepted"}
         self.config = None
@@ -640,6 +640,22 @@
             self.store.erase("servers/" + executor.id)
         self.spawn(expire())
 
+    def crash(self, executor):
+        """The executor crashes; its entry stays until it is back or silent for three intervals."""
+        self.machines[executor.machine].update(state="down", id=None)
+        del self.executors[executor.id]
+        executor.leave(erase=False)
+
+    async def restart(self, executor):
+        """It starts again under its id, at its address, and knows nothing of before."""
+        again = Executor(self, executor.machine, executor.service)
+        again.id, again.zero = executor.id, steady_ms()
+        again.server.port, again.server.address = executor.server.port, executor.server.address
+        self.executors[again.id] = again
+        self.machines[again.machine].update(state="up", id=again.id)
+        await again.open()
+        self.note(f"executor {again.id} is back under its id, born {again.born}")
+
     async def handle_cloud(self, method, target, headers, body):
         given = json.loads(body) if body else {}
         if self.cloud_hook:
@@ -733,6 +749,7 @@
         self.nodes[name]["process"] = subprocess.Popen(
             words, cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
             env={k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ})
+        self.processes.append(self.nodes[name]["process"])
         self.note(f"node {name} started")
 
     def signal_node(self, name, number):
@@ -820,14 +837,9 @@
         return job, status
 
     async def close(self):
-        for node in self.nodes.values():
-            if node["process"]:
-                try:
-                    node["process"].send_signal(signal.SIGCONT)
-                    node["process"].kill()
-                    node["process"].wait()
-                except ProcessLookupError:
-                    pass
+        for process in self.processes:
+            process.kill()
+            process.wait()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
             shutil.copytree(self.temporary, keep, dirs_exist_ok=True)
@@ -858,6 +870,8 @@
         world = World(folder)
         world.spawn(world.store.run())
         await world.cloud.open()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             async with asyncio.timeout(112):
                 await scenario(world)
@@ -869,6 +883,9 @@
         except TimeoutError:
             world.note("could not run: it took too long")
             return 2
+        except asyncio.CancelledError:
+            world.note("could not run: it was stopped")
+            return 2
         finally:
             for text in world.breaks[:10]:
                 print(text)
