Jobs: Make the id of a job unique among all services

The record of a job lies under its service, and each request took the service from the configuration of the moment. Now the commit that accepts a job also writes whintack/job-service/ID and expects it to be absent, so that VMs with different versions cannot both accept an id. A request that finds no record in the service of its queue goes on with the service named there.

--- a/src/libs/dispatch/jobrequestaccess.cpp
+++ b/src/libs/dispatch/jobrequestaccess.cpp
@@ -142,6 +142,9 @@
   Job->Id = jobs::JobId(IdText);
   Job->QueueName = Queue->Name;
   Job->Service = Queue->Service;
+  const auto OtherService = this->OtherServices.find(Job->Id);
+  if (OtherService != this->OtherServices.end())
+    Job->Service = OtherService->second;
   Job->Tenant = Access.Tenant;
   Job->Queues = CurrentQueues;
   Job->Respond = std::move(Respond);
--- a/src/libs/dispatch/jobrequesthandler.cpp
+++ b/src/libs/dispatch/jobrequesthandler.cpp
@@ -56,9 +56,10 @@
 
 void JobRequestHandler::storeJob(const SharedJobRequest &Job) {
   const std::string Key = keys::jobs(Job->Service) + Job->Id.text();
+  const std::string ServiceKey = keys::jobService(Job->Id);
   store::StoreTransaction Change;
-  Change.Expect = {{Key, 0}};
-  Change.Puts = {{Key, Job->Record, 0}};
+  Change.Expect = {{ServiceKey, 0}, {Key, 0}};
+  Change.Puts = {{ServiceKey, Job->Service.text(), 0}, {Key, Job->Record, 0}};
   Change.IsRepeatable = true;
   this->Shared.Store.Commit(
       Change,
@@ -84,6 +85,13 @@
     return;
   }
   // The same job was submitted before, or this is a second copy of the commit.
+  const store::StoreItem *Stored =
+      store::findItem(Answer.value().Current, keys::jobService(Job->Id));
+  if (Stored && Stored->Value != Job->Service.text()) {
+    this->setService(Job, ServiceName(Stored->Value));
+    this->acceptFromOtherService(Job, Answer.value());
+    return;
+  }
   if (const store::StoreItem *Found = store::findItem(
           Answer.value().Current, keys::jobs(Job->Service) + Job->Id.text())) {
     this->accept(Job, Answer.value(), Found->Value);
@@ -197,37 +205,6 @@
           }));
 }
 
-void JobRequestHandler::readRecord(
-    const SharedJobRequest &Job,
-    const std::function<void(store::StoreResult<std::string>)> &Done) {
-  const std::string Key = keys::jobs(Job->Service) + Job->Id.text();
-  this->Shared.Store.Range(
-      Key, "", store::ReadKind::Current,
-      onLoop<JobRequestHandler, store::StoreResult<store::StorePage>>(
-          this->Shared.Loop, this->shared_from_this(),
-          [Job, Key, Done](JobRequestHandler &Self,
-                           store::StoreResult<store::StorePage> Answer) {
-            if (Answer) {
-              std::string Text;
-              for (const store::StoreItem &Item : Answer.value().Items)
-                if (Item.Key == Key)
-                  Text = Item.Value;
-              Done(std::move(Text));
-              return;
-            }
-            const TimePoint Next =
-                Self.Shared.now() + Self.Shared.jittered(StoreRetryDelay);
-            if (Next >= Job->Deadline) {
-              Done(failure(std::move(Answer).error()));
-              return;
-            }
-            scheduleFor(Self.Shared.Loop, Self.shared_from_this(), Next,
-                        [Job, Done](JobRequestHandler &Owner) {
-                          Owner.readRecord(Job, Done);
-                        });
-          }));
-}
-
 void JobRequestHandler::showState(const SharedJobRequest &Job) {
   this->Calls->call(
       {0, Job->Service, peers::ServiceCallKind::JobState, Job->Id.text(),
@@ -248,34 +225,36 @@
           return;
         }
         const bool IsUnknown = Answer.Outcome == CallOutcome::Unknown;
-        Self->readRecord(Job, [Self, Job, IsUnknown](
-                                  store::StoreResult<std::string> Record) {
-          if (!Record) {
-            logRefusal(Job->Id, status::ServiceUnavailable,
-                       Record.error().Message);
-            Job->Respond(
-                errorResponse(status::ServiceUnavailable,
-                              "the job's state is not known at present"));
-            return;
-          }
-          if (Record.value().empty()) {
-            logRefusal(Job->Id, Gone, "no such job");
-            Job->Respond(errorResponse(Gone, "no such job"));
-            return;
-          }
-          const auto Stored = decodeStoredJob(Record.value());
-          if (Stored && isOtherTenant(*Job, Stored.value())) {
-            Self->refuseOtherTenant(Job);
-            return;
-          }
-          const jobs::JobState Shown = Stored && Stored.value().End
-                                           ? *Stored.value().End
-                                           : jobs::JobState::Queued;
-          Job->Respond(
-              http::jsonResponse(status::Ok, Self->Codec.EncodeState(Shown)));
-          if (IsUnknown && Stored)
-            Self->announce(Job, Record.value());
-        });
+        const auto Retry = [Self, Job] { Self->showState(Job); };
+        Self->findRecord(
+            Job, Retry,
+            [Self, Job, IsUnknown](store::StoreResult<std::string> Record) {
+              if (!Record) {
+                logRefusal(Job->Id, status::ServiceUnavailable,
+                           Record.error().Message);
+                Job->Respond(
+                    errorResponse(status::ServiceUnavailable,
+                                  "the job's state is not known at present"));
+                return;
+              }
+              if (Record.value().empty()) {
+                logRefusal(Job->Id, Gone, "no such job");
+                Job->Respond(errorResponse(Gone, "no such job"));
+                return;
+              }
+              const auto Stored = decodeStoredJob(Record.value());
+              if (Stored && isOtherTenant(*Job, Stored.value())) {
+                Self->refuseOtherTenant(Job);
+                return;
+              }
+              const jobs::JobState Shown = Stored && Stored.value().End
+                                               ? *Stored.value().End
+                                               : jobs::JobState::Queued;
+              Job->Respond(http::jsonResponse(status::Ok,
+                                              Self->Codec.EncodeState(Shown)));
+              if (IsUnknown && Stored)
+                Self->announce(Job, Record.value());
+            });
       });
 }
 
@@ -302,40 +281,42 @@
 void JobRequestHandler::cancelInStore(const SharedJobRequest &Job,
                                       bool IsUnknownToPlanner) {
   const auto Self = this->shared_from_this();
-  this->readRecord(Job, [Self, Job, IsUnknownToPlanner](
-                            store::StoreResult<std::string> Record) {
-    if (!Record) {
-      Job->Respond(errorResponse(status::ServiceUnavailable,
-                                 "the job cannot be cancelled at present"));
-      return;
-    }
-    if (Record.value().empty()) {
-      Job->Respond(errorResponse(Gone, "no such job"));
-      return;
-    }
-    const auto Stored = decodeStoredJob(Record.value());
-    if (Stored && isOtherTenant(*Job, Stored.value())) {
-      Self->refuseOtherTenant(Job);
-      return;
-    }
-    if (Stored && Stored.value().End) {
-      Job->Respond(http::jsonResponse(status::Ok, "{}"));
-      return;
-    }
-    if (IsUnknownToPlanner)
-      Self->announce(Job, Record.value());
-    Self->writeNotice(
-        Job, keys::cancellations(Job->Service) + Job->Id.text(), "{}",
-        MaxNoticeAttempts / 4, [Self, Job](bool IsStored) {
-          logEvent(LogLevel::Info, "cancel-noted",
-                   {{"job", Job->Id}, {"stored", IsStored ? "yes" : "no"}});
-          Job->Respond(IsStored
-                           ? http::jsonResponse(status::Ok, "{}")
+  const auto Retry = [Self, Job] { Self->cancel(Job); };
+  this->findRecord(
+      Job, Retry,
+      [Self, Job, IsUnknownToPlanner](store::StoreResult<std::string> Record) {
+        if (!Record) {
+          Job->Respond(errorResponse(status::ServiceUnavailable,
+                                     "the job cannot be cancelled at present"));
+          return;
+        }
+        if (Record.value().empty()) {
+          Job->Respond(errorResponse(Gone, "no such job"));
+          return;
+        }
+        const auto Stored = decodeStoredJob(Record.value());
+        if (Stored && isOtherTenant(*Job, Stored.value())) {
+          Self->refuseOtherTenant(Job);
+          return;
+        }
+        if (Stored && Stored.value().End) {
+          Job->Respond(http::jsonResponse(status::Ok, "{}"));
+          return;
+        }
+        if (IsUnknownToPlanner)
+          Self->announce(Job, Record.value());
+        Self->writeNotice(
+            Job, keys::cancellations(Job->Service) + Job->Id.text(), "{}",
+            MaxNoticeAttempts / 4, [Self, Job](bool IsStored) {
+              logEvent(LogLevel::Info, "cancel-noted",
+                       {{"job", Job->Id}, {"stored", IsStored ? "yes" : "no"}});
+              Job->Respond(
+                  IsStored ? http::jsonResponse(status::Ok, "{}")
                            : errorResponse(status::GatewayTimeout,
                                            "it is not known whether the job is "
                                            "cancelled"));
-        });
-  });
+            });
+      });
 }
 
 void JobRequestHandler::showWaiting(const std::string &QueueName,
--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -30,6 +30,10 @@
 /// for a job whose record was certainly not written. An unknown outcome is
 /// answered as a time-out, never as "not accepted" or "no such job".
 ///
+/// A job belongs for good to the service that its queue had in the
+/// configuration by which it was accepted. Later configurations, and VMs that
+/// know another version, may send the queue elsewhere.
+///
 /// A call's key is checked once, against the configuration that is current then
 /// and with the time at which the call arrived. What follows may take long and
 /// does not check the key again: a key that is removed meanwhile was valid when
@@ -61,6 +65,8 @@
   struct JobRequest {
     jobs::JobId Id;
     std::string QueueName;
+    /// The service of the queue, or that of the job once it is known to be
+    /// another one.
     ServiceName Service;
     /// The tenant whose key came with the request; empty if it needed none.
     TenantName Tenant;
@@ -104,10 +110,22 @@
   void cancelInStore(const SharedJobRequest &Job, bool IsUnknownToPlanner);
   void showWaiting(const std::string &QueueName, const ServiceName &Service,
                    const http::Responder &Respond);
-  /// Reads a job's record; passes an empty text if there is none.
-  void
-  readRecord(const SharedJobRequest &Job,
-             const std::function<void(store::StoreResult<std::string>)> &Done);
+  using TextCallback = std::function<void(store::StoreResult<std::string>)>;
+  /// Reads the value under a key; passes an empty text if there is none.
+  void readValue(const SharedJobRequest &Job, const std::string &Key,
+                 const TextCallback &Done);
+  /// Reads the job's record in the service of the request; passes an empty text
+  /// if there is no such job. Calls \p Retry instead if the job belongs to
+  /// another service, which is then the service of the request.
+  void findRecord(const SharedJobRequest &Job,
+                  const std::function<void()> &Retry, const TextCallback &Done);
+  void findService(const SharedJobRequest &Job,
+                   const std::function<void()> &Retry,
+                   const TextCallback &Done);
+  void setService(const SharedJobRequest &Job, const ServiceName &Service);
+  /// Accepts a job that is stored in another service than that of its queue.
+  void acceptFromOtherService(const SharedJobRequest &Job,
+                              const store::CommitAnswer &Answer);
 
   Context Shared;
   jobs::PlatformCodec Codec;
@@ -126,6 +144,9 @@
     TimePoint ValidUntil;
   };
   std::map<std::string, CachedCount> WaitingCounts;
+  /// Services of jobs that do not belong to the service of the queue by which
+  /// they were requested.
+  std::unordered_map<jobs::JobId, ServiceName> OtherServices;
 };
 
 } // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/storekeys.h
+++ b/src/libs/dispatch/storekeys.h
@@ -32,6 +32,11 @@
 inline std::string jobs(const ServiceName &Service) {
   return "whintack/job/" + Service.text() + "/";
 }
+/// Name of the service that an accepted job belongs to. Makes the id unique
+/// among the jobs of all services.
+inline std::string jobService(const jobs::JobId &Id) {
+  return "whintack/job-service/" + Id.text();
+}
 /// Progress of the jobs of the service that have not ended, by job id.
 inline std::string progress(const ServiceName &Service) {
   return "whintack/progress/" + Service.text() + "/";
