Jobs: Keep the policy by which a job was accepted

Each take-over looked the policy up by the name of the queue, and found the defaults, or the policy of a queue of another service. The record of a job now keeps the policy. The present policy applies only to a queue that still has the name and the service of the job.

movedqueues, "a job keeps its attempts when its queue is replaced": failed on, passes now.

--- a/src/libs/dispatch/jobrecords.h
+++ b/src/libs/dispatch/jobrecords.h
@@ -4,6 +4,7 @@
 #include "whintack/base/identifier.h"
 #include "whintack/base/result.h"
 #include "whintack/base/time.h"
+#include "whintack/jobs/configuration.h"
 #include "whintack/jobs/jobspec.h"
 
 #include <optional>
@@ -21,6 +22,10 @@
   std::optional<jobs::JobState> End;
   /// The tenant that submitted the job; empty if it has none.
   TenantName Tenant = TenantName();
+  /// The queue as the job was accepted for it, without its service; nothing
+  /// once the job has ended, or if an earlier version of the product accepted
+  /// it.
+  std::optional<jobs::Queue> Policy = std::nullopt;
 };
 
 /// Why a job's record cannot be decoded.
--- a/src/libs/dispatch/jobrequestaccess.cpp
+++ b/src/libs/dispatch/jobrequestaccess.cpp
@@ -147,6 +147,7 @@
     Job->Service = OtherService->second;
   Job->Tenant = Access.Tenant;
   Job->Queues = CurrentQueues;
+  Job->Queue = Queue;
   Job->Respond = std::move(Respond);
   Job->Deadline =
       this->Shared.now() +
--- a/src/libs/dispatch/jobrequesthandler.cpp
+++ b/src/libs/dispatch/jobrequesthandler.cpp
@@ -50,7 +50,7 @@
     return;
   }
   Job->Record = encodeStoredJob({Job->QueueName, this->Shared.Time.WallNow(),
-                                 Body, std::nullopt, Job->Tenant});
+                                 Body, std::nullopt, Job->Tenant, *Job->Queue});
   this->storeJob(Job);
 }
 
--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -72,6 +72,8 @@
     TenantName Tenant;
     /// The configuration by which the request was let in.
     std::shared_ptr<const jobs::QueueTable> Queues;
+    /// The queue in that configuration.
+    const jobs::Queue *Queue = nullptr;
     http::Responder Respond;
     TimePoint Deadline;
     /// The record to store, for a submitted job.
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -93,6 +93,24 @@
   this->Links.clear();
 }
 
+/// The policy of an accepted job that belongs to \p Service: the present one of
+/// its queue, or the one by which it was accepted if the queue is gone or goes
+/// to another service.
+static jobs::Queue policyOf(const StoredJob &Job,
+                            const jobs::QueueTable &Queues,
+                            const ServiceName &Service) {
+  if (const jobs::Queue *Current = Queues.named(Job.QueueName, Service))
+    return *Current;
+  jobs::Queue Policy;
+  if (Job.Policy)
+    Policy = *Job.Policy;
+  else if (const jobs::Queue *Moved = Queues.named(Job.QueueName))
+    Policy = *Moved;
+  Policy.Name = Job.QueueName;
+  Policy.Service = Service;
+  return Policy;
+}
+
 bool ServiceShard::addStoredJob(const jobs::JobId &Id, const std::string &Text,
                                 const jobs::JobProgress *Earlier) {
   const auto Stored = decodeStoredJob(Text);
@@ -116,10 +134,7 @@
   }
   jobs::AcceptedJob Job;
   Job.Spec = Spec.value();
-  if (const jobs::Queue *Policy = Queues->named(Stored.value().QueueName))
-    Job.Policy = *Policy;
-  else
-    Job.Policy.Name = Stored.value().QueueName;
+  Job.Policy = policyOf(Stored.value(), *Queues, this->Service);
   Job.Tenant = Stored.value().Tenant;
   const Duration Age = this->Shared.Time.WallNow() - Stored.value().Accepted;
   Job.Accepted = this->Shared.now() - std::max(Age, Duration::zero());
--- a/src/libs/jobs/include/whintack/jobs/configuration.h
+++ b/src/libs/jobs/include/whintack/jobs/configuration.h
@@ -80,6 +80,8 @@
   const Queue *find(std::string_view Host, std::string_view Path) const;
   /// The queue with this name; null if there is none.
   const Queue *named(std::string_view Name) const;
+  /// The queue with this name if its jobs go to \p Service; null otherwise.
+  const Queue *named(std::string_view Name, const ServiceName &Service) const;
   const ServicePolicy *service(const ServiceName &Name) const;
   const tenants::TenantTable &tenants() const { return this->Tenants; }
   const FleetConfiguration &configuration() const {
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -105,7 +105,8 @@
   /// Number of accepted jobs of the queue that have not started a task.
   size_t waitingJobs(std::string_view QueueName) const;
 
-  /// Adopts the current policies of the queues.
+  /// Adopts the current policies of the service's queues. Jobs of a queue that
+  /// is gone, or that has gone to another service, keep theirs.
   void setQueues(const QueueTable &Queues);
   /// Adopts the list of the service's executors.
   void setExecutors(const std::vector<ExecutorInfo> &Listed);
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -303,7 +303,8 @@
   for (const ServicePolicy &Service : Queues.configuration().Services)
     this->D->Services[Service.Name] = Service;
   for (auto &[Id, Job] : this->D->Jobs)
-    if (const Queue *Current = Queues.named(Job.Policy.Name)) {
+    if (const Queue *Current =
+            Queues.named(Job.Policy.Name, this->D->Setup.Service)) {
       Job.Policy = *Current;
       Job.Rank = initialRank(Job);
       this->D->markForReview(Job);
--- a/src/libs/jobs/queuetable.cpp
+++ b/src/libs/jobs/queuetable.cpp
@@ -34,6 +34,12 @@
   return nullptr;
 }
 
+const Queue *QueueTable::named(std::string_view Name,
+                               const ServiceName &Service) const {
+  const Queue *Found = this->named(Name);
+  return Found && Found->Service == Service ? Found : nullptr;
+}
+
 const ServicePolicy *QueueTable::service(const ServiceName &Name) const {
   for (const ServicePolicy &Candidate : this->Configuration.Services)
     if (Candidate.Name == Name)
--- a/tests/auto/dispatch/tst_movedqueues.cpp
+++ b/tests/auto/dispatch/tst_movedqueues.cpp
@@ -114,3 +114,71 @@
   CHECK(Fleet.get("e3", Job).Body == "completed");
   CHECK(Fleet.Platform.runChecker().violations().empty());
 }
+
+// Guards against an accepted job that gets the default policy, with a single
+// attempt, from a planner that no longer finds its queue.
+TEST_CASE("a job keeps its attempts when its queue is replaced") {
+  MovableQueuesFleet Fleet;
+  std::set<jobs::TaskKey> Failed;
+  Fleet.Platform.setFailures([&Failed](const jobs::TaskKey &Task, uint64_t) {
+    return Failed.insert(Task).second;
+  });
+  const std::string Planner = Fleet.plannerOf("quotes");
+  Fleet.killNode(Planner);
+  REQUIRE(Fleet.post(Planner == "e1" ? "e2" : "e1", Job, "short") == Ok);
+  SECTION("by one of another name") { Fleet.renameQueue("quotes", "quotes-b"); }
+  SECTION("by one of the same name for another service") {
+    Fleet.reconfigure([](jobs::FleetConfiguration &Next) {
+      Next.Queues.front().Service = ServiceName("payouts");
+      Next.Queues.front().MaxAttempts = 1;
+    });
+  }
+  SECTION("by none") {
+    Fleet.reconfigure([](jobs::FleetConfiguration &Next) {
+      Next.Queues.erase(Next.Queues.begin());
+    });
+    Fleet.runFor(seconds(20));
+    CHECK(Failed.size() == ShortTasks);
+    Fleet.reconfigure([](jobs::FleetConfiguration &Next) {
+      Next.Queues.insert(Next.Queues.begin(),
+                         simulation::exampleConfiguration(1).Queues.front());
+    });
+  }
+  Fleet.restartNode(Planner);
+  Fleet.runFor(seconds(20));
+  CHECK(Failed.size() == ShortTasks);
+  CHECK(Fleet.get("e3", Job).Body == "completed");
+}
+
+// Guards against a policy that is stored in part.
+TEST_CASE("the record of a job keeps the policy of its queue") {
+  StoredJob Stored;
+  Stored.QueueName = "quotes";
+  Stored.Body = "short";
+  CHECK_FALSE(decodeStoredJob(encodeStoredJob(Stored)).value().Policy);
+
+  jobs::Queue Policy = simulation::exampleConfiguration(1).Queues.front();
+  Policy.Priority = 2;
+  Policy.Timeout = seconds(4);
+  Policy.IsPublic = true;
+  Policy.Advice =
+      jobs::AdvicePolicy{milliseconds(300), milliseconds(105), seconds(10)};
+  Stored.Policy = Policy;
+  const auto Read = decodeStoredJob(encodeStoredJob(Stored));
+  REQUIRE(Read);
+  REQUIRE(Read.value().Policy);
+  const jobs::Queue &Kept = *Read.value().Policy;
+  CHECK(Kept.Name == Policy.Name);
+  CHECK(Kept.Host == Policy.Host);
+  CHECK(Kept.Prefix == Policy.Prefix);
+  CHECK(Kept.Priority == Policy.Priority);
+  CHECK(Kept.MaxAttempts == Policy.MaxAttempts);
+  CHECK(Kept.Timeout == Policy.Timeout);
+  CHECK(Kept.Stretch == Policy.Stretch);
+  CHECK(Kept.Objective == Policy.Objective);
+  CHECK(Kept.IsPublic);
+  REQUIRE(Kept.Advice);
+  CHECK(Kept.Advice->BaseTime == Policy.Advice->BaseTime);
+  CHECK(Kept.Advice->TimePerExecutor == Policy.Advice->TimePerExecutor);
+  CHECK(Kept.Advice->Validity == Policy.Advice->Validity);
+}
