Jobs: Count the waiting jobs of a queue in all services

Only the planner of the queue's present service was asked, and it compared names. WaitingCounts adds up the answers of all services; a planner counts the jobs of queues with the same name, or the same host and prefix.

movedqueues, "jobs that wait are counted after their queue has changed": failed on in all three sections, passes now.

--- a/src/libs/dispatch/jobrequestaccess.cpp
+++ b/src/libs/dispatch/jobrequestaccess.cpp
@@ -130,7 +130,7 @@
   }
   const std::string IdText = Path.substr(Queue->Prefix.size());
   if (IdText.empty() && Request.Method == "GET") {
-    this->showWaiting(Queue->Name, Queue->Service, Respond);
+    this->showWaiting(*CurrentQueues, Queue->Name, Respond);
     return;
   }
   if (!isJobId(IdText)) {
--- a/src/libs/dispatch/jobrequesthandler.cpp
+++ b/src/libs/dispatch/jobrequesthandler.cpp
@@ -3,8 +3,6 @@
 #include "jobresponses.h"
 #include "storekeys.h"
 
-#include <charconv>
-
 namespace whintack::dispatch::Internal {
 
 namespace status = http::status;
@@ -14,8 +12,6 @@
 static constexpr Duration StoreRetryDelay = std::chrono::milliseconds(120);
 /// How long to wait for a planner before reading the store instead.
 static constexpr Duration PlannerTimeout = std::chrono::milliseconds(500);
-/// Maximum age of a cached count of waiting jobs.
-static constexpr Duration MaxCountAge = std::chrono::milliseconds(1500);
 static constexpr int64_t MaxNoticeAttempts = 20;
 
 JobRequestHandler::JobRequestHandler(Context Shared, jobs::PlatformCodec Codec,
@@ -24,7 +20,8 @@
                                      const tenants::AccessBounds &Bounds)
     : Shared(std::move(Shared)), Codec(std::move(Codec)),
       Calls(std::move(Calls)), Configuration(std::move(Configuration)),
-      Policy(Bounds) {}
+      Policy(Bounds),
+      Waiting(std::make_shared<WaitingCounts>(this->Shared, this->Calls)) {}
 
 bool JobRequestHandler::isOtherTenant(const JobRequest &Job,
                                       const StoredJob &Stored) {
@@ -319,32 +316,21 @@
       });
 }
 
-void JobRequestHandler::showWaiting(const std::string &QueueName,
-                                    const ServiceName &Service,
+void JobRequestHandler::showWaiting(const jobs::QueueTable &Queues,
+                                    const std::string &QueueName,
                                     const http::Responder &Respond) {
-  this->Calls->call(
-      {0, Service, peers::ServiceCallKind::WaitingJobs, QueueName, ""},
-      PlannerTimeout,
-      [Weak = this->weak_from_this(), QueueName,
-       Respond](const CallResult &Answer) {
+  this->Waiting->count(
+      Queues, QueueName,
+      [Weak = this->weak_from_this(), Respond](std::optional<size_t> Count) {
         const auto Self = Weak.lock();
         if (!Self)
           return;
-        const TimePoint Now = Self->Shared.now();
-        if (Answer.Outcome == CallOutcome::Done)
-          Self->WaitingCounts[QueueName] = {Answer.Content, Now + MaxCountAge};
-        const auto Cached = Self->WaitingCounts.find(QueueName);
-        if (Cached == Self->WaitingCounts.end() ||
-            Now >= Cached->second.ValidUntil) {
+        if (Count)
+          Respond(http::jsonResponse(status::Ok,
+                                     Self->Codec.EncodeWaiting(*Count)));
+        else
           Respond(errorResponse(status::ServiceUnavailable,
                                 "the count is not known at present"));
-          return;
-        }
-        size_t Waiting = 0;
-        const std::string &Text = Cached->second.Waiting;
-        std::from_chars(Text.data(), Text.data() + Text.size(), Waiting);
-        Respond(
-            http::jsonResponse(status::Ok, Self->Codec.EncodeWaiting(Waiting)));
       });
 }
 
--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -4,6 +4,7 @@
 #include "jobownership.h"
 #include "jobrecords.h"
 #include "servicecalls.h"
+#include "waitingcounts.h"
 
 #include "whintack/http/httpserver.h"
 #include "whintack/jobs/gateways.h"
@@ -110,7 +111,7 @@
   void showState(const SharedJobRequest &Job);
   void cancel(const SharedJobRequest &Job);
   void cancelInStore(const SharedJobRequest &Job, bool IsUnknownToPlanner);
-  void showWaiting(const std::string &QueueName, const ServiceName &Service,
+  void showWaiting(const jobs::QueueTable &Queues, const std::string &QueueName,
                    const http::Responder &Respond);
   using TextCallback = std::function<void(store::StoreResult<std::string>)>;
   /// Reads the value under a key; passes an empty text if there is none.
@@ -141,11 +142,7 @@
   /// Number of refused keys logged in the current window.
   size_t KeyLogLines = 0;
   size_t UnloggedKeyRefusals = 0;
-  struct CachedCount {
-    std::string Waiting;
-    TimePoint ValidUntil;
-  };
-  std::map<std::string, CachedCount> WaitingCounts;
+  std::shared_ptr<WaitingCounts> Waiting;
   /// Services of jobs that do not belong to the service of the queue by which
   /// they were requested.
   std::unordered_map<jobs::JobId, ServiceName> OtherServices;
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -178,6 +178,8 @@
   JobOrigin originOf(const jobs::JobId &Job) const;
   /// Whether the tenant in the call's content may not access the job.
   bool isOtherTenant(const peers::ServiceCall &Call) const;
+  /// Number of jobs of the queue that wait here, whichever service it has now.
+  size_t countWaiting(const std::string &QueueName) const;
   void answerCancel(const peers::ServiceCall &Call,
                     const AnswerCallback &Respond);
   /// Applies the shares in the call, if there are any, and reports what is in
--- a/src/libs/dispatch/serviceshardanswers.cpp
+++ b/src/libs/dispatch/serviceshardanswers.cpp
@@ -44,6 +44,14 @@
     this->Environment.RefreshExecutors();
 }
 
+size_t ServiceShard::countWaiting(const std::string &QueueName) const {
+  if (const jobs::Queue *Current = this->Environment.Queues()->named(QueueName))
+    return this->Planner.waitingJobs(*Current);
+  jobs::Queue Unknown;
+  Unknown.Name = QueueName;
+  return this->Planner.waitingJobs(Unknown);
+}
+
 bool ServiceShard::isOtherTenant(const peers::ServiceCall &Call) const {
   return !mayAccess(*this->Environment.Queues(), TenantName(Call.Content),
                     this->originOf(jobs::JobId(Call.Subject)));
@@ -94,7 +102,7 @@
   }
   case peers::ServiceCallKind::WaitingJobs:
     Respond({Call.Id, ServiceOutcome::Done,
-             std::to_string(this->Planner.waitingJobs(Call.Subject))});
+             std::to_string(this->countWaiting(Call.Subject))});
     return;
   case peers::ServiceCallKind::PoolDemand:
     this->answerDemand(Call, Respond);
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -102,8 +102,9 @@
   /// The state of a job as clients may see it: a final state is shown only once
   /// it is stored. std::nullopt if the job is not known.
   std::optional<JobState> shownState(const JobId &Job) const;
-  /// Number of accepted jobs of the queue that have not started a task.
-  size_t waitingJobs(std::string_view QueueName) const;
+  /// Number of accepted jobs that have not started a task and were submitted to
+  /// a queue with the name of \p Asked, or with its host and prefix.
+  size_t waitingJobs(const Queue &Asked) const;
 
   /// Adopts the current policies of the service's queues. Jobs of a queue that
   /// is gone, or that has gone to another service, keep theirs.
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -287,14 +287,21 @@
   return Record->HasStarted ? JobState::Running : JobState::Queued;
 }
 
-size_t Planner::waitingJobs(std::string_view QueueName) const {
-  return static_cast<size_t>(
-      std::count_if(this->D->Jobs.begin(), this->D->Jobs.end(),
-                    [QueueName](const auto &Entry) {
-                      const JobRecord &Job = Entry.second;
-                      return !Job.HasStarted && !isFinal(Job.State) &&
-                             Job.Policy.Name == QueueName;
-                    }));
+/// Whether requests for \p Asked may concern jobs of \p Accepted, which an
+/// earlier configuration had.
+static bool isSameQueue(const Queue &Accepted, const Queue &Asked) {
+  return Accepted.Name == Asked.Name ||
+         (!Asked.Prefix.empty() && Accepted.Host == Asked.Host &&
+          Accepted.Prefix == Asked.Prefix);
+}
+
+size_t Planner::waitingJobs(const Queue &Asked) const {
+  return static_cast<size_t>(std::count_if(
+      this->D->Jobs.begin(), this->D->Jobs.end(), [&Asked](const auto &Entry) {
+        const JobRecord &Job = Entry.second;
+        return !Job.HasStarted && !isFinal(Job.State) &&
+               isSameQueue(Job.Policy, Asked);
+      }));
 }
 
 void Planner::setQueues(const QueueTable &Queues) {
--- a/tests/auto/dispatch/tst_movedqueues.cpp
+++ b/tests/auto/dispatch/tst_movedqueues.cpp
@@ -182,3 +182,24 @@
   CHECK(Kept.Advice->TimePerExecutor == Policy.Advice->TimePerExecutor);
   CHECK(Kept.Advice->Validity == Policy.Advice->Validity);
 }
+
+// Guards against a count that leaves out the jobs that were accepted before the
+// queue went to another service or got another name.
+TEST_CASE("jobs that wait are counted after their queue has changed") {
+  MovableQueuesFleet Fleet;
+  for (const jobs::MachineName &Machine : Fleet.Platform.machineNames())
+    Fleet.Platform.crash(Machine, seconds(100));
+  Fleet.runFor(seconds(8));
+  REQUIRE(Fleet.post("e1", Job, "short") == Ok);
+  REQUIRE(Fleet.get("e2", "/quotes/").Body == "1");
+  SECTION("to another service") { Fleet.moveQueue("quotes", "payouts"); }
+  SECTION("to another name") { Fleet.renameQueue("quotes", "quotes-b"); }
+  SECTION("to both") {
+    Fleet.renameQueue("quotes", "quotes-b");
+    Fleet.moveQueue("quotes-b", "payouts");
+  }
+  Fleet.runFor(seconds(3));
+  for (const std::string &Name : Fleet.nodeNames())
+    CHECK(Fleet.get(Name, "/quotes/").Body == "1");
+  CHECK(Fleet.get("e1", "/payouts/").Body == "0");
+}
