Advice: Derive the deadline of a call from the declared times

Each call was given up 1.5 s after it was sent, and the retries filled the line of the advice service with calls that nobody waited for.

AdviceClient makes the calls of all planners of a process. The service handles one call at a time for each VM, also those that were given up, so the deadline follows from the declared times of all open calls.

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -25,6 +25,8 @@
     : Self(std::move(Self)), Connections(std::move(Connections)),
       Shared(std::move(Shared)), Transport(std::move(Transport)),
       Loads(std::make_shared<LoadQueue>(this->Shared.Loop)),
+      Advice(std::make_shared<AdviceClient>(this->Shared,
+                                            this->Connections.Advice)),
       Processor(this->Self.ProcessorShare, this->Connections.ProcessorTime,
                 logWarning) {
   // The lease knows of one grace only. A successor would wait in vain for more.
@@ -257,7 +259,11 @@
 void FleetCore::openServiceShard(const HeldClaim &Acquired) {
   ShardEnvironment Environment;
   Environment.Executors = this->ExecutorCalls->gateway();
-  Environment.Advice = this->Connections.Advice;
+  Environment.AskAdvice =
+      [Advice = this->Advice](const jobs::AdviceOrder &Request,
+                              jobs::GatewayCallback<jobs::AdviceAnswer> Done) {
+        Advice->ask(Request, std::move(Done));
+      };
   Environment.DecodeJob = this->Connections.Codec.DecodeJob;
   Environment.Queues = this->queueSource();
   Environment.ClaimValidUntil = this->claimValidity();
--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -1,6 +1,7 @@
 #ifndef WHINTACK_DISPATCH_FLEETCORE_H
 #define WHINTACK_DISPATCH_FLEETCORE_H
 
+#include "adviceclient.h"
 #include "executorlistmonitor.h"
 #include "executorrelay.h"
 #include "gracemonitor.h"
@@ -146,6 +147,7 @@
   std::shared_ptr<ShardBalancer> Balancer;
   std::shared_ptr<ExecutorListMonitor> Executors;
   std::shared_ptr<LoadQueue> Loads;
+  std::shared_ptr<AdviceClient> Advice;
   ProcessorMonitor Processor;
   std::shared_ptr<ServiceCalls> Calls;
   std::shared_ptr<ExecutorRelay> ExecutorCalls;
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -19,7 +19,10 @@
 /// What a service shard needs from its process.
 struct ShardEnvironment {
   jobs::ExecutorGateway Executors;
-  jobs::AdviceGateway Advice;
+  /// Requests advice and passes the answer on, on the loop's thread.
+  std::function<void(const jobs::AdviceOrder &,
+                     jobs::GatewayCallback<jobs::AdviceAnswer>)>
+      AskAdvice;
   decltype(jobs::PlatformCodec::DecodeJob) DecodeJob;
   std::function<std::shared_ptr<const jobs::QueueTable>()> Queues;
   /// Time until which the claim certainly holds.
@@ -132,7 +135,7 @@
   void requestPlan();
   void plan();
   void execute(const jobs::Order &Order);
-  void askAdvice(const jobs::AdviceOrder &Order);
+  void askAdvice(const jobs::AdviceOrder &Request);
   ClaimPhase phase() const;
   bool isClaimValid() const { return this->phase() == ClaimPhase::Valid; }
   bool isInGrace() const { return this->phase() == ClaimPhase::Grace; }
--- a/src/libs/dispatch/serviceshardlinks.cpp
+++ b/src/libs/dispatch/serviceshardlinks.cpp
@@ -2,9 +2,6 @@
 
 namespace whintack::dispatch::Internal {
 
-/// Time for the advice service on top of the queue's policy, because calls
-/// queue up there.
-static constexpr Duration AdviceMargin = std::chrono::milliseconds(1500);
 /// Interval between two checks of the machines while executors are silent.
 static constexpr Duration SilentCheckInterval = std::chrono::milliseconds(600);
 /// Reserved from a ticket's validity for sending the order.
@@ -134,28 +131,27 @@
   } else if (const auto *Pace = std::get_if<jobs::PaceOrder>(&Order)) {
     if (const auto Link = FindLink(Pace->Executor))
       Link->pace(*Pace);
-  } else if (const auto *Question = std::get_if<jobs::AdviceOrder>(&Order)) {
-    this->askAdvice(*Question);
+  } else if (const auto *Request = std::get_if<jobs::AdviceOrder>(&Order)) {
+    this->askAdvice(*Request);
   }
 }
 
-void ServiceShard::askAdvice(const jobs::AdviceOrder &Question) {
-  const TimePoint Sent = this->Shared.now();
-  this->Environment.Advice.Ask(
-      Question, Sent + AdviceMargin,
-      onLoop<ServiceShard, jobs::GatewayResult<jobs::AdviceAnswer>>(
-          this->Shared.Loop, this->shared_from_this(),
-          [Question](ServiceShard &Self,
-                     const jobs::GatewayResult<jobs::AdviceAnswer> &Answer) {
-            const TimePoint Now = Self.Shared.now();
-            if (Answer)
-              Self.Planner.noteAdvice(Question, Answer.value().Tickets,
-                                      Now + Answer.value().Validity -
-                                          TicketMargin);
-            else
-              Self.Planner.noteAdviceFailed(Question, Now);
-            Self.requestPlan();
-          }));
+void ServiceShard::askAdvice(const jobs::AdviceOrder &Request) {
+  this->Environment.AskAdvice(
+      Request, [Weak = this->weak_from_this(), Request](
+                   const jobs::GatewayResult<jobs::AdviceAnswer> &Answer) {
+        const auto Self = Weak.lock();
+        if (!Self)
+          return;
+        const TimePoint Now = Self->Shared.now();
+        if (Answer)
+          Self->Planner.noteAdvice(Request, Answer.value().Tickets,
+                                   Now + Answer.value().Validity -
+                                       TicketMargin);
+        else
+          Self->Planner.noteAdviceFailed(Request, Now);
+        Self->requestPlan();
+      });
 }
 
 } // namespace whintack::dispatch::Internal
--- a/src/libs/jobs/include/whintack/jobs/configuration.h
+++ b/src/libs/jobs/include/whintack/jobs/configuration.h
@@ -20,6 +20,11 @@
   Duration BaseTime = Duration::zero();
   Duration TimePerExecutor = Duration::zero();
   Duration Validity = Duration::zero();
+
+  Duration responseTime(size_t Executors) const {
+    return this->BaseTime +
+           static_cast<int64_t>(Executors) * this->TimePerExecutor;
+  }
 };
 
 /// A queue that clients submit jobs to.
--- a/src/libs/jobs/include/whintack/jobs/executor.h
+++ b/src/libs/jobs/include/whintack/jobs/executor.h
@@ -179,6 +179,9 @@
 struct AdviceOrder {
   StepKey Step;
   std::vector<ExecutorId> Candidates;
+  /// Declared time of the advice service for an answer on these candidates,
+  /// from when it begins to handle the request.
+  Duration ResponseTime = Duration::zero();
 };
 
 /// Permission for an executor to run a step.
--- a/src/libs/jobs/include/whintack/jobs/gateways.h
+++ b/src/libs/jobs/include/whintack/jobs/gateways.h
@@ -144,7 +144,7 @@
 
 /// Requests advice on which executors may run a step.
 struct AdviceGateway {
-  std::function<void(const AdviceOrder &Question, TimePoint Deadline,
+  std::function<void(const AdviceOrder &Request, TimePoint Deadline,
                      GatewayCallback<AdviceAnswer> Done)>
       Ask;
 };
--- a/src/libs/jobs/planneradvice.cpp
+++ b/src/libs/jobs/planneradvice.cpp
@@ -26,7 +26,8 @@
     return true;
   if (Known.IsRequestPending || Now < Known.NextRequestAt)
     return false;
-  AdviceOrder Request{Step, {}};
+  AdviceOrder Request;
+  Request.Step = Step;
   // Which executors may run a step does not change. Executors that were granted
   // a ticket are therefore asked about again, and those that were not are left
   // out.
@@ -38,6 +39,8 @@
   }
   if (Request.Candidates.empty())
     return false;
+  Request.ResponseTime =
+      Job.Policy.Advice->responseTime(Request.Candidates.size());
   Known.IsRequestPending = true;
   this->Orders.push_back(std::move(Request));
   return false;
--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -92,6 +92,7 @@
     Connections.Executors =
         this->WrapExecutors(std::move(Connections.Executors));
   Connections.Machines = this->Platform.machines(Vm);
+  Connections.Advice = this->Advice;
   Connections.Codec = this->Platform.codec();
   Context Shared{this->clock(), this->Source, this->Loop.Queue,
                  Connections.Store};
--- a/tests/auto/dispatch/simulatedfleet.h
+++ b/tests/auto/dispatch/simulatedfleet.h
@@ -110,6 +110,9 @@
   std::function<store::AsyncStore(store::AsyncStore)> WrapStore;
   std::function<jobs::ExecutorGateway(jobs::ExecutorGateway)> WrapExecutors;
 
+  /// The advice service that VMs are given when they start.
+  jobs::AdviceGateway Advice;
+
   SteppedLoop Loop;
   Random Source;
   simulation::SimulatedPlatform Platform;
