Advice: Name as many executors as there is time for

An answer about 30 executors may take longer than the job can wait, or than the validity of a ticket, and keeps the calls of other steps waiting.

The number of executors in a request follows from the declared times, the objective of the job and the validity. Executors that were not named are asked about next.

jobs, "advice is requested on as many executors as there is time for" and "executors that were not named are asked about next": failed on, pass now.

--- a/src/libs/jobs/planneradvice.cpp
+++ b/src/libs/jobs/planneradvice.cpp
@@ -12,6 +12,20 @@
 /// Delay before a failed request for advice is repeated.
 static constexpr Duration AdviceRetryDelay = std::chrono::milliseconds(200);
 
+/// Maximum number of executors in one request, so that the answer comes before
+/// the objective of the job and within the validity of a ticket. Once the
+/// objective has passed, an answer takes at most twice the base time.
+static size_t maxCandidates(const AdvicePolicy &Policy, TimePoint Objective,
+                            TimePoint Now) {
+  if (Policy.TimePerExecutor <= Duration::zero())
+    return MaxAdviceCandidates;
+  const Duration Limit =
+      std::min(Policy.Validity, std::max(Objective - Now, 2 * Policy.BaseTime));
+  const int64_t Count = (Limit - Policy.BaseTime) / Policy.TimePerExecutor;
+  return static_cast<size_t>(
+      std::clamp<int64_t>(Count, 1, MaxAdviceCandidates));
+}
+
 bool Planner::Private::ensureTickets(const JobRecord &Job, const StepKey &Step,
                                      const std::vector<Candidate> &Candidates,
                                      TimePoint Now) {
@@ -31,9 +45,11 @@
   // Which executors may run a step does not change. Executors that were granted
   // a ticket are therefore asked about again, and those that were not are left
   // out.
+  const size_t MaxCount =
+      maxCandidates(*Job.Policy.Advice, Job.Rank.Objective, Now);
   for (const Candidate &Each : Candidates) {
     const ExecutorId &Id = Each.Executor->Info.Id;
-    if (Request.Candidates.size() < MaxAdviceCandidates &&
+    if (Request.Candidates.size() < MaxCount &&
         (!Known.AskedExecutors.contains(Id) || Known.Tickets.contains(Id)))
       Request.Candidates.push_back(Id);
   }
--- /dev/null
+++ b/tests/auto/jobs/tst_advicerequests.cpp
@@ -0,0 +1,103 @@
+#include "plannerfixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace whintack;
+using namespace whintack::jobs;
+using namespace whintack::tests;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// A planner with a job whose queue takes advice.
+class AdvisedFixture : public PlannerFixture {
+public:
+  AdvisedFixture(const AdvicePolicy &Policy, Duration Objective,
+                 const StepSpec &Step) {
+    AcceptedJob Advised = job("1", {Step});
+    Advised.Accepted = this->Time.now();
+    Advised.Policy.Advice = Policy;
+    Advised.Policy.Objective = Objective;
+    this->Planner.addJob(Advised);
+  }
+
+  void listNumbered(size_t Count) {
+    std::vector<ExecutorInfo> Infos;
+    for (size_t Number = 0; Number < Count; ++Number)
+      Infos.push_back(executor("x" + std::to_string(Number)));
+    this->list(Infos);
+  }
+  std::vector<AdviceOrder> requests() {
+    this->Planner.plan(this->Time.now(), WallTime());
+    return this->takeOrders<AdviceOrder>();
+  }
+  /// Grants a ticket for each executor that was asked about.
+  void grantAll(const AdviceOrder &Request, Duration Validity) {
+    std::vector<Ticket> Tickets;
+    for (const ExecutorId &Each : Request.Candidates)
+      Tickets.push_back({Each, "ticket"});
+    this->Planner.noteAdvice(Request, Tickets, this->Time.now() + Validity);
+  }
+};
+
+} // namespace
+
+// Guards against an answer that comes when its tickets, or the time of the job,
+// would have run out.
+TEST_CASE("advice is requested on as many executors as there is time for") {
+  const AdvicePolicy Policy{milliseconds(200), milliseconds(100), seconds(10)};
+  SECTION("all that one request may name") {
+    AdvisedFixture Fixture(Policy, seconds(60), step(1));
+    Fixture.listNumbered(40);
+    const auto Requests = Fixture.requests();
+    REQUIRE(Requests.size() == 1);
+    CHECK(Requests[0].Candidates.size() == 30);
+    CHECK(Requests[0].ResponseTime == milliseconds(3200));
+  }
+  SECTION("within the validity of a ticket") {
+    AdvicePolicy Brief = Policy;
+    Brief.Validity = seconds(1);
+    AdvisedFixture Fixture(Brief, seconds(60), step(1));
+    Fixture.listNumbered(40);
+    const auto Requests = Fixture.requests();
+    REQUIRE(Requests.size() == 1);
+    CHECK(Requests[0].Candidates.size() == 8);
+  }
+  SECTION("before the objective of the job") {
+    StepSpec Brief = step(1);
+    Brief.Estimate = milliseconds(1);
+    AdvisedFixture Fixture(Policy, milliseconds(800), Brief);
+    Fixture.listNumbered(40);
+    const auto Requests = Fixture.requests();
+    REQUIRE(Requests.size() == 1);
+    CHECK(Requests[0].ResponseTime <= milliseconds(802));
+    CHECK(Requests[0].Candidates.size() >= 5);
+  }
+  SECTION("at least some once the objective has passed") {
+    AdvisedFixture Fixture(Policy, milliseconds(1), step(1));
+    Fixture.Time.advance(seconds(60));
+    Fixture.listNumbered(40);
+    const auto Requests = Fixture.requests();
+    REQUIRE(Requests.size() == 1);
+    CHECK(Requests[0].Candidates.size() == 2);
+  }
+}
+
+// Guards against executors that are never asked about because those of the
+// first request are not good.
+TEST_CASE("executors that were not named are asked about next") {
+  AdvicePolicy Brief{milliseconds(200), milliseconds(100), seconds(1)};
+  AdvisedFixture Fixture(Brief, seconds(60), step(1));
+  Fixture.listNumbered(20);
+  std::set<ExecutorId> Asked;
+  for (int Round = 0; Round < 3; ++Round) {
+    const auto Requests = Fixture.requests();
+    REQUIRE(Requests.size() == 1);
+    Asked.insert(Requests[0].Candidates.begin(), Requests[0].Candidates.end());
+    Fixture.Planner.noteAdvice(Requests[0], {},
+                               Fixture.Time.now() + seconds(1));
+  }
+  CHECK(Asked.size() == 20);
+  CHECK(Fixture.requests().empty());
+}
