Advice: Give each ticket its own time of validity

A step had one time of validity for all its tickets. A second answer about other executors prolonged the tickets of the first, and starts with expired tickets were refused.

jobs, "each ticket is valid for its own time": failed on, passes now.

--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -160,13 +160,20 @@
   const StepRecord &step(const StepKey &Key) const;
 };
 
+/// A ticket as it was granted.
+struct GrantedTicket {
+  std::string Text;
+  TimePoint ValidUntil = TimePoint::min();
+};
+
 /// Advice for one step.
 struct AdviceRecord {
-  std::map<ExecutorId, std::string> Tickets;
+  std::map<ExecutorId, GrantedTicket> Tickets;
   std::set<ExecutorId> AskedExecutors;
-  TimePoint ValidUntil = TimePoint::min();
   bool IsRequestPending = false;
   TimePoint NextRequestAt = TimePoint::min();
+
+  bool hasTicket(const ExecutorId &Id, TimePoint Now) const;
 };
 
 /// An end reported for a job that is not known yet.
--- a/src/libs/jobs/planneradvice.cpp
+++ b/src/libs/jobs/planneradvice.cpp
@@ -12,6 +12,11 @@
 /// Delay before a failed request for advice is repeated.
 static constexpr Duration AdviceRetryDelay = std::chrono::milliseconds(200);
 
+bool AdviceRecord::hasTicket(const ExecutorId &Id, TimePoint Now) const {
+  const auto Found = this->Tickets.find(Id);
+  return Found != this->Tickets.end() && Now < Found->second.ValidUntil;
+}
+
 /// Maximum number of executors in one request, so that the answer comes before
 /// the objective of the job and within the validity of a ticket. Once the
 /// objective has passed, an answer takes at most twice the base time.
@@ -32,11 +37,10 @@
   if (!Job.Policy.Advice)
     return true;
   AdviceRecord &Known = this->Advice[Step];
-  const bool IsValid = Now < Known.ValidUntil;
-  const auto HasTicket = [&Known](const Candidate &Each) {
-    return Known.Tickets.contains(Each.Executor->Info.Id);
+  const auto HasTicket = [&Known, Now](const Candidate &Each) {
+    return Known.hasTicket(Each.Executor->Info.Id, Now);
   };
-  if (IsValid && std::any_of(Candidates.begin(), Candidates.end(), HasTicket))
+  if (std::any_of(Candidates.begin(), Candidates.end(), HasTicket))
     return true;
   if (Known.IsRequestPending || Now < Known.NextRequestAt)
     return false;
@@ -70,11 +74,10 @@
     return;
   AdviceRecord &Record = Found->second;
   Record.IsRequestPending = false;
-  Record.ValidUntil = ValidUntil;
   Record.AskedExecutors.insert(Request.Candidates.begin(),
                                Request.Candidates.end());
   for (const Ticket &Granted : Tickets)
-    Record.Tickets[Granted.Executor] = Granted.Text;
+    Record.Tickets[Granted.Executor] = {Granted.Text, ValidUntil};
   this->D->log("advice-taken", {{"step", Request.Step.text()},
                                 {"asked", Request.Candidates.size()},
                                 {"good", Tickets.size()}});
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -192,9 +192,7 @@
     return false;
   if (!Job.Policy.Advice)
     return true;
-  const AdviceRecord &Known = this->Advice[Key.Step];
-  return Now < Known.ValidUntil &&
-         Known.Tickets.contains(Target.Executor->Info.Id);
+  return this->Advice[Key.Step].hasTicket(Target.Executor->Info.Id, Now);
 }
 
 Candidate *Planner::Private::chooseCandidate(const JobRecord &Job,
@@ -240,7 +238,7 @@
     Start.Checkpoint =
         (Spec.IsGang ? this->gangLeader(Key.Step) : Task).Stored.Checkpoint;
   if (Job.Policy.Advice)
-    Start.Ticket = this->Advice[Key.Step].Tickets[Start.Executor];
+    Start.Ticket = this->Advice[Key.Step].Tickets[Start.Executor].Text;
   RunRecord Record;
   Record.Number = Run;
   Record.Executor = Start.Executor;
--- a/tests/auto/jobs/tst_advicerequests.cpp
+++ b/tests/auto/jobs/tst_advicerequests.cpp
@@ -101,3 +101,24 @@
   CHECK(Asked.size() == 20);
   CHECK(Fixture.requests().empty());
 }
+
+// Guards against a ticket that is used after its validity because another one
+// of the step was granted later.
+TEST_CASE("each ticket is valid for its own time") {
+  const AdvicePolicy Policy{milliseconds(10), milliseconds(10), seconds(3)};
+  AdvisedFixture Fixture(Policy, seconds(60), step(1, 8000));
+  Fixture.list({executor("a", 4000)});
+  const auto First = Fixture.requests();
+  REQUIRE(First.size() == 1);
+  Fixture.grantAll(First[0], seconds(3));
+  CHECK(Fixture.starts().empty());
+  Fixture.Time.advance(milliseconds(2900));
+  Fixture.list({executor("b", 4000)});
+  const auto Second = Fixture.requests();
+  REQUIRE(Second.size() == 1);
+  CHECK(Second[0].Candidates == std::vector<ExecutorId>{ExecutorId("b")});
+  Fixture.grantAll(Second[0], seconds(3));
+  Fixture.Time.advance(milliseconds(200));
+  Fixture.list({executor("a", 8000)});
+  CHECK(Fixture.starts().empty());
+}
