Advice: Forget only the ticket that was rejected

When an executor rejected one ticket, the whole record of the step was erased: the valid tickets of other executors, and the answer that was under way. The step started nothing until further advice.

Only the rejected ticket is forgotten, unless a newer one has come meanwhile, and its executor is asked about again.

--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -421,6 +421,8 @@
   bool ensureTickets(const Internal::JobRecord &Job, const StepKey &Step,
                      const std::vector<Internal::Candidate> &Candidates,
                      TimePoint Now);
+  /// Handles that an executor has rejected the ticket of a start order.
+  void noteTicketRejected(const StartOrder &Order, TimePoint Now);
   size_t countLongRunning(Internal::Candidate &Target);
   size_t countUnavailableTasks(const Internal::JobRecord &Job,
                                const StepKey &Step);
--- a/src/libs/jobs/planneradvice.cpp
+++ b/src/libs/jobs/planneradvice.cpp
@@ -91,4 +91,19 @@
   Found->second.NextRequestAt = Now + AdviceRetryDelay;
 }
 
+void Planner::Private::noteTicketRejected(const StartOrder &Order,
+                                          TimePoint Now) {
+  const auto Record = this->Advice.find(Order.Task.Step);
+  if (Record == this->Advice.end())
+    return;
+  const auto Rejected = Record->second.Tickets.find(Order.Executor);
+  // A newer ticket may have been granted while the order was under way.
+  if (Rejected == Record->second.Tickets.end() ||
+      Rejected->second.Text != Order.Ticket)
+    return;
+  Record->second.Tickets.erase(Rejected);
+  Record->second.AskedExecutors.erase(Order.Executor);
+  Record->second.NextRequestAt = Now + AdviceRetryDelay;
+}
+
 } // namespace whintack::jobs
--- a/src/libs/jobs/plannerorders.cpp
+++ b/src/libs/jobs/plannerorders.cpp
@@ -61,7 +61,7 @@
     Executor.NoRoomUntil = Now + NoRoomRetryDelay;
     break;
   case StartOutcome::NoTicket:
-    this->D->Advice.erase(Step);
+    this->D->noteTicketRejected(Order, Now);
     break;
   case StartOutcome::Unhealthy:
     this->D->HealthTracker.noteUnavailable(Order.Executor, Now);
--- a/tests/auto/jobs/tst_advicerequests.cpp
+++ b/tests/auto/jobs/tst_advicerequests.cpp
@@ -122,3 +122,24 @@
   Fixture.list({executor("a", 8000)});
   CHECK(Fixture.starts().empty());
 }
+
+// Guards against the loss of all tickets of a step, and of the answer that it
+// waits for, when an executor rejects one ticket.
+TEST_CASE("a rejected ticket is requested anew and the others are used") {
+  const AdvicePolicy Policy{milliseconds(10), milliseconds(10), seconds(10)};
+  AdvisedFixture Fixture(Policy, seconds(60), step(3, 8000));
+  Fixture.list({executor("a"), executor("b")});
+  const auto Requests = Fixture.requests();
+  REQUIRE(Requests.size() == 1);
+  Fixture.grantAll(Requests[0], seconds(10));
+  const auto Starts = Fixture.starts();
+  REQUIRE(Starts.size() == 2);
+  Fixture.confirm(Starts[1]);
+  Fixture.Planner.noteStart(Starts[0], StartOutcome::NoTicket,
+                            ++Fixture.ExecutorNow, Fixture.Time.now());
+  Fixture.endRun(Starts[1], RunEnd::Done);
+  const auto Next = Fixture.starts();
+  REQUIRE(Next.size() == 1);
+  CHECK(Next[0].Executor == Starts[1].Executor);
+  CHECK(Next[0].Ticket == "ticket");
+}
