Advice: Request more while the tickets of a step do not suffice

A gang or a wide step waited for the executors that had a ticket, although others that were not asked about had room: advice was requested only while no executor had a ticket.

Advice is now requested until the executors with a ticket have room for all tasks of the step, on executors with room first.

--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -413,11 +413,21 @@
                   bool *IsHeldBack = nullptr);
   void chooseRack(const StepSpec &Spec, Internal::StepRecord &Step,
                   const std::vector<Internal::Candidate> &Candidates);
+  /// Whether the executor has room for the task and meets its constraints.
+  bool canHost(const Internal::JobRecord &Job, const TaskKey &Key,
+               const Internal::Candidate &Target);
+  /// Whether the executor has a ticket as well, if the queue takes advice.
   bool canRunOn(const Internal::JobRecord &Job, const TaskKey &Key,
                 const Internal::Candidate &Target, TimePoint Now);
   void start(Internal::JobRecord &Job, const TaskKey &Key, uint64_t Run,
              Internal::Candidate &Target, TimePoint Now);
   uint64_t nextRunNumber(const StepKey &Step, size_t Index);
+  /// Whether the executors with a ticket have room for all tasks of the step.
+  bool hasTicketedPlaces(const Internal::JobRecord &Job, const StepKey &Step,
+                         const std::vector<Internal::Candidate> &Candidates,
+                         TimePoint Now);
+  /// Requests advice if the tickets of the step do not suffice. Returns whether
+  /// there is any.
   bool ensureTickets(const Internal::JobRecord &Job, const StepKey &Step,
                      const std::vector<Internal::Candidate> &Candidates,
                      TimePoint Now);
--- a/src/libs/jobs/planneradvice.cpp
+++ b/src/libs/jobs/planneradvice.cpp
@@ -31,39 +31,73 @@
       std::clamp<int64_t>(Count, 1, MaxAdviceCandidates));
 }
 
+/// Number of the step's tasks that are to be placed. Long-running ones may have
+/// to move at any time.
+static size_t countUnplaced(const StepSpec &Spec, const StepRecord &Step) {
+  const auto Unplaced = static_cast<size_t>(std::count_if(
+      Step.Tasks.begin(), Step.Tasks.end(), [](const TaskRecord &Task) {
+        return !Task.Stored.IsDone && !Task.Current;
+      }));
+  return std::max<size_t>(Unplaced, Spec.IsLongRunning ? 1 : 0);
+}
+
+bool Planner::Private::hasTicketedPlaces(
+    const JobRecord &Job, const StepKey &Step,
+    const std::vector<Candidate> &Candidates, TimePoint Now) {
+  const StepSpec &Spec = this->stepSpec(Job, Step);
+  const size_t Wanted = countUnplaced(Spec, Job.step(Step));
+  size_t Places = 0;
+  for (const Candidate &Each : Candidates) {
+    if (Places >= Wanted)
+      return true;
+    if (this->canRunOn(Job, {Step, 0}, Each, Now))
+      Places += countFittingTasks(Spec, Each.Free);
+  }
+  return Places >= Wanted;
+}
+
 bool Planner::Private::ensureTickets(const JobRecord &Job, const StepKey &Step,
                                      const std::vector<Candidate> &Candidates,
                                      TimePoint Now) {
   if (!Job.Policy.Advice)
     return true;
   AdviceRecord &Known = this->Advice[Step];
-  const auto HasTicket = [&Known, Now](const Candidate &Each) {
-    return Known.hasTicket(Each.Executor->Info.Id, Now);
-  };
-  if (std::any_of(Candidates.begin(), Candidates.end(), HasTicket))
-    return true;
-  if (Known.IsRequestPending || Now < Known.NextRequestAt)
-    return false;
+  const bool HasTicket = std::any_of(
+      Candidates.begin(), Candidates.end(), [&](const Candidate &Each) {
+        return Known.hasTicket(Each.Executor->Info.Id, Now);
+      });
+  if (Known.IsRequestPending || Now < Known.NextRequestAt ||
+      (HasTicket && this->hasTicketedPlaces(Job, Step, Candidates, Now)))
+    return HasTicket;
   AdviceOrder Request;
   Request.Step = Step;
-  // Which executors may run a step does not change. Executors that were granted
-  // a ticket are therefore asked about again, and those that were not are left
-  // out.
+  // Which executors may run a step does not change. Executors whose ticket has
+  // expired are therefore asked about again, and those that were granted none
+  // are left out.
   const size_t MaxCount =
       maxCandidates(*Job.Policy.Advice, Job.Rank.Objective, Now);
-  for (const Candidate &Each : Candidates) {
-    const ExecutorId &Id = Each.Executor->Info.Id;
-    if (Request.Candidates.size() < MaxCount &&
-        (!Known.AskedExecutors.contains(Id) || Known.Tickets.contains(Id)))
-      Request.Candidates.push_back(Id);
-  }
+  const auto AddCandidates = [&](bool WithRoom) {
+    for (const Candidate &Each : Candidates) {
+      const ExecutorId &Id = Each.Executor->Info.Id;
+      const bool MayBeGood =
+          !Known.AskedExecutors.contains(Id) || Known.Tickets.contains(Id);
+      const bool HasRoom = this->canHost(Job, {Step, 0}, Each);
+      if (Request.Candidates.size() < MaxCount && MayBeGood &&
+          HasRoom == WithRoom && !Known.hasTicket(Id, Now))
+        Request.Candidates.push_back(Id);
+    }
+  };
+  AddCandidates(true);
+  // Without any ticket, the step is to be ready once there is room.
+  if (!HasTicket)
+    AddCandidates(false);
   if (Request.Candidates.empty())
-    return false;
+    return HasTicket;
   Request.ResponseTime =
       Job.Policy.Advice->responseTime(Request.Candidates.size());
   Known.IsRequestPending = true;
   this->Orders.push_back(std::move(Request));
-  return false;
+  return HasTicket;
 }
 
 void Planner::noteAdvice(const AdviceOrder &Request,
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -174,8 +174,8 @@
   return *Target.LongRunningTasks;
 }
 
-bool Planner::Private::canRunOn(const JobRecord &Job, const TaskKey &Key,
-                                const Candidate &Target, TimePoint Now) {
+bool Planner::Private::canHost(const JobRecord &Job, const TaskKey &Key,
+                               const Candidate &Target) {
   const StepSpec &Spec = this->stepSpec(Job, Key.Step);
   if (!Target.Free.covers(Spec.bookedResources()))
     return false;
@@ -187,12 +187,17 @@
   const StepRecord &Step = Job.step(Key.Step);
   if (Spec.IsOnOneRack && !Step.Rack.empty() && Target.Rack != Step.Rack)
     return false;
-  if (Spec.MaxTasksPerExecutor > 0 &&
-      countTasksOn(Step, Target.Executor->Info.Id) >= Spec.MaxTasksPerExecutor)
+  return Spec.MaxTasksPerExecutor == 0 ||
+         countTasksOn(Step, Target.Executor->Info.Id) <
+             Spec.MaxTasksPerExecutor;
+}
+
+bool Planner::Private::canRunOn(const JobRecord &Job, const TaskKey &Key,
+                                const Candidate &Target, TimePoint Now) {
+  if (!this->canHost(Job, Key, Target))
     return false;
-  if (!Job.Policy.Advice)
-    return true;
-  return this->Advice[Key.Step].hasTicket(Target.Executor->Info.Id, Now);
+  return !Job.Policy.Advice ||
+         this->Advice[Key.Step].hasTicket(Target.Executor->Info.Id, Now);
 }
 
 Candidate *Planner::Private::chooseCandidate(const JobRecord &Job,
--- a/src/libs/jobs/stepplacement.cpp
+++ b/src/libs/jobs/stepplacement.cpp
@@ -22,8 +22,7 @@
   return Score;
 }
 
-static size_t countFittingTasks(const StepSpec &Spec,
-                                const ComputeResources &Free) {
+size_t countFittingTasks(const StepSpec &Spec, const ComputeResources &Free) {
   const ComputeResources Need = Spec.bookedResources();
   int64_t Fit = static_cast<int64_t>(Spec.Count);
   if (Need.MilliCores > 0)
--- a/src/libs/jobs/stepplacement.h
+++ b/src/libs/jobs/stepplacement.h
@@ -35,6 +35,9 @@
                               const ComputeResources &Free,
                               const std::string &Rack);
 
+/// Number of the step's tasks that fit into \p Free on one executor.
+size_t countFittingTasks(const StepSpec &Spec, const ComputeResources &Free);
+
 /// Free resources of one executor on a rack.
 struct RackCandidate {
   std::string Rack;
--- a/tests/auto/jobs/tst_advicerequests.cpp
+++ b/tests/auto/jobs/tst_advicerequests.cpp
@@ -142,4 +142,24 @@
   REQUIRE(Next.size() == 1);
   CHECK(Next[0].Executor == Starts[1].Executor);
   CHECK(Next[0].Ticket == "ticket");
+  Fixture.Time.advance(seconds(1));
+  CHECK(Fixture.requests().size() == 1);
+}
+
+// Guards against tasks that wait although executors that were not asked about
+// have room, because other executors have a ticket.
+TEST_CASE(
+    "advice is requested on more executors while tickets do not suffice") {
+  const AdvicePolicy Policy{milliseconds(200), milliseconds(100), seconds(1)};
+  StepSpec Gang = step(12, 8000);
+  Gang.IsGang = true;
+  AdvisedFixture Fixture(Policy, seconds(60), Gang);
+  Fixture.listNumbered(20);
+  const auto First = Fixture.requests();
+  REQUIRE(First.size() == 1);
+  Fixture.grantAll(First[0], seconds(10));
+  const auto Second = Fixture.requests();
+  REQUIRE(Second.size() == 1);
+  Fixture.grantAll(Second[0], seconds(10));
+  CHECK(Fixture.starts().size() == 12);
 }
