--- a/src/libs/dispatch/executorlink.cpp
+++ b/src/libs/dispatch/executorlink.cpp
@@ -147,7 +147,7 @@
     return;
   }
   this->Failures = 0;
-  this->IsEmptyReported = false;
+  this->noteAnswerAfterExpiry(Answer.value());
   Answer.value().RequestedAt = RequestedAt;
   // Only one report call is open at a time, so this is the present incarnation,
   // also if its number is lower.
@@ -175,6 +175,25 @@
   this->scheduleReport(CoalesceTime);
 }
 
+/// Logs what an executor reports for the first time after its leases were taken
+/// as expired. By its own clock they must have expired, too.
+void ExecutorLink::noteAnswerAfterExpiry(const jobs::ExecutorReport &Report) {
+  if (!std::exchange(this->IsEmptyReported, false))
+    return;
+  const bool IsSame =
+      Report.Incarnation == 0 || Report.Incarnation == this->Incarnation;
+  const jobs::ExecutorTime Left = this->Clocks.latestLeaseEnd() - Report.At;
+  logEvent(IsSame && Left > 0 ? LogLevel::Error : LogLevel::Info,
+           "executor-back",
+           {{"executor", this->Setup.Executor.Id},
+            {"same-incarnation", IsSame ? "yes" : "no"},
+            {"lease-end", this->Clocks.latestLeaseEnd()},
+            {"clock", Report.At},
+            {"lease-left-ms", Left},
+            {"running", Report.Running.size()},
+            {"ended", Report.Ended.size()}});
+}
+
 void ExecutorLink::noteListed(const std::vector<jobs::EndReport> &Ended) {
   ++this->Traffic.Reports;
   for (const jobs::EndReport &End : Ended)
@@ -268,6 +287,16 @@
   if (this->Shared.now() <= LeasesEnd)
     return;
   this->IsEmptyReported = true;
+  logEvent(LogLevel::Info, "leases-expired",
+           {{"executor", this->Setup.Executor.Id},
+            {"incarnation", this->Incarnation},
+            {"lease-end", this->Clocks.latestLeaseEnd()},
+            {"last-clock", this->Clocks.latest()},
+            {"answered-ms", this->Clocks.isKnown()
+                                ? toMilliseconds(this->Shared.now() -
+                                                 this->Clocks.answeredAt())
+                                : -1},
+            {"past-ms", toMilliseconds(this->Shared.now() - LeasesEnd)}});
   this->Hooks.OnEmpty(this->Setup.Executor.Id,
                       jobs::ExecutorLoss::LeasesExpired);
 }
--- a/src/libs/dispatch/executorlink.h
+++ b/src/libs/dispatch/executorlink.h
@@ -132,6 +132,7 @@
   bool canConcludeLoss() const {
     return !this->Hooks.CanConcludeLoss || this->Hooks.CanConcludeLoss();
   }
+  void noteAnswerAfterExpiry(const jobs::ExecutorReport &Report);
   void noteListed(const std::vector<jobs::EndReport> &Ended);
   /// Counts the ends that are acknowledged, and logs the counts if the executor
   /// had to repeat ends.
--- a/src/libs/dispatch/serviceshardlinks.cpp
+++ b/src/libs/dispatch/serviceshardlinks.cpp
@@ -86,13 +86,22 @@
   // A successor may have read what ended on a machine that was moved since.
   if (Found && !Found.value().empty() && !this->mayBeSucceeded()) {
     std::set<jobs::ExecutorId> Up;
+    std::map<jobs::ExecutorId, std::string> NotUp;
     for (const jobs::MachineInfo &Machine : Found.value())
       if (Machine.State == jobs::MachineState::Up)
         Up.insert(Machine.Executor);
+      else
+        NotUp[Machine.Executor] =
+            nameOf(jobs::MachineStateNames, Machine.State);
     std::erase_if(this->Silent, [&](const jobs::ExecutorId &Id) {
       // The list may predate the moment when this executor became silent.
       if (Up.contains(Id) || !this->SilentAtRequest.contains(Id))
         return false;
+      const auto State = NotUp.find(Id);
+      logEvent(LogLevel::Info, "machine-lost",
+               {{"executor", Id},
+                {"machine",
+                 State == NotUp.end() ? "other-executor" : State->second}});
       this->Planner.noteEmpty(Id, jobs::ExecutorLoss::MachineLost,
                               this->Shared.now());
       return true;
--- a/src/libs/jobs/include/whintack/jobs/executorclock.h
+++ b/src/libs/jobs/include/whintack/jobs/executorclock.h
@@ -31,6 +31,12 @@
   /// Records that a lease until \p Deadline is about to be sent.
   void noteLease(ExecutorTime Deadline);
 
+  /// Latest end of the recorded leases, by the executor's clock; 0 if no lease
+  /// was sent.
+  ExecutorTime latestLeaseEnd() const { return this->LatestLeaseEnd; }
+  /// When the latest time that the executor has reported was received.
+  TimePoint answeredAt() const { return this->LastAnsweredAt; }
+
   /// Time at which all recorded leases have expired, even if the executor's
   /// clock runs as slowly as it may. TimePoint::min() if no lease was sent.
   TimePoint leasesExpiredAt() const;
