Base: Add a limit on log lines that callers cause

The job path has two limits of its own, each in code of its own. More lines need one: what a refused client can cause must not fill the log. LogLimiter admits some lines a second and counts those that are left out. Tests can collect the lines that are logged.

--- a/tests/auto/base/tst_base.cpp
+++ b/tests/auto/base/tst_base.cpp
@@ -5,6 +5,7 @@
 #include "whintack/base/event.h"
 #include "whintack/base/eventjournal.h"
 #include "whintack/base/log.h"
+#include "whintack/base/loglimiter.h"
 #include "whintack/base/supervisor.h"
 #include "whintack/base/timerqueue.h"
 
@@ -178,3 +179,16 @@
   Ref.post([Token] {});
   CHECK(Token.use_count() == 1);
 }
+
+TEST_CASE("a limiter admits some lines a second and counts the others") {
+  using std::chrono::milliseconds;
+  LogLimiter Lines(2);
+  const TimePoint Begin(std::chrono::seconds(10));
+  CHECK(Lines.admit(Begin) == 0);
+  CHECK(Lines.admit(Begin + milliseconds(500)) == 0);
+  CHECK(Lines.admit(Begin + milliseconds(600)) == std::nullopt);
+  CHECK(Lines.admit(Begin + milliseconds(999)) == std::nullopt);
+  CHECK(Lines.admit(Begin + milliseconds(1000)) == 2);
+  CHECK(Lines.admit(Begin + milliseconds(1001)) == 0);
+  CHECK(Lines.admit(Begin + milliseconds(1002)) == std::nullopt);
+}
--- /dev/null
+++ b/tests/auto/support/logcapture.h
@@ -0,0 +1,28 @@
+#ifndef WHINTACK_TESTS_LOGCAPTURE_H
+#define WHINTACK_TESTS_LOGCAPTURE_H
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace whintack::tests {
+
+/// Collects the lines that the process logs while this exists.
+class LogCapture {
+public:
+  LogCapture();
+  ~LogCapture();
+
+  /// The fields of each line of the event, as "key=value key=value".
+  std::vector<std::string> lines(const std::string &Event) const;
+  /// The value of a field of a line without its quotes; empty if there is none.
+  static std::string field(const std::string &Line, const std::string &Key);
+
+private:
+  class Sink;
+  std::unique_ptr<Sink> Lines;
+};
+
+} // namespace whintack::tests
+
+#endif // WHINTACK_TESTS_LOGCAPTURE_H
