HTTP: Log requests that the server answers itself

Requests answered with 400, 408 or 413, and those that were dropped (500), left no line, because no handler sees the answer. http-request-rejected now tells method, target, status and reason, at most 20 times a second.

--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -1,6 +1,8 @@
 #include "whintack/http/httpserver.h"
 
 #include "bodyreader.h"
+#include "whintack/base/log.h"
+#include "whintack/base/loglimiter.h"
 
 #include <atomic>
 #include <boost/asio/ssl.hpp>
@@ -11,6 +13,11 @@
 
 namespace whintack::http {
 
+/// Maximum number of lines a second on requests that the server rejects.
+static constexpr size_t MaxRejectionLines = 20;
+static constexpr size_t MaxLoggedTargetBytes = 80;
+static constexpr size_t MaxLoggedMethodBytes = 20;
+
 class HttpServer::Private
     : public std::enable_shared_from_this<HttpServer::Private> {
 public:
@@ -20,6 +27,9 @@
         Timers(Timers), Handler(std::move(Handler)), Tls(std::move(Tls)) {}
 
   void handleRequest(const web::http::http_request &Request);
+  /// Logs a request that is answered without the handler.
+  void logRejection(const web::http::http_request &Request, int Status,
+                    const std::string &Reason);
   void addInFlight();
   void removeInFlight();
 
@@ -32,42 +42,78 @@
   mutable std::mutex Mutex;
   std::condition_variable NoneInFlight;
   size_t InFlight = 0;
+  LogLimiter RejectionLines{MaxRejectionLines};
   std::unique_ptr<web::http::experimental::listener::http_listener> Listener;
 };
 
 namespace Internal {
 
+/// Why a request is answered without the handler.
+struct Rejection {
+  int Status = 0;
+  std::string Reason;
+
+  HttpResponse response() const {
+    return jsonResponse(this->Status, R"({"outcome":"not-run","reason":")" +
+                                          this->Reason + "\"}");
+  }
+};
+
+/// Called when a request is answered without the handler.
+using RejectionCallback = std::function<void(const web::http::http_request &,
+                                             int Status, const std::string &)>;
+
 /// One request that is being read or answered. Only the first answer is sent.
 class Exchange : public std::enable_shared_from_this<Exchange> {
 public:
   Exchange(const web::http::http_request &Request,
-           std::function<void()> OnFinished)
-      : Request(Request), OnFinished(std::move(OnFinished)) {}
+           std::function<void()> OnFinished, RejectionCallback OnRejected)
+      : Request(Request), OnFinished(std::move(OnFinished)),
+        OnRejected(std::move(OnRejected)) {}
 
   ~Exchange() {
-    if (!this->IsAnswered)
-      this->answer(jsonResponse(status::InternalError,
-                                R"({"reason":"the request was dropped"})"));
+    if (this->IsAnswered.exchange(true))
+      return;
+    this->OnRejected(this->Request, status::InternalError,
+                     "the request was dropped");
+    this->send(jsonResponse(status::InternalError,
+                            R"({"reason":"the request was dropped"})"));
   }
 
   /// Answers before the body has been read. The library sends an answer only
   /// after the body has ended, so this closes the body stream with an error;
   /// the next bytes of the body then end it.
-  void refuse(const HttpResponse &Response) {
+  void refuse(const Rejection &Cause) {
     if (this->IsAnswered)
       return;
     const std::function<void()> Finished = std::move(this->OnFinished);
     this->OnFinished = [] {};
-    this->answer(Response);
+    this->reject(Cause);
     this->Request._get_impl()->outstream().streambuf().close(
         std::ios_base::out,
         std::make_exception_ptr(std::runtime_error("refused")));
     Finished();
   }
 
-  void answer(const HttpResponse &Response) {
+  /// Answers without the handler.
+  void reject(const Rejection &Cause) {
     if (this->IsAnswered.exchange(true))
       return;
+    this->OnRejected(this->Request, Cause.Status, Cause.Reason);
+    this->send(Cause.response());
+  }
+
+  void answer(const HttpResponse &Response) {
+    if (!this->IsAnswered.exchange(true))
+      this->send(Response);
+  }
+
+  bool isAnswered() const { return this->IsAnswered; }
+
+  web::http::http_request Request;
+
+private:
+  void send(const HttpResponse &Response) {
     web::http::http_response Converted(
         static_cast<web::http::status_code>(Response.Status));
     this->convert(Response, Converted);
@@ -84,11 +130,6 @@
         });
   }
 
-  bool isAnswered() const { return this->IsAnswered; }
-
-  web::http::http_request Request;
-
-private:
   void convert(const HttpResponse &Response,
                web::http::http_response &Converted) const {
     const bool HasNoBody = Response.Status == status::NoContent ||
@@ -104,6 +145,7 @@
   }
 
   std::function<void()> OnFinished;
+  RejectionCallback OnRejected;
   std::atomic<bool> IsAnswered{false};
 };
 
@@ -121,9 +163,23 @@
     this->NoneInFlight.notify_all();
 }
 
-static HttpResponse rejectionResponse(int Status, const std::string &Reason) {
-  return jsonResponse(Status,
-                      R"({"outcome":"not-run","reason":")" + Reason + "\"}");
+void HttpServer::Private::logRejection(const web::http::http_request &Request,
+                                       int Status, const std::string &Reason) {
+  std::optional<size_t> NotLogged;
+  {
+    const std::lock_guard<std::mutex> Lock(this->Mutex);
+    NotLogged = this->RejectionLines.admit(this->Time.Now());
+  }
+  if (!NotLogged)
+    return;
+  const std::string Target = Request.request_uri().to_string();
+  logEvent(LogLevel::Info, "http-request-rejected",
+           {{"listener", this->Local.text()},
+            {"method", Request.method().substr(0, MaxLoggedMethodBytes)},
+            {"target", Target.substr(0, MaxLoggedTargetBytes)},
+            {"status", Status},
+            {"reason", Reason},
+            {"not-logged", *NotLogged}});
 }
 
 static size_t headerBytes(const web::http::http_request &Request) {
@@ -133,29 +189,29 @@
   return Bytes;
 }
 
-/// Returns the error response for a request whose head is not acceptable, or
-/// nothing if it is.
-static std::optional<HttpResponse>
+/// Returns why the head of a request is not acceptable, or nothing if it is.
+static std::optional<Internal::Rejection>
 checkHead(const web::http::http_request &Request, const ServerLimits &Limits) {
   if (headerBytes(Request) > Limits.MaxHeaderBytes)
-    return rejectionResponse(status::BadRequest,
-                             "the header fields are too large");
+    return Internal::Rejection{status::BadRequest,
+                               "the header fields are too large"};
   const auto &Headers = Request.headers();
   const auto Length = Headers.find("Content-Length");
   if (Length == Headers.end())
     return std::nullopt;
   if (Headers.has("Transfer-Encoding"))
-    return rejectionResponse(status::BadRequest,
-                             "Content-Length stands beside Transfer-Encoding");
+    return Internal::Rejection{
+        status::BadRequest, "Content-Length stands beside Transfer-Encoding"};
   uint64_t Bytes = 0;
   const std::string &Text = Length->second;
   const char *End = Text.data() + Text.size();
   const auto Read = std::from_chars(Text.data(), End, Bytes);
   if (Read.ec != std::errc() || Read.ptr != End)
-    return rejectionResponse(status::BadRequest,
-                             "Content-Length is not a length");
+    return Internal::Rejection{status::BadRequest,
+                               "Content-Length is not a length"};
   if (Bytes > Limits.MaxBodyBytes)
-    return rejectionResponse(status::ContentTooLarge, "the body is too large");
+    return Internal::Rejection{status::ContentTooLarge,
+                               "the body is too large"};
   return std::nullopt;
 }
 
@@ -176,15 +232,13 @@
   try {
     Body = Reading.get();
   } catch (const std::exception &) {
-    Exchange->answer(
-        rejectionResponse(status::BadRequest, "the body broke off"));
+    Exchange->reject({status::BadRequest, "the body broke off"});
     return;
   }
   if (Exchange->isAnswered())
     return;
   if (Body.Status == Internal::BodyReadStatus::TooLarge) {
-    Exchange->answer(
-        rejectionResponse(status::ContentTooLarge, "the body is too large"));
+    Exchange->reject({status::ContentTooLarge, "the body is too large"});
     return;
   }
   HttpRequest Complete = fromCppRestRequest(Exchange->Request);
@@ -206,8 +260,12 @@
   this->addInFlight();
   const auto Self = this->shared_from_this();
   auto Exchange = std::make_shared<Internal::Exchange>(
-      Request, [Self] { Self->removeInFlight(); });
-  if (const std::optional<HttpResponse> Refused =
+      Request, [Self] { Self->removeInFlight(); },
+      [Self](const web::http::http_request &Rejected, int Status,
+             const std::string &Reason) {
+        Self->logRejection(Rejected, Status, Reason);
+      });
+  if (const std::optional<Internal::Rejection> Refused =
           checkHead(Request, this->Limits)) {
     Exchange->refuse(*Refused);
     return;
@@ -221,8 +279,8 @@
       this->Time.Now() + this->Limits.BodyTimeout,
       [Weak = std::weak_ptr<Internal::Exchange>(Exchange)] {
         if (const auto Slow = Weak.lock())
-          Slow->refuse(rejectionResponse(status::RequestTimeout,
-                                         "the body did not arrive in time"));
+          Slow->refuse(
+              {status::RequestTimeout, "the body did not arrive in time"});
       });
   Internal::readBody(*Exchange->Request._get_impl(), this->Limits.MaxBodyBytes)
       .then([Self, Exchange, Timer, Timers = this->Timers.ref()](
--- a/tests/auto/http/tst_httpserver.cpp
+++ b/tests/auto/http/tst_httpserver.cpp
@@ -1,3 +1,5 @@
+#include "logcapture.h"
+#include "manualclock.h"
 #include "scriptedserver.h"
 #include "whintack/http/httpclient.h"
 #include "whintack/http/httpserver.h"
@@ -157,3 +159,82 @@
   REQUIRE(Headers.all().size() == 1);
   REQUIRE(Headers.find("x-kept") == "2");
 }
+
+// Guards against refusals that leave no line because no handler sees them
+// (issue 55).
+TEST_CASE("what the server answers itself is logged, up to a limit") {
+  const tests::LogCapture Log;
+  const std::string Event = "http-request-rejected";
+  ServerLimits Limits;
+  Limits.MaxBodyBytes = 1000;
+  Limits.BodyTimeout = std::chrono::milliseconds(50);
+  const auto Field = [&Log, &Event](const std::string &Key) {
+    return tests::LogCapture::field(Log.lines(Event).back(), Key);
+  };
+  SECTION("a bad length") {
+    Fixture Test(6, Limits);
+    Test.raw("POST /" + std::string(200, 'p') +
+             " HTTP/1.1\r\nHost: h\r\nContent-Length: -5\r\n\r\n");
+    REQUIRE(Log.lines(Event).size() == 1);
+    CHECK(Field("method") == "POST");
+    CHECK(Field("target") == "/" + std::string(79, 'p'));
+    CHECK(Field("status") == "400");
+  }
+  SECTION("a body that is too large") {
+    Fixture Test(7, Limits);
+    HttpRequest Request;
+    Request.Method = "POST";
+    Request.Target = "/a";
+    Request.Body = std::string(1001, 'x');
+    REQUIRE(Test.call(Request).value().Status == status::ContentTooLarge);
+    REQUIRE(Log.lines(Event).size() == 1);
+    CHECK(Field("target") == "/a");
+    CHECK(Field("status") == "413");
+  }
+  SECTION("a body that does not arrive") {
+    Fixture Test(8, Limits);
+    Test.raw("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 999\r\n\r\nab");
+    REQUIRE(Log.lines(Event).size() == 1);
+    CHECK(Field("status") == "408");
+  }
+  SECTION("a request that is dropped") {
+    const Clock Time = systemClock();
+    TimerQueue Timers(Time);
+    const Address Local = tests::ownAddress(9, 9100);
+    HttpServer Server(Local, {}, Time, Timers,
+                      [](const HttpRequest &, const Responder &) {});
+    REQUIRE(Server.open());
+    HttpRequest Request;
+    Request.Method = "GET";
+    Request.Target = "/a";
+    const HttpResult Answer = callAndWait(
+        Local, Request, Time.Now() + std::chrono::seconds(10), Timers);
+    REQUIRE(Answer.value().Status == status::InternalError);
+    REQUIRE(Log.lines(Event).size() == 1);
+    CHECK(Field("method") == "GET");
+    CHECK(Field("status") == "500");
+  }
+  SECTION("many requests") {
+    tests::ManualClock Time;
+    TimerQueue Timers(systemClock());
+    const Address Local = tests::ownAddress(10, 9100);
+    HttpServer Server(Local, {}, Time.clock(), Timers,
+                      [](const HttpRequest &, const Responder &) {});
+    REQUIRE(Server.open());
+    const auto Send = [&] {
+      HttpRequest Request;
+      Request.Method = "GET";
+      Request.Target = "/";
+      return callAndWait(Local, Request,
+                         systemClock().Now() + std::chrono::seconds(10),
+                         Timers);
+    };
+    for (int Request = 0; Request < 30; ++Request)
+      REQUIRE(Send().value().Status == status::InternalError);
+    CHECK(Log.lines(Event).size() == 20);
+    Time.advance(std::chrono::seconds(1));
+    REQUIRE(Send());
+    REQUIRE(Log.lines(Event).size() == 21);
+    CHECK(Field("not-logged") == "10");
+  }
+}
