Planner: Log how a planner learned of a job

job-taken and job-restored did not tell whether the job was announced, left as a notice in the store, or read at a take-over or after a process was lost. They now have the field source.

--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -112,6 +112,7 @@
 }
 
 bool ServiceShard::addStoredJob(const jobs::JobId &Id, const std::string &Text,
+                                jobs::JobSource Source,
                                 const jobs::JobProgress *Earlier) {
   const auto Stored = decodeStoredJob(Text);
   if (!Stored) {
@@ -139,6 +140,7 @@
   const Duration Age = this->Shared.Time.WallNow() - Stored.value().Accepted;
   Job.Accepted = this->Shared.now() - std::max(Age, Duration::zero());
   Job.MayHaveRun = Earlier != nullptr || this->IsCatchingUp;
+  Job.Source = Source;
   if (Earlier)
     this->Planner.restoreJob(std::move(Job), *Earlier, this->Shared.now());
   else
@@ -148,7 +150,7 @@
 }
 
 void ServiceShard::restore(
-    const store::StoreItem &Item,
+    const store::StoreItem &Item, jobs::JobSource Source,
     const std::unordered_map<std::string, std::string> &Progress) {
   const std::string Id = Item.Key.substr(keys::jobs(this->Service).size());
   jobs::JobProgress Known;
@@ -161,7 +163,7 @@
     }
     Known = std::move(Read).value();
   }
-  this->addStoredJob(jobs::JobId(Id), Item.Value, &Known);
+  this->addStoredJob(jobs::JobId(Id), Item.Value, Source, &Known);
 }
 
 void ServiceShard::handleContents(const ShardStore::Contents &Loaded) {
@@ -173,7 +175,7 @@
         Item.Value;
   this->adoptStoredQuotas(Loaded);
   for (const store::StoreItem &Item : Loaded.Jobs)
-    this->restore(Item, Progress);
+    this->restore(Item, jobs::JobSource::TakeOver, Progress);
   this->KnownAsOf = Loaded.AsOf;
   this->IsLoaded = true;
   logEvent(LogLevel::Info, "shard-loaded",
@@ -303,7 +305,8 @@
 /// Looks for jobs that request handlers announced to an earlier planner while
 /// this one read the records.
 void ServiceShard::rescan() {
-  this->readMissedJobs([](ServiceShard &Self) { Self.endCatchUp(); });
+  this->readMissedJobs(jobs::JobSource::TakeOver,
+                       [](ServiceShard &Self) { Self.endCatchUp(); });
 }
 
 void ServiceShard::handleLostHandler() {
@@ -319,7 +322,7 @@
     return;
   this->IsReadingMissed = true;
   this->IsHandlerLost = false;
-  this->readMissedJobs([](ServiceShard &Self) {
+  this->readMissedJobs(jobs::JobSource::LostProcess, [](ServiceShard &Self) {
     Self.IsReadingMissed = false;
     // A read that had begun may predate what the handler stored last.
     if (Self.IsHandlerLost)
@@ -329,22 +332,24 @@
 
 /// Adds the jobs that are stored and were not announced to this planner, then
 /// calls \p Done.
-void ServiceShard::readMissedJobs(std::function<void(ServiceShard &)> Done) {
+void ServiceShard::readMissedJobs(jobs::JobSource Source,
+                                  std::function<void(ServiceShard &)> Done) {
   if (this->IsStopped)
     return;
   this->Records->readChangedJobs(
       this->KnownAsOf,
-      [Weak = this->weak_from_this(), Done = std::move(Done)](
+      [Weak = this->weak_from_this(), Source, Done = std::move(Done)](
           const std::vector<store::StoreItem> &Changed, uint64_t Through) {
         const auto Self = Weak.lock();
         if (!Self || Self->IsStopped)
           return;
         // A successor may have read the same jobs and started them.
         if (Self->mayBeSucceeded()) {
-          scheduleFor(
-              Self->Shared.Loop, Self,
-              Self->Shared.now() + MissedJobsRetryDelay,
-              [Done](ServiceShard &Owner) { Owner.readMissedJobs(Done); });
+          scheduleFor(Self->Shared.Loop, Self,
+                      Self->Shared.now() + MissedJobsRetryDelay,
+                      [Source, Done](ServiceShard &Owner) {
+                        Owner.readMissedJobs(Source, Done);
+                      });
           return;
         }
         const size_t Prefix = keys::jobs(Self->Service).size();
@@ -353,7 +358,7 @@
           const jobs::JobId Id(Item.Key.substr(Prefix));
           if (Self->Planner.shownState(Id))
             continue;
-          Self->restore(Item, {});
+          Self->restore(Item, Source, {});
           ++Missed;
         }
         logEvent(LogLevel::Info, "missed-jobs-read",
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -107,7 +107,7 @@
   void handleMachines(const MachineList &Found);
   void handleContents(const ShardStore::Contents &Loaded);
   void adoptStoredQuotas(const ShardStore::Contents &Loaded);
-  void restore(const store::StoreItem &Item,
+  void restore(const store::StoreItem &Item, jobs::JobSource Source,
                const std::unordered_map<std::string, std::string> &Progress);
   /// Handles the notices whose keys are in \p Changed.
   void handleNotices(const ItemMap &Items,
@@ -122,7 +122,7 @@
   /// planner stored for it, or null if the job was announced to this planner.
   /// Returns false if the record cannot be read.
   bool addStoredJob(const jobs::JobId &Id, const std::string &Text,
-                    const jobs::JobProgress *Earlier);
+                    jobs::JobSource Source, const jobs::JobProgress *Earlier);
   void openLink(const jobs::ExecutorInfo &Info);
   LinkHooks linkHooks();
   void checkLoaded();
@@ -166,7 +166,8 @@
       const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found);
   void rescan();
   void readLostAnnouncements();
-  void readMissedJobs(std::function<void(ServiceShard &)> Done);
+  void readMissedJobs(jobs::JobSource Source,
+                      std::function<void(ServiceShard &)> Done);
   void endCatchUp();
   std::shared_ptr<ProgressWriter> makeWriter();
   void requestFlush();
--- a/src/libs/dispatch/serviceshardanswers.cpp
+++ b/src/libs/dispatch/serviceshardanswers.cpp
@@ -75,7 +75,8 @@
   switch (Call.Kind) {
   case peers::ServiceCallKind::SubmitJob: {
     const bool IsAdded =
-        this->addStoredJob(jobs::JobId(Call.Subject), Call.Content, nullptr);
+        this->addStoredJob(jobs::JobId(Call.Subject), Call.Content,
+                           jobs::JobSource::Announced, nullptr);
     Respond(
         {Call.Id, IsAdded ? ServiceOutcome::Done : ServiceOutcome::Failed, ""});
     this->requestPlan();
--- a/src/libs/dispatch/serviceshardnotices.cpp
+++ b/src/libs/dispatch/serviceshardnotices.cpp
@@ -21,7 +21,7 @@
       continue;
     if (Key.starts_with(Jobs)) {
       this->addStoredJob(jobs::JobId(Key.substr(Jobs.size())),
-                         Found->second.Value, nullptr);
+                         Found->second.Value, jobs::JobSource::Notice, nullptr);
       this->HandledNotices.insert(Key);
     } else if (Key.starts_with(Cancels)) {
       this->cancelByNotice(jobs::JobId(Key.substr(Cancels.size())));
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -41,6 +41,26 @@
   bool ReservesRoom = false;
 };
 
+/// How a planner learned of a job.
+enum class JobSource {
+  /// An entry VM told the planner, because it accepted the job or was asked for
+  /// it.
+  Announced,
+  /// A notice in the store, left by an entry VM that could not tell a planner.
+  Notice,
+  /// Read when the planner took the service over.
+  TakeOver,
+  /// Read because a VM was lost that may have accepted jobs.
+  LostProcess,
+};
+
+inline constexpr EnumNames<JobSource, 4> JobSourceNames = {{
+    {JobSource::Announced, "announced"},
+    {JobSource::Notice, "notice"},
+    {JobSource::TakeOver, "take-over"},
+    {JobSource::LostProcess, "lost-process"},
+}};
+
 /// A job as it was accepted.
 struct AcceptedJob {
   JobSpec Spec;
@@ -50,6 +70,7 @@
   TimePoint Accepted;
   /// An earlier planner may have started tasks of the job.
   bool MayHaveRun = false;
+  JobSource Source = JobSource::Announced;
 };
 
 /// A job record to be written to the store.
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -222,6 +222,7 @@
 
 void Planner::addJob(AcceptedJob Job) {
   const JobId Id = Job.Spec.Id;
+  const JobSource Source = Job.Source;
   if (this->D->Jobs.contains(Id) || this->D->FinalJobs.contains(Id))
     return;
   const JobRecord &Record = this->D->insertJob(std::move(Job));
@@ -232,13 +233,15 @@
                 {"chain-ms", toMilliseconds(Record.Effort.CriticalPath)},
                 {"objective-ms",
                  toMilliseconds(Record.Rank.Objective - Record.Accepted)},
-                {"may-have-run", Record.MayHaveRun ? "yes" : "no"}});
+                {"may-have-run", Record.MayHaveRun ? "yes" : "no"},
+                {"source", nameOf(JobSourceNames, Source)}});
   this->D->handleDeferredEnds(Id);
 }
 
 void Planner::restoreJob(AcceptedJob Job, const JobProgress &Progress,
                          TimePoint Now) {
   const JobId Id = Job.Spec.Id;
+  const JobSource Source = Job.Source;
   if (this->D->Jobs.contains(Id) || this->D->FinalJobs.contains(Id))
     return;
   JobRecord &Record = this->D->insertJob(std::move(Job));
@@ -255,7 +258,8 @@
   }
   this->D->log("job-restored", {{"job", Id},
                                 {"state", nameOf(JobStateNames, Record.State)},
-                                {"tasks", Progress.Tasks.size()}});
+                                {"tasks", Progress.Tasks.size()},
+                                {"source", nameOf(JobSourceNames, Source)}});
   this->D->completeIfDone(Record, Now);
   this->D->handleDeferredEnds(Id);
 }
--- a/tests/auto/dispatch/tst_serviceshard.cpp
+++ b/tests/auto/dispatch/tst_serviceshard.cpp
@@ -1,4 +1,5 @@
 #include "jobrecords.h"
+#include "logcapture.h"
 #include "quotarecords.h"
 #include "serviceshard.h"
 #include "steppedloop.h"
@@ -96,6 +97,16 @@
     this->Loop.runFor(milliseconds(50));
   }
 
+  /// Stores the record of a job, under \p Prefix.
+  void store(const std::string &Prefix, const std::string &Id) {
+    this->Platform.store().put(
+        Prefix + Id,
+        encodeStoredJob({"quotes", this->Loop.Time.clock().WallNow(), "short",
+                         std::nullopt}));
+  }
+
+  void loseHandler() { this->Shard->handleLostHandler(); }
+
   /// Asks the shard for a report of the tenants' quotas.
   peers::ServiceAnswer askQuota(const std::string &Content) {
     peers::ServiceAnswer Given;
@@ -369,3 +380,40 @@
   Fleet.ClaimValidUntil = TimePoint::min();
   CHECK(Fleet.askQuota("").Outcome == peers::ServiceOutcome::NotPlanner);
 }
+
+// Guards against starts of a job of which the log does not tell how its planner
+// learned of it (issue 55).
+TEST_CASE("the log tells how a planner learned of a job") {
+  const std::string Id = "00000000000000a1";
+  const LogCapture Log;
+  const auto Source = [&Log, &Id](const std::string &Event) {
+    const std::vector<std::string> Lines = Log.lines(Event);
+    REQUIRE(Lines.size() == 1);
+    CHECK(LogCapture::field(Lines[0], "job") == Id);
+    return LogCapture::field(Lines[0], "source");
+  };
+  SECTION("by an announcement") {
+    Fixture Fleet;
+    Fleet.announce(Id);
+    CHECK(Source("job-taken") == "announced");
+  }
+  SECTION("by a notice in the store") {
+    Fixture Fleet;
+    Fleet.store(keys::newJobs(Service), Id);
+    Fleet.Loop.runFor(seconds(2));
+    CHECK(Source("job-taken") == "notice");
+  }
+  SECTION("by reading the store after a take-over") {
+    Fixture Fleet(2);
+    Fleet.store(keys::jobs(Service), Id);
+    Fleet.Loop.runFor(seconds(5));
+    CHECK(Source("job-restored") == "take-over");
+  }
+  SECTION("by reading the store after a VM was lost") {
+    Fixture Fleet;
+    Fleet.store(keys::jobs(Service), Id);
+    Fleet.loseHandler();
+    Fleet.Loop.runFor(seconds(2));
+    CHECK(Source("job-restored") == "lost-process");
+  }
+}
