Store relay: Log the copies of a commit, and late answers

The outcome of a commit did not tell on which ways it was sent and how each copy ended, and an answer that came after the end of its call was dropped silently. commit-attempts names each copy with its end, for commits that fail or go more than one way; late-commit names an answer that says "committed" for a call that has ended. Both are limited to 30 lines a second. The error of a call tells its path to the caller.

--- a/src/libs/dispatch/storerelay.cpp
+++ b/src/libs/dispatch/storerelay.cpp
@@ -29,6 +29,10 @@
 static constexpr Duration SlowCallTime = std::chrono::seconds(1);
 /// Answers of this size are logged: they take a link of 10 Mbit/s for 0.2 s.
 static constexpr size_t LargeAnswerBytes = 256000;
+/// Maximum number of lines a second on commits that failed, or were answered
+/// late.
+static constexpr size_t MaxCommitLines = 30;
+static constexpr size_t MaxLoggedKeyBytes = 120;
 
 /// Whether a failed call of this kind indicates that the store is unreachable.
 /// A waiting watch is also cut off when nothing is wrong.
@@ -62,9 +66,49 @@
                                            : PeerTimeout;
 }
 
+/// What the call is about, for the log.
+static std::string subjectOf(const store::StoreCall &Call) {
+  if (Call.Kind != StoreCallKind::Commit)
+    return Call.Prefix;
+  if (!Call.Change.Puts.empty())
+    return Call.Change.Puts.front().Key.substr(0, MaxLoggedKeyBytes);
+  return Call.Change.Removals.empty()
+             ? std::string()
+             : Call.Change.Removals.front().substr(0, MaxLoggedKeyBytes);
+}
+
+static std::string_view
+outcomeOf(const store::StoreResult<store::StoreReply> &Answer,
+          StoreCallKind Kind) {
+  if (!Answer)
+    return nameOf(store::StoreErrorNames, Answer.error().Code);
+  if (Kind != StoreCallKind::Commit)
+    return "answered";
+  return Answer.value().Committed.IsCommitted ? "committed" : "conflict";
+}
+
 StoreRelay::StoreRelay(Context Shared, uint64_t Incarnation,
                        StoreRelayHooks Hooks)
-    : Shared(std::move(Shared)), Hooks(std::move(Hooks)), LastId(Incarnation) {}
+    : Shared(std::move(Shared)), Hooks(std::move(Hooks)), LastId(Incarnation),
+      AttemptLines(MaxCommitLines), LateCommitLines(MaxCommitLines) {}
+
+void StoreRelay::PendingCall::noteOutcome(const EntryName &To,
+                                          const Reply &Answer) {
+  for (Attempt &Each : this->Attempts)
+    if (Each.Peer == To && Each.Outcome.empty()) {
+      Each.Outcome = outcomeOf(Answer, this->Call.Kind);
+      return;
+    }
+}
+
+store::StorePath StoreRelay::PendingCall::path() const {
+  if (this->Attempts.empty())
+    return store::StorePath::Unknown;
+  if (this->Attempts.size() > 1)
+    return store::StorePath::Several;
+  return this->Attempts.front().Peer.isEmpty() ? store::StorePath::Direct
+                                               : store::StorePath::Peer;
+}
 
 store::AsyncStore StoreRelay::store() {
   return store::makeForwardingStore(
@@ -131,6 +175,7 @@
   PendingCall &Current = this->OpenCalls.at(Id);
   ++Current.OpenDirectCalls;
   Current.IsDirectTried = true;
+  Current.Attempts.push_back({EntryName(), ""});
   // The call may end before executeStoreCall returns, which would destroy
   // Current.
   const store::StoreCall Call = Current.Call;
@@ -138,8 +183,8 @@
       this->Shared.Store, Call,
       onLoop<StoreRelay, Reply>(
           this->Shared.Loop, this->shared_from_this(),
-          [Id, Subject = CallSubject{Call.Kind, Call.Prefix}](StoreRelay &Self,
-                                                              Reply Answer) {
+          [Id, Subject = CallSubject{Call.Kind, subjectOf(Call)}](
+              StoreRelay &Self, Reply Answer) {
             Self.handleDirectReply(Id, Subject, std::move(Answer));
           }));
 }
@@ -166,6 +211,7 @@
   if (!IsReached && IsIndicative)
     this->noteDirectFailure(Answer.error());
   if (Found == this->OpenCalls.end()) {
+    this->logLateCommit(Id, EntryName(), Subject.Prefix, Answer);
     if (const size_t Bytes = Answer ? store::contentBytes(Answer.value()) : 0;
         Bytes >= LargeAnswerBytes)
       logEvent(LogLevel::Warning, "store-answer-discarded",
@@ -176,6 +222,7 @@
   }
   PendingCall &Current = Found->second;
   --Current.OpenDirectCalls;
+  Current.noteOutcome(EntryName(), Answer);
   if (IsReached) {
     this->finish(Id, std::move(Answer));
     return;
@@ -210,6 +257,7 @@
     if (!this->Hooks.Send(Peer, peers::StoreRequest{Id, Current.Call}))
       continue;
     Current.Peer = Peer;
+    Current.Attempts.push_back({Peer, ""});
     scheduleFor(
         this->Shared.Loop, this->shared_from_this(),
         this->Shared.now() + peerTimeout(Current.Call),
@@ -229,6 +277,7 @@
 
 void StoreRelay::handlePeerReply(peers::CallId Id, Reply Answer) {
   PendingCall &Current = this->OpenCalls.at(Id);
+  Current.noteOutcome(Current.Peer, Answer);
   if (Answer || !isUnreachable(Answer.error())) {
     this->PreferredPeer = Current.Peer;
     if (Current.isDirectOpen() && indicatesReachability(Current.Call.Kind))
@@ -277,18 +326,63 @@
             {"peers-tried", Ended.PeersTried}});
 }
 
+void StoreRelay::logAttempts(peers::CallId Id, const PendingCall &Ended,
+                             const Reply &Answer) {
+  if (Ended.Call.Kind != StoreCallKind::Commit ||
+      (Answer && Ended.Attempts.size() <= 1))
+    return;
+  const TimePoint Now = this->Shared.now();
+  const std::optional<size_t> NotLogged = this->AttemptLines.admit(Now);
+  if (!NotLogged)
+    return;
+  std::string Attempts;
+  for (const Attempt &Each : Ended.Attempts) {
+    if (!Attempts.empty())
+      Attempts += ",";
+    Attempts += Each.Peer.isEmpty() ? "direct" : Each.Peer.text();
+    Attempts += ":";
+    Attempts += Each.Outcome.empty() ? "open" : Each.Outcome;
+  }
+  logEvent(LogLevel::Info, "commit-attempts",
+           {{"number", Id},
+            {"key", subjectOf(Ended.Call)},
+            {"outcome", outcomeOf(Answer, Ended.Call.Kind)},
+            {"attempts", Attempts},
+            {"cause", Answer ? "" : Answer.error().Message},
+            {"took-ms", toMilliseconds(Now - Ended.Opened)},
+            {"not-logged", *NotLogged}});
+}
+
+void StoreRelay::logLateCommit(peers::CallId Id, const EntryName &Peer,
+                               const std::string &Key, const Reply &Answer) {
+  if (!Answer || !Answer.value().Committed.IsCommitted)
+    return;
+  const std::optional<size_t> NotLogged =
+      this->LateCommitLines.admit(this->Shared.now());
+  if (!NotLogged)
+    return;
+  logEvent(LogLevel::Info, "late-commit",
+           {{"number", Id},
+            {"key", Key},
+            {"path", Peer.isEmpty() ? "direct" : Peer.text()},
+            {"revision", Answer.value().Committed.Revision},
+            {"not-logged", *NotLogged}});
+}
+
 void StoreRelay::finish(peers::CallId Id, Reply Answer) {
   const auto Found = this->OpenCalls.find(Id);
   this->logSlowCall(Found->second, Answer);
-  const auto Done = std::move(Found->second.Done);
   // An attempt that was refused does not undo an earlier one.
   const bool IsUnknown = !Answer &&
                          Answer.error().Code == StoreErrorCode::Unreachable &&
                          Found->second.IsOutcomeUnknown;
+  if (!Answer)
+    Answer = failure(
+        StoreError{IsUnknown ? StoreErrorCode::Ambiguous : Answer.error().Code,
+                   Answer.error().Message, Found->second.path()});
+  this->logAttempts(Id, Found->second, Answer);
+  const auto Done = std::move(Found->second.Done);
   this->OpenCalls.erase(Found);
-  if (IsUnknown)
-    Answer =
-        failure(StoreError{StoreErrorCode::Ambiguous, Answer.error().Message});
   Done(std::move(Answer));
 }
 
@@ -307,8 +401,10 @@
 void StoreRelay::handle(const EntryName &From,
                         const peers::StoreResponse &Answer) {
   const auto Found = this->OpenCalls.find(Answer.Id);
-  if (Found == this->OpenCalls.end() || Found->second.Peer != From)
+  if (Found == this->OpenCalls.end() || Found->second.Peer != From) {
+    this->logLateCommit(Answer.Id, From, "", Answer.Result);
     return;
+  }
   this->handlePeerReply(Answer.Id, Answer.Result);
 }
 
--- a/src/libs/dispatch/storerelay.h
+++ b/src/libs/dispatch/storerelay.h
@@ -3,6 +3,7 @@
 
 #include "context.h"
 
+#include "whintack/base/loglimiter.h"
 #include "whintack/peers/message.h"
 
 #include <unordered_map>
@@ -43,6 +44,14 @@
 private:
   using Reply = store::StoreResult<store::StoreReply>;
 
+  /// One copy of a call.
+  struct Attempt {
+    /// The peer that was asked; empty if the call went directly.
+    EntryName Peer;
+    /// How the copy ended; empty until that is known.
+    std::string_view Outcome;
+  };
+
   /// A call that has not ended.
   struct PendingCall {
     store::StoreCall Call;
@@ -60,7 +69,12 @@
     bool IsOutcomeUnknown = false;
     /// The last failure, returned if no other answer arrives.
     store::StoreError Failure;
+    std::vector<Attempt> Attempts;
 
+    /// Notes how the open copy ended that was sent to \p To, directly if that
+    /// is empty.
+    void noteOutcome(const EntryName &To, const Reply &Answer);
+    store::StorePath path() const;
     bool isDirectOpen() const { return this->OpenDirectCalls > 0; }
     void noteFailure(const store::StoreError &Cause) {
       this->Failure = Cause;
@@ -72,6 +86,7 @@
   /// What a call is about, for its answer.
   struct CallSubject {
     store::StoreCallKind Kind = store::StoreCallKind::Range;
+    /// For a commit, the first key that it writes.
     std::string Prefix;
   };
 
@@ -89,6 +104,14 @@
   void finish(peers::CallId Id, Reply Answer);
   /// Logs a call whose answer took long or was large.
   void logSlowCall(const PendingCall &Ended, const Reply &Answer) const;
+  /// Logs a commit that failed or of which more than one copy was sent.
+  void logAttempts(peers::CallId Id, const PendingCall &Ended,
+                   const Reply &Answer);
+  /// Logs an answer that nobody waits for, if it says that a commit was carried
+  /// out. \p Peer is empty if the answer came directly, and \p Key if it is not
+  /// known what was written.
+  void logLateCommit(peers::CallId Id, const EntryName &Peer,
+                     const std::string &Key, const Reply &Answer);
   void noteDirectFailure(const store::StoreError &Cause);
   bool canAskPeers() const;
   bool isBulk(const store::StoreCall &Call) const {
@@ -106,6 +129,8 @@
   bool IsDirectDown = false;
   /// The peer that answered last.
   EntryName PreferredPeer;
+  LogLimiter AttemptLines;
+  LogLimiter LateCommitLines;
 };
 
 } // namespace whintack::dispatch::Internal
--- a/src/libs/store/include/whintack/store/keyvaluestore.h
+++ b/src/libs/store/include/whintack/store/keyvaluestore.h
@@ -43,10 +43,29 @@
     {StoreErrorCode::HistoryLost, "history-lost"},
 }};
 
+/// How a call reached the platform's store.
+enum class StorePath {
+  Unknown,
+  Direct,
+  /// Through another entry VM.
+  Peer,
+  /// More than one copy of the call was sent.
+  Several,
+};
+
+inline constexpr EnumNames<StorePath, 4> StorePathNames = {{
+    {StorePath::Unknown, "unknown"},
+    {StorePath::Direct, "direct"},
+    {StorePath::Peer, "peer"},
+    {StorePath::Several, "several"},
+}};
+
 /// Error of a call to the platform.
 struct StoreError {
   StoreErrorCode Code = StoreErrorCode::Unreachable;
   std::string Message;
+  /// Set by the VM that made the call, and not sent between VMs.
+  StorePath Path = StorePath::Unknown;
 };
 
 template <typename T> using StoreResult = Result<T, StoreError>;
--- a/tests/auto/dispatch/tst_storerelay.cpp
+++ b/tests/auto/dispatch/tst_storerelay.cpp
@@ -1,5 +1,6 @@
 #include "storerelay.h"
 
+#include "logcapture.h"
 #include "steppedloop.h"
 
 #include <catch2/catch.hpp>
@@ -28,6 +29,8 @@
   struct Vm {
     StoreBehaviour Path = StoreBehaviour::Served;
     unsigned Calls = 0;
+    /// Added to the time of an answer that is late.
+    Duration ExtraDelay = Duration::zero();
     std::shared_ptr<StoreRelay> Relay;
   };
 
@@ -57,7 +60,8 @@
           if (Opened.Path == StoreBehaviour::Served) {
             Done(std::move(Reply));
           } else if (Opened.Path == StoreBehaviour::AnsweredLate) {
-            this->Loop.Queue.schedule(this->Loop.Time.now() + milliseconds(300),
+            this->Loop.Queue.schedule(this->Loop.Time.now() +
+                                          milliseconds(300) + Opened.ExtraDelay,
                                       [Done, Reply] { Done(Reply); });
           } else if (Opened.Path == StoreBehaviour::Refused) {
             Done(failure(
@@ -95,9 +99,12 @@
     auto Outcome = std::make_shared<std::string>("open");
     store::StoreTransaction Change;
     Change.IsRepeatable = IsRepeatable;
+    Change.Puts = {{"key", "", 0}};
     this->Vms["e1"].Relay->store().Commit(
         Change,
-        [Outcome](const store::StoreResult<store::CommitAnswer> &Answer) {
+        [this, Outcome](const store::StoreResult<store::CommitAnswer> &Answer) {
+          if (!Answer)
+            this->FailedPath = Answer.error().Path;
           *Outcome = Answer ? "committed"
                             : std::string(nameOf(store::StoreErrorNames,
                                                  Answer.error().Code));
@@ -146,6 +153,7 @@
   }
 
   std::string WatchOutcome;
+  store::StorePath FailedPath = store::StorePath::Unknown;
   tests::SteppedLoop Loop;
   std::map<std::string, Vm> Vms;
   unsigned Commits = 0;
@@ -280,3 +288,96 @@
   CHECK(Test.commit(milliseconds(400)) == "open");
   CHECK(Test.Commits == 1);
 }
+
+// Guards against commits of which the log does not tell how each copy ended
+// (issue 55).
+TEST_CASE("the copies of a commit are logged, with how each ended") {
+  const tests::LogCapture Log;
+  Fixture Test;
+  const auto Field = [&Log](const std::string &Key) {
+    const std::vector<std::string> Lines = Log.lines("commit-attempts");
+    return Lines.size() == 1 ? tests::LogCapture::field(Lines[0], Key)
+                             : std::to_string(Lines.size()) + " lines";
+  };
+  SECTION("a commit that is carried out at once has no line") {
+    REQUIRE(Test.commit(milliseconds(10)) == "committed");
+    CHECK(Log.lines("commit-attempts").empty());
+  }
+  SECTION("refused directly, carried out through a peer") {
+    Test.Vms["e1"].Path = StoreBehaviour::Refused;
+    REQUIRE(Test.commit(milliseconds(10)) == "committed");
+    CHECK(Field("key") == "key");
+    CHECK(Field("outcome") == "committed");
+    CHECK(Field("attempts") == "direct:unreachable,e2:committed");
+  }
+  SECTION("one copy without an answer") {
+    Test.Vms["e1"].Path = StoreBehaviour::Silent;
+    REQUIRE(Test.commit(milliseconds(1600)) == "ambiguous");
+    CHECK(Field("attempts") == "direct:ambiguous");
+    CHECK(Field("took-ms") == "1500");
+    CHECK(Test.FailedPath == store::StorePath::Direct);
+  }
+  SECTION("refused by a peer and not answered directly") {
+    Test.Vms["e1"].Path = StoreBehaviour::Silent;
+    Test.Vms["e2"].Path = StoreBehaviour::Refused;
+    REQUIRE(Test.commit(milliseconds(1600), true) == "ambiguous");
+    CHECK(Field("outcome") == "ambiguous");
+    // After the direct copy has failed, the only peer is asked again.
+    CHECK(Field("attempts") ==
+          "direct:ambiguous,e2:unreachable,e2:unreachable");
+    CHECK(Test.FailedPath == store::StorePath::Several);
+  }
+  SECTION("one copy still open") {
+    Test.Vms["e1"].Path = StoreBehaviour::Silent;
+    REQUIRE(Test.commit(milliseconds(600), true) == "committed");
+    CHECK(Field("attempts") == "direct:open,e2:committed");
+  }
+}
+
+// Guards against a log that is filled while the store is away.
+TEST_CASE("failed commits are logged up to a limit") {
+  const tests::LogCapture Log;
+  Fixture Test;
+  for (const char *Name : {"e1", "e2"})
+    Test.Vms[Name].Path = StoreBehaviour::Refused;
+  for (int Commit = 0; Commit < 40; ++Commit)
+    CHECK(Test.commit(milliseconds(1)) == "unreachable");
+  CHECK(Log.lines("commit-attempts").size() == 30);
+  Test.Loop.runFor(milliseconds(1000));
+  Test.commit(milliseconds(1));
+  CHECK(tests::LogCapture::field(Log.lines("commit-attempts").back(),
+                                 "not-logged") == "10");
+}
+
+// Guards against a commit that took effect after its VM had given it up, and of
+// which no line tells (issue 55).
+TEST_CASE("an answer that comes after the end of its commit is logged") {
+  const tests::LogCapture Log;
+  Fixture Test;
+  Test.Vms["e2"].Path = StoreBehaviour::AnsweredLate;
+  SECTION("if it comes directly") {
+    Test.Vms["e1"].Path = StoreBehaviour::AnsweredLate;
+    Test.Vms["e1"].ExtraDelay = milliseconds(900);
+    Test.Vms["e2"].Path = StoreBehaviour::Served;
+    REQUIRE(Test.commit(milliseconds(600), true) == "committed");
+    CHECK(Log.lines("late-commit").empty());
+    Test.Loop.runFor(milliseconds(1000));
+    REQUIRE(Log.lines("late-commit").size() == 1);
+    const std::string Line = Log.lines("late-commit")[0];
+    CHECK(tests::LogCapture::field(Line, "path") == "direct");
+    CHECK(tests::LogCapture::field(Line, "key") == "key");
+    CHECK(
+        tests::LogCapture::field(Line, "number") ==
+        tests::LogCapture::field(Log.lines("commit-attempts").at(0), "number"));
+  }
+  SECTION("if it comes through a peer that was given up") {
+    Test.Vms["e1"].Path = StoreBehaviour::Refused;
+    Test.Vms["e2"].ExtraDelay = milliseconds(900);
+    REQUIRE(Test.commit(milliseconds(1100)) == "ambiguous");
+    CHECK(Log.lines("late-commit").empty());
+    Test.Loop.runFor(milliseconds(200));
+    REQUIRE(Log.lines("late-commit").size() == 1);
+    CHECK(tests::LogCapture::field(Log.lines("late-commit")[0], "path") ==
+          "e2");
+  }
+}
