Job requests: Log every refusal of a request that names a job

request-refused did not tell the method, the commits that were made, how they ended and on which way, and was missing for a cancellation (410, 503, 504), 405, 413, 503 without a configuration and a path without a job. queue-unknown and key-refused had no job's id, and queue-unknown was logged once a second. The lines now have all of these. Those that any client can cause are limited to 20 a second.

--- a/src/libs/dispatch/jobrequestaccess.cpp
+++ b/src/libs/dispatch/jobrequestaccess.cpp
@@ -9,26 +9,14 @@
 
 namespace status = http::status;
 
-static constexpr size_t IdDigits = 16;
 /// Time for a request without a deadline of its own.
 static constexpr Duration DefaultTimeout = std::chrono::seconds(3);
 /// Reserved from the client's deadline for sending the answer.
 static constexpr Duration AnswerMargin = std::chrono::milliseconds(300);
 /// Maximum time spent on one request.
 static constexpr Duration MaxRequestTime = std::chrono::seconds(5);
-/// At most one unknown queue is logged in this interval.
-static constexpr Duration UnknownQueueLogInterval = std::chrono::seconds(1);
 static constexpr size_t MaxLoggedPathBytes = 80;
-/// At most MaxKeyLogLines refused keys are logged in each KeyLogWindow, because
-/// a client that tries keys would otherwise fill the log.
-static constexpr Duration KeyLogWindow = std::chrono::seconds(1);
-static constexpr size_t MaxKeyLogLines = 20;
-
-static bool isJobId(std::string_view Text) {
-  return Text.size() == IdDigits &&
-         Text.find_first_not_of("0123456789abcdefABCDEF") ==
-             std::string_view::npos;
-}
+static constexpr size_t MaxLoggedMethodBytes = 20;
 
 static Duration clientTimeout(const http::HttpRequest &Request) {
   const std::optional<std::string> Given = Request.Headers.find("Deadline-Ms");
@@ -47,9 +35,15 @@
   return Host ? Host->substr(0, Host->find(':')) : std::string();
 }
 
+static std::string requestPath(const http::HttpRequest &Request) {
+  return Request.Target.substr(0, Request.Target.find('?'));
+}
+
 void JobRequestHandler::handle(const http::HttpRequest &Request,
                                http::Responder Respond) {
   if (!this->Configuration.Queues()) {
+    this->logUnrouted(Request, status::ServiceUnavailable,
+                      "no configuration yet");
     Respond(errorResponse(status::ServiceUnavailable, "no configuration yet"));
     return;
   }
@@ -113,7 +107,7 @@
                               http::Responder Respond, TimePoint Arrived) {
   const std::shared_ptr<const jobs::QueueTable> CurrentQueues =
       this->Configuration.Queues();
-  const std::string Path = Request.Target.substr(0, Request.Target.find('?'));
+  const std::string Path = requestPath(Request);
   const jobs::Queue *Queue = CurrentQueues->find(requestHost(Request), Path);
   const std::string Key = Request.Headers.find("Key").value_or("");
   const tenants::AccessDecision Access =
@@ -121,9 +115,9 @@
   if (Access.Outcome != tenants::AccessOutcome::Allowed) {
     const http::HttpResponse Refusal = refusalOf(Access.Outcome);
     if (Queue)
-      this->logKeyRefusal(Access, Refusal.Status, Queue->Name, Key);
+      this->logKeyRefusal(Request, Access, Refusal.Status, Queue->Name);
     else
-      this->logUnknownQueue(requestHost(Request), Path,
+      this->logUnknownQueue(Request, Refusal.Status,
                             CurrentQueues->configuration().Version);
     Respond(Refusal);
     return;
@@ -134,12 +128,14 @@
     return;
   }
   if (!isJobId(IdText)) {
+    this->logUnrouted(Request, status::NotFound, "no job in the path");
     Respond(errorResponse(status::NotFound,
                           "expected a job of 16 hexadecimal digits"));
     return;
   }
   auto Job = std::make_shared<JobRequest>();
   Job->Id = jobs::JobId(IdText);
+  Job->Method = Request.Method.substr(0, MaxLoggedMethodBytes);
   Job->QueueName = Queue->Name;
   Job->Service = Queue->Service;
   const auto OtherService = this->OtherServices.find(Job->Id);
@@ -155,8 +151,7 @@
   const size_t MaxBytes = CurrentQueues->configuration().MaxBodyBytes;
   if (Request.Method == "POST" && MaxBytes > 0 &&
       Request.Body.size() > MaxBytes)
-    Job->Respond(
-        errorResponse(status::ContentTooLarge, "the body is too large"));
+    this->refuse(Job, status::ContentTooLarge, "the body is too large");
   else if (Request.Method == "POST")
     this->submit(Job, Request.Body);
   else if (Request.Method == "GET")
@@ -164,53 +159,69 @@
   else if (Request.Method == "DELETE")
     this->cancel(Job);
   else
-    Job->Respond(
-        errorResponse(status::MethodNotAllowed, "expected GET, POST, DELETE"));
+    this->refuse(Job, status::MethodNotAllowed, "expected GET, POST, DELETE");
+}
+
+/// Logs a request that is refused before it is known to concern a job of a
+/// queue.
+void JobRequestHandler::logUnrouted(const http::HttpRequest &Request,
+                                    int Status, const std::string &Reason) {
+  const std::optional<size_t> NotLogged =
+      this->UnroutedLines.admit(this->Shared.now());
+  if (!NotLogged)
+    return;
+  const std::string Path = requestPath(Request);
+  logEvent(LogLevel::Info, "request-refused",
+           {{"job", jobOfPath(Path)},
+            {"method", Request.Method.substr(0, MaxLoggedMethodBytes)},
+            {"status", Status},
+            {"reason", Reason},
+            {"path", Path.substr(0, MaxLoggedPathBytes)},
+            {"not-logged", *NotLogged}});
 }
 
 /// Logs from which configuration a request for an unknown queue is rejected.
-void JobRequestHandler::logUnknownQueue(const std::string &Host,
-                                        const std::string &Path,
-                                        uint64_t Version) {
+void JobRequestHandler::logUnknownQueue(const http::HttpRequest &Request,
+                                        int Status, uint64_t Version) {
   const TimePoint Now = this->Shared.now();
-  if (Now < this->NextUnknownQueueLog) {
-    ++this->UnloggedUnknownQueues;
+  const std::optional<size_t> NotLogged = this->UnknownQueueLines.admit(Now);
+  if (!NotLogged)
     return;
-  }
-  this->NextUnknownQueueLog = Now + UnknownQueueLogInterval;
+  const std::string Path = requestPath(Request);
   logEvent(
       LogLevel::Info, "queue-unknown",
-      {{"host", Host.substr(0, MaxLoggedPathBytes)},
+      {{"job", jobOfPath(Path)},
+       {"method", Request.Method.substr(0, MaxLoggedMethodBytes)},
+       {"status", Status},
+       {"host", requestHost(Request).substr(0, MaxLoggedPathBytes)},
        {"path", Path.substr(0, MaxLoggedPathBytes)},
        {"version", Version},
        {"age-ms", toMilliseconds(Now - this->Configuration.KnownThrough())},
-       {"not-logged", std::exchange(this->UnloggedUnknownQueues, 0)}});
+       {"not-logged", *NotLogged}});
 }
 
 /// Logs why a key, or the lack of one, was refused. Shows only a digest of the
 /// key.
-void JobRequestHandler::logKeyRefusal(const tenants::AccessDecision &Access,
-                                      int Status, const std::string &QueueName,
-                                      const std::string &Key) {
+void JobRequestHandler::logKeyRefusal(const http::HttpRequest &Request,
+                                      const tenants::AccessDecision &Access,
+                                      int Status,
+                                      const std::string &QueueName) {
   const TimePoint Now = this->Shared.now();
-  if (Now >= this->KeyLogWindowEnd) {
-    this->KeyLogWindowEnd = Now + KeyLogWindow;
-    this->KeyLogLines = 0;
-  }
-  if (this->KeyLogLines >= MaxKeyLogLines) {
-    ++this->UnloggedKeyRefusals;
+  const std::optional<size_t> NotLogged = this->KeyRefusalLines.admit(Now);
+  if (!NotLogged)
     return;
-  }
-  ++this->KeyLogLines;
+  const std::string Key = Request.Headers.find("Key").value_or("");
   logEvent(LogLevel::Info, "key-refused",
-           {{"queue", QueueName},
+           {{"job", jobOfPath(requestPath(Request))},
+            {"method", Request.Method.substr(0, MaxLoggedMethodBytes)},
+            {"queue", QueueName},
             {"status", Status},
             {"reason", nameOf(tenants::AccessOutcomeNames, Access.Outcome)},
             {"tenant", Access.Tenant},
             {"key-digest", Key.empty() ? "" : tenants::keyDigest(Key)},
             {"version", this->Configuration.Queues()->configuration().Version},
             {"age-ms", toMilliseconds(this->configurationAge(Now))},
-            {"not-logged", std::exchange(this->UnloggedKeyRefusals, 0)}});
+            {"not-logged", *NotLogged}});
 }
 
 } // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/jobrequesthandler.cpp
+++ b/src/libs/dispatch/jobrequesthandler.cpp
@@ -29,12 +29,25 @@
                     JobOrigin{Stored.QueueName, Stored.Tenant});
 }
 
-void JobRequestHandler::refuseOtherTenant(const SharedJobRequest &Job) {
-  logEvent(LogLevel::Info, "request-refused",
-           {{"job", Job->Id},
-            {"status", Forbidden},
-            {"reason", "other-tenant"},
-            {"tenant", Job->Tenant}});
+void JobRequestHandler::logRefusedJob(const JobRequest &Job, int Status,
+                                      const std::string &Reason) const {
+  RefusedRequest Refused{Job.Id, Job.Method, Status, Reason};
+  if (Status == Forbidden)
+    Refused.Tenant = Job.Tenant;
+  if (Job.Method == "POST")
+    logRefusal(Refused, Job.Commits, this->Shared.now());
+  else
+    logRefusal(Refused);
+}
+
+void JobRequestHandler::refuse(const SharedJobRequest &Job, int Status,
+                               const std::string &Reason) const {
+  this->logRefusedJob(*Job, Status, Reason);
+  Job->Respond(errorResponse(Status, Reason));
+}
+
+void JobRequestHandler::refuseOtherTenant(const SharedJobRequest &Job) const {
+  this->logRefusedJob(*Job, Forbidden, "other-tenant");
   Job->Respond(errorResponse(Forbidden, "the job belongs to another tenant"));
 }
 
@@ -42,8 +55,7 @@
                                const std::string &Body) {
   const auto Spec = this->Codec.DecodeJob(Job->Id, Body);
   if (!Spec) {
-    logRefusal(Job->Id, status::BadRequest, Spec.error().Message);
-    Job->Respond(errorResponse(status::BadRequest, Spec.error().Message));
+    this->refuse(Job, status::BadRequest, Spec.error().Message);
     return;
   }
   Job->Record = encodeStoredJob({Job->QueueName, this->Shared.Time.WallNow(),
@@ -58,6 +70,7 @@
   Change.Expect = {{ServiceKey, 0}, {Key, 0}};
   Change.Puts = {{ServiceKey, Job->Service.text(), 0}, {Key, Job->Record, 0}};
   Change.IsRepeatable = true;
+  Job->Commits.noteBegin(this->Shared.now());
   this->Shared.Store.Commit(
       Change,
       onLoop<JobRequestHandler, store::StoreResult<store::CommitAnswer>>(
@@ -71,6 +84,7 @@
 void JobRequestHandler::handleStored(
     const SharedJobRequest &Job,
     const store::StoreResult<store::CommitAnswer> &Answer) {
+  Job->Commits.noteEnd(Answer);
   if (!Answer) {
     if (Answer.error().Code != store::StoreErrorCode::Unreachable)
       Job->IsOutcomeUnknown = true;
@@ -126,7 +140,7 @@
   }
   const int Status = Job->IsOutcomeUnknown ? status::GatewayTimeout
                                            : status::ServiceUnavailable;
-  logRefusal(Job->Id, Status, Cause);
+  this->logRefusedJob(*Job, Status, Cause);
   Job->Respond(
       errorResponse(Status, Job->IsOutcomeUnknown
                                 ? "it is not known whether the job is stored"
@@ -227,16 +241,15 @@
             Job, Retry,
             [Self, Job, IsUnknown](store::StoreResult<std::string> Record) {
               if (!Record) {
-                logRefusal(Job->Id, status::ServiceUnavailable,
-                           Record.error().Message);
+                Self->logRefusedJob(*Job, status::ServiceUnavailable,
+                                    Record.error().Message);
                 Job->Respond(
                     errorResponse(status::ServiceUnavailable,
                                   "the job's state is not known at present"));
                 return;
               }
               if (Record.value().empty()) {
-                logRefusal(Job->Id, Gone, "no such job");
-                Job->Respond(errorResponse(Gone, "no such job"));
+                Self->refuse(Job, Gone, "no such job");
                 return;
               }
               const auto Stored = decodeStoredJob(Record.value());
@@ -283,12 +296,14 @@
       Job, Retry,
       [Self, Job, IsUnknownToPlanner](store::StoreResult<std::string> Record) {
         if (!Record) {
+          Self->logRefusedJob(*Job, status::ServiceUnavailable,
+                              Record.error().Message);
           Job->Respond(errorResponse(status::ServiceUnavailable,
                                      "the job cannot be cancelled at present"));
           return;
         }
         if (Record.value().empty()) {
-          Job->Respond(errorResponse(Gone, "no such job"));
+          Self->refuse(Job, Gone, "no such job");
           return;
         }
         const auto Stored = decodeStoredJob(Record.value());
@@ -307,11 +322,11 @@
             MaxNoticeAttempts / 4, [Self, Job](bool IsStored) {
               logEvent(LogLevel::Info, "cancel-noted",
                        {{"job", Job->Id}, {"stored", IsStored ? "yes" : "no"}});
-              Job->Respond(
-                  IsStored ? http::jsonResponse(status::Ok, "{}")
-                           : errorResponse(status::GatewayTimeout,
-                                           "it is not known whether the job is "
-                                           "cancelled"));
+              if (IsStored)
+                Job->Respond(http::jsonResponse(status::Ok, "{}"));
+              else
+                Self->refuse(Job, status::GatewayTimeout,
+                             "it is not known whether the job is cancelled");
             });
       });
 }
--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -1,11 +1,13 @@
 #ifndef WHINTACK_DISPATCH_JOBREQUESTHANDLER_H
 #define WHINTACK_DISPATCH_JOBREQUESTHANDLER_H
 
+#include "commithistory.h"
 #include "jobownership.h"
 #include "jobrecords.h"
 #include "servicecalls.h"
 #include "waitingcounts.h"
 
+#include "whintack/base/loglimiter.h"
 #include "whintack/http/httpserver.h"
 #include "whintack/jobs/gateways.h"
 #include "whintack/tenants/accesspolicy.h"
@@ -65,6 +67,7 @@
   /// A request that concerns one job and is not answered yet.
   struct JobRequest {
     jobs::JobId Id;
+    std::string Method;
     std::string QueueName;
     /// The service of the queue, or that of the job once it is known to be
     /// another one.
@@ -83,17 +86,26 @@
     std::string Announced;
     /// A write got no answer: it may have taken effect, or may still do so.
     bool IsOutcomeUnknown = false;
+    CommitHistory Commits;
   };
   using SharedJobRequest = std::shared_ptr<JobRequest>;
 
-  void logUnknownQueue(const std::string &Host, const std::string &Path,
+  void logUnrouted(const http::HttpRequest &Request, int Status,
+                   const std::string &Reason);
+  void logUnknownQueue(const http::HttpRequest &Request, int Status,
                        uint64_t Version);
-  void logKeyRefusal(const tenants::AccessDecision &Access, int Status,
-                     const std::string &QueueName, const std::string &Key);
+  void logKeyRefusal(const http::HttpRequest &Request,
+                     const tenants::AccessDecision &Access, int Status,
+                     const std::string &QueueName);
+  void logRefusedJob(const JobRequest &Job, int Status,
+                     const std::string &Reason) const;
+  /// Refuses the request, logs \p Reason and tells it to the client.
+  void refuse(const SharedJobRequest &Job, int Status,
+              const std::string &Reason) const;
   /// Whether the stored job belongs to a tenant that the request may not act
   /// for.
   static bool isOtherTenant(const JobRequest &Job, const StoredJob &Stored);
-  void refuseOtherTenant(const SharedJobRequest &Job);
+  void refuseOtherTenant(const SharedJobRequest &Job) const;
   void submit(const SharedJobRequest &Job, const std::string &Body);
   void storeJob(const SharedJobRequest &Job);
   void handleStored(const SharedJobRequest &Job,
@@ -135,13 +147,12 @@
   std::shared_ptr<ServiceCalls> Calls;
   ConfigurationHooks Configuration;
   tenants::AccessPolicy Policy;
-  /// Unknown queues are logged again from this time on.
-  TimePoint NextUnknownQueueLog = TimePoint::min();
-  size_t UnloggedUnknownQueues = 0;
-  TimePoint KeyLogWindowEnd = TimePoint::min();
-  /// Number of refused keys logged in the current window.
-  size_t KeyLogLines = 0;
-  size_t UnloggedKeyRefusals = 0;
+  /// Refusals of requests without a known queue, key or job are bounded: any
+  /// client can cause them.
+  static constexpr size_t MaxRefusalLines = 20;
+  LogLimiter UnroutedLines{MaxRefusalLines};
+  LogLimiter UnknownQueueLines{MaxRefusalLines};
+  LogLimiter KeyRefusalLines{MaxRefusalLines};
   std::shared_ptr<WaitingCounts> Waiting;
   /// Services of jobs that do not belong to the service of the queue by which
   /// they were requested.
--- a/src/libs/dispatch/jobresponses.cpp
+++ b/src/libs/dispatch/jobresponses.cpp
@@ -6,6 +6,8 @@
 
 namespace status = http::status;
 
+static constexpr size_t IdDigits = 16;
+
 http::HttpResponse errorResponse(int Status, const std::string &Reason) {
   std::string Escaped;
   for (const char Byte : Reason)
@@ -18,9 +20,47 @@
   return Response;
 }
 
-void logRefusal(const jobs::JobId &Job, int Status, const std::string &Reason) {
+void logRefusal(const RefusedRequest &Refused) {
   logEvent(LogLevel::Info, "request-refused",
-           {{"job", Job}, {"status", Status}, {"reason", Reason}});
+           {{"job", Refused.Job},
+            {"method", Refused.Method},
+            {"status", Refused.Status},
+            {"reason", Refused.Reason},
+            {"tenant", Refused.Tenant}});
+}
+
+void logRefusal(const RefusedRequest &Refused, const CommitHistory &Commits,
+                TimePoint Now) {
+  const bool HasCommits = Commits.count() > 0;
+  const auto Age = [&](TimePoint Begin) {
+    return HasCommits ? std::to_string(toMilliseconds(Now - Begin)) : "";
+  };
+  logEvent(
+      LogLevel::Info, "request-refused",
+      {{"job", Refused.Job},
+       {"method", Refused.Method},
+       {"status", Refused.Status},
+       {"reason", Refused.Reason},
+       {"tenant", Refused.Tenant},
+       {"commits", Commits.count()},
+       {"outcomes", Commits.outcomes()},
+       {"first-ms", Age(Commits.firstBegin())},
+       {"last-ms", Age(Commits.lastBegin())},
+       {"last-path",
+        HasCommits ? nameOf(store::StorePathNames, Commits.lastPath()) : ""}});
+}
+
+bool isJobId(std::string_view Text) {
+  return Text.size() == IdDigits &&
+         Text.find_first_not_of("0123456789abcdefABCDEF") ==
+             std::string_view::npos;
+}
+
+jobs::JobId jobOfPath(const std::string &Path) {
+  if (Path.size() < IdDigits)
+    return jobs::JobId();
+  const std::string Last = Path.substr(Path.size() - IdDigits);
+  return isJobId(Last) ? jobs::JobId(Last) : jobs::JobId();
 }
 
 } // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/jobresponses.h
+++ b/src/libs/dispatch/jobresponses.h
@@ -1,6 +1,8 @@
 #ifndef WHINTACK_DISPATCH_JOBRESPONSES_H
 #define WHINTACK_DISPATCH_JOBRESPONSES_H
 
+#include "commithistory.h"
+
 #include "whintack/http/httpmessage.h"
 #include "whintack/jobs/jobspec.h"
 
@@ -12,7 +14,24 @@
 /// it to try again after a second.
 http::HttpResponse errorResponse(int Status, const std::string &Reason);
 
-void logRefusal(const jobs::JobId &Job, int Status, const std::string &Reason);
+/// A request that is refused.
+struct RefusedRequest {
+  jobs::JobId Job;
+  std::string Method;
+  int Status = 0;
+  std::string Reason;
+  /// The tenant that the request may not act for; empty for other reasons.
+  TenantName Tenant = TenantName();
+};
+
+void logRefusal(const RefusedRequest &Refused);
+/// Logs that a job was not accepted, and the commits that were made for it.
+void logRefusal(const RefusedRequest &Refused, const CommitHistory &Commits,
+                TimePoint Now);
+
+/// Returns the job that a path names; empty if it does not end in a job's id.
+jobs::JobId jobOfPath(const std::string &Path);
+bool isJobId(std::string_view Text);
 
 } // namespace whintack::dispatch::Internal
 
