Job requests: Log since when a job is stored, and why it is announced

job-accepted again=yes did not tell whether an earlier request had stored the job: it now has stored-ms, the number of commits and how they ended. A planner that is told of a job by a question for its state or its cancelling could not be told from one that was told by the VM that accepted it: job-announced tells the cause.

--- a/src/libs/dispatch/jobrequesthandler.cpp
+++ b/src/libs/dispatch/jobrequesthandler.cpp
@@ -120,13 +120,30 @@
     this->refuseOtherTenant(Job);
     return;
   }
+  this->logAccepted(*Job, Answer, Stored);
+  Job->Respond(http::jsonResponse(status::Ok, "{}"));
+  this->announce(Job, Stored, AnnounceCause::Accepted);
+}
+
+/// Logs what was answered, and for a job that was stored before since when.
+/// Shows the commits unless the first one stored the job.
+void JobRequestHandler::logAccepted(const JobRequest &Job,
+                                    const store::CommitAnswer &Answer,
+                                    const std::string &Stored) const {
+  std::string StoredFor;
+  // The clock of the VM that stored the job may differ from this one's.
+  if (const auto Read = decodeStoredJob(Stored); Read && !Answer.IsCommitted)
+    StoredFor = std::to_string(
+        toMilliseconds(this->Shared.Time.WallNow() - Read.value().Accepted));
+  const bool IsFirst = Answer.IsCommitted && Job.Commits.count() == 1;
   logEvent(LogLevel::Info, "job-accepted",
-           {{"job", Job->Id},
-            {"queue", Job->QueueName},
+           {{"job", Job.Id},
+            {"queue", Job.QueueName},
             {"again", Answer.IsCommitted ? "no" : "yes"},
-            {"revision", Answer.Revision}});
-  Job->Respond(http::jsonResponse(status::Ok, "{}"));
-  this->announce(Job, Stored);
+            {"revision", Answer.Revision},
+            {"stored-ms", StoredFor},
+            {"commits", IsFirst ? "" : std::to_string(Job.Commits.count())},
+            {"outcomes", IsFirst ? "" : Job.Commits.outcomes()}});
 }
 
 void JobRequestHandler::retryStoring(const SharedJobRequest &Job,
@@ -148,9 +165,14 @@
 }
 
 void JobRequestHandler::announce(const SharedJobRequest &Job,
-                                 const std::string &Stored) {
+                                 const std::string &Stored,
+                                 AnnounceCause Cause) {
   if (const auto Read = decodeStoredJob(Stored); Read && Read.value().End)
     return;
+  // The line "job-accepted" tells of the other announcements.
+  if (Cause != AnnounceCause::Accepted)
+    logEvent(LogLevel::Info, "job-announced",
+             {{"job", Job->Id}, {"cause", nameOf(AnnounceCauseNames, Cause)}});
   Job->Announced = Stored;
   this->notifyPlanner(Job);
 }
@@ -263,7 +285,7 @@
               Job->Respond(http::jsonResponse(status::Ok,
                                               Self->Codec.EncodeState(Shown)));
               if (IsUnknown && Stored)
-                Self->announce(Job, Record.value());
+                Self->announce(Job, Record.value(), AnnounceCause::StateAsked);
             });
       });
 }
@@ -316,7 +338,7 @@
           return;
         }
         if (IsUnknownToPlanner)
-          Self->announce(Job, Record.value());
+          Self->announce(Job, Record.value(), AnnounceCause::CancelAsked);
         Self->writeNotice(
             Job, keys::cancellations(Job->Service) + Job->Id.text(), "{}",
             MaxNoticeAttempts / 4, [Self, Job](bool IsStored) {
--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -26,6 +26,21 @@
   std::function<bool()> IsOutdated;
 };
 
+/// Why a job is announced to its planner.
+enum class AnnounceCause {
+  Accepted,
+  /// A client asked for the state of the job, which the planner did not know.
+  StateAsked,
+  /// A client cancelled the job, which the planner did not know.
+  CancelAsked,
+};
+
+inline constexpr EnumNames<AnnounceCause, 3> AnnounceCauseNames = {{
+    {AnnounceCause::Accepted, "accepted"},
+    {AnnounceCause::StateAsked, "state-asked"},
+    {AnnounceCause::CancelAsked, "cancel-asked"},
+}};
+
 /// Handles the requests of clients: accepts jobs, shows their state and cancels
 /// them.
 ///
@@ -112,10 +127,13 @@
                     const store::StoreResult<store::CommitAnswer> &Answer);
   void accept(const SharedJobRequest &Job, const store::CommitAnswer &Answer,
               const std::string &Stored);
+  void logAccepted(const JobRequest &Job, const store::CommitAnswer &Answer,
+                   const std::string &Stored) const;
   void retryStoring(const SharedJobRequest &Job, const std::string &Cause);
   /// Announces the job to its planner by its stored record, unless it has
   /// ended.
-  void announce(const SharedJobRequest &Job, const std::string &Stored);
+  void announce(const SharedJobRequest &Job, const std::string &Stored,
+                AnnounceCause Cause);
   void notifyPlanner(const SharedJobRequest &Job);
   void writeNotice(const SharedJobRequest &Job, const std::string &Key,
                    const std::string &Content, int64_t AttemptsLeft,
--- a/tests/auto/dispatch/tst_requestlog.cpp
+++ b/tests/auto/dispatch/tst_requestlog.cpp
@@ -239,3 +239,52 @@
   REQUIRE(Entry.Log.lines(Event).size() == MaxLines + 1);
   CHECK(LogCapture::field(Entry.Log.lines(Event).back(), "not-logged") == "5");
 }
+
+// Guards against an acceptance that does not tell whether an earlier try had
+// stored the job (issue 55).
+TEST_CASE("the acceptance of a stored job tells since when it is stored") {
+  Fixture Entry;
+  SECTION("one commit that finds the job") {
+    Entry.store();
+    Entry.Loop.runFor(seconds(7));
+    REQUIRE(Entry.send("POST") == 200);
+    CHECK(Entry.field("again", "job-accepted") == "yes");
+    const int StoredFor = std::stoi(Entry.field("stored-ms", "job-accepted"));
+    CHECK(StoredFor >= 7000);
+    CHECK(StoredFor < 7200);
+    CHECK(Entry.field("commits", "job-accepted") == "1");
+    CHECK(Entry.field("outcomes", "job-accepted") == "conflict:1");
+  }
+  SECTION("several commits") {
+    Entry.CommitErrors = {{StoreErrorCode::Unreachable, "refused"}};
+    Entry.Loop.Queue.schedule(Entry.Loop.Time.now() + milliseconds(1),
+                              [&Entry] { Entry.CommitErrors.clear(); });
+    REQUIRE(Entry.send("POST") == 200);
+    CHECK(Entry.field("again", "job-accepted") == "no");
+    CHECK(Entry.field("stored-ms", "job-accepted").empty());
+    CHECK(Entry.field("commits", "job-accepted") == "2");
+    CHECK(Entry.field("outcomes", "job-accepted") ==
+          "committed:1,unreachable:1");
+  }
+  SECTION("one commit that stores the job") {
+    REQUIRE(Entry.send("POST") == 200);
+    CHECK(Entry.field("again", "job-accepted") == "no");
+    CHECK(Entry.field("commits", "job-accepted").empty());
+  }
+}
+
+// Guards against a planner that starts a job while no line tells who has told
+// it (issue 55).
+TEST_CASE("a job that its planner does not know is announced with a cause") {
+  Fixture Entry;
+  Entry.store();
+  SECTION("by a question for its state") {
+    REQUIRE(Entry.send("GET") == 200);
+    CHECK(Entry.field("job", "job-announced") == Id);
+    CHECK(Entry.field("cause", "job-announced") == "state-asked");
+  }
+  SECTION("by its cancelling") {
+    REQUIRE(Entry.send("DELETE") == 200);
+    CHECK(Entry.field("cause", "job-announced") == "cancel-asked");
+  }
+}
