--- a/tests/auto/support/scriptedserver.h
+++ b/tests/auto/support/scriptedserver.h
@@ -69,6 +69,25 @@
   /// Accepts no further connections. Open connections are kept.
   void refuseConnections() { shutdown(this->Listener, SHUT_RDWR); }
 
+  /// Ends all open connections, with a reset if \p Resets is set, and returns
+  /// when they have ended.
+  void endConnections(bool Resets) {
+    {
+      const std::lock_guard<std::mutex> Lock(this->Mutex);
+      for (const int Socket : this->Sockets) {
+        if (Resets)
+          resetOnClose(Socket);
+        shutdown(Socket, SHUT_RD);
+      }
+    }
+    while (this->isConnected())
+      std::this_thread::yield();
+  }
+
+  /// From now on, resets a connection when more than \p Bytes of a request have
+  /// arrived on it.
+  void resetLargerRequests(size_t Bytes) { this->MaxRequestBytes = Bytes; }
+
   /// From now on, sends answers in parts of \p Bytes, and calls \p BeforePart
   /// before each part of an answer but the first.
   void sendInParts(size_t Bytes, std::function<void()> BeforePart) {
@@ -85,6 +104,16 @@
   unsigned resets() const { return this->Resets; }
 
 private:
+  static void resetOnClose(int Socket) {
+    const linger Abort{1, 0};
+    setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Abort, sizeof(Abort));
+  }
+
+  bool isConnected() {
+    const std::lock_guard<std::mutex> Lock(this->Mutex);
+    return !this->Sockets.empty();
+  }
+
   void accept() {
     while (!this->IsStopping) {
       const int Socket = ::accept(this->Listener, nullptr, nullptr);
@@ -120,9 +149,9 @@
       const size_t HeaderEnd = Buffer.find("\r\n\r\n");
       if (HeaderEnd != std::string::npos) {
         size_t BodyBytes = 0;
-        const size_t Length = Buffer.find("Content-Length: ");
+        const size_t Length = Buffer.find("Content-Length:");
         if (Length != std::string::npos && Length < HeaderEnd)
-          BodyBytes = std::stoul(Buffer.substr(Length + 16));
+          BodyBytes = std::stoul(Buffer.substr(Length + 15));
         const size_t RequestSize = HeaderEnd + 4 + BodyBytes;
         if (Buffer.size() >= RequestSize) {
           std::string Request = Buffer.substr(0, RequestSize);
@@ -137,6 +166,10 @@
         return "";
       }
       Buffer.append(Bytes, static_cast<size_t>(Count));
+      if (Buffer.size() > this->MaxRequestBytes) {
+        resetOnClose(Socket);
+        return "";
+      }
     }
   }
 
@@ -159,10 +192,8 @@
       ++this->Executions;
       const ScriptedAnswer Response = this->Answer(Request, ++Number);
       sendParts(Socket, Response.Bytes);
-      if (Response.Resets) {
-        const linger Abort{1, 0};
-        setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Abort, sizeof(Abort));
-      }
+      if (Response.Resets)
+        resetOnClose(Socket);
       if (Response.ClosesAfter || Response.Resets)
         break;
     }
@@ -173,6 +204,7 @@
 
   Script Answer;
   size_t PartBytes = size_t{1} << 30;
+  std::atomic<size_t> MaxRequestBytes{size_t{1} << 30};
   std::function<void()> BeforePart;
   int Listener = -1;
   bool IsOpen = false;
