Http: Send each request on a connection once

Clients were told 503, "not accepted", for jobs whose commit the store had read: the HTTP library sent the commit a second time on a new connection after the store had closed the reused one, and the store's refusal of the second copy was taken as one of the first. Writes of leases, orders and calls to other services went the same way.

The library asks a hook before each sending. The hook now throws on the second sending of a call, so that the library ends the call before it connects again, with and without TLS. The call fails as "broken", which says that the server may have read the request. A used connection never reports "not connected", which moves here from CallClient.

The hook also looks at a used connection before the first sending. If the server has closed it or sent anything on it, nothing is sent, and the request goes out on a new connection. So a server that closes idle connections causes no unknown outcomes, and what it sent too early is not taken as the answer.

Redirections are no longer followed, because that sends a request again.

CallClient and the reads of HttpPlatform send a GET, or a read, once more on a new connection within its deadline if the reused one broke before an answer began; the load generator does so for requests that are no orders.

--- a/src/libs/http/callclient.cpp
+++ b/src/libs/http/callclient.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace whintack::http {
@@ -23,7 +24,8 @@
                                            uint64_t &Generation);
   void returnToPool(const Address &Server, uint64_t Generation,
                     std::shared_ptr<HttpConnection> Used);
-  void dropIdle(const Address &Server);
+  /// Returns the new generation of the pool.
+  uint64_t dropIdle(const Address &Server);
   void call(const Address &Server, const HttpRequest &Request,
             TimePoint Deadline, HttpCallback Done, ProgressHook OnProgress);
 
@@ -38,6 +40,16 @@
     uint64_t Generation = 0;
     std::vector<IdleConnection> Idle;
   };
+  /// A connection in use and the generation of the pool that it returns to.
+  struct UsedConnection {
+    std::shared_ptr<HttpConnection> Connection;
+    uint64_t Generation = 0;
+  };
+
+  std::shared_ptr<HttpConnection> connect(const Address &Server);
+  void send(const Address &Server, UsedConnection Used,
+            const HttpRequest &Request, TimePoint Deadline, HttpCallback Done,
+            ProgressHook OnProgress);
 
   Clock Time;
   TimerQueue &Timers;
@@ -73,46 +85,66 @@
         {std::move(Used), this->Time.Now() + IdleConnectionRetention});
 }
 
-void CallClient::Private::dropIdle(const Address &Server) {
+uint64_t CallClient::Private::dropIdle(const Address &Server) {
   std::vector<IdleConnection> Dropped;
   const std::lock_guard<std::mutex> Lock(this->Mutex);
   ConnectionPool &ServerPool = this->Pools[Server];
-  ++ServerPool.Generation;
   Dropped.swap(ServerPool.Idle);
+  return ++ServerPool.Generation;
+}
+
+std::shared_ptr<HttpConnection>
+CallClient::Private::connect(const Address &Server) {
+  return std::make_shared<HttpConnection>(Server, this->MaxAnswerBytes,
+                                          this->Timers);
 }
 
 void CallClient::Private::call(const Address &Server,
                                const HttpRequest &Request, TimePoint Deadline,
                                HttpCallback Done, ProgressHook OnProgress) {
-  uint64_t Generation = 0;
-  std::shared_ptr<HttpConnection> Connection =
-      this->takeIdle(Server, Generation);
-  if (!Connection)
-    Connection = std::make_shared<HttpConnection>(Server, this->MaxAnswerBytes,
-                                                  this->Timers);
-  HttpConnection &Used = *Connection;
-  const bool WasFresh = Used.isFresh();
-  Used.send(
+  UsedConnection Used;
+  Used.Connection = this->takeIdle(Server, Used.Generation);
+  if (!Used.Connection)
+    Used.Connection = this->connect(Server);
+  this->send(Server, std::move(Used), Request, Deadline, std::move(Done),
+             std::move(OnProgress));
+}
+
+void CallClient::Private::send(const Address &Server, UsedConnection Used,
+                               const HttpRequest &Request, TimePoint Deadline,
+                               HttpCallback Done, ProgressHook OnProgress) {
+  /// What a second sending needs.
+  struct Repetition {
+    HttpRequest Request;
+    ProgressHook OnProgress;
+  };
+  std::optional<Repetition> Again;
+  HttpConnection &Connection = *Used.Connection;
+  if (!Connection.isFresh() && Request.Method == "GET")
+    Again = Repetition{Request, OnProgress};
+  Connection.send(
       Request, Deadline,
-      [Weak = this->weak_from_this(), Server, Generation, WasFresh,
-       Connection = std::move(Connection),
+      [Weak = this->weak_from_this(), Server, Used = std::move(Used),
+       Again = std::move(Again), Deadline,
        Done = std::move(Done)](HttpResult Outcome) mutable {
         const std::shared_ptr<Private> Client = Weak.lock();
+        if (!Client) {
+          Done(std::move(Outcome));
+          return;
+        }
         if (Outcome) {
-          if (Client)
-            Client->returnToPool(Server, Generation, std::move(Connection));
+          Client->returnToPool(Server, Used.Generation,
+                               std::move(Used.Connection));
           Done(std::move(Outcome));
           return;
         }
-        if (Client)
-          Client->dropIdle(Server);
-        HttpError Cause = std::move(Outcome).error();
-        // The library sent the request on the reused connection first and
-        // failed to connect only when it repeated the request, so the
-        // server may have read it.
-        if (!WasFresh && Cause.Code == HttpErrorCode::NotConnected)
-          Cause.Code = HttpErrorCode::Broken;
-        Done(failure(std::move(Cause)));
+        const uint64_t Generation = Client->dropIdle(Server);
+        if (Again && Outcome.error().WasStale)
+          Client->send(Server, {Client->connect(Server), Generation},
+                       Again->Request, Deadline, std::move(Done),
+                       std::move(Again->OnProgress));
+        else
+          Done(std::move(Outcome));
       },
       std::move(OnProgress));
 }
--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -6,9 +6,12 @@
 
 #include <atomic>
 #include <boost/asio/ssl.hpp>
+#include <cerrno>
 #include <cpprest/http_client.h>
 #include <future>
 #include <pplx/threadpool.h>
+#include <stdexcept>
+#include <sys/socket.h>
 
 namespace whintack::http {
 
@@ -24,6 +27,9 @@
   /// Moved by OnProgress; the timer may still be set to an earlier time.
   std::atomic<TimePoint> Deadline{TimePoint::max()};
   ProgressHook OnProgress;
+  /// Whether the connection had carried a request before.
+  std::atomic<bool> IsOnUsedConnection{false};
+  std::atomic<bool> HasAnswerBegun{false};
   TimerQueueRef Timers;
   HttpCallback Done;
 
@@ -35,20 +41,71 @@
   }
 };
 
+/// Ends a call whose connection the server ended before anything was sent.
+class IdleConnectionEnded : public std::runtime_error {
+public:
+  IdleConnectionEnded()
+      : std::runtime_error("the server closed the idle connection") {}
+};
+
+/// Ends a call that the library would send a second time.
+class RepetitionRefused : public std::runtime_error {
+public:
+  RepetitionRefused()
+      : std::runtime_error("the server closed the connection") {}
+};
+
+/// Is asked before each sending on a connection. Throws an exception if the
+/// request must not be sent; the library ends the call with it.
+class SendingGate {
+public:
+  /// Must be called before the first sending of a call.
+  void beginCall(bool IsConnectionUsed) {
+    this->MustCheckConnection = IsConnectionUsed;
+    this->IsSent = false;
+  }
+
+  void pass(boost::asio::ip::tcp::socket &Socket) {
+    if (this->IsSent)
+      throw RepetitionRefused();
+    if (this->MustCheckConnection && Socket.is_open() && !isIdle(Socket))
+      throw IdleConnectionEnded();
+    this->IsSent = true;
+  }
+
+private:
+  /// Whether the connection is open and nothing has arrived on it.
+  static bool isIdle(boost::asio::ip::tcp::socket &Socket) {
+    char Byte = 0;
+    const ssize_t Count =
+        recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  std::atomic<bool> MustCheckConnection{false};
+  std::atomic<bool> IsSent{false};
+};
+
 } // namespace Internal
 
-class HttpConnection::Private {
+class HttpConnection::Private : public std::enable_shared_from_this<Private> {
 public:
   Private(const Address &Server, size_t MaxAnswerBytes, TimerQueue &Timers,
           const ClientTls &Tls);
 
-  static web::http::client::http_client_config
-  clientConfig(const ClientTls &Tls);
+  web::http::client::http_client_config clientConfig() const;
+  void connect();
+  void send(const std::shared_ptr<Internal::Call> &Call,
+            const web::http::http_request &Request);
 
   size_t MaxAnswerBytes;
   TimerQueue &Timers;
+  ClientTls Tls;
+  std::string BaseUri;
   std::atomic<bool> IsFresh{true};
-  web::http::client::http_client Client;
+  std::shared_ptr<Internal::SendingGate> Gate =
+      std::make_shared<Internal::SendingGate>();
+  std::unique_ptr<web::http::client::http_client> Client;
 };
 
 void initializeHttpThreads(unsigned Count) {
@@ -58,31 +115,44 @@
 /// Makes closing a connection discard data that has not been delivered: an
 /// abandoned request must not reach the server after a network partition has
 /// healed.
-static void dropUnsentOnClose(web::http::client::native_handle Handle) {
-  auto *Socket = static_cast<boost::asio::ip::tcp::socket *>(Handle);
+static void dropUnsentOnClose(boost::asio::ip::tcp::socket &Socket) {
   boost::system::error_code Failed;
   // The library calls this before it connects, when the socket may not be open
   // yet.
-  if (!Socket->is_open())
-    Socket->open(boost::asio::ip::tcp::v4(), Failed);
+  if (!Socket.is_open())
+    Socket.open(boost::asio::ip::tcp::v4(), Failed);
   if (!Failed)
-    Socket->set_option(boost::asio::socket_base::linger(true, 0), Failed);
+    Socket.set_option(boost::asio::socket_base::linger(true, 0), Failed);
   if (Failed)
     logEvent(LogLevel::Warning, "socket-option-failed",
              {{"cause", Failed.message()}});
 }
 
 web::http::client::http_client_config
-HttpConnection::Private::clientConfig(const ClientTls &Tls) {
+HttpConnection::Private::clientConfig() const {
+  using boost::asio::ip::tcp;
   web::http::client::http_client_config Config;
   // Each call has its own deadline; this time-out only ends requests that
   // nothing else would end.
   constexpr std::chrono::hours MaxCallDuration(1);
   Config.set_timeout(MaxCallDuration);
-  if (!Tls.IsEnabled)
-    Config.set_nativehandle_options(dropUnsentOnClose);
-  const std::string AuthorityFile = Tls.AuthorityFile;
-  if (Tls.IsEnabled && !AuthorityFile.empty())
+  Config.set_max_redirects(0);
+  if (!this->Tls.IsEnabled) {
+    Config.set_nativehandle_options(
+        [Gate = this->Gate](web::http::client::native_handle Handle) {
+          auto &Socket = *static_cast<tcp::socket *>(Handle);
+          Gate->pass(Socket);
+          dropUnsentOnClose(Socket);
+        });
+    return Config;
+  }
+  Config.set_nativehandle_options([Gate = this->Gate](
+                                      web::http::client::native_handle Handle) {
+    Gate->pass(static_cast<boost::asio::ssl::stream<tcp::socket &> *>(Handle)
+                   ->next_layer());
+  });
+  const std::string AuthorityFile = this->Tls.AuthorityFile;
+  if (!AuthorityFile.empty())
     Config.set_ssl_context_callback(
         [AuthorityFile](boost::asio::ssl::context &Context) {
           Context.load_verify_file(AuthorityFile);
@@ -92,9 +162,16 @@
 
 HttpConnection::Private::Private(const Address &Server, size_t MaxAnswerBytes,
                                  TimerQueue &Timers, const ClientTls &Tls)
-    : MaxAnswerBytes(MaxAnswerBytes), Timers(Timers),
-      Client((Tls.IsEnabled ? "https://" : "http://") + Server.text(),
-             clientConfig(Tls)) {}
+    : MaxAnswerBytes(MaxAnswerBytes), Timers(Timers), Tls(Tls),
+      BaseUri((Tls.IsEnabled ? "https://" : "http://") + Server.text()) {
+  this->connect();
+}
+
+/// Replaces the connection; the library connects when the next request is sent.
+void HttpConnection::Private::connect() {
+  this->Client = std::make_unique<web::http::client::http_client>(
+      this->BaseUri, this->clientConfig());
+}
 
 HttpConnection::HttpConnection(const Address &Server, size_t MaxAnswerBytes,
                                TimerQueue &Timers, const ClientTls &Tls)
@@ -131,18 +208,21 @@
 
 static HttpError toHttpError(const Internal::Call &Call,
                              const std::exception_ptr &Thrown) {
+  const bool IsStale = Call.IsOnUsedConnection && !Call.HasAnswerBegun;
   try {
     std::rethrow_exception(Thrown);
   } catch (const web::http::http_exception &Error) {
-    if (Error.error_code() == std::errc::host_unreachable)
+    // A used connection may report this after the request was sent.
+    if (Error.error_code() == std::errc::host_unreachable &&
+        !Call.IsOnUsedConnection)
       return {HttpErrorCode::NotConnected, Error.what()};
     if (Call.IsLate || Error.error_code() == std::errc::timed_out)
       return {HttpErrorCode::TimedOut, "the deadline passed"};
-    return {HttpErrorCode::Broken, Error.what()};
+    return {HttpErrorCode::Broken, Error.what(), IsStale};
   } catch (const std::exception &Error) {
     if (Call.IsLate)
       return {HttpErrorCode::TimedOut, "the deadline passed"};
-    return {HttpErrorCode::Broken, Error.what()};
+    return {HttpErrorCode::Broken, Error.what(), IsStale};
   }
 }
 
@@ -195,10 +275,35 @@
   });
 }
 
+void HttpConnection::Private::send(const std::shared_ptr<Internal::Call> &Call,
+                                   const web::http::http_request &Request) {
+  this->Gate->beginCall(Call->IsOnUsedConnection);
+  // The task chain holds the connection's state, so that the client outlives
+  // the call.
+  const std::shared_ptr<Private> Self = this->shared_from_this();
+  this->Client->request(Request, Call->Cancel.get_token())
+      .then([Call, MaxBytes = this->MaxAnswerBytes](
+                const web::http::http_response &Answer) {
+        Call->HasAnswerBegun = true;
+        return readAnswer(Answer, MaxBytes, Call);
+      })
+      .then([Call, Self, Request](const pplx::task<PendingResult> &Finished) {
+        try {
+          Call->finish(*Finished.get());
+        } catch (const Internal::IdleConnectionEnded &) {
+          Call->IsOnUsedConnection = false;
+          Self->connect();
+          Self->send(Call, Request);
+        } catch (...) {
+          Call->finish(failure(toHttpError(*Call, std::current_exception())));
+        }
+      });
+}
+
 void HttpConnection::send(const HttpRequest &Request, TimePoint Deadline,
                           HttpCallback Done, ProgressHook OnProgress) {
-  this->D->IsFresh = false;
   auto Call = std::make_shared<Internal::Call>();
+  Call->IsOnUsedConnection = !this->D->IsFresh.exchange(false);
   Call->Timers = this->D->Timers.ref();
   Call->Done = std::move(Done);
   Call->Deadline = Deadline;
@@ -211,21 +316,7 @@
     return;
   }
   armDeadline(Call, this->D->Timers);
-  const size_t MaxBytes = this->D->MaxAnswerBytes;
-  // The task chain holds the connection's state, so that the client outlives
-  // the call.
-  const std::shared_ptr<Private> State = this->D;
-  State->Client.request(Converted, Call->Cancel.get_token())
-      .then([Call, MaxBytes](const web::http::http_response &Answer) {
-        return readAnswer(Answer, MaxBytes, Call);
-      })
-      .then([Call, State](const pplx::task<PendingResult> &Finished) {
-        try {
-          Call->finish(*Finished.get());
-        } catch (...) {
-          Call->finish(failure(toHttpError(*Call, std::current_exception())));
-        }
-      });
+  this->D->send(Call, Converted);
 }
 
 HttpResult sendAndWait(HttpConnection &Connection, const HttpRequest &Request,
--- a/src/libs/http/include/whintack/http/callclient.h
+++ b/src/libs/http/include/whintack/http/callclient.h
@@ -7,11 +7,12 @@
 
 namespace whintack::http {
 
-/// Client for idempotent calls that reuses connections. The HTTP library
-/// repeats a call by itself when a reused connection turns out to be closed.
-/// After a failed call, such as a time-out, no open connection to that address
-/// is used again, because the others may have gone silent too. A call may
-/// outlive the client. Safe for several threads.
+/// Client that reuses connections. A request is sent once, except for a GET: if
+/// the server closes a reused connection before it begins to answer, the GET is
+/// sent once more on a new one, with the same deadline. After a failed call,
+/// such as a time-out, no open connection to that address is used again,
+/// because the others may have gone silent too. A call may outlive the client.
+/// Safe for several threads.
 class CallClient {
 public:
   /// \p MaxAnswerBytes bounds the body of an answer, in bytes.
--- a/src/libs/http/include/whintack/http/httpclient.h
+++ b/src/libs/http/include/whintack/http/httpclient.h
@@ -15,7 +15,7 @@
 
 /// How a call failed.
 enum class HttpErrorCode {
-  /// No connection was made, so the server read nothing.
+  /// No connection was made for the request, so the server read nothing of it.
   NotConnected,
   /// The deadline passed; the server may have read the request.
   TimedOut,
@@ -39,6 +39,9 @@
 struct HttpError {
   HttpErrorCode Code = HttpErrorCode::Broken;
   std::string Message;
+  /// A connection that had carried a request before broke, and no answer had
+  /// begun. The server may have read the request.
+  bool WasStale = false;
 
   /// Returns whether the server certainly read nothing.
   bool isNeverSent() const {
@@ -67,10 +70,11 @@
 
 /// One connection to a server. It carries one request at a time.
 ///
-/// The underlying HTTP library silently repeats a request when a connection
-/// that has already carried one turns out to be closed. A request that must not
-/// run twice may therefore be sent only on a connection for which isFresh()
-/// returns true.
+/// A request is sent at most once, and redirections are not followed. If the
+/// server has closed the connection, or sent anything on it, since the last
+/// request, a new connection is made before the request is sent. If it closes
+/// the connection later, the call fails, and the server may have read the
+/// request.
 class HttpConnection {
 public:
   /// \p MaxAnswerBytes bounds the body of an answer, in bytes.
--- a/src/libs/load/loadgenerator.cpp
+++ b/src/libs/load/loadgenerator.cpp
@@ -126,8 +126,8 @@
     Request.Headers.set("Idempotency-Key", Key);
     Request.Body = "{\"order\":\"" + Sent.Order + "\"}";
   }
-  // An order takes a new connection, because the HTTP library would repeat it
-  // on a reused one.
+  // An order takes a new connection, because its outcome is unknown if the
+  // server closes a reused one.
   const bool NeedsNewConnection = Sent.IsOrder || !Caller->Connection;
   if (NeedsNewConnection)
     Caller->Connection = std::make_shared<http::HttpConnection>(
@@ -188,6 +188,11 @@
 void LoadGenerator::Private::handleAnswer(
     const std::shared_ptr<Internal::VirtualCaller> &Caller,
     const Internal::CallerRequest &Sent, const http::HttpResult &Answer) {
+  if (!Answer && Answer.error().WasStale) {
+    Caller->Connection.reset();
+    this->send(Caller, Sent);
+    return;
+  }
   const bool IsEnded = this->recordOutcome(Sent, Answer);
   const bool IsDone =
       Answer && Answer.value().Status < http::status::BadRequest;
--- a/src/libs/store/httpplatform.cpp
+++ b/src/libs/store/httpplatform.cpp
@@ -68,12 +68,19 @@
       this->IdleConnections.pop_back();
     }
   }
+  const http::HttpRequest Request = makeRequest(Method, Path, Body);
+  const TimePoint Deadline = this->Time.Now() + this->CallTimeout;
+  const auto Connect = [this] {
+    return std::make_shared<http::HttpConnection>(this->Server, MaxAnswerBytes,
+                                                  this->Timers, this->Tls);
+  };
   if (!Connection)
-    Connection = std::make_shared<http::HttpConnection>(
-        this->Server, MaxAnswerBytes, this->Timers, this->Tls);
-  http::HttpResult Answer =
-      http::sendAndWait(*Connection, makeRequest(Method, Path, Body),
-                        this->Time.Now() + this->CallTimeout);
+    Connection = Connect();
+  http::HttpResult Answer = http::sendAndWait(*Connection, Request, Deadline);
+  if (!Answer && Answer.error().WasStale) {
+    Connection = Connect();
+    Answer = http::sendAndWait(*Connection, Request, Deadline);
+  }
   if (Answer) {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     this->IdleConnections.push_back(std::move(Connection));
--- a/src/libs/store/include/whintack/store/httpplatform.h
+++ b/src/libs/store/include/whintack/store/httpplatform.h
@@ -11,9 +11,9 @@
 namespace whintack::store {
 
 /// Client of the platform's HTTP interfaces: key-value service, VM list and
-/// worker control. Each write uses a connection of its own, because the HTTP
-/// library would silently repeat a request on a reused connection. Reads reuse
-/// connections, because repeating them is harmless. Safe for several threads.
+/// worker control. Each write uses a connection of its own, because its outcome
+/// is unknown if the server closes a reused one. Reads reuse connections,
+/// because repeating them is harmless. Safe for several threads.
 class HttpPlatform {
 public:
   /// \p CallTimeout limits the duration of each call.
@@ -27,7 +27,8 @@
   WorkerControl workers();
 
 private:
-  /// Sends a request on a reused connection.
+  /// Sends a request on a reused connection, and once more on a new one if the
+  /// server closes the reused one.
   StoreResult<std::string> sendRead(const std::string &Method,
                                     const std::string &Path,
                                     const std::string &Body);
