Jobs: Refuse a job only if no VM may have stored it

Callers were told by 503 that a job was not accepted and never runs, and it ran. The VM that refused it spoke of its own commits only. Another VM had answered 504, had not answered, or its 200 had been lost, and its commit was carried out.

Each VM now remembers for a minute which jobs it may have stored, and those whose submission it still handles. At the client's deadline, a VM whose own commits were all refused asks all other VMs for 150 ms. It answers 503 only if each of them denies the job, else 504. A process denies nothing in its first minute, as its predecessor may have left a commit open; a VM that left the fleet less than a minute ago is asked, too. So the loss of a VM, a cut link and a full table all lead to 504. The question is a ServiceCall that names no service: a new kind of call would make an earlier version close the link, while it answers this one with "not-planner", which denies nothing.

504 for all is simpler, but tells no caller that it may go elsewhere, not even while the store refuses each commit. Telling peers before the answer would not cover a VM that dies with its commit open.

--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -117,6 +117,7 @@
         if (!Alive)
           return;
         Alive->Transport.SetPeers(Alive->Members->others());
+        Alive->Submissions->setPeers(Alive->Members->others());
         Alive->updateItemSources();
         Alive->reconcileClaims();
       });
@@ -150,12 +151,14 @@
         const auto Alive = Weak.lock();
         return Alive && Alive->answerLocally(Call, Respond);
       });
+  this->Submissions =
+      std::make_shared<SubmissionTracker>(this->Shared, this->Calls);
   tenants::AccessBounds Bounds;
   Bounds.ConfigurationTime = this->Self.ConfigurationTime;
   if (this->Self.RefusesStaleKeys)
     Bounds.RevocationTime = this->Self.KeyRevocationTime;
   this->RequestHandler = std::make_shared<JobRequestHandler>(
-      this->Shared, this->Connections.Codec, this->Calls,
+      this->Shared, this->Connections.Codec, this->Calls, this->Submissions,
       this->configurationHooks(), Bounds);
   this->Claimer = std::make_shared<ShardClaimer>(
       this->Shared, this->Self.Name, this->Tracker, this->Lease, this->Members,
@@ -372,15 +375,6 @@
       });
 }
 
-bool FleetCore::answerLocally(const peers::ServiceCall &Call,
-                              const AnswerCallback &Respond) {
-  const auto Found = this->Shards.find(Call.Service.text());
-  if (Found == this->Shards.end())
-    return false;
-  Found->second->answer(Call, Respond);
-  return true;
-}
-
 void FleetCore::handleMessage(const EntryName &From,
                               const peers::Message &Received) {
   if (!this->Calls)
--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -150,6 +150,7 @@
   std::shared_ptr<AdviceClient> Advice;
   ProcessorMonitor Processor;
   std::shared_ptr<ServiceCalls> Calls;
+  std::shared_ptr<SubmissionTracker> Submissions;
   std::shared_ptr<ExecutorRelay> ExecutorCalls;
   std::shared_ptr<RelayedCallHandler> RelayedCalls;
   std::shared_ptr<JobRequestHandler> RequestHandler;
--- a/src/libs/dispatch/jobrequesthandler.cpp
+++ b/src/libs/dispatch/jobrequesthandler.cpp
@@ -13,14 +13,18 @@
 /// How long to wait for a planner before reading the store instead.
 static constexpr Duration PlannerTimeout = std::chrono::milliseconds(500);
 static constexpr int64_t MaxNoticeAttempts = 20;
+/// Time for the other VMs to tell what they know of a job that is not stored.
+/// Taken from what is reserved for sending the answer.
+static constexpr Duration OutcomeTimeout = std::chrono::milliseconds(150);
 
-JobRequestHandler::JobRequestHandler(Context Shared, jobs::PlatformCodec Codec,
-                                     std::shared_ptr<ServiceCalls> Calls,
-                                     ConfigurationHooks Configuration,
-                                     const tenants::AccessBounds &Bounds)
+JobRequestHandler::JobRequestHandler(
+    Context Shared, jobs::PlatformCodec Codec,
+    std::shared_ptr<ServiceCalls> Calls,
+    std::shared_ptr<SubmissionTracker> Submissions,
+    ConfigurationHooks Configuration, const tenants::AccessBounds &Bounds)
     : Shared(std::move(Shared)), Codec(std::move(Codec)),
-      Calls(std::move(Calls)), Configuration(std::move(Configuration)),
-      Policy(Bounds),
+      Calls(std::move(Calls)), Submissions(std::move(Submissions)),
+      Configuration(std::move(Configuration)), Policy(Bounds),
       Waiting(std::make_shared<WaitingCounts>(this->Shared, this->Calls)) {}
 
 bool JobRequestHandler::isOtherTenant(const JobRequest &Job,
@@ -60,6 +64,7 @@
   }
   Job->Record = encodeStoredJob({Job->QueueName, this->Shared.Time.WallNow(),
                                  Body, std::nullopt, Job->Tenant, *Job->Queue});
+  Job->Submission = this->Submissions->open(Job->Id);
   this->storeJob(Job);
 }
 
@@ -85,6 +90,8 @@
     const SharedJobRequest &Job,
     const store::StoreResult<store::CommitAnswer> &Answer) {
   Job->Commits.noteEnd(Answer);
+  if (Answer || Answer.error().Code != store::StoreErrorCode::Unreachable)
+    this->Submissions->noteMayBeStored(Job->Id);
   if (!Answer) {
     if (Answer.error().Code != store::StoreErrorCode::Unreachable)
       Job->IsOutcomeUnknown = true;
@@ -155,13 +162,29 @@
                 [Job](JobRequestHandler &Self) { Self.storeJob(Job); });
     return;
   }
-  const int Status = Job->IsOutcomeUnknown ? status::GatewayTimeout
-                                           : status::ServiceUnavailable;
+  Job->Submission = nullptr;
+  if (Job->IsOutcomeUnknown) {
+    this->refuseUnstored(Job, true, Cause);
+    return;
+  }
+  this->Submissions->ask(
+      Job->Id, OutcomeTimeout,
+      [Weak = this->weak_from_this(), Job, Cause](SubmissionOutcome Outcome) {
+        if (const auto Self = Weak.lock())
+          Self->refuseUnstored(Job, Outcome != SubmissionOutcome::NotStored,
+                               Cause);
+      });
+}
+
+void JobRequestHandler::refuseUnstored(const SharedJobRequest &Job,
+                                       bool IsOutcomeUnknown,
+                                       const std::string &Cause) {
+  const int Status =
+      IsOutcomeUnknown ? status::GatewayTimeout : status::ServiceUnavailable;
   this->logRefusedJob(*Job, Status, Cause);
-  Job->Respond(
-      errorResponse(Status, Job->IsOutcomeUnknown
-                                ? "it is not known whether the job is stored"
-                                : "the job could not be stored"));
+  Job->Respond(errorResponse(
+      Status, IsOutcomeUnknown ? "it is not known whether the job is stored"
+                               : "the job could not be stored"));
 }
 
 void JobRequestHandler::announce(const SharedJobRequest &Job,
--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -5,6 +5,7 @@
 #include "jobownership.h"
 #include "jobrecords.h"
 #include "servicecalls.h"
+#include "submissiontracker.h"
 #include "waitingcounts.h"
 
 #include "whintack/base/loglimiter.h"
@@ -45,8 +46,9 @@
 /// them.
 ///
 /// A job is accepted only after it is stored. "Not accepted" is only answered
-/// for a job whose record was certainly not written. An unknown outcome is
-/// answered as a time-out, never as "not accepted" or "no such job".
+/// for a job whose record was certainly not written, at another VM neither. An
+/// unknown outcome is answered as a time-out, never as "not accepted" or "no
+/// such job".
 ///
 /// A job belongs for good to the service that its queue had in the
 /// configuration by which it was accepted. Later configurations, and VMs that
@@ -61,6 +63,7 @@
 public:
   JobRequestHandler(Context Shared, jobs::PlatformCodec Codec,
                     std::shared_ptr<ServiceCalls> Calls,
+                    std::shared_ptr<SubmissionTracker> Submissions,
                     ConfigurationHooks Configuration,
                     const tenants::AccessBounds &Bounds);
 
@@ -102,6 +105,8 @@
     /// A write got no answer: it may have taken effect, or may still do so.
     bool IsOutcomeUnknown = false;
     CommitHistory Commits;
+    /// Held while commits of the job may be sent.
+    SubmissionTracker::OpenSubmission Submission;
   };
   using SharedJobRequest = std::shared_ptr<JobRequest>;
 
@@ -130,6 +135,8 @@
   void logAccepted(const JobRequest &Job, const store::CommitAnswer &Answer,
                    const std::string &Stored) const;
   void retryStoring(const SharedJobRequest &Job, const std::string &Cause);
+  void refuseUnstored(const SharedJobRequest &Job, bool IsOutcomeUnknown,
+                      const std::string &Cause);
   /// Announces the job to its planner by its stored record, unless it has
   /// ended.
   void announce(const SharedJobRequest &Job, const std::string &Stored,
@@ -163,6 +170,7 @@
   Context Shared;
   jobs::PlatformCodec Codec;
   std::shared_ptr<ServiceCalls> Calls;
+  std::shared_ptr<SubmissionTracker> Submissions;
   ConfigurationHooks Configuration;
   tenants::AccessPolicy Policy;
   /// Refusals of requests without a known queue, key or job are bounded: any
--- a/src/libs/dispatch/servicecalls.cpp
+++ b/src/libs/dispatch/servicecalls.cpp
@@ -27,15 +27,31 @@
   return {CallOutcome::Unavailable, Answer.Content};
 }
 
-void ServiceCalls::call(peers::ServiceCall Call, Duration Timeout,
-                        ResultCallback Done) {
-  Call.Id = ++this->LastId;
-  this->OpenCalls.emplace(Call.Id, PendingCall{std::move(Done), EntryName()});
-  const peers::CallId Id = Call.Id;
+peers::CallId ServiceCalls::open(Duration Timeout, ResultCallback Done) {
+  const peers::CallId Id = ++this->LastId;
+  this->OpenCalls.emplace(Id, PendingCall{std::move(Done), EntryName()});
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
               this->Shared.now() + Timeout, [Id](ServiceCalls &Self) {
                 Self.finish(Id, {CallOutcome::NoAnswer, ""});
               });
+  return Id;
+}
+
+void ServiceCalls::send(const EntryName &Peer, const peers::ServiceCall &Call) {
+  this->OpenCalls.at(Call.Id).Peer = Peer;
+  if (!this->Send(Peer, Call))
+    this->finish(Call.Id, {CallOutcome::Unavailable, ""});
+}
+
+void ServiceCalls::callPeer(const EntryName &Peer, peers::ServiceCall Call,
+                            Duration Timeout, ResultCallback Done) {
+  Call.Id = this->open(Timeout, std::move(Done));
+  this->send(Peer, Call);
+}
+
+void ServiceCalls::call(peers::ServiceCall Call, Duration Timeout,
+                        ResultCallback Done) {
+  Call.Id = this->open(Timeout, std::move(Done));
   const bool IsLocal = this->AnswerLocally(
       Call,
       [Weak = this->weak_from_this()](const peers::ServiceAnswer &Answer) {
@@ -47,12 +63,10 @@
   const std::optional<Claim> Holder =
       this->Tracker->holder(Call.Service.text());
   if (!Holder || Holder->Holder == this->Self) {
-    this->finish(Id, {CallOutcome::Unavailable, ""});
+    this->finish(Call.Id, {CallOutcome::Unavailable, ""});
     return;
   }
-  this->OpenCalls.at(Id).Peer = Holder->Holder;
-  if (!this->Send(Holder->Holder, Call))
-    this->finish(Id, {CallOutcome::Unavailable, ""});
+  this->send(Holder->Holder, Call);
 }
 
 void ServiceCalls::handle(const EntryName &From,
--- a/src/libs/dispatch/servicecalls.h
+++ b/src/libs/dispatch/servicecalls.h
@@ -59,6 +59,11 @@
   /// once. Sets the id of \p Call.
   void call(peers::ServiceCall Call, Duration Timeout, ResultCallback Done);
 
+  /// Calls the VM itself, and not a planner: \p Call names no service. An
+  /// earlier version answers that it does not plan it.
+  void callPeer(const EntryName &Peer, peers::ServiceCall Call,
+                Duration Timeout, ResultCallback Done);
+
   /// Handle messages from a peer.
   void handle(const EntryName &From, const peers::ServiceCall &Call);
   void handle(const EntryName &From, const peers::ServiceAnswer &Answer);
@@ -71,6 +76,9 @@
     EntryName Peer;
   };
 
+  peers::CallId open(Duration Timeout, ResultCallback Done);
+  /// Sends an open call; ends it if there is no link to the peer.
+  void send(const EntryName &Peer, const peers::ServiceCall &Call);
   void finish(peers::CallId Id, CallResult Result);
 
   Context Shared;
--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -229,6 +229,8 @@
                                 const peers::Message &Sent) {
     if (!this->areLinked(Name, To.text()))
       return false;
+    if (this->OnMessage)
+      this->OnMessage(Sent);
     const auto Deliver = [this, Name, To, Sent] {
       if (this->areLinked(Name, To.text()))
         this->Nodes.at(To.text()).Core->handleMessage(EntryName(Name), Sent);
--- a/tests/auto/dispatch/simulatedfleet.h
+++ b/tests/auto/dispatch/simulatedfleet.h
@@ -110,6 +110,9 @@
   std::function<store::AsyncStore(store::AsyncStore)> WrapStore;
   std::function<jobs::ExecutorGateway(jobs::ExecutorGateway)> WrapExecutors;
 
+  /// Called with each message that a VM sends to another one.
+  std::function<void(const peers::Message &)> OnMessage;
+
   /// The advice service that VMs are given when they start.
   jobs::AdviceGateway Advice;
 
--- a/tests/auto/dispatch/tst_jobrequesthandler.cpp
+++ b/tests/auto/dispatch/tst_jobrequesthandler.cpp
@@ -51,7 +51,8 @@
     Configuration.KnownThrough = [this] { return this->Loop.Time.now(); };
     Configuration.IsOutdated = [] { return false; };
     this->Handler = std::make_shared<JobRequestHandler>(
-        Shared, this->Platform.codec(), Calls, Configuration,
+        Shared, this->Platform.codec(), Calls,
+        std::make_shared<SubmissionTracker>(Shared, Calls), Configuration,
         tenants::AccessBounds{seconds(2), std::nullopt});
   }
 
--- a/tests/auto/dispatch/tst_tenantrequests.cpp
+++ b/tests/auto/dispatch/tst_tenantrequests.cpp
@@ -71,7 +71,9 @@
                                 });
     };
     this->Handler = std::make_shared<JobRequestHandler>(
-        Shared, this->Platform.codec(), Calls, Configuration, Bounds);
+        Shared, this->Platform.codec(), Calls,
+        std::make_shared<SubmissionTracker>(Shared, Calls), Configuration,
+        Bounds);
   }
 
   /// Makes a configuration with these tenants current. It is known as of now.
