HTTP: Answer a dropped request with 504

A client whose request was dropped by its handler got 500. Whether the request has taken effect is not known then: a commit of it may be open. 504 says so, and the client repeats the request.

--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -74,9 +74,10 @@
   ~Exchange() {
     if (this->IsAnswered.exchange(true))
       return;
-    this->OnRejected(this->Request, status::InternalError,
+    this->OnRejected(this->Request, status::GatewayTimeout,
                      "the request was dropped");
-    this->send(jsonResponse(status::InternalError,
+    // The request may have taken effect.
+    this->send(jsonResponse(status::GatewayTimeout,
                             R"({"reason":"the request was dropped"})"));
   }
 
--- a/tests/auto/http/tst_httpserver.cpp
+++ b/tests/auto/http/tst_httpserver.cpp
@@ -209,10 +209,10 @@
     Request.Target = "/a";
     const HttpResult Answer = callAndWait(
         Local, Request, Time.Now() + std::chrono::seconds(10), Timers);
-    REQUIRE(Answer.value().Status == status::InternalError);
+    REQUIRE(Answer.value().Status == status::GatewayTimeout);
     REQUIRE(Log.lines(Event).size() == 1);
     CHECK(Field("method") == "GET");
-    CHECK(Field("status") == "500");
+    CHECK(Field("status") == "504");
   }
   SECTION("many requests") {
     tests::ManualClock Time;
@@ -230,7 +230,7 @@
                          Timers);
     };
     for (int Request = 0; Request < 30; ++Request)
-      REQUIRE(Send().value().Status == status::InternalError);
+      REQUIRE(Send().value().Status == status::GatewayTimeout);
     CHECK(Log.lines(Event).size() == 20);
     Time.advance(std::chrono::seconds(1));
     REQUIRE(Send());
@@ -238,3 +238,22 @@
     CHECK(Field("not-logged") == "10");
   }
 }
+
+// Guards against an answer that says more than the server knows: the request
+// may have taken effect (issue 55).
+TEST_CASE("a request whose handler is gone is answered as a time-out") {
+  const Clock Time = systemClock();
+  TimerQueue Timers(Time);
+  const Address Local = tests::ownAddress(11, 9100);
+  HttpServer Server(Local, {}, Time, Timers,
+                    [](const HttpRequest &, const Responder &) {});
+  REQUIRE(Server.open());
+  HttpRequest Request;
+  Request.Method = "POST";
+  Request.Target = "/";
+  Request.Body = "job";
+  const HttpResult Answer = callAndWait(
+      Local, Request, Time.Now() + std::chrono::seconds(10), Timers);
+  REQUIRE(Answer);
+  CHECK(Answer.value().Status == status::GatewayTimeout);
+}
