Fleet node: Close the ready listener before the front listener

While a VM stopped, clients were told 404 for queues that exist, for up to 300 ms, on open and on new connections. A client whose earlier attempt had no response takes that as a refusal, although its job may be stored.

The HTTP library cuts connections and stops accepting only when its last listener closes; on the address of a closed listener it answers 404. The front listener closed first, then the lease was ended, then the ready listener closed. Now the front listener is the last one, so that its connections break at once.

--- a/src/libs/dispatch/fleetnode.cpp
+++ b/src/libs/dispatch/fleetnode.cpp
@@ -169,6 +169,9 @@
       StopRequestedAt + LameDuckTime - this->Shared.now();
   if (Remaining > Duration::zero())
     std::this_thread::sleep_for(Remaining);
+  // The library cuts connections only when its last listener closes. Until then
+  // it responds with 404 on the address of a closed one.
+  this->ReadyServer->close(TimePoint::min());
   const size_t CutOff =
       this->CallerServer->close(StopRequestedAt + this->Settings.StopTimeout);
   auto Ended = std::make_shared<std::promise<void>>();
@@ -177,7 +180,6 @@
     Core.endLease([Ended] { Ended->set_value(); });
   });
   EndFuture.wait_for(EndLeaseTimeout);
-  this->ReadyServer->close(TimePoint::min());
   this->Peers->close();
   return CutOff;
 }
