Peers: Do not report a queued store call as not sent

PeerNetwork::send() queued a message and then returned whether the peer was usable. The relay takes false as "not sent": a peer that stopped being usable between the relay's look at the peers and the call carried out a commit that could end as "unreachable", and so as a refusal of its job.

send() now returns whether the message was queued. The fleet node does not queue a store call for a peer that is not usable; other messages are sent to such peers as before, and reported as before.

Before: tst_peernetwork.cpp:72: FAILED: CHECK( IsSent == HasArrived ) false == true

--- a/src/libs/dispatch/fleetnode.cpp
+++ b/src/libs/dispatch/fleetnode.cpp
@@ -69,7 +69,13 @@
   PeerTransport Transport;
   Transport.Send = [Weak](const EntryName &To, const peers::Message &Sent) {
     const auto Self = Weak.lock();
-    return Self && Self->Peers->send(To, Sent);
+    if (!Self)
+      return false;
+    const bool IsUsable = Self->Peers->isUsable(To);
+    // The relay goes on as if a call that is not sent could not take effect.
+    if (!IsUsable && std::holds_alternative<peers::StoreRequest>(Sent))
+      return false;
+    return Self->Peers->send(To, Sent) && IsUsable;
   };
   Transport.Peers = [Weak] {
     const auto Self = Weak.lock();
--- a/src/libs/entry/entrynode.cpp
+++ b/src/libs/entry/entrynode.cpp
@@ -137,7 +137,7 @@
   const routing::RouterIdentity Identity{
       {this->Settings.Name, this->Incarnation}, this->Settings.DataCentre};
   const auto Send = [this](const EntryName &Peer, const peers::Message &Sent) {
-    return this->Network->send(Peer, Sent);
+    return this->Network->send(Peer, Sent) && this->Network->isUsable(Peer);
   };
   const auto Broadcast = [this](const peers::Message &Sent) {
     this->Network->broadcast(Sent);
--- a/src/libs/peers/include/whintack/peers/peernetwork.h
+++ b/src/libs/peers/include/whintack/peers/peernetwork.h
@@ -94,8 +94,8 @@
   /// address has changed, and closes the links to peers no longer listed.
   void setPeers(const std::vector<PeerEndpoint> &Peers);
 
-  /// Queues the message if there is a link to the peer. Returns whether the
-  /// peer is usable, which does not mean that the message will arrive.
+  /// Queues the message if there is a link to the peer, and returns whether
+  /// there is one. A queued message need not arrive.
   bool send(const EntryName &Peer, const Message &Outgoing);
   /// Sends to all peers that have a link.
   void broadcast(const Message &Outgoing);
--- a/src/libs/peers/peernetwork.cpp
+++ b/src/libs/peers/peernetwork.cpp
@@ -365,7 +365,7 @@
   ++this->D->Traffic.MessagesSent;
   this->D->Traffic.BytesSent += Frame->size();
   asio::post(this->D->Context, [Link, Frame] { Link->send(Frame); });
-  return this->isUsable(Peer);
+  return true;
 }
 
 void PeerNetwork::broadcast(const Message &Outgoing) {
