--- a/tests/auto/dispatch/tst_requestlog.cpp
+++ b/tests/auto/dispatch/tst_requestlog.cpp
@@ -76,8 +76,12 @@
     };
     Configuration.KnownThrough = [this] { return this->Loop.Time.now(); };
     Configuration.IsOutdated = [] { return false; };
+    const auto Submissions = std::make_shared<SubmissionTracker>(Shared, Calls);
+    // A VM without peers that has been up for long knows what it has stored.
+    Submissions->setPeers({});
+    this->Loop.runFor(std::chrono::minutes(2));
     this->Handler = std::make_shared<JobRequestHandler>(
-        Shared, this->Platform.codec(), Calls, Configuration,
+        Shared, this->Platform.codec(), Calls, Submissions, Configuration,
         tenants::AccessBounds{seconds(2), std::nullopt});
   }
 
