Platform: Repeat calls to executors whose used connection breaks

Since each request is sent once, such a call has an unknown outcome. A report call would then mark a sound executor as silent, a start order would make it suspected, and a pace order would be lost.

CallClient::callRepeatedly() lets the caller send a second copy and tells it so.

--- a/src/libs/http/callclient.cpp
+++ b/src/libs/http/callclient.cpp
@@ -163,4 +163,29 @@
 
 void CallClient::dropIdle(const Address &Server) { this->D->dropIdle(Server); }
 
+void CallClient::callRepeatedly(const Address &Server,
+                                const HttpRequest &Request,
+                                const HttpRequest &Again, TimePoint Deadline,
+                                RepeatedCallback Done) {
+  this->D->call(
+      Server, Request, Deadline,
+      [Weak = std::weak_ptr<Private>(this->D), Server, Again, Deadline,
+       Done = std::move(Done)](HttpResult Outcome) mutable {
+        const bool WasStale = !Outcome && Outcome.error().WasStale;
+        const std::shared_ptr<Private> Client =
+            WasStale ? Weak.lock() : nullptr;
+        if (!Client) {
+          Done(std::move(Outcome), false);
+          return;
+        }
+        Client->call(
+            Server, Again, Deadline,
+            [Done = std::move(Done)](HttpResult Second) {
+              Done(std::move(Second), true);
+            },
+            nullptr);
+      },
+      nullptr);
+}
+
 } // namespace whintack::http
--- a/src/libs/http/include/whintack/http/callclient.h
+++ b/src/libs/http/include/whintack/http/callclient.h
@@ -7,6 +7,10 @@
 
 namespace whintack::http {
 
+/// Called with the outcome of a call, and whether the request was sent again
+/// after a copy whose outcome is unknown.
+using RepeatedCallback = std::function<void(HttpResult, bool IsRepeated)>;
+
 /// Client that reuses connections. A request is sent once, except for a GET: if
 /// the server closes a reused connection before it begins to answer, the GET is
 /// sent once more on a new one, with the same deadline. After a failed call,
@@ -29,6 +33,14 @@
   /// after their call.
   void dropIdle(const Address &Server);
 
+  /// Sends \p Request like call(). If a used connection breaks, which happens
+  /// to a sound server that has closed it while it was idle, sends \p Again on
+  /// another connection and calls \p Done with that outcome. The server may
+  /// have carried out both.
+  void callRepeatedly(const Address &Server, const HttpRequest &Request,
+                      const HttpRequest &Again, TimePoint Deadline,
+                      RepeatedCallback Done);
+
 private:
   class Private;
   std::shared_ptr<Private> D;
