Forwarder: Repeat a read whose used connection broke

A GET that a server read completely before it reset the connection, and whose second copy the server refused, was reported as not run: the HTTP library had sent it again, and the refusal was taken as that of the only copy. Since each request is sent once, a GET on a connection that the server had closed would use up the service's retries, and five of them would eject the server.

The forwarder sends such a GET again itself, in the same attempt and on a new connection, and closes the other idle connections to the server. A refusal of the second copy counts as a broken connection.

--- a/src/libs/entry/forwarder.cpp
+++ b/src/libs/entry/forwarder.cpp
@@ -42,9 +42,14 @@
   void runRouter(const RouterStep &Step);
   void scheduleTick();
   void carryOut(RouterActions Actions);
-  void send(const routing::SendAction &Sent);
+  void send(const routing::SendAction &Sent, bool IsRepeated);
+  /// Repeats an attempt whose used connection broke before an answer began;
+  /// returns false otherwise.
+  bool repeatIfStale(const routing::SendAction &Sent,
+                     const Internal::PooledConnection &Used,
+                     const http::HttpResult &Answer);
   void endAttempt(RequestHandle Handle, Internal::PooledConnection Used,
-                  http::HttpResult Answer);
+                  bool IsRepeated, http::HttpResult Answer);
   void probe(const routing::ProbeAction &Ordered);
   void complete(RequestHandle Handle, ForwardResult Result);
   void giveUpPending();
@@ -112,7 +117,7 @@
   for (const routing::LeavingNotice &Notice : Actions.Notices)
     this->Hooks.Broadcast(Notice);
   for (const routing::SendAction &Sent : Actions.Sends)
-    this->send(Sent);
+    this->send(Sent, false);
   for (const routing::ProbeAction &Ordered : Actions.Probes)
     this->probe(Ordered);
   for (const routing::OutcomeAction &Answer : Actions.Answers) {
@@ -167,7 +172,8 @@
     this->complete(Handle, GivenUp);
 }
 
-void Forwarder::Private::send(const routing::SendAction &Sent) {
+void Forwarder::Private::send(const routing::SendAction &Sent,
+                              bool IsRepeated) {
   const std::shared_ptr<Internal::PendingRequest> Pending =
       this->findPending(Sent.Request);
   if (!Pending)
@@ -178,11 +184,12 @@
     Allowance = this->RequestRouter.connectionAllowance(Sent.Executor);
   }
   auto Acquired = this->Connections.acquire(
-      Sent.Executor, Sent.NeedsFreshConnection, Allowance);
+      Sent.Executor, Sent.NeedsFreshConnection || IsRepeated, Allowance);
   if (!Acquired) {
-    this->runRouter([&Sent](Router &RequestRouter, TimePoint Now) {
-      return RequestRouter.finish(
-          {Sent.Request, AttemptResult::NeverSent, false}, Now);
+    const AttemptResult Result =
+        IsRepeated ? AttemptResult::Broken : AttemptResult::NeverSent;
+    this->runRouter([&Sent, Result](Router &RequestRouter, TimePoint Now) {
+      return RequestRouter.finish({Sent.Request, Result, false}, Now);
     });
     return;
   }
@@ -193,14 +200,27 @@
   Content.Headers.set(header::RequestId, Pending->Request.Id.text());
   Content.Headers.set(header::Service, Pending->Request.Info.Service.text());
   const auto Self = this->shared_from_this();
-  const RequestHandle Handle = Sent.Request;
   const Internal::PooledConnection Used = *Acquired;
-  Used.Connection->send(Content, Sent.Deadline,
-                        [Self, Handle, Used](http::HttpResult Answer) {
-                          Self->Gate.run([&] {
-                            Self->endAttempt(Handle, Used, std::move(Answer));
-                          });
-                        });
+  Used.Connection->send(
+      Content, Sent.Deadline,
+      [Self, Sent, Used, IsRepeated](http::HttpResult Answer) {
+        Self->Gate.run([&] {
+          if (!Self->repeatIfStale(Sent, Used, Answer))
+            Self->endAttempt(Sent.Request, Used, IsRepeated, std::move(Answer));
+        });
+      });
+}
+
+bool Forwarder::Private::repeatIfStale(const routing::SendAction &Sent,
+                                       const Internal::PooledConnection &Used,
+                                       const http::HttpResult &Answer) {
+  if (Answer || !Answer.error().WasStale || !this->findPending(Sent.Request))
+    return false;
+  this->Connections.release(Used, false);
+  // The server has probably closed the others, too.
+  this->Connections.closeIdle(Sent.Executor);
+  this->send(Sent, true);
+  return true;
 }
 
 AttemptResult
@@ -237,7 +257,7 @@
 
 void Forwarder::Private::endAttempt(RequestHandle Handle,
                                     Internal::PooledConnection Used,
-                                    http::HttpResult Answer) {
+                                    bool IsRepeated, http::HttpResult Answer) {
   const std::shared_ptr<Internal::PendingRequest> Pending =
       this->findPending(Handle);
   const VmName Executor = Used.Executor;
@@ -245,6 +265,10 @@
   bool IsLeaving = false;
   if (Pending)
     Result = this->classify(*Pending, Answer);
+  // What the server answers to the second copy says nothing about the first.
+  if (IsRepeated && (Result == AttemptResult::NeverSent ||
+                     Result == AttemptResult::RefusedByServer))
+    Result = AttemptResult::Broken;
   const bool IsComplete = Answer.has_value() && Result != AttemptResult::Broken;
   if (IsComplete)
     IsLeaving = Answer.value().Headers.find(header::ServerState).value_or("") ==
