Http: Do not report progress of a call that has ended

A call that ended by its deadline while parts of its answer still arrived called its progress hook afterwards. The hook of a caller that was gone wrote into memory that was no longer its own: tst_callclient ended with SIGBUS, a return address with its lowest byte set to 1, the value that the hook of "a call whose answer stops arriving is ended" writes (core dump). The hooks of the product own what they use and were not affected.

The hook is now called under a lock and never after the call has ended.

--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -9,6 +9,7 @@
 #include <cerrno>
 #include <cpprest/http_client.h>
 #include <future>
+#include <mutex>
 #include <pplx/threadpool.h>
 #include <stdexcept>
 #include <sys/socket.h>
@@ -27,15 +28,26 @@
   /// Moved by OnProgress; the timer may still be set to an earlier time.
   std::atomic<TimePoint> Deadline{TimePoint::max()};
   ProgressHook OnProgress;
+  std::mutex ProgressMutex;
   /// Whether the connection had carried a request before.
   std::atomic<bool> IsOnUsedConnection{false};
   std::atomic<bool> HasAnswerBegun{false};
   TimerQueueRef Timers;
   HttpCallback Done;
 
+  /// Moves the deadline. OnProgress is not called once the call has ended.
+  void noteProgress() {
+    const std::lock_guard<std::mutex> Lock(this->ProgressMutex);
+    if (!this->IsDone)
+      this->Deadline = this->OnProgress();
+  }
+
   void finish(HttpResult Outcome) {
-    if (this->IsDone.exchange(true))
-      return;
+    {
+      const std::lock_guard<std::mutex> Lock(this->ProgressMutex);
+      if (this->IsDone.exchange(true))
+        return;
+    }
     this->Timers.cancel(this->Timer);
     this->Done(std::move(Outcome));
   }
@@ -236,7 +248,7 @@
            const std::shared_ptr<Internal::Call> &Call) {
   std::function<void()> OnPart;
   if (Call->OnProgress)
-    OnPart = [Call] { Call->Deadline = Call->OnProgress(); };
+    OnPart = [Call] { Call->noteProgress(); };
   return Internal::readBody(*Answer._get_impl(), MaxBytes, std::move(OnPart))
       .then([Answer, Call](Internal::BodyReadResult Body) {
         if (Body.Status == Internal::BodyReadStatus::TooLarge) {
--- a/src/libs/http/include/whintack/http/httpclient.h
+++ b/src/libs/http/include/whintack/http/httpclient.h
@@ -53,8 +53,8 @@
 using HttpResult = Result<HttpResponse, HttpError>;
 using HttpCallback = std::function<void(HttpResult)>;
 
-/// Called with each part of an answer's body that arrives; returns the deadline
-/// of the call from then on.
+/// Called with each part of an answer's body that arrives until the call ends;
+/// returns the deadline of the call from then on.
 using ProgressHook = std::function<TimePoint()>;
 
 /// Sets the number of threads that handle all HTTP traffic of this process.
