Dispatch: Wait for the leases that late calls give a new incarnation

An executor starts again under its id, and falls silent to its planner while it works. The planner takes all leases as expired 6.1 s after its last one and starts the task elsewhere, while a start order or report call for the earlier incarnation, carried out up to 12 s late, has given the new one 6 s more.

Cause, two faults in ExecutorLink, each of which suffices: - beginIncarnation() reckoned with calls that are 0.8 s late, the planner with orders that are 15 s late. Since the clock of a new incarnation starts anew, it shortens the lease to the maximum counted from the late arrival. - checkLeaseExpiry() forgot the longer bound as soon as a lease had been sent to the new incarnation.

Change: the latest of all bounds counts. The bound of a new incarnation comes from the last call with a lease that was not answered: its sending, MaxCallDelay (15 s, now shared with the planner), and the longest lease. It is kept across further restarts, and calls that turn out to be unanswered after the restart count as well. The report call whose answer shows the restart counts too, since the answer may be that to the copy without a lease that is sent after a broken connection. If all calls were answered, the bound is as before. After a take-over, the bound of earlier planners shrinks to the longest lease with the first report, from which on the executor refuses their calls.

Without the note of calls that fail after the restart, and without that of the report call that shows it, one section fails each. With the change all pass.

--- a/src/libs/dispatch/executorlink.cpp
+++ b/src/libs/dispatch/executorlink.cpp
@@ -88,14 +88,16 @@
     Request.Wait = this->isIdle() ? IdleReportWait : ReportWait;
   }
   this->noteAcknowledged(Request.DiscardThrough);
-  const TimePoint Now = this->Shared.now();
   this->Gateway.Report(
-      this->Setup.Executor, Request, Now + Request.Wait + ReportMargin,
+      this->Setup.Executor, Request,
+      this->Shared.now() + Request.Wait + ReportMargin,
       onLoop<ExecutorLink, jobs::GatewayResult<jobs::ExecutorReport>>(
           this->Shared.Loop, this->shared_from_this(),
-          [Now](ExecutorLink &Self,
-                jobs::GatewayResult<jobs::ExecutorReport> Answer) {
-            Self.handleReport(Now, std::move(Answer));
+          [Call = this->callContext(),
+           HadLease = Request.LeaseUntil.has_value()](
+              ExecutorLink &Self,
+              jobs::GatewayResult<jobs::ExecutorReport> Answer) {
+            Self.handleReport(Call, HadLease, std::move(Answer));
           }));
 }
 
@@ -105,17 +107,23 @@
   this->LastListedEnd = 0;
   this->ListedEnds.clear();
   this->dropQueuedStarts();
-  // Calls that were meant for the earlier incarnation may have given this one a
-  // lease. It shortens a longer one to the maximum.
-  this->Setup.EarlierLeasesEnd =
-      this->Shared.now() + OrderTimeout +
-      Duration(static_cast<int64_t>(
-          static_cast<double>(this->Setup.MaxLease.count()) /
-          jobs::MinClockRate));
+  // Calls that were meant for an earlier incarnation may give this one a lease.
+  // Those that are still open are noted if they turn out to be unanswered.
+  this->LateLeasesEnd = std::max(
+      {this->LateLeasesEnd, this->lateLeaseEnd(this->LastUnansweredLease),
+       this->Shared.now() + OrderTimeout +
+           jobs::longestLease(this->Setup.MaxLease)});
+}
+
+void ExecutorLink::noteUnansweredLease(const CallContext &Call) {
+  this->LastUnansweredLease = std::max(this->LastUnansweredLease, Call.SentAt);
+  if (Call.Incarnations != this->IncarnationsSeen)
+    this->LateLeasesEnd =
+        std::max(this->LateLeasesEnd, this->lateLeaseEnd(Call.SentAt));
 }
 
 ExecutorLink::CallContext ExecutorLink::callContext() const {
-  return {this->IncarnationsSeen, this->Clocks.latest()};
+  return {this->Shared.now(), this->IncarnationsSeen, this->Clocks.latest()};
 }
 
 bool ExecutorLink::isFromSameIncarnation(
@@ -131,10 +139,13 @@
 }
 
 void ExecutorLink::handleReport(
-    TimePoint RequestedAt, jobs::GatewayResult<jobs::ExecutorReport> Answer) {
+    const CallContext &Call, bool HadLease,
+    jobs::GatewayResult<jobs::ExecutorReport> Answer) {
   if (this->IsClosed)
     return;
   if (!Answer) {
+    if (HadLease && Answer.error().Code == jobs::GatewayErrorCode::NoAnswer)
+      this->noteUnansweredLease(Call);
     this->handleFailure(Answer.error());
     return;
   }
@@ -148,15 +159,24 @@
   }
   this->Failures = 0;
   this->noteAnswerAfterExpiry(Answer.value());
-  Answer.value().RequestedAt = RequestedAt;
+  Answer.value().RequestedAt = Call.SentAt;
   // Only one report call is open at a time, so this is the present incarnation,
   // also if its number is lower.
   const jobs::ExecutorIncarnation Reported = Answer.value().Incarnation;
   if (Reported != 0 && Reported != this->Incarnation) {
-    if (this->Incarnation != 0)
+    if (this->Incarnation != 0) {
+      // The answer may be that to a copy without the lease.
+      if (HadLease)
+        this->noteUnansweredLease(Call);
       this->beginIncarnation();
+    }
     this->Incarnation = Reported;
   }
+  // From now on the executor refuses calls of earlier planners.
+  if (!this->Clocks.isKnown())
+    this->Setup.EarlierLeasesEnd =
+        std::min(this->Setup.EarlierLeasesEnd,
+                 this->Shared.now() + jobs::longestLease(this->Setup.MaxLease));
   this->Clocks.note(Answer.value().At, this->Shared.now());
   if (!this->IsReachable) {
     this->IsReachable = true;
@@ -279,11 +299,11 @@
 void ExecutorLink::checkLeaseExpiry() {
   if (this->IsEmptyReported || !this->canConcludeLoss())
     return;
-  TimePoint LeasesEnd = this->Clocks.leasesExpiredAt();
-  // Until this planner has sent a lease, those of earlier planners count, also
-  // if the executor has reported.
-  if (LeasesEnd == TimePoint::min())
-    LeasesEnd = this->Setup.EarlierLeasesEnd;
+  // The leases of earlier planners and those from late calls may end after the
+  // last one that was meant for this incarnation.
+  const TimePoint LeasesEnd =
+      std::max({this->Clocks.leasesExpiredAt(), this->Setup.EarlierLeasesEnd,
+                this->LateLeasesEnd});
   if (this->Shared.now() <= LeasesEnd)
     return;
   this->IsEmptyReported = true;
@@ -321,16 +341,14 @@
       continue;
     }
     ++this->OpenStarts;
-    const TimePoint Now = this->Shared.now();
     this->Gateway.Start(
         this->Setup.Executor, Order, this->Setup.Token, this->nextLease(),
-        Now + OrderTimeout,
+        this->Shared.now() + OrderTimeout,
         onLoop<ExecutorLink, jobs::StartAnswer>(
             this->Shared.Loop, this->shared_from_this(),
-            [Order = Order, DecidedAt = DecidedAt, Now,
-             Call = this->callContext()](ExecutorLink &Self,
-                                         const jobs::StartAnswer &Answer) {
-              Self.Hooks.OnStartAnswered(DecidedAt, Now);
+            [Order = Order, DecidedAt = DecidedAt, Call = this->callContext()](
+                ExecutorLink &Self, const jobs::StartAnswer &Answer) {
+              Self.Hooks.OnStartAnswered(DecidedAt, Call.SentAt);
               Self.handleStartAnswer(Order, Call, Answer);
             }));
   }
@@ -347,6 +365,8 @@
                                      const CallContext &Call,
                                      const jobs::StartAnswer &Answer) {
   --this->OpenStarts;
+  if (Answer.Outcome == jobs::StartOutcome::Unknown)
+    this->noteUnansweredLease(Call);
   const bool IsOther = Answer.Incarnation != 0 && this->Incarnation != 0 &&
                        Answer.Incarnation != this->Incarnation;
   const bool IsSame = !IsOther && this->isFromSameIncarnation(Call, Answer.At);
--- a/src/libs/dispatch/executorlink.h
+++ b/src/libs/dispatch/executorlink.h
@@ -102,6 +102,7 @@
 
   /// What was known of the executor when a call was sent.
   struct CallContext {
+    TimePoint SentAt;
     /// Number of incarnations seen by then.
     uint64_t Incarnations = 0;
     /// Latest time on the executor's clock.
@@ -109,10 +110,21 @@
   };
 
   void report();
-  void handleReport(TimePoint RequestedAt,
+  /// \p HadLease tells whether the call extended the leases.
+  void handleReport(const CallContext &Call, bool HadLease,
                     jobs::GatewayResult<jobs::ExecutorReport> Answer);
   /// Handles that the executor has started again under its id.
   void beginIncarnation();
+  /// Notes that a call with a lease was not answered, so that it may still be
+  /// carried out.
+  void noteUnansweredLease(const CallContext &Call);
+  /// Time by which the leases have expired that an unanswered call sent at
+  /// \p SentAt can give a later incarnation. That one shortens them to the
+  /// maximum, counted from when the call is carried out.
+  TimePoint lateLeaseEnd(TimePoint SentAt) const {
+    return SentAt + jobs::MaxCallDelay +
+           jobs::longestLease(this->Setup.MaxLease);
+  }
   CallContext callContext() const;
   /// Whether an answer with the executor's time \p At may be taken as one of
   /// the incarnation that the call was meant for.
@@ -147,6 +159,12 @@
   /// The incarnation that reported last; 0 if it is not known.
   jobs::ExecutorIncarnation Incarnation = 0;
   uint64_t IncarnationsSeen = 0;
+  /// When the last call with a lease that was not answered was sent, to any
+  /// incarnation.
+  TimePoint LastUnansweredLease = TimePoint::min();
+  /// Time by which every lease that calls to earlier incarnations can have
+  /// given this one has expired.
+  TimePoint LateLeasesEnd = TimePoint::min();
   std::deque<QueuedStart> QueuedStarts;
   size_t OpenStarts = 0;
   /// The last report listed runs.
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -38,12 +38,9 @@
   // An earlier planner may have sent leases until its own claim expired and its
   // grace ended, each at most as long as the maximum that executors grant.
   if (this->OwnClaim.Generation > 1)
-    this->EarlierLeasesEnd =
-        this->ClaimedAt + NodeLease::Length +
-        this->Environment.StoreOutageGrace +
-        Duration(static_cast<int64_t>(
-            static_cast<double>(this->Environment.MaxLease.count()) /
-            jobs::MinClockRate));
+    this->EarlierLeasesEnd = this->ClaimedAt + NodeLease::Length +
+                             this->Environment.StoreOutageGrace +
+                             jobs::longestLease(this->Environment.MaxLease);
   if (this->OwnClaim.Generation > 1) {
     this->Discovery = DiscoveryState::Needed;
     this->Planner.beginExecutorDiscovery();
--- a/src/libs/jobs/executorclock.cpp
+++ b/src/libs/jobs/executorclock.cpp
@@ -2,6 +2,11 @@
 
 namespace whintack::jobs {
 
+Duration longestLease(Duration Lease) {
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(Lease.count()) / MinClockRate));
+}
+
 void ExecutorClock::note(ExecutorTime Reported, TimePoint AnsweredAt) {
   // Answers can arrive out of order; keep the latest executor time.
   if (this->IsKnown && Reported < this->LastExecutorTime)
--- a/src/libs/jobs/include/whintack/jobs/executorclock.h
+++ b/src/libs/jobs/include/whintack/jobs/executorclock.h
@@ -10,6 +10,13 @@
 /// platform.
 constexpr double MinClockRate = 0.98;
 
+/// Time after which a call that was not answered is certainly lost. Executors
+/// may carry a call out many seconds late.
+constexpr Duration MaxCallDelay = std::chrono::seconds(15);
+
+/// Longest time for which a lease of length \p Lease can last, by our clock.
+Duration longestLease(Duration Lease);
+
 /// Maps the clock of one incarnation of an executor to ours, and tells when
 /// every lease that was sent to the executor has certainly expired. The
 /// executor's clock may be up to 2 % slow.
--- a/src/libs/jobs/plannerincarnations.cpp
+++ b/src/libs/jobs/plannerincarnations.cpp
@@ -1,4 +1,5 @@
 #include "planner_p.h"
+#include "whintack/jobs/executorclock.h"
 
 #include <algorithm>
 
@@ -8,7 +9,7 @@
 
 /// Time after which a start order that was not answered is certainly lost.
 /// Executors may carry an order out many seconds late.
-static constexpr Duration MaxOrderDelay = std::chrono::seconds(15);
+static constexpr Duration MaxOrderDelay = MaxCallDelay;
 
 /// Whether the report lists the run as running or ended.
 static bool isListed(const ExecutorReport &Report, const TaskKey &Task,
