Dispatch: Keep the notes of late calls when a link is opened anew

Cause: a link that is closed because another executor answered at the address, or that is dropped because the list did not contain the executor, takes what it knew of unanswered calls with it. The next link to the same id waits only for its own leases.

Change: the shard keeps, for each link that it closes or replaces, the time by which the leases from its calls have expired. Calls that are still open then cannot be told from answered ones any more, so the last lease that was sent counts.

tst_serviceshard, "a new link waits for the late calls of the earlier one", without the time that is handed to the new link: both sections fail, CHECK( Log.lines("leases-expired").empty() ) false With it all 7 cases pass.

--- a/src/libs/dispatch/executorlink.cpp
+++ b/src/libs/dispatch/executorlink.cpp
@@ -39,8 +39,10 @@
 void ExecutorLink::open() { this->report(); }
 
 jobs::ExecutorTime ExecutorLink::nextLease() {
-  const jobs::ExecutorTime Until = this->Clocks.estimate(this->Shared.now()) +
-                                   toMilliseconds(this->Setup.MaxLease);
+  this->LastLeaseSentAt = this->Shared.now();
+  const jobs::ExecutorTime Until =
+      this->Clocks.estimate(this->LastLeaseSentAt) +
+      toMilliseconds(this->Setup.MaxLease);
   this->Clocks.noteLease(Until);
   return Until;
 }
@@ -109,8 +111,8 @@
   this->dropQueuedStarts();
   // Calls that were meant for an earlier incarnation may give this one a lease.
   // Those that are still open are noted if they turn out to be unanswered.
-  this->LateLeasesEnd = std::max(
-      {this->LateLeasesEnd, this->lateLeaseEnd(this->LastUnansweredLease),
+  this->Setup.LateLeasesEnd = std::max(
+      {this->Setup.LateLeasesEnd, this->lateLeaseEnd(this->LastUnansweredLease),
        this->Shared.now() + OrderTimeout +
            jobs::longestLease(this->Setup.MaxLease)});
 }
@@ -118,8 +120,8 @@
 void ExecutorLink::noteUnansweredLease(const CallContext &Call) {
   this->LastUnansweredLease = std::max(this->LastUnansweredLease, Call.SentAt);
   if (Call.Incarnations != this->IncarnationsSeen)
-    this->LateLeasesEnd =
-        std::max(this->LateLeasesEnd, this->lateLeaseEnd(Call.SentAt));
+    this->Setup.LateLeasesEnd =
+        std::max(this->Setup.LateLeasesEnd, this->lateLeaseEnd(Call.SentAt));
 }
 
 ExecutorLink::CallContext ExecutorLink::callContext() const {
@@ -303,7 +305,7 @@
   // last one that was meant for this incarnation.
   const TimePoint LeasesEnd =
       std::max({this->Clocks.leasesExpiredAt(), this->Setup.EarlierLeasesEnd,
-                this->LateLeasesEnd});
+                this->Setup.LateLeasesEnd});
   if (this->Shared.now() <= LeasesEnd)
     return;
   this->IsEmptyReported = true;
--- a/src/libs/dispatch/executorlink.h
+++ b/src/libs/dispatch/executorlink.h
@@ -55,6 +55,9 @@
   /// Time by which every lease that an earlier planner can have sent has
   /// expired.
   TimePoint EarlierLeasesEnd = TimePoint::min();
+  /// Time by which every lease that calls of this planner to earlier
+  /// incarnations can have given the present one has expired.
+  TimePoint LateLeasesEnd = TimePoint::min();
 };
 
 /// Sends orders to one executor and keeps a long-polling report call open
@@ -77,6 +80,13 @@
            Listed != this->Incarnation;
   }
 
+  /// Time by which every lease that calls through this link can give a later
+  /// incarnation has expired, also if they are still open.
+  TimePoint lateLeasesEnd() const {
+    return std::max(this->Setup.LateLeasesEnd,
+                    this->lateLeaseEnd(this->LastLeaseSentAt));
+  }
+
   /// Queues a start order; at most MaxOpenStarts are in flight.
   void start(jobs::StartOrder Order);
   /// Stops a run. A start order of the run that was not sent yet is dropped.
@@ -162,9 +172,7 @@
   /// When the last call with a lease that was not answered was sent, to any
   /// incarnation.
   TimePoint LastUnansweredLease = TimePoint::min();
-  /// Time by which every lease that calls to earlier incarnations can have
-  /// given this one has expired.
-  TimePoint LateLeasesEnd = TimePoint::min();
+  TimePoint LastLeaseSentAt = TimePoint::min();
   std::deque<QueuedStart> QueuedStarts;
   size_t OpenStarts = 0;
   /// The last report listed runs.
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -244,8 +244,10 @@
     // may be wrong.
     const bool IsObsolete = !Seen.contains(Entry.first) &&
                             !this->Planner.isKnownExecutor(Entry.first);
-    if (IsObsolete)
+    if (IsObsolete) {
       Entry.second->close();
+      this->noteClosed(Entry.first, *Entry.second);
+    }
     return IsObsolete;
   });
   this->requestPlan();
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -124,6 +124,8 @@
   bool addStoredJob(const jobs::JobId &Id, const std::string &Text,
                     jobs::JobSource Source, const jobs::JobProgress *Earlier);
   void openLink(const jobs::ExecutorInfo &Info);
+  /// Keeps what a later link to the executor has to know of this one's calls.
+  void noteClosed(const jobs::ExecutorId &Id, const ExecutorLink &Closed);
   LinkHooks linkHooks();
   void checkLoaded();
   /// Logs when starts are paused and resumed.
@@ -208,6 +210,8 @@
   PlannerLoadMonitor Load;
   std::shared_ptr<PrefixWatch> Notices;
   std::map<jobs::ExecutorId, std::shared_ptr<ExecutorLink>> Links;
+  /// Time by which the leases that calls of closed links can give have expired.
+  std::map<jobs::ExecutorId, TimePoint> LateLeasesEnds;
   std::unordered_map<jobs::JobId, JobOrigin> Origins;
   /// Executors that do not answer.
   std::set<jobs::ExecutorId> Silent;
--- a/src/libs/dispatch/serviceshardlinks.cpp
+++ b/src/libs/dispatch/serviceshardlinks.cpp
@@ -13,12 +13,27 @@
   Setup.Token = this->OwnClaim.Token;
   Setup.MaxLease = this->Environment.MaxLease;
   Setup.EarlierLeasesEnd = this->EarlierLeasesEnd;
+  const auto Earlier = this->Links.find(Info.Id);
+  if (Earlier != this->Links.end())
+    this->noteClosed(Info.Id, *Earlier->second);
+  const auto Late = this->LateLeasesEnds.find(Info.Id);
+  if (Late != this->LateLeasesEnds.end())
+    Setup.LateLeasesEnd = Late->second;
   auto Link = std::make_shared<ExecutorLink>(
       this->Shared, this->Environment.Executors, Setup, this->linkHooks());
   this->Links[Info.Id] = Link;
   Link->open();
 }
 
+void ServiceShard::noteClosed(const jobs::ExecutorId &Id,
+                              const ExecutorLink &Closed) {
+  std::erase_if(this->LateLeasesEnds,
+                [Now = this->Shared.now()](const auto &Entry) {
+                  return Entry.second <= Now;
+                });
+  this->LateLeasesEnds[Id] = Closed.lateLeasesEnd();
+}
+
 LinkHooks ServiceShard::linkHooks() {
   // Links run on the same loop as this object and are closed by it, so
   // capturing this is safe.
--- a/tests/auto/dispatch/tst_serviceshard.cpp
+++ b/tests/auto/dispatch/tst_serviceshard.cpp
@@ -68,6 +68,7 @@
     for (const jobs::ExecutorId &Id : Ids) {
       jobs::ExecutorInfo Info;
       Info.Id = Id;
+      Info.Incarnation = this->Incarnations[Id];
       Info.Service = Service;
       Info.Capacity = {16000, 64000, 0};
       Listed.push_back(Info);
@@ -162,6 +163,10 @@
   TimePoint ClaimValidUntil = TimePoint::max();
   /// Executors that answer no report call.
   std::set<jobs::ExecutorId> Silent;
+  /// Executors at whose addresses others answer.
+  std::set<jobs::ExecutorId> Replaced;
+  /// The incarnations that executors tell, if not 0.
+  std::map<jobs::ExecutorId, jobs::ExecutorIncarnation> Incarnations;
   /// What each executor lists as running.
   std::map<jobs::ExecutorId, std::vector<jobs::RunReport>> Running;
 
@@ -224,6 +229,11 @@
         [this](const jobs::ExecutorAddress &To, const jobs::ReportRequest &,
                TimePoint Deadline,
                const jobs::GatewayCallback<jobs::ExecutorReport> &Done) {
+          if (this->Replaced.contains(To.Id)) {
+            Done(failure(jobs::GatewayError{
+                jobs::GatewayErrorCode::OtherIncarnation, "other"}));
+            return;
+          }
           if (this->Silent.contains(To.Id)) {
             this->Loop.Queue.schedule(Deadline, [Done] {
               Done(failure(jobs::GatewayError{jobs::GatewayErrorCode::NoAnswer,
@@ -234,6 +244,8 @@
           this->Loop.Queue.schedule(this->Loop.Time.now() + milliseconds(20),
                                     [this, Id = To.Id, Done] {
                                       jobs::ExecutorReport Report;
+                                      Report.Incarnation =
+                                          this->Incarnations[Id];
                                       Report.At = this->clock();
                                       Report.Running = this->Running[Id];
                                       Done(std::move(Report));
@@ -301,6 +313,39 @@
   CHECK(Fleet.firstRuns(First) == InFlight);
 }
 
+// Guards against a link that is opened anew to an executor that has started
+// again, and knows nothing of calls that may still be carried out (issue 58).
+TEST_CASE("a new link waits for the late calls of the earlier one") {
+  const LogCapture Log;
+  Fixture Fleet;
+  Fleet.Incarnations[First] = 1;
+  Fleet.setMachine(First, jobs::MachineState::Up);
+  Fleet.setMachine(Second, jobs::MachineState::Up);
+  Fleet.list({First});
+  SECTION("after another executor has answered at the address") {
+    Fleet.Replaced.insert(First);
+    Fleet.Loop.runFor(seconds(1));
+    Fleet.Replaced.clear();
+  }
+  SECTION("after the list has not contained the executor") {
+    Fleet.setMachine(First, jobs::MachineState::Down);
+    Fleet.Silent.insert(First);
+    Fleet.Loop.runFor(seconds(4));
+    Fleet.list({});
+    Fleet.list({});
+    Fleet.Silent.clear();
+    Fleet.setMachine(First, jobs::MachineState::Up);
+  }
+  Fleet.Incarnations[First] = 2;
+  Fleet.list({First});
+  Fleet.Loop.runFor(seconds(1));
+  Fleet.Silent.insert(First);
+  Fleet.Loop.runFor(seconds(12));
+  CHECK(Log.lines("leases-expired").empty());
+  Fleet.Loop.runFor(seconds(12));
+  CHECK(Log.lines("leases-expired").size() == 1);
+}
+
 // Guards against a task that is started again while a run of an earlier planner
 // may go on: a job announced during a take-over was taken for a new one by its
 // age, although it can have been announced to the earlier planner before, at
