Http: Decide by the written header whether a request was sent

A call on a new connection that reported "host unreachable" after its request was written counted as never sent. A start order that an executor had read ended as unhealthy, so the run was released at once and the task started elsewhere, a second time. A commit that the store had read ended as unreachable, so a job could be refused that was stored. An order for a machine that was read counted as refused.

Cause: the kind of the error decided. An established connection may report EHOSTUNREACH too. On the other hand, ENETUNREACH, ETIMEDOUT, EADDRNOTAVAIL and ECONNRESET while connecting, and names that are not resolved, counted as unknown outcomes.

Change: the HTTP library reports the progress of an upload as soon as it has written the header, also for requests without a body and with TLS. A call on a new connection counts as never sent only if it failed before that. A header of which only a part was written counts as not sent, since no server carries out a part of it. A call whose deadline passed remains one of unknown outcome, and so does one on a used connection.

--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -31,6 +31,8 @@
   std::mutex ProgressMutex;
   /// Whether the connection had carried a request before.
   std::atomic<bool> IsOnUsedConnection{false};
+  /// Whether the whole header was written. A server acts on no part of it.
+  std::atomic<bool> IsHeaderWritten{false};
   std::atomic<bool> HasAnswerBegun{false};
   TimerQueueRef Timers;
   HttpCallback Done;
@@ -220,22 +222,24 @@
 
 static HttpError toHttpError(const Internal::Call &Call,
                              const std::exception_ptr &Thrown) {
-  const bool IsStale = Call.IsOnUsedConnection && !Call.HasAnswerBegun;
+  std::string Message;
+  bool IsTimeout = Call.IsLate;
   try {
     std::rethrow_exception(Thrown);
   } catch (const web::http::http_exception &Error) {
-    // A used connection may report this after the request was sent.
-    if (Error.error_code() == std::errc::host_unreachable &&
-        !Call.IsOnUsedConnection)
-      return {HttpErrorCode::NotConnected, Error.what()};
-    if (Call.IsLate || Error.error_code() == std::errc::timed_out)
-      return {HttpErrorCode::TimedOut, "the deadline passed"};
-    return {HttpErrorCode::Broken, Error.what(), IsStale};
+    Message = Error.what();
+    IsTimeout = IsTimeout || Error.error_code() == std::errc::timed_out;
   } catch (const std::exception &Error) {
-    if (Call.IsLate)
-      return {HttpErrorCode::TimedOut, "the deadline passed"};
-    return {HttpErrorCode::Broken, Error.what(), IsStale};
+    Message = Error.what();
   }
+  // The kind of the error does not tell: an established connection may report
+  // the same errors as one that cannot be made.
+  if (!Call.IsLate && !Call.IsOnUsedConnection && !Call.IsHeaderWritten)
+    return {HttpErrorCode::NotConnected, Message};
+  if (IsTimeout)
+    return {HttpErrorCode::TimedOut, "the deadline passed"};
+  const bool IsStale = Call.IsOnUsedConnection && !Call.HasAnswerBegun;
+  return {HttpErrorCode::Broken, Message, IsStale};
 }
 
 /// Result type of a library task, which must be default-constructible.
@@ -327,6 +331,12 @@
     Call->finish(failure(HttpError{HttpErrorCode::BadRequest, Error.what()}));
     return;
   }
+  // The library reports the first progress when it has written the header, also
+  // if no body follows.
+  Converted.set_progress_handler(
+      [Call](web::http::message_direction::direction, uint64_t) {
+        Call->IsHeaderWritten = true;
+      });
   armDeadline(Call, this->D->Timers);
   this->D->send(Call, Converted);
 }
--- a/src/libs/http/include/whintack/http/httpclient.h
+++ b/src/libs/http/include/whintack/http/httpclient.h
@@ -15,7 +15,8 @@
 
 /// How a call failed.
 enum class HttpErrorCode {
-  /// No connection was made for the request, so the server read nothing of it.
+  /// No connection was made for the request, or a new one failed before the
+  /// request's header was written, so the server has not carried it out.
   NotConnected,
   /// The deadline passed; the server may have read the request.
   TimedOut,
@@ -43,7 +44,7 @@
   /// begun. The server may have read the request.
   bool WasStale = false;
 
-  /// Returns whether the server certainly read nothing.
+  /// Returns whether the server certainly has not carried the request out.
   bool isNeverSent() const {
     return this->Code == HttpErrorCode::NotConnected ||
            this->Code == HttpErrorCode::BadRequest;
