Tests: Share the fixture of a lone request handler

tst_jobrefusals, tst_requestlog and tst_refusedcommits each built the request handler of a VM without peers in the same way. They now share one header. No assertion changed; the example fleet is added to the simulated platform after the store's interface is made, and not before.

--- a/tests/auto/dispatch/tst_jobrefusals.cpp
+++ b/tests/auto/dispatch/tst_jobrefusals.cpp
@@ -1,9 +1,6 @@
-#include "jobrequesthandler.h"
-#include "steppedloop.h"
+#include "lonehandler.h"
 #include "storekeys.h"
 
-#include "whintack/simulation/examplefleet.h"
-
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
@@ -47,9 +44,6 @@
 class Fixture {
 public:
   Fixture() {
-    simulation::addExampleFleet(this->Platform);
-    const auto Queues = std::make_shared<const jobs::QueueTable>(
-        this->Platform.codec().DecodeConfiguration("1").value());
     store::AsyncStore Store = this->Platform.store().interface(EntryName("e1"));
     Store.Commit = [this, Direct = Store.Commit](
                        const store::StoreTransaction &Change,
@@ -68,26 +62,7 @@
       else
         Direct(Prefix, After, Read, Done);
     };
-    const Context Shared{this->Loop.Time.clock(), seededRandom(3),
-                         this->Loop.Queue, Store};
-    const auto Calls = std::make_shared<ServiceCalls>(
-        Shared, EntryName("e1"), 0, nullptr,
-        [](const EntryName &, const peers::Message &) { return false; },
-        [](const peers::ServiceCall &Call, const AnswerCallback &Respond) {
-          Respond({Call.Id, peers::ServiceOutcome::Done, ""});
-          return true;
-        });
-    ConfigurationHooks Configuration;
-    Configuration.Queues = [Queues] { return Queues; };
-    Configuration.KnownThrough = [this] { return this->Loop.Time.now(); };
-    Configuration.IsOutdated = [] { return false; };
-    const auto Submissions = std::make_shared<SubmissionTracker>(Shared, Calls);
-    // A VM without peers that has been up for long knows what it has stored.
-    Submissions->setPeers({});
-    this->Loop.runFor(std::chrono::minutes(2));
-    this->Handler = std::make_shared<JobRequestHandler>(
-        Shared, this->Platform.codec(), Calls, Submissions, Configuration,
-        tenants::AccessBounds{seconds(2), std::nullopt});
+    this->Handler = makeLoneHandler(this->Loop, this->Platform, {Store});
   }
 
   void prepare(uint8_t Stored) {
--- a/tests/auto/dispatch/tst_requestlog.cpp
+++ b/tests/auto/dispatch/tst_requestlog.cpp
@@ -1,10 +1,7 @@
-#include "jobrequesthandler.h"
 #include "logcapture.h"
-#include "steppedloop.h"
+#include "lonehandler.h"
 #include "storekeys.h"
 
-#include "whintack/simulation/examplefleet.h"
-
 #include <catch2/catch.hpp>
 
 #include <deque>
@@ -31,7 +28,6 @@
 class Fixture {
 public:
   Fixture() {
-    simulation::addExampleFleet(this->Platform);
     this->Known = simulation::exampleConfiguration(1);
     this->Known.MaxBodyBytes = 100;
     store::AsyncStore Store = this->Platform.store().interface(EntryName("e1"));
@@ -56,33 +52,19 @@
       else
         Direct(Prefix, After, Kind, Done);
     };
-    Context Shared{this->Loop.Time.clock(), seededRandom(3), this->Loop.Queue,
-                   Store};
-    const auto Calls = std::make_shared<ServiceCalls>(
-        Shared, EntryName("e1"), 0, nullptr,
-        [](const EntryName &, const peers::Message &) { return false; },
-        [this](const peers::ServiceCall &Call, const AnswerCallback &Respond) {
-          const bool IsNew = Call.Kind == ServiceCallKind::SubmitJob;
-          Respond({Call.Id, IsNew ? ServiceOutcome::Done : this->PlannerOutcome,
-                   ""});
-          return true;
-        });
-    ConfigurationHooks Configuration;
-    Configuration.Queues = [this]() -> std::shared_ptr<const jobs::QueueTable> {
+    LoneHandlerHooks Hooks{Store};
+    Hooks.CallPlanner = [this](const peers::ServiceCall &Call) {
+      const bool IsNew = Call.Kind == ServiceCallKind::SubmitJob;
+      return IsNew ? ServiceOutcome::Done : this->PlannerOutcome;
+    };
+    Hooks.Queues = [this]() -> std::shared_ptr<const jobs::QueueTable> {
       if (!this->IsConfigured)
         return nullptr;
       return std::make_shared<const jobs::QueueTable>(
           jobs::FleetConfiguration(this->Known));
     };
-    Configuration.KnownThrough = [this] { return this->Loop.Time.now(); };
-    Configuration.IsOutdated = [] { return false; };
-    const auto Submissions = std::make_shared<SubmissionTracker>(Shared, Calls);
-    // A VM without peers that has been up for long knows what it has stored.
-    Submissions->setPeers({});
-    this->Loop.runFor(std::chrono::minutes(2));
-    this->Handler = std::make_shared<JobRequestHandler>(
-        Shared, this->Platform.codec(), Calls, Submissions, Configuration,
-        tenants::AccessBounds{seconds(2), std::nullopt});
+    this->Handler =
+        makeLoneHandler(this->Loop, this->Platform, std::move(Hooks));
   }
 
   /// Sends a request and returns the status of its answer after \p Wait; 0 if
--- a/tests/auto/platform/tst_refusedcommits.cpp
+++ b/tests/auto/platform/tst_refusedcommits.cpp
@@ -1,9 +1,7 @@
-#include "jobrequesthandler.h"
+#include "lonehandler.h"
 #include "scriptedserver.h"
-#include "steppedloop.h"
 
 #include "whintack/platform/platform.h"
-#include "whintack/simulation/examplefleet.h"
 
 #include <catch2/catch.hpp>
 #include <future>
@@ -77,31 +75,8 @@
 /// A request handler on a scripted store.
 class HandlerFixture {
 public:
-  explicit HandlerFixture(ScriptedStore &Store) {
-    simulation::addExampleFleet(this->Platform);
-    const auto Queues = std::make_shared<const jobs::QueueTable>(
-        this->Platform.codec().DecodeConfiguration("1").value());
-    Context Shared{this->Loop.Time.clock(), seededRandom(3), this->Loop.Queue,
-                   Store.Client};
-    const auto Calls = std::make_shared<ServiceCalls>(
-        Shared, EntryName("e1"), 0, nullptr,
-        [](const EntryName &, const peers::Message &) { return false; },
-        [](const peers::ServiceCall &Call, const AnswerCallback &Respond) {
-          Respond({Call.Id, peers::ServiceOutcome::Done, ""});
-          return true;
-        });
-    ConfigurationHooks Configuration;
-    Configuration.Queues = [Queues] { return Queues; };
-    Configuration.KnownThrough = [this] { return this->Loop.Time.now(); };
-    Configuration.IsOutdated = [] { return false; };
-    const auto Submissions = std::make_shared<SubmissionTracker>(Shared, Calls);
-    // A VM without peers that has been up for long knows what it has stored.
-    Submissions->setPeers({});
-    this->Loop.runFor(std::chrono::minutes(2));
-    this->Handler = std::make_shared<JobRequestHandler>(
-        Shared, this->Platform.codec(), Calls, Submissions, Configuration,
-        tenants::AccessBounds{seconds(2), std::nullopt});
-  }
+  explicit HandlerFixture(ScriptedStore &Store)
+      : Handler(makeLoneHandler(this->Loop, this->Platform, {Store.Client})) {}
 
   /// Submits a job and returns the status of the answer.
   int submit(const std::string &Id) {
