--- a/tests/auto/dispatch/tst_lateleases.cpp
+++ b/tests/auto/dispatch/tst_lateleases.cpp
@@ -284,7 +284,7 @@
 }
 
 // Guards against the same for a call that is only a little late, when a lease
-// has been sent to the new incarnation since (issue 58).
+// has been sent to the new incarnation since.
 TEST_CASE("a lease sent to a new incarnation ends no longer wait") {
   Fixture Fleet;
   Fleet.holdNextReport();
