Links: Compare an executor's return with the bound it was given up on

The line compared the executor's clock with the latest lease that had been noted. That is the one of the first call after the planner could send orders again, and not the one on which the executor was given up.

The link now keeps that lease end, and compares with it. If the executor was given up on leases of others, whose ends are not known by its clock, or if another incarnation answers, nothing can be compared: lease-left-ms is "unknown" and the line is no error. leases-expired and executor-back name the bound; executor-back tells the incarnation, and how long ago the executor was given up. No decision changes.

--- a/src/libs/dispatch/executorlink.cpp
+++ b/src/libs/dispatch/executorlink.cpp
@@ -198,20 +198,27 @@
 }
 
 /// Logs what an executor reports for the first time after its leases were taken
-/// as expired. By its own clock they must have expired, too.
+/// as expired. By its own clock they must have expired, too. Leases that were
+/// sent since do not count.
 void ExecutorLink::noteAnswerAfterExpiry(const jobs::ExecutorReport &Report) {
   if (!std::exchange(this->IsEmptyReported, false))
     return;
   const bool IsSame =
       Report.Incarnation == 0 || Report.Incarnation == this->Incarnation;
-  const jobs::ExecutorTime Left = this->Clocks.latestLeaseEnd() - Report.At;
-  logEvent(IsSame && Left > 0 ? LogLevel::Error : LogLevel::Info,
+  const bool IsComparable =
+      IsSame && this->Expiry.Bound == LeaseBound::OwnLease;
+  const jobs::ExecutorTime Left = this->Expiry.LeaseEnd - Report.At;
+  logEvent(IsComparable && Left > 0 ? LogLevel::Error : LogLevel::Info,
            "executor-back",
            {{"executor", this->Setup.Executor.Id},
+            {"incarnation", Report.Incarnation},
             {"same-incarnation", IsSame ? "yes" : "no"},
-            {"lease-end", this->Clocks.latestLeaseEnd()},
+            {"bound", nameOf(LeaseBoundNames, this->Expiry.Bound)},
+            {"lease-end", this->Expiry.LeaseEnd},
             {"clock", Report.At},
-            {"lease-left-ms", Left},
+            {"lease-left-ms", IsComparable ? std::to_string(Left) : "unknown"},
+            {"given-up-ms",
+             toMilliseconds(this->Shared.now() - this->Expiry.ConcludedAt)},
             {"running", Report.Running.size()},
             {"ended", Report.Ended.size()}});
 }
@@ -303,16 +310,23 @@
     return;
   // The leases of earlier planners and those from late calls may end after the
   // last one that was meant for this incarnation.
-  const TimePoint LeasesEnd =
-      std::max({this->Clocks.leasesExpiredAt(), this->Setup.EarlierLeasesEnd,
-                this->Setup.LateLeasesEnd});
+  const TimePoint OwnLeasesEnd = this->Clocks.leasesExpiredAt();
+  const TimePoint OtherLeasesEnd =
+      std::max(this->Setup.EarlierLeasesEnd, this->Setup.LateLeasesEnd);
+  const bool IsOwnLeaseLast =
+      OwnLeasesEnd != TimePoint::min() && OwnLeasesEnd >= OtherLeasesEnd;
+  const TimePoint LeasesEnd = std::max(OwnLeasesEnd, OtherLeasesEnd);
   if (this->Shared.now() <= LeasesEnd)
     return;
   this->IsEmptyReported = true;
+  this->Expiry = {IsOwnLeaseLast ? LeaseBound::OwnLease
+                                 : LeaseBound::OtherLeases,
+                  this->Clocks.latestLeaseEnd(), this->Shared.now()};
   logEvent(LogLevel::Info, "leases-expired",
            {{"executor", this->Setup.Executor.Id},
             {"incarnation", this->Incarnation},
-            {"lease-end", this->Clocks.latestLeaseEnd()},
+            {"bound", nameOf(LeaseBoundNames, this->Expiry.Bound)},
+            {"lease-end", this->Expiry.LeaseEnd},
             {"last-clock", this->Clocks.latest()},
             {"answered-ms", this->Clocks.isKnown()
                                 ? toMilliseconds(this->Shared.now() -
--- a/src/libs/dispatch/executorlink.h
+++ b/src/libs/dispatch/executorlink.h
@@ -60,6 +60,20 @@
   TimePoint LateLeasesEnd = TimePoint::min();
 };
 
+/// On which leases an executor that does not answer is given up.
+enum class LeaseBound {
+  /// The last lease that this planner has sent.
+  OwnLease,
+  /// Leases that earlier planners, or calls to earlier incarnations, may have
+  /// given. Their ends are known only by this VM's clock.
+  OtherLeases,
+};
+
+inline constexpr EnumNames<LeaseBound, 2> LeaseBoundNames = {{
+    {LeaseBound::OwnLease, "own-lease"},
+    {LeaseBound::OtherLeases, "other-leases"},
+}};
+
 /// Sends orders to one executor and keeps a long-polling report call open
 /// there, which also extends the leases of the running tasks.
 class ExecutorLink : public std::enable_shared_from_this<ExecutorLink> {
@@ -105,6 +119,15 @@
     Duration LongestWait = Duration::zero();
   };
 
+  /// What was known of the leases when they were taken as expired.
+  struct LeaseExpiry {
+    LeaseBound Bound = LeaseBound::OtherLeases;
+    /// End of the last lease that this planner had sent, by the executor's
+    /// clock; 0 if it had sent none.
+    jobs::ExecutorTime LeaseEnd = 0;
+    TimePoint ConcludedAt = TimePoint::min();
+  };
+
   struct QueuedStart {
     jobs::StartOrder Order;
     TimePoint DecidedAt;
@@ -187,6 +210,7 @@
   TimePoint NextEndsLog = TimePoint::min();
   bool IsReachable = true;
   bool IsEmptyReported = false;
+  LeaseExpiry Expiry;
   bool IsClosed = false;
   int64_t Failures = 0;
 };
--- a/tests/auto/support/logcapture.cpp
+++ b/tests/auto/support/logcapture.cpp
@@ -32,8 +32,10 @@
 
 LogCapture::~LogCapture() = default;
 
-std::vector<std::string> LogCapture::lines(const std::string &Event) const {
-  const std::string Mark = " event=" + Event;
+std::vector<std::string> LogCapture::lines(const std::string &Event,
+                                           const std::string &Level) const {
+  const std::string Mark =
+      (Level.empty() ? "" : " level=" + Level) + " event=" + Event;
   std::vector<std::string> Found;
   for (const std::string &Text : this->Lines->texts()) {
     const size_t At = Text.find(Mark);
--- a/tests/auto/support/logcapture.h
+++ b/tests/auto/support/logcapture.h
@@ -13,8 +13,10 @@
   LogCapture();
   ~LogCapture();
 
-  /// The fields of each line of the event, as "key=value key=value".
-  std::vector<std::string> lines(const std::string &Event) const;
+  /// The fields of each line of the event, as "key=value key=value"; only those
+  /// of one level if \p Level is not empty.
+  std::vector<std::string> lines(const std::string &Event,
+                                 const std::string &Level = "") const;
   /// The value of a field of a line without its quotes; empty if there is none.
   static std::string field(const std::string &Line, const std::string &Key);
 
