Planner: Log why a task is started again, and when late ends are acknowledged

Operators could not tell from a log why a task had been started again: no line tied a start to the loss of the run before it, and none said when an end was acknowledged.

Each task now keeps its last four runs that were given up or had ended, with the cause, the executor, the incarnation and the time. They go with the job; a task that is done with its first run keeps none.

- task-restarted, when a task with such a run is placed again: both runs, and the cause of the earlier one.
- end-acknowledged, when the link first tells an executor to discard an end of a run that had been given up before the end was reported.
- end-after-job, for an end of a job that has ended and was removed.
Such ends were not logged at all.

run-ended, run-adopted and run-doubled have the field given-up for such runs, run-gone has cause, executor-empty has incarnation. Ordinary starts and ends add nothing to the log. No decision changes.

--- a/src/libs/dispatch/executorlink.cpp
+++ b/src/libs/dispatch/executorlink.cpp
@@ -236,6 +236,8 @@
 
 void ExecutorLink::noteAcknowledged(uint64_t Through) {
   const TimePoint Now = this->Shared.now();
+  if (!this->ListedEnds.empty() && this->ListedEnds.front().first <= Through)
+    this->Hooks.OnAcknowledged(this->Setup.Executor.Id, Through);
   while (!this->ListedEnds.empty() &&
          this->ListedEnds.front().first <= Through) {
     ++this->Traffic.AcknowledgedEnds;
--- a/src/libs/dispatch/executorlink.h
+++ b/src/libs/dispatch/executorlink.h
@@ -26,6 +26,9 @@
   std::function<uint64_t(const jobs::ExecutorId &)> LastDiscardableEnd;
   std::function<void(const jobs::ExecutorId &, const jobs::ExecutorReport &)>
       OnReport;
+  /// The executor is told that it may discard further ends, up to this number.
+  std::function<void(const jobs::ExecutorId &, uint64_t Through)>
+      OnAcknowledged;
   /// A start order that was decided and sent at these times was answered.
   std::function<void(TimePoint DecidedAt, TimePoint SentAt)> OnStartAnswered;
   /// The outcome of a start order. An order that was not sent is reported as
--- a/src/libs/dispatch/serviceshardlinks.cpp
+++ b/src/libs/dispatch/serviceshardlinks.cpp
@@ -47,6 +47,9 @@
   Hooks.LastDiscardableEnd = [this](const jobs::ExecutorId &Id) {
     return this->Planner.lastDiscardableEnd(Id);
   };
+  Hooks.OnAcknowledged = [this](const jobs::ExecutorId &Id, uint64_t Through) {
+    this->Planner.noteAcknowledged(Id, Through, this->Shared.now());
+  };
   Hooks.OnReport = [this](const jobs::ExecutorId &Id,
                           const jobs::ExecutorReport &Report) {
     this->Load.measure(PlannerWork::Reports, [&] {
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -219,6 +219,9 @@
   StoreBacklog storeBacklog() const;
   /// Number of the last end that the executor may discard.
   uint64_t lastDiscardableEnd(const ExecutorId &Id) const;
+  /// Logs the ends of runs that had been given up, when the executor is told to
+  /// discard its ends up to the number \p Through.
+  void noteAcknowledged(const ExecutorId &Id, uint64_t Through, TimePoint Now);
 
   /// Adopts the service's shares of the tenants' quotas. Older plans than the
   /// last are ignored.
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -39,6 +39,25 @@
   void bookRun(const TaskKey &Key, Internal::TaskRecord &Task,
                Internal::RunRecord Run);
   void releaseRun(const TaskKey &Key, Internal::TaskRecord &Task);
+  /// Remembers why the task's current run is released. \p End is the number of
+  /// its end, 0 if none was reported.
+  void noteRunLost(const TaskKey &Key, Internal::TaskRecord &Task,
+                   Internal::RunLoss Cause, TimePoint Now, uint64_t End = 0);
+  /// Returns the record of the run if it was given up before the end was
+  /// reported; else null.
+  static const Internal::EarlierRun *
+  noteLateEnd(Internal::ExecutorRecord &Executor, Internal::TaskRecord &Task,
+              const EndReport &End, TimePoint Now);
+  /// Why the run was given up earlier; empty if it was not.
+  static std::string_view givenUpCause(Internal::TaskRecord &Task,
+                                       uint64_t Number,
+                                       const ExecutorId &Executor);
+  /// Logs an end that is reported after its job has ended and was removed.
+  void logLateEnd(const Internal::ExecutorRecord &Executor,
+                  const EndReport &End);
+  /// Logs why the task is started again, if it is.
+  void logRestart(const TaskKey &Key, const Internal::TaskRecord &Task,
+                  const Internal::RunRecord &Next);
   void orderStop(const TaskKey &Key, Internal::TaskRecord &Task);
   /// Keeps a run whose start was carried out late, if nothing but the missing
   /// answer speaks against it and no stop has been confirmed.
--- a/src/libs/jobs/plannercrashes.cpp
+++ b/src/libs/jobs/plannercrashes.cpp
@@ -227,12 +227,14 @@
                                ? -1
                                : toMilliseconds(Now - LastAnswerAt);
   this->D->log("executor-empty", {{"executor", Id},
+                                  {"incarnation", Found->second.Incarnation},
                                   {"cause", nameOf(ExecutorLossNames, Cause)},
                                   {"silent-ms", SilentMs},
                                   {"runs", Booked.size()},
                                   {"suspects", Suspects.size()}});
   for (const auto &[Key, Number] : Booked) {
     this->D->barRun(Found->second, Key, *this->D->findTask(Key)->Current, Now);
+    this->D->noteRunLost(Key, *this->D->findTask(Key), lossOf(Cause), Now);
     this->D->releaseRun(Key, *this->D->findTask(Key));
     JobRecord &Job = *this->D->findJob(Key.Step.Job);
     if (this->D->stepSpec(Job, Key.Step).IsGang)
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -19,6 +19,7 @@
   if (Run.IsLastChance)
     this->LastChanceMilliCores += Spec.bookedResources().MilliCores;
   Executor.Runs[Key] = Run.Number;
+  Run.Incarnation = Executor.Incarnation;
   Task.LastRun = std::max(Task.LastRun, Run.Number);
   Task.Current = std::move(Run);
   ++Job.OpenRuns;
@@ -198,24 +199,34 @@
                                  TimePoint Now) {
   JobRecord *Job = this->findJob(End.Task.Step.Job);
   TaskRecord *Task = this->findTask(End.Task);
-  if (!Job || !Task)
+  if (!Job || !Task) {
+    this->logLateEnd(Executor, End);
     return;
+  }
   const bool IsCurrent = Task->Current && Task->Current->Number == End.Run &&
                          Task->Current->Executor == Executor.Info.Id;
   const RunTimes Times = IsCurrent ? timesOf(*Task->Current, Now) : RunTimes();
-  this->log("run-ended", {{"task", End.Task.text()},
-                          {"run", End.Run},
-                          {"executor", Executor.Info.Id},
-                          {"how", nameOf(RunEndNames, End.Outcome)},
-                          {"number", End.Number},
-                          {"current", IsCurrent ? "yes" : "no"},
-                          {"order-ms", Times.OrderMs},
-                          {"run-ms", Times.RunMs}});
+  const EarlierRun *GivenUp =
+      IsCurrent ? nullptr : noteLateEnd(Executor, *Task, End, Now);
+  this->log(
+      "run-ended",
+      {{"task", End.Task.text()},
+       {"run", End.Run},
+       {"executor", Executor.Info.Id},
+       {"how", nameOf(RunEndNames, End.Outcome)},
+       {"number", End.Number},
+       {"current", IsCurrent ? "yes" : "no"},
+       {"order-ms", Times.OrderMs},
+       {"run-ms", Times.RunMs},
+       {"given-up", GivenUp ? nameOf(RunLossNames, GivenUp->Cause) : ""},
+       {"given-up-ms",
+        GivenUp ? std::to_string(toMilliseconds(Now - GivenUp->At)) : ""}});
   Job->HasStarted = true;
   Task->LastRun = std::max(Task->LastRun, End.Run);
   this->clearCrash(End.Task, End.Run);
   if (IsCurrent) {
     this->learnRunTime(*Job, End, *Task->Current, Now);
+    this->noteRunLost(End.Task, *Task, lossOf(End.Outcome), Now, End.Number);
     this->releaseRun(End.Task, *Task);
   }
   const StepSpec &Spec = this->stepSpec(*Job, End.Task.Step);
@@ -255,9 +266,11 @@
     return Each.Task == Row.Task && Each.Number == Row.Run;
   });
   this->clearCrash(Row.Task, Row.Run);
-  this->log("run-adopted", {{"task", Row.Task.text()},
-                            {"run", Row.Run},
-                            {"executor", Executor.Info.Id}});
+  this->log("run-adopted",
+            {{"task", Row.Task.text()},
+             {"run", Row.Run},
+             {"executor", Executor.Info.Id},
+             {"given-up", givenUpCause(Task, Row.Run, Executor.Info.Id)}});
   this->bookRun(Row.Task, Task, std::move(Run));
   Job.HasStarted = true;
   StepRecord &Step = Job.step(Row.Task.Step);
@@ -283,14 +296,17 @@
   } else if (Task->Current->Executor != Executor.Info.Id ||
              Task->Current->Number != Row.Run) {
     Executor.HasUnknownRuns = true;
-    this->log("run-doubled", {{"task", Row.Task.text()},
-                              {"run", Row.Run},
-                              {"executor", Executor.Info.Id},
-                              {"kept", Task->Current->Number}});
+    this->log("run-doubled",
+              {{"task", Row.Task.text()},
+               {"run", Row.Run},
+               {"executor", Executor.Info.Id},
+               {"kept", Task->Current->Number},
+               {"given-up", givenUpCause(*Task, Row.Run, Executor.Info.Id)}});
     this->Orders.push_back(StopOrder{Executor.Info.Id, Row.Task, Row.Run});
     return;
   }
   RunRecord &Run = *Task->Current;
+  Run.Incarnation = Executor.Incarnation;
   Run.StartTimeoutAt = TimePoint::max();
   if (Run.Phase == RunPhase::Starting)
     Run.Phase = RunPhase::Running;
@@ -335,10 +351,15 @@
         Run.StopConfirmedAt && *Run.StopConfirmedAt < Report.At;
     if (!WasRunning && !WasStopped)
       continue;
+    RunLoss Cause = WasStopped ? RunLoss::Stopped : RunLoss::Gone;
+    if (Run.Incarnation != Executor.Incarnation)
+      Cause = RunLoss::Restarted;
     this->log("run-gone", {{"task", Key.text()},
                            {"run", Number},
                            {"executor", Executor.Info.Id},
-                           {"report", Report.At}});
+                           {"report", Report.At},
+                           {"cause", nameOf(RunLossNames, Cause)}});
+    this->noteRunLost(Key, Task, Cause, Now);
     this->barRun(Executor, Key, Run, Now);
     this->releaseRun(Key, Task);
     const JobRecord &Job = *this->findJob(Key.Step.Job);
--- a/src/libs/jobs/plannerorders.cpp
+++ b/src/libs/jobs/plannerorders.cpp
@@ -78,6 +78,7 @@
   case StartOutcome::Late:
     break;
   }
+  this->D->noteRunLost(Order.Task, *Task, RunLoss::Refused, Now);
   this->D->releaseRun(Order.Task, *Task);
   if (IsGang)
     this->D->stopGang(Step);
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -254,6 +254,7 @@
                            {"executor", Start.Executor},
                            {"free", Target.Free.MilliCores},
                            {"waited-ms", toMilliseconds(Now - Job.Accepted)}});
+  this->logRestart(Key, Task, Record);
   this->bookRun(Key, Task, std::move(Record));
   this->noteStartOrdered(*Target.Executor, Key, Now);
   Target.Free -= Spec.bookedResources();
--- a/src/libs/jobs/plannerrecords_p.h
+++ b/src/libs/jobs/plannerrecords_p.h
@@ -1,6 +1,7 @@
 #ifndef WHINTACK_JOBS_PLANNERRECORDS_P_H
 #define WHINTACK_JOBS_PLANNERRECORDS_P_H
 
+#include "earlierrun_p.h"
 #include "roomplan.h"
 #include "stepplacement.h"
 #include "tenantaccounts.h"
@@ -9,6 +10,7 @@
 #include "whintack/jobs/planner.h"
 
 #include <deque>
+#include <forward_list>
 #include <map>
 #include <set>
 
@@ -36,6 +38,8 @@
 struct RunRecord {
   uint64_t Number = 0;
   ExecutorId Executor;
+  /// The incarnation that the run was ordered from, or that reported it last.
+  ExecutorIncarnation Incarnation = 0;
   RunPhase Phase = RunPhase::Starting;
   /// When the run was placed; not known if an earlier planner placed it.
   TimePoint PlacedAt = TimePoint::min();
@@ -72,6 +76,9 @@
   TaskProgress Stored;
   uint64_t LastRun = 0;
   std::optional<RunRecord> Current;
+  /// The last runs that were given up or have ended, the latest first; for the
+  /// log only.
+  std::forward_list<EarlierRun> EarlierRuns;
   /// The task is not started before this time.
   TimePoint EarliestStart = TimePoint::min();
   /// Executor on which the task failed last.
@@ -225,6 +232,8 @@
   uint64_t LastEnd = 0;
   /// The ends that the executor still keeps, by number.
   std::deque<UnacknowledgedEnd> UnacknowledgedEnds;
+  /// Those of them whose runs had been given up before; for the log only.
+  std::vector<GivenUpEnd> GivenUpEnds;
   /// Number of the first end whose job is not known yet; 0 if there is none.
   /// This end and later ones must be kept by the executor.
   uint64_t FirstDeferredEnd = 0;
--- a/tests/auto/dispatch/tst_executorlink.cpp
+++ b/tests/auto/dispatch/tst_executorlink.cpp
@@ -30,7 +30,12 @@
         };
     LinkHooks Hooks;
     Hooks.CanOrder = [this] { return this->CanOrder; };
-    Hooks.LastDiscardableEnd = [](const jobs::ExecutorId &) { return 0; };
+    Hooks.LastDiscardableEnd = [this](const jobs::ExecutorId &) {
+      return this->Discardable;
+    };
+    Hooks.OnAcknowledged = [this](const jobs::ExecutorId &, uint64_t Through) {
+      this->Acknowledged.push_back(Through);
+    };
     Hooks.OnReport = [this](const jobs::ExecutorId &,
                             const jobs::ExecutorReport &) {
       this->CanOrder = this->CanOrder && !this->LosesStore;
@@ -79,6 +84,11 @@
   /// The link may send no more orders once the executor has reported.
   bool LosesStore = false;
   bool IsSilent = false;
+  uint64_t Discardable = 0;
+  /// The ends that the executor reports until it may discard them.
+  std::vector<jobs::EndReport> Ended;
+  /// What the link has said of acknowledged ends.
+  std::vector<uint64_t> Acknowledged;
   jobs::ExecutorIncarnation Incarnation = 1;
   jobs::ExecutorTime ClockBase = 50000;
   std::shared_ptr<ExecutorLink> Link;
@@ -98,12 +108,16 @@
 
   void receive(const jobs::ReportRequest &Request, TimePoint Deadline,
                const jobs::GatewayCallback<jobs::ExecutorReport> &Done) {
+    std::erase_if(this->Ended, [&Request](const jobs::EndReport &Each) {
+      return Each.Number <= Request.DiscardThrough;
+    });
     this->Loop.Queue.schedule(
         this->Loop.Time.now() + Request.Wait, [this, Deadline, Done] {
           if (!this->IsSilent) {
             jobs::ExecutorReport Report;
             Report.Incarnation = this->Incarnation;
             Report.At = this->clock();
+            Report.Ended = this->Ended;
             Done(Report);
             return;
           }
@@ -187,3 +201,28 @@
   CHECK(Test.field("incarnation") == "2");
   CHECK(Test.field("lease-left-ms") == "unknown");
 }
+
+// Guards against an end of which the log tells when it might have been
+// acknowledged, and not when it was.
+TEST_CASE("an acknowledgement is told once, when it is sent") {
+  LinkFixture Test;
+  jobs::EndReport End;
+  End.Number = 1;
+  Test.Ended.push_back(End);
+  End.Number = 2;
+  Test.Ended.push_back(End);
+  Test.Link->open();
+  Test.Loop.runFor(seconds(3));
+  CHECK(Test.Acknowledged.empty());
+  Test.Discardable = 1;
+  Test.Loop.runFor(seconds(5));
+  CHECK(Test.Acknowledged == std::vector<uint64_t>{1});
+  Test.IsSilent = true;
+  Test.Loop.runFor(seconds(3));
+  Test.Discardable = 2;
+  Test.Loop.runFor(seconds(3));
+  CHECK(Test.Acknowledged == std::vector<uint64_t>{1});
+  Test.IsSilent = false;
+  Test.Loop.runFor(seconds(3));
+  CHECK(Test.Acknowledged == std::vector<uint64_t>{1, 2});
+}
--- a/tests/auto/dispatch/tst_lateleases.cpp
+++ b/tests/auto/dispatch/tst_lateleases.cpp
@@ -228,6 +228,7 @@
                             const jobs::ExecutorReport &Report) {
       this->LastReport = Report;
     };
+    Hooks.OnAcknowledged = [](const jobs::ExecutorId &, uint64_t) {};
     Hooks.OnStartAnswered = [](TimePoint, TimePoint) {};
     Hooks.OnStart = [](const jobs::StartOrder &, jobs::StartOutcome,
                        jobs::ExecutorTime) {};
--- a/tests/auto/jobs/plannerfixture.h
+++ b/tests/auto/jobs/plannerfixture.h
@@ -6,6 +6,7 @@
 #include "whintack/jobs/planner.h"
 
 #include <algorithm>
+#include <map>
 
 namespace whintack::tests {
 
@@ -50,12 +51,15 @@
 class PlannerFixture {
 public:
   explicit PlannerFixture(uint64_t Generation = 1, bool ReservesRoom = false)
-      : Planner(
-            {TestService, Generation,
-             [this](std::string_view Event, std::initializer_list<LogField>) {
-               this->Logged.emplace_back(Event);
-             },
-             ReservesRoom}) {}
+      : Planner({TestService, Generation,
+                 [this](std::string_view Event,
+                        std::initializer_list<LogField> Fields) {
+                   this->Logged.emplace_back(Event);
+                   this->LoggedFields.emplace_back();
+                   for (const LogField &Each : Fields)
+                     this->LoggedFields.back()[Each.Key] = Each.Value;
+                 },
+                 ReservesRoom}) {}
 
   /// Lists executors and reports for each that nothing runs on it.
   void list(const std::vector<jobs::ExecutorInfo> &Infos) {
@@ -114,9 +118,21 @@
     this->Planner.noteWritten(Writes);
   }
 
+  /// The fields of each line of the event.
+  std::vector<std::map<std::string, std::string>>
+  lines(const std::string &Event) const {
+    std::vector<std::map<std::string, std::string>> Found;
+    for (size_t Line = 0; Line < this->Logged.size(); ++Line)
+      if (this->Logged[Line] == Event)
+        Found.push_back(this->LoggedFields[Line]);
+    return Found;
+  }
+
   ManualClock Time;
   /// Events that the planner has logged.
   std::vector<std::string> Logged;
+  /// The fields of each of these lines.
+  std::vector<std::map<std::string, std::string>> LoggedFields;
   jobs::Planner Planner;
   jobs::ExecutorTime ExecutorNow = 1000;
   uint64_t LastEnd = 0;
