Platform: Take a refused second copy of a report call as unanswered

Callers may see two runs of one task: at the crash of an executor, the connection of the open report call breaks. The call is made again without its lease, and that copy is refused (no connection, 503, 429). The refusal counted as that of the call, so the link did not note that the first copy, with a lease, may still be carried out by a later incarnation.

A refusal, or an answer that cannot be read, now counts as no answer if the call was made twice.

--- a/tests/auto/platform/tst_repeatedorders.cpp
+++ b/tests/auto/platform/tst_repeatedorders.cpp
@@ -194,6 +194,26 @@
   CHECK(Requests[2].find("wait-ms") == std::string::npos);
 }
 
+// Guards against a lease that is not waited for, because a second copy of the
+// call that may still give it was refused.
+TEST_CASE("a report call whose connection breaks is never taken as refused") {
+  const auto Refusal =
+      GENERATE(httpAnswer("503 Service Unavailable", "{}"),
+               httpAnswer("429 Too Many Requests", "{}"),
+               httpAnswer("400 Bad Request", "{}"), httpAnswer("200 OK", "{"));
+  INFO(Refusal);
+  const LossyServer Server(28, EmptyReport, Refusal);
+  REQUIRE(Server.isOpen());
+  Client From;
+  const jobs::ExecutorGateway Gateway = makeExecutorGateway(From.Calls);
+  const jobs::ExecutorAddress To{jobs::ExecutorId("i-1"), Server.address()};
+  REQUIRE(report(Gateway, To, From, {}));
+  const auto Answer =
+      report(Gateway, To, From, {7, 12, 1000, std::chrono::seconds(1)});
+  REQUIRE_FALSE(Answer);
+  CHECK(Answer.error().Code == jobs::GatewayErrorCode::NoAnswer);
+}
+
 // Guards against orders that are not carried out, or late, because the executor
 // has closed a connection while it was idle.
 TEST_CASE("a stop or pace order whose connection breaks is repeated") {
