Dispatch: Take a silent executor as lost only by the row of its machine

Callers saw (in a play of the simulated fleet, not in a record): tasks of an executor that was only cut off from the planner were started elsewhere while they still ran, if one list of machines left out its machine or showed it without an id.

Cause: a silent executor that was in no row with state "up" counted as lost after one list.

Change: the planner remembers from each list it reads, also from that at a take-over, on which machine an executor runs. The executor is lost if that machine is listed as not up, or as up with another executor. In the second case it is reported as replaced, since an executor is one life of its machine; both count crashes alike. A machine that is in no row, or up without an id, proves nothing. An executor whose machine no list has named must be missing from two successive lists that were requested while it was silent, without a machine of the pool that is up without an id. A check of silent executors that began earlier is dropped, since it may not know who was silent at its request.

--- /dev/null
+++ b/src/libs/dispatch/lostexecutortracker.cpp
@@ -0,0 +1,101 @@
+#include "lostexecutortracker.h"
+
+#include <optional>
+
+namespace whintack::dispatch::Internal {
+
+using jobs::ExecutorId;
+using jobs::ExecutorLoss;
+using jobs::MachineInfo;
+using jobs::MachineState;
+
+/// Number of successive lists that must not name a silent executor whose
+/// machine is not known. One list may leave out a machine that changes its
+/// place between two pages; the next one begins anew.
+static constexpr unsigned MinAbsences = 2;
+
+/// What the row of an executor's machine proves about its loss.
+static std::optional<LostExecutor> judgeMachine(const ExecutorId &Id,
+                                                const MachineInfo &Row) {
+  // It may start again under its id.
+  if (Row.State != MachineState::Up)
+    return LostExecutor{
+        Id, ExecutorLoss::MachineLost,
+        std::string(nameOf(jobs::MachineStateNames, Row.State))};
+  if (Row.Executor.isEmpty() || Row.Executor == Id)
+    return std::nullopt;
+  // An executor is one life of its machine, so the earlier one stays gone.
+  return LostExecutor{Id, ExecutorLoss::Replaced, "other-executor"};
+}
+
+std::vector<LostExecutor>
+LostExecutorTracker::findLost(const std::vector<MachineInfo> &List,
+                              const std::set<ExecutorId> &Silent) {
+  std::multimap<jobs::MachineName, ExecutorId> SilentOn;
+  for (const ExecutorId &Id : Silent)
+    if (const auto Known = this->Machines.find(Id);
+        Known != this->Machines.end())
+      SilentOn.emplace(Known->second, Id);
+  std::set<ExecutorId> Up;
+  std::map<ExecutorId, LostExecutor> Lost;
+  // The executor of a machine that is up without an id may be any that is
+  // absent.
+  bool IsConclusive = true;
+  for (const MachineInfo &Row : List) {
+    if (Row.State == MachineState::Up && Row.Executor.isEmpty() &&
+        Row.Pool == this->Pool)
+      IsConclusive = false;
+    if (Silent.contains(Row.Executor)) {
+      if (Row.State == MachineState::Up)
+        Up.insert(Row.Executor);
+      else
+        Lost[Row.Executor] = *judgeMachine(Row.Executor, Row);
+    }
+    const auto [Begin, End] = SilentOn.equal_range(Row.Name);
+    for (auto Each = Begin; Each != End; ++Each)
+      if (auto Evidence = judgeMachine(Each->second, Row))
+        Lost[Each->second] = std::move(*Evidence);
+  }
+  std::erase_if(this->Absences, [&](const auto &Entry) {
+    return !Silent.contains(Entry.first);
+  });
+  std::vector<LostExecutor> Found;
+  for (const ExecutorId &Id : Silent) {
+    if (Up.contains(Id)) {
+      this->Absences.erase(Id);
+      continue;
+    }
+    if (const auto Evidence = Lost.find(Id); Evidence != Lost.end())
+      Found.push_back(std::move(Evidence->second));
+    else if (this->isConfirmedAbsent(Id, IsConclusive))
+      Found.push_back({Id, ExecutorLoss::MachineLost, "absent"});
+  }
+  return Found;
+}
+
+bool LostExecutorTracker::isConfirmedAbsent(const ExecutorId &Id,
+                                            bool IsListConclusive) {
+  if (this->Machines.contains(Id))
+    return false;
+  if (!IsListConclusive) {
+    this->Absences.erase(Id);
+    return false;
+  }
+  return ++this->Absences[Id] >= MinAbsences;
+}
+
+void LostExecutorTracker::learnMachines(
+    const std::vector<MachineInfo> &List,
+    const std::function<bool(const ExecutorId &)> &IsNeeded) {
+  std::map<ExecutorId, jobs::MachineName> Learned;
+  for (const MachineInfo &Row : List)
+    if (!Row.Executor.isEmpty() &&
+        (Row.Pool == this->Pool || IsNeeded(Row.Executor)))
+      Learned[Row.Executor] = Row.Name;
+  for (const auto &[Id, Name] : this->Machines)
+    if (IsNeeded(Id))
+      Learned.try_emplace(Id, Name);
+  this->Machines = std::move(Learned);
+}
+
+} // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -31,7 +31,8 @@
            this->Environment.ReservesRoom}),
       BacklogMonitor(this->Service, logWarning),
       OrderTimes(this->Service, logWarning),
-      Load(this->Service, this->Environment.ProcessorTime, logWarning) {}
+      Load(this->Service, this->Environment.ProcessorTime, logWarning),
+      LostExecutors(this->Service) {}
 
 void ServiceShard::start() {
   this->ClaimedAt = this->Shared.now();
@@ -258,8 +259,9 @@
       this->Shared.now() + DiscoveryTimeout,
       onLoop<ServiceShard, MachineList>(
           this->Shared.Loop, this->shared_from_this(),
-          [Handle](ServiceShard &Self, const MachineList &Found) {
-            (Self.*Handle)(Found);
+          [Handle = std::move(Handle)](ServiceShard &Self,
+                                       const MachineList &Found) {
+            Handle(Self, Found);
           }));
 }
 
@@ -283,6 +285,8 @@
     return;
   }
   std::vector<jobs::ExecutorId> Unlisted;
+  if (Found)
+    this->learnMachines(Found.value());
   if (Found)
     for (const jobs::MachineInfo &Machine : Found.value())
       if (Machine.Pool == this->Service && !Machine.Executor.isEmpty() &&
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -4,6 +4,7 @@
 #include "executorlink.h"
 #include "jobownership.h"
 #include "loadmonitor.h"
+#include "lostexecutortracker.h"
 #include "progresswriter.h"
 #include "servicecalls.h"
 #include "shardclaimer.h"
@@ -100,7 +101,8 @@
   enum class DiscoveryState { NotNeeded, Needed, InProgress, Done };
 
   using MachineList = jobs::GatewayResult<std::vector<jobs::MachineInfo>>;
-  using MachineListHandler = void (ServiceShard::*)(const MachineList &);
+  using MachineListHandler =
+      std::function<void(ServiceShard &, const MachineList &)>;
 
   void discoverExecutors();
   void listMachines(MachineListHandler Handle);
@@ -166,6 +168,7 @@
   void checkSilentExecutors();
   void handleSilentMachines(
       const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found);
+  void learnMachines(const std::vector<jobs::MachineInfo> &List);
   void rescan();
   void readLostAnnouncements();
   void readMissedJobs(jobs::JobSource Source,
@@ -215,8 +218,12 @@
   std::unordered_map<jobs::JobId, JobOrigin> Origins;
   /// Executors that do not answer.
   std::set<jobs::ExecutorId> Silent;
-  /// Executors that were silent when the machines were last requested.
+  /// Executors that were silent when the machines were last requested and have
+  /// not answered since.
   std::set<jobs::ExecutorId> SilentAtRequest;
+  /// Number of checks of silent executors that have begun.
+  uint64_t SilentChecks = 0;
+  LostExecutorTracker LostExecutors;
   /// Jobs not known yet whose cancellation is in the store.
   std::set<jobs::JobId> PendingCancellations;
   /// Keys of the notices whose effect is stored.
--- a/src/libs/dispatch/serviceshardlinks.cpp
+++ b/src/libs/dispatch/serviceshardlinks.cpp
@@ -78,8 +78,12 @@
     if (!IsReachable && this->Silent.insert(Id).second &&
         this->Silent.size() == 1)
       this->checkSilentExecutors();
-    if (IsReachable)
+    if (IsReachable) {
       this->Silent.erase(Id);
+      // A list that was requested before proves nothing about a later silence.
+      this->SilentAtRequest.erase(Id);
+      this->LostExecutors.noteAnswer(Id);
+    }
     this->requestPlan();
   };
   Hooks.OnEmpty = [this](const jobs::ExecutorId &Id, jobs::ExecutorLoss Cause) {
@@ -91,11 +95,15 @@
   return Hooks;
 }
 
-/// Asks the platform about executors that do not answer. Nothing runs any more
-/// on an executor whose machine is down or runs another executor.
+/// Asks the platform about executors that do not answer.
 void ServiceShard::checkSilentExecutors() {
   this->SilentAtRequest = this->Silent;
-  this->listMachines(&ServiceShard::handleSilentMachines);
+  this->listMachines([Check = ++this->SilentChecks](ServiceShard &Self,
+                                                    const MachineList &Found) {
+    // A check that has begun later knows better who was silent at its request.
+    if (Check == Self.SilentChecks)
+      Self.handleSilentMachines(Found);
+  });
 }
 
 void ServiceShard::handleSilentMachines(const MachineList &Found) {
@@ -103,34 +111,24 @@
     return;
   // A successor may have read what ended on a machine that was moved since.
   if (Found && !Found.value().empty() && !this->mayBeSucceeded()) {
-    std::set<jobs::ExecutorId> Up;
-    std::map<jobs::ExecutorId, std::string> NotUp;
-    for (const jobs::MachineInfo &Machine : Found.value())
-      if (Machine.State == jobs::MachineState::Up)
-        Up.insert(Machine.Executor);
-      else
-        NotUp[Machine.Executor] =
-            nameOf(jobs::MachineStateNames, Machine.State);
-    std::erase_if(this->Silent, [&](const jobs::ExecutorId &Id) {
-      // The list may predate the moment when this executor became silent.
-      if (Up.contains(Id) || !this->SilentAtRequest.contains(Id))
-        return false;
-      const auto State = NotUp.find(Id);
+    for (const LostExecutor &Each :
+         this->LostExecutors.findLost(Found.value(), this->SilentAtRequest)) {
+      this->Silent.erase(Each.Id);
       logEvent(LogLevel::Info, "machine-lost",
-               {{"executor", Id},
-                {"machine",
-                 State == NotUp.end() ? "other-executor" : State->second}});
-      this->Planner.noteEmpty(Id, jobs::ExecutorLoss::MachineLost,
-                              this->Shared.now());
-      return true;
-    });
+               {{"executor", Each.Id}, {"machine", Each.Machine}});
+      this->Planner.noteEmpty(Each.Id, Each.Cause, this->Shared.now());
+    }
+    this->learnMachines(Found.value());
     this->requestFlush();
     this->requestPlan();
   }
   if (this->Silent.empty())
     return;
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
-              this->Shared.now() + SilentCheckInterval, [](ServiceShard &Self) {
+              this->Shared.now() + SilentCheckInterval,
+              [Check = this->SilentChecks](ServiceShard &Self) {
+                if (Check != Self.SilentChecks)
+                  return;
                 std::erase_if(Self.Silent, [&Self](const auto &Id) {
                   return Self.Planner.occupancy(Id) == jobs::Occupancy::Vacant;
                 });
@@ -139,6 +137,12 @@
               });
 }
 
+void ServiceShard::learnMachines(const std::vector<jobs::MachineInfo> &List) {
+  this->LostExecutors.learnMachines(List, [this](const jobs::ExecutorId &Id) {
+    return this->Links.contains(Id) || this->Silent.contains(Id);
+  });
+}
+
 void ServiceShard::execute(const jobs::Order &Order) {
   const auto FindLink = [this](const jobs::ExecutorId &Id) {
     const auto Found = this->Links.find(Id);
--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -92,6 +92,8 @@
     Connections.Executors =
         this->WrapExecutors(std::move(Connections.Executors));
   Connections.Machines = this->Platform.machines(Vm);
+  if (this->WrapMachines)
+    Connections.Machines = this->WrapMachines(std::move(Connections.Machines));
   Connections.Advice = this->Advice;
   Connections.Codec = this->Platform.codec();
   Context Shared{this->clock(), this->Source, this->Loop.Queue,
--- a/tests/auto/dispatch/simulatedfleet.h
+++ b/tests/auto/dispatch/simulatedfleet.h
@@ -109,6 +109,7 @@
   /// Applied to the calls of each VM when it starts, to record or change them.
   std::function<store::AsyncStore(store::AsyncStore)> WrapStore;
   std::function<jobs::ExecutorGateway(jobs::ExecutorGateway)> WrapExecutors;
+  std::function<jobs::MachineGateway(jobs::MachineGateway)> WrapMachines;
 
   /// Called with each message that a VM sends to another one.
   std::function<void(const peers::Message &)> OnMessage;
