Jobs: Await unanswered starts on executors that are lost

What callers saw: a task that had been done was started again ("started after it had completed"). The answer to a start order was lost, the executor was given up, the task was done elsewhere, the executor started again under its id and carried the late order out before it could be told to refuse it.

Cause: Planner::noteEmpty released all runs of a lost executor at once, also those whose start order may still be carried out by a later incarnation.

Change: the link tells the planner when a start order is sent (Planner::noteStartSent), from which the planner stores when the order is certainly lost. A sent and unanswered run on a lost executor remains the task's run until then, until the order is refused, another id answers at the address, or a new incarnation lists the run or confirms its stop. Unsent and refused orders, and runs of jobs that have ended, are released as before. No stop is sent to a lost executor, and no place is held for a long-running task that waits so.

--- a/src/libs/dispatch/executorlink.cpp
+++ b/src/libs/dispatch/executorlink.cpp
@@ -359,6 +359,7 @@
       continue;
     }
     ++this->OpenStarts;
+    this->Hooks.OnStartSent(Order);
     this->Gateway.Start(
         this->Setup.Executor, Order, this->Setup.Token, this->nextLease(),
         this->Shared.now() + OrderTimeout,
--- a/src/libs/dispatch/executorlink.h
+++ b/src/libs/dispatch/executorlink.h
@@ -22,6 +22,8 @@
   std::function<bool()> CanStart;
   /// Whether the planner still wants the run that the order is to start.
   std::function<bool(const jobs::StartOrder &)> IsCurrent;
+  /// A start order is being sent.
+  std::function<void(const jobs::StartOrder &)> OnStartSent;
   /// Returns the number of the last end that the executor may discard.
   std::function<uint64_t(const jobs::ExecutorId &)> LastDiscardableEnd;
   std::function<void(const jobs::ExecutorId &, const jobs::ExecutorReport &)>
--- a/src/libs/dispatch/serviceshardlinks.cpp
+++ b/src/libs/dispatch/serviceshardlinks.cpp
@@ -44,6 +44,9 @@
   Hooks.IsCurrent = [this](const jobs::StartOrder &Order) {
     return this->Planner.isCurrent(Order);
   };
+  Hooks.OnStartSent = [this](const jobs::StartOrder &Order) {
+    this->Planner.noteStartSent(Order, this->Shared.now());
+  };
   Hooks.LastDiscardableEnd = [this](const jobs::ExecutorId &Id) {
     return this->Planner.lastDiscardableEnd(Id);
   };
--- a/src/libs/jobs/earlierrun_p.h
+++ b/src/libs/jobs/earlierrun_p.h
@@ -21,6 +21,8 @@
   Stopped,
   /// The start order was refused or not sent.
   Refused,
+  /// The start order was not answered, and can no longer be carried out.
+  OrderLost,
   /// It has ended as done. Its task runs on, because it is long-running.
   Done,
   Failed,
@@ -32,7 +34,7 @@
   Alone,
 };
 
-inline constexpr EnumNames<RunLoss, 12> RunLossNames = {{
+inline constexpr EnumNames<RunLoss, 13> RunLossNames = {{
     {RunLoss::LeasesExpired, "leases-expired"},
     {RunLoss::Replaced, "replaced"},
     {RunLoss::MachineLost, "machine-lost"},
@@ -40,6 +42,7 @@
     {RunLoss::Gone, "gone"},
     {RunLoss::Stopped, "stopped"},
     {RunLoss::Refused, "refused"},
+    {RunLoss::OrderLost, "order-lost"},
     {RunLoss::Done, "done"},
     {RunLoss::Failed, "failed"},
     {RunLoss::Lapsed, "lapsed"},
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -102,8 +102,9 @@
 /// fetch the resulting orders. No second run of a task starts before the first
 /// is known to be over. A run whose start or stop was not answered counts as
 /// running until the executor's own report, an expired lease or a new
-/// incarnation says otherwise. Ends that an executor may discard are handed out
-/// as writes first. Not thread-safe.
+/// incarnation says otherwise, and until its start order is certainly refused
+/// or lost. Ends that an executor may discard are handed out as writes first.
+/// Not thread-safe.
 class Planner {
 public:
   explicit Planner(PlannerSetup Setup);
@@ -153,6 +154,9 @@
   /// Handles an executor's report of its runs.
   void noteReport(const ExecutorId &Id, const ExecutorReport &Report,
                   TimePoint Now);
+  /// Records that a start order is being sent: if the answer is missing, the
+  /// order may be carried out late.
+  void noteStartSent(const StartOrder &Order, TimePoint Now);
   /// Handles the answer to a start order, or the lack of one.
   void noteStart(const StartOrder &Order, StartOutcome Outcome, ExecutorTime At,
                  TimePoint Now);
@@ -172,7 +176,9 @@
   void setReachable(const ExecutorId &Id, bool IsReachable);
   /// Records that nothing runs on the executor any more. If it has crashed, the
   /// runs that may be the cause are counted. A task that has been counted too
-  /// often is given up, and its job fails.
+  /// often is given up, and its job fails. A run whose start order was sent and
+  /// not answered remains the task's run while a later incarnation under the
+  /// same id may carry the order out.
   void noteEmpty(const ExecutorId &Id, ExecutorLoss Cause, TimePoint Now);
 
   /// Places no new tasks on an executor for EvacuationTimeout, and moves its
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -89,6 +89,25 @@
   /// known of the earlier incarnation holds for the one that reports.
   void beginIncarnation(Internal::ExecutorRecord &Executor,
                         const ExecutorReport &Report, TimePoint Now);
+  /// Whether a later incarnation of the executor may carry out the start order
+  /// of the run.
+  bool mayStartLate(const TaskKey &Key, const Internal::RunRecord &Run,
+                    TimePoint Now);
+  /// Keeps a run on an executor that is lost, so that the task does not start
+  /// elsewhere before the order of the run is certainly lost.
+  void awaitLateStart(const Internal::ExecutorRecord &Executor,
+                      const TaskKey &Key, TimePoint Now);
+  /// Whether the run's executor is lost. Runs there are kept only for their
+  /// start orders, and no stop is sent before the executor is back.
+  bool isLost(const Internal::RunRecord &Run) const {
+    return !this->Executors.at(Run.Executor).HasReported;
+  }
+  /// Gives up the runs on an executor that is lost whose orders are certainly
+  /// lost as well.
+  void releaseLostStarts(Internal::ExecutorRecord &Executor, TimePoint Now);
+  /// Gives up a run that is over without a report of its end.
+  void giveUpRun(Internal::ExecutorRecord &Executor, const TaskKey &Key,
+                 Internal::RunLoss Cause, TimePoint Now);
   /// Remembers a run that is given up while the answer to its start order is
   /// missing.
   void barRun(Internal::ExecutorRecord &Executor, const TaskKey &Key,
--- a/src/libs/jobs/plannercrashes.cpp
+++ b/src/libs/jobs/plannercrashes.cpp
@@ -232,18 +232,22 @@
                                   {"silent-ms", SilentMs},
                                   {"runs", Booked.size()},
                                   {"suspects", Suspects.size()}});
+  Found->second.HasReported = false;
+  Found->second.HasUnknownRuns = false;
+  Found->second.MayHoldEarlierRuns = false;
+  // Another incarnation with another id refuses the orders for this one.
+  const bool CanComeBack = Cause != ExecutorLoss::Replaced;
   for (const auto &[Key, Number] : Booked) {
-    this->D->barRun(Found->second, Key, *this->D->findTask(Key)->Current, Now);
-    this->D->noteRunLost(Key, *this->D->findTask(Key), lossOf(Cause), Now);
-    this->D->releaseRun(Key, *this->D->findTask(Key));
-    JobRecord &Job = *this->D->findJob(Key.Step.Job);
+    const RunRecord &Run = *this->D->findTask(Key)->Current;
+    if (!CanComeBack || !this->D->mayStartLate(Key, Run, Now)) {
+      this->D->giveUpRun(Found->second, Key, lossOf(Cause), Now);
+      continue;
+    }
+    this->D->awaitLateStart(Found->second, Key, Now);
+    const JobRecord &Job = *this->D->findJob(Key.Step.Job);
     if (this->D->stepSpec(Job, Key.Step).IsGang)
       this->D->stopGang(Key.Step);
-    this->D->removeIfFinished(Key.Step.Job);
   }
-  Found->second.HasReported = false;
-  Found->second.HasUnknownRuns = false;
-  Found->second.MayHoldEarlierRuns = false;
   // An executor whose leases have expired may only have been silent.
   if (Cause != ExecutorLoss::LeasesExpired)
     this->D->countCrash(std::exchange(Unexplained, {}), Id, Now);
--- a/src/libs/jobs/plannerevacuation.cpp
+++ b/src/libs/jobs/plannerevacuation.cpp
@@ -88,7 +88,8 @@
     Run.IsAwaitingPlace = false;
     this->markForReview(Job);
   }
-  if (!IsStopping && !Run.IsAwaitingPlace)
+  // A late start may be awaited for long.
+  if ((!IsStopping && !Run.IsAwaitingPlace) || this->isLost(Run))
     return;
   Candidate *Next = this->chooseCandidate(Job, Key, Candidates, Now);
   if (!Next) {
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -44,12 +44,16 @@
 }
 
 void Planner::Private::orderStop(const TaskKey &Key, TaskRecord &Task) {
+  const bool IsLost = this->isLost(*Task.Current);
+  if (IsLost)
+    this->setNextStop(*Task.Current, TimePoint::min());
   if (Task.Current->Phase == RunPhase::Stopping)
     return;
   Task.Current->Phase = RunPhase::Stopping;
   this->markForReview(*this->findJob(Key.Step.Job));
-  this->Orders.push_back(
-      StopOrder{Task.Current->Executor, Key, Task.Current->Number});
+  if (!IsLost)
+    this->Orders.push_back(
+        StopOrder{Task.Current->Executor, Key, Task.Current->Number});
 }
 
 void Planner::Private::keepLateStart(const TaskKey &Key,
@@ -313,6 +317,9 @@
   this->keepLateStart(Row.Task, Executor);
   if (!Run.ConfirmedAt)
     Run.ConfirmedAt = At;
+  // It may have been counted when an earlier incarnation was lost.
+  if (Run.KnownSince == TimePoint::max())
+    this->clearCrash(Row.Task, Row.Run);
   Run.KnownSince = std::min(Run.KnownSince, Now);
   if (Run.SettledAt == TimePoint::max())
     this->noteStarted(Executor, Row.Task, Now);
@@ -359,13 +366,7 @@
                            {"executor", Executor.Info.Id},
                            {"report", Report.At},
                            {"cause", nameOf(RunLossNames, Cause)}});
-    this->noteRunLost(Key, Task, Cause, Now);
-    this->barRun(Executor, Key, Run, Now);
-    this->releaseRun(Key, Task);
-    const JobRecord &Job = *this->findJob(Key.Step.Job);
-    if (this->stepSpec(Job, Key.Step).IsGang)
-      this->stopGang(Key.Step);
-    this->removeIfFinished(Key.Step.Job);
+    this->giveUpRun(Executor, Key, Cause, Now);
   }
 }
 
@@ -434,6 +435,8 @@
     this->D->log("executor-reported", {{"executor", Id},
                                        {"running", Report.Running.size()},
                                        {"ended", Report.Ended.size()}});
+  if (!Executor.HasReported)
+    this->D->NextStopAt = std::min(this->D->NextStopAt, Now);
   Executor.HasReported = true;
   Executor.IsReachable = true;
   Executor.LastAnswerAt = Now;
--- a/src/libs/jobs/plannerincarnations.cpp
+++ b/src/libs/jobs/plannerincarnations.cpp
@@ -73,11 +73,63 @@
   this->NextStopAt = std::min(this->NextStopAt, Now);
 }
 
+void Planner::noteStartSent(const StartOrder &Order, TimePoint Now) {
+  if (this->isCurrent(Order))
+    this->D->findTask(Order.Task)->Current->OrderLostAt = Now + MaxCallDelay;
+}
+
+bool Planner::Private::mayStartLate(const TaskKey &Key, const RunRecord &Run,
+                                    TimePoint Now) {
+  const JobRecord &Job = *this->findJob(Key.Step.Job);
+  return Run.KnownSince == TimePoint::max() && Now < Run.OrderLostAt &&
+         !isFinal(Job.State) && !this->findTask(Key)->Stored.IsDone;
+}
+
+void Planner::Private::awaitLateStart(const ExecutorRecord &Executor,
+                                      const TaskKey &Key, TimePoint Now) {
+  RunRecord &Run = *this->findTask(Key)->Current;
+  this->log("late-start-awaited",
+            {{"task", Key.text()},
+             {"run", Run.Number},
+             {"executor", Executor.Info.Id},
+             {"for-ms", toMilliseconds(Run.OrderLostAt - Now)}});
+  // The first report of an executor that is back either lists the run or leads
+  // to its stop.
+  Run.StartTimeoutAt = std::min(Run.StartTimeoutAt, Now);
+  this->NextStopAt = std::min(this->NextStopAt, Run.OrderLostAt);
+}
+
+void Planner::Private::releaseLostStarts(ExecutorRecord &Executor,
+                                         TimePoint Now) {
+  const std::map<TaskKey, uint64_t> Kept = Executor.Runs;
+  for (const auto &[Key, Number] : Kept) {
+    const RunRecord &Run = *this->findTask(Key)->Current;
+    if (this->mayStartLate(Key, Run, Now))
+      this->NextStopAt = std::min(this->NextStopAt, Run.OrderLostAt);
+    else
+      this->giveUpRun(Executor, Key, RunLoss::OrderLost, Now);
+  }
+}
+
+void Planner::Private::giveUpRun(ExecutorRecord &Executor, const TaskKey &Key,
+                                 RunLoss Cause, TimePoint Now) {
+  TaskRecord &Task = *this->findTask(Key);
+  this->noteRunLost(Key, Task, Cause, Now);
+  this->barRun(Executor, Key, *Task.Current, Now);
+  this->releaseRun(Key, Task);
+  const JobRecord &Job = *this->findJob(Key.Step.Job);
+  if (this->stepSpec(Job, Key.Step).IsGang)
+    this->stopGang(Key.Step);
+  this->removeIfFinished(Key.Step.Job);
+}
+
 void Planner::Private::barRun(ExecutorRecord &Executor, const TaskKey &Key,
                               const RunRecord &Run, TimePoint Now) {
-  if (Run.KnownSince != TimePoint::max())
+  const bool IsOrderLost =
+      Run.OrderLostAt != TimePoint::min() && Run.OrderLostAt <= Now;
+  if (Run.KnownSince != TimePoint::max() || IsOrderLost)
     return;
-  const TimePoint Until = Now + MaxOrderDelay;
+  const TimePoint Until = Now + MaxCallDelay;
   Executor.BarredRuns.push_back({Key, Run.Number, Until, TimePoint::max()});
   this->NextStopAt = std::min(this->NextStopAt, Until);
 }
--- a/src/libs/jobs/plannerorders.cpp
+++ b/src/libs/jobs/plannerorders.cpp
@@ -111,6 +111,10 @@
   this->NextStopAt = TimePoint::max();
   for (auto &[Id, Executor] : this->Executors) {
     this->resendBarringStops(Executor, Now);
+    if (!Executor.HasReported) {
+      this->releaseLostStarts(Executor, Now);
+      continue;
+    }
     for (const auto &[Key, Number] : Executor.Runs) {
       RunRecord &Run = *this->findTask(Key)->Current;
       if (Run.NextStopAt > Now) {
--- a/src/libs/jobs/plannerrecords_p.h
+++ b/src/libs/jobs/plannerrecords_p.h
@@ -53,6 +53,9 @@
   /// When to stop a run whose start was not answered, unless a report lists the
   /// run by then; TimePoint::max() for any other run.
   TimePoint StartTimeoutAt = TimePoint::max();
+  /// From this time on, the start order is certainly lost unless it has been
+  /// carried out; TimePoint::min() if the order has not been sent.
+  TimePoint OrderLostAt = TimePoint::min();
   /// When it became known that the run has started, from an answer or a report;
   /// TimePoint::max() while that is not known.
   TimePoint KnownSince = TimePoint::max();
--- a/tests/auto/dispatch/tst_executorlink.cpp
+++ b/tests/auto/dispatch/tst_executorlink.cpp
@@ -33,6 +33,7 @@
     Hooks.LastDiscardableEnd = [this](const jobs::ExecutorId &) {
       return this->Discardable;
     };
+    Hooks.OnStartSent = [](const jobs::StartOrder &) {};
     Hooks.OnAcknowledged = [this](const jobs::ExecutorId &, uint64_t Through) {
       this->Acknowledged.push_back(Through);
     };
--- a/tests/auto/dispatch/tst_lateleases.cpp
+++ b/tests/auto/dispatch/tst_lateleases.cpp
@@ -229,6 +229,7 @@
       this->LastReport = Report;
     };
     Hooks.OnAcknowledged = [](const jobs::ExecutorId &, uint64_t) {};
+    Hooks.OnStartSent = [](const jobs::StartOrder &) {};
     Hooks.OnStartAnswered = [](TimePoint, TimePoint) {};
     Hooks.OnStart = [](const jobs::StartOrder &, jobs::StartOutcome,
                        jobs::ExecutorTime) {};
--- a/tests/auto/jobs/tst_incarnations.cpp
+++ b/tests/auto/jobs/tst_incarnations.cpp
@@ -74,6 +74,22 @@
     return Orders.front();
   }
 
+  /// Starts a job of one task on "a", loses that executor before it answers,
+  /// and lists another one with room.
+  StartOrder loseUnanswered(ExecutorLoss Cause, bool IsSent = true) {
+    const StartOrder Order = this->startOne("1", false);
+    if (IsSent)
+      this->Planner.noteStartSent(Order, this->Time.now());
+    this->Time.advance(milliseconds(800));
+    this->Planner.noteStart(Order, StartOutcome::Unknown, 0, this->Time.now());
+    this->Planner.noteEmpty(Order.Executor, Cause, this->Time.now());
+    this->Planner.setExecutors({executor("a", 4000), executor("c", 4000)});
+    this->reportFrom("c", First, 50000, {}, {});
+    // The crash is stored before the task starts again.
+    this->store();
+    return Order;
+  }
+
   uint64_t discardable() const {
     return this->Planner.lastDiscardableEnd(ExecutorId("a"));
   }
@@ -179,6 +195,116 @@
   CHECK(Fixture.takeOrders<StopOrder>().empty());
 }
 
+// Guards against a task that is done elsewhere and then started again by a late
+// order, which the next incarnation carries out before it can be told anything.
+TEST_CASE(
+    "an unanswered start on a lost executor is awaited until it is lost") {
+  for (const ExecutorLoss Cause :
+       {ExecutorLoss::LeasesExpired, ExecutorLoss::MachineLost}) {
+    RestartFixture Fixture;
+    Fixture.loseUnanswered(Cause);
+    CHECK(Fixture.starts().empty());
+    // Orders are carried out up to 12 s late.
+    Fixture.Time.advance(milliseconds(11500));
+    CHECK(Fixture.starts().empty());
+    Fixture.Planner.noteEmpty(ExecutorId("a"), ExecutorLoss::MachineLost,
+                              Fixture.Time.now());
+    Fixture.store();
+    CHECK(Fixture.starts().empty());
+    Fixture.Time.advance(seconds(4));
+    const auto Again = Fixture.starts();
+    REQUIRE(Again.size() == 1);
+    CHECK(Again.front().Executor == ExecutorId("c"));
+    CHECK(Again.front().Run == 2);
+  }
+}
+
+// Guards against a task that waits although no later incarnation can carry out
+// its order.
+TEST_CASE("an unanswered start is not awaited if it cannot be carried out") {
+  SECTION("another executor answers at the address") {
+    RestartFixture Fixture;
+    Fixture.loseUnanswered(ExecutorLoss::Replaced);
+    CHECK(Fixture.starts().size() == 1);
+  }
+  SECTION("another executor answers after the machine was lost") {
+    RestartFixture Fixture;
+    const StartOrder Order = Fixture.loseUnanswered(ExecutorLoss::MachineLost);
+    CHECK(Fixture.starts().empty());
+    Fixture.Planner.noteEmpty(Order.Executor, ExecutorLoss::Replaced,
+                              Fixture.Time.now());
+    CHECK(Fixture.starts().size() == 1);
+  }
+  SECTION("the order has not been sent") {
+    RestartFixture Fixture;
+    Fixture.loseUnanswered(ExecutorLoss::MachineLost, false);
+    CHECK(Fixture.starts().size() == 1);
+  }
+  SECTION("the order has been refused") {
+    RestartFixture Fixture;
+    const StartOrder Order = Fixture.loseUnanswered(ExecutorLoss::MachineLost);
+    Fixture.Planner.noteStart(Order, StartOutcome::NoRoom, 0,
+                              Fixture.Time.now());
+    CHECK(Fixture.starts().size() == 1);
+  }
+}
+
+// Guards against a second run beside one that the next incarnation has started
+// on a late order.
+TEST_CASE("a late start on the next incarnation is the task's run") {
+  RestartFixture Fixture;
+  const StartOrder Order = Fixture.loseUnanswered(ExecutorLoss::MachineLost);
+  Fixture.Time.advance(seconds(3));
+  Fixture.reportFrom("a", Second, 5, {{Order.Task, Order.Run, "", 10, 0}}, {});
+  CHECK(Fixture.starts().empty());
+  Fixture.Time.advance(seconds(20));
+  CHECK(Fixture.starts().empty());
+  CHECK(Fixture.takeOrders<StopOrder>().empty());
+  Fixture.reportFrom("a", Second, 20900, {},
+                     {{1, Order.Task, Order.Run, RunEnd::Done, ""}});
+  Fixture.store();
+  CHECK(Fixture.starts().empty());
+  CHECK(Fixture.Planner.shownState(JobId("1")) == JobState::Completed);
+}
+
+// Guards against a task that starts elsewhere while the next incarnation may
+// still carry the late order out, and against one that waits longer than that.
+TEST_CASE("an awaited start is stopped at the next incarnation at once") {
+  RestartFixture Fixture;
+  const StartOrder Order = Fixture.loseUnanswered(ExecutorLoss::MachineLost);
+  Fixture.Time.advance(seconds(3));
+  Fixture.reportFrom("a", Second, 5, {}, {});
+  Fixture.Planner.repeatStops(Fixture.Time.now());
+  const auto Stops = Fixture.takeOrders<StopOrder>();
+  REQUIRE(Stops.size() == 1);
+  CHECK(Stops.front().Task == Order.Task);
+  CHECK(Stops.front().Run == Order.Run);
+  CHECK(Fixture.starts().empty());
+  Fixture.Planner.noteStop(Stops.front(), 10, Fixture.Time.now());
+  CHECK(Fixture.starts().empty());
+  Fixture.reportFrom("a", Second, 20, {}, {});
+  CHECK(Fixture.starts().size() == 1);
+}
+
+// Guards against an awaited start that holds the end of its job up.
+TEST_CASE("a cancelled job does not await a late start") {
+  RestartFixture Fixture;
+  const StartOrder Order = Fixture.loseUnanswered(ExecutorLoss::MachineLost);
+  Fixture.Planner.cancel(JobId("1"), Fixture.Time.now());
+  Fixture.Planner.repeatStops(Fixture.Time.now());
+  CHECK(Fixture.takeOrders<StopOrder>().empty());
+  Fixture.store();
+  // The next incarnation is told to refuse the run that was given up.
+  Fixture.Time.advance(seconds(3));
+  Fixture.reportFrom("a", Second, 5, {}, {});
+  Fixture.Planner.repeatStops(Fixture.Time.now());
+  const auto Stops = Fixture.takeOrders<StopOrder>();
+  REQUIRE(Stops.size() == 1);
+  CHECK(Stops.front().Run == Order.Run);
+  CHECK(Fixture.Planner.shownState(JobId("1")) == JobState::Cancelled);
+  CHECK(Fixture.starts().empty());
+}
+
 // Guards against tasks that crash executors without a bound because these come
 // back under the same id.
 TEST_CASE("a restart under the same id counts as a crash, and once") {
