--- a/src/libs/jobs/plannerincarnations.cpp
+++ b/src/libs/jobs/plannerincarnations.cpp
@@ -7,10 +7,6 @@
 
 using namespace Internal;
 
-/// Time after which a start order that was not answered is certainly lost.
-/// Executors may carry an order out many seconds late.
-static constexpr Duration MaxOrderDelay = MaxCallDelay;
-
 /// Whether the report lists the run as running or ended.
 static bool isListed(const ExecutorReport &Report, const TaskKey &Task,
                      uint64_t Number) {
@@ -81,6 +77,11 @@
 bool Planner::Private::mayStartLate(const TaskKey &Key, const RunRecord &Run,
                                     TimePoint Now) {
   const JobRecord &Job = *this->findJob(Key.Step.Job);
+  const StepSpec &Spec = this->stepSpec(Job, Key.Step);
+  // A service that is away for seconds is worse than one that runs twice until
+  // the executor has been reached.
+  if (Spec.IsLongRunning || Spec.AllowsCopies)
+    return false;
   return Run.KnownSince == TimePoint::max() && Now < Run.OrderLostAt &&
          !isFinal(Job.State) && !this->findTask(Key)->Stored.IsDone;
 }
