--- a/cmake/whintack.cmake
+++ b/cmake/whintack.cmake
@@ -24,13 +24,13 @@
 endfunction()
 
 # Adds the test program tst_NAME and registers it with CTest.
-#   whintack_add_test(NAME SOURCES tst_a.cpp ... DEPENDS ...)
+#   whintack_add_test(NAME SOURCES tst_a.cpp ... DEPENDS ... [ARGUMENTS ...])
 function(whintack_add_test name)
-  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;ARGUMENTS" ${ARGN})
   add_executable(tst_${name} ${ARG_SOURCES})
   target_link_libraries(tst_${name} PRIVATE whintack_catchmain ${ARG_DEPENDS})
   target_compile_definitions(tst_${name}
     PRIVATE WHINTACK_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
-  add_test(NAME ${name} COMMAND tst_${name})
+  add_test(NAME ${name} COMMAND tst_${name} ${ARG_ARGUMENTS})
   set_tests_properties(${name} PROPERTIES TIMEOUT 300)
 endfunction()
