--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES = cmake ninja-build g++ pkg-config libcpprest-dev \
   libflatbuffers-dev prometheus-cpp-dev libgoogle-glog-dev libpopt-dev \
   libyaml-cpp-dev catch2 libboost-dev librapidcheck-dev libbenchmark-dev \
-  libssl-dev
+  libssl-dev python3
 BUILD = build
 SUDO = $(shell test "$$(id -u)" = 0 || echo sudo)
 
--- /dev/null
+++ b/tests/soak/deployment.py
@@ -0,0 +1,78 @@
+"""A deployment of real entry VMs on loopback addresses for the soak and for
+regression tests, after the stand-ins of review/world.py."""
+import asyncio, os, signal, subprocess, sys, time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+sys.path.insert(0, os.path.join(ROOT, "review"))
+sys.dont_write_bytecode = True
+import world  # noqa: E402
+from world import Reply, make_route, standard_config  # noqa: E402,F401
+
+ZONES = ["olympia-a", "tacoma-b", "salem-c"]
+QUEUE = "quote"
+
+
+class Deployment(world.World):
+    """Entry VMs, their platform and executors, and when each job's tasks began."""
+
+    def __init__(self, record, program):
+        super().__init__(record)
+        self.program = os.path.abspath(program)
+        self.starts = {}        # job -> times at which its tasks began
+        self.disturbed = {}     # VM -> end of the last time in which its process may not have run
+
+    def run_begun(self, executor, run):
+        self.starts.setdefault(run.task.split(".")[0], []).append(time.monotonic())
+        super().run_begun(executor, run)
+
+    def start_node(self, name):
+        node = self.nodes[name]
+        with open(os.path.join(self.temporary, name + ".log"), "ab") as log:
+            node["process"] = subprocess.Popen(
+                [self.program, "entry", "--settings", node["settings"]], cwd=ROOT, stdout=log, stderr=log,
+                stdin=subprocess.DEVNULL, env={k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ})
+        self.processes.append(node["process"])
+        self.disturbed[name] = time.monotonic()
+        self.note(f"node {name} started")
+
+    def is_up(self, name):
+        process = self.nodes[name]["process"]
+        return process is not None and process.poll() is None
+
+    async def settled(self, nodes, machines, settle=5, per_rack=2):
+        await self.set_up(ZONES, ["portal"], machines=machines, nodes=nodes, settle=settle, spare=False,
+                          per_rack=per_rack, routes=[make_route(QUEUE, "/quote1/", "portal")])
+
+    def suspend(self, name, seconds):
+        """Stops the process for a while."""
+        async def resume():
+            await asyncio.sleep(seconds)
+            self.disturbed[name] = time.monotonic()
+            if self.is_up(name):
+                self.signal_node(name, signal.SIGCONT)
+        self.disturbed[name] = time.monotonic() + seconds
+        self.signal_node(name, signal.SIGSTOP)
+        return self.spawn(resume())
+
+
+def run(scenario, record, program, seconds):
+    """Runs a scenario within a time. Returns the rules that it broke."""
+    async def main():
+        deployed = Deployment(record, program)
+        deployed.spawn(deployed.store.run())
+        await deployed.cloud.open()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
+        try:
+            async with asyncio.timeout(seconds):
+                await scenario(deployed)
+        except Reply as reply:
+            deployed.broken(f"the run could not be made: {reply.body}")
+        except TimeoutError:
+            deployed.broken(f"the run did not end within {seconds} s")
+        finally:
+            await deployed.close()
+            for task in list(deployed.tasks):
+                task.cancel()
+        return list(deployed.breaks)
+    return asyncio.run(main())
