Dispatch: Answer each request by its deadline

Callers saw: no answer by Deadline-Ms while the store was silent.

The deadline now counts from the arrival and ends the request: POST and DELETE with 504, GET with 503. A commit that is carried out afterwards is announced to the planner. A suspended process sends no further commit after the deadline.

--- a/src/libs/dispatch/commithistory.cpp
+++ b/src/libs/dispatch/commithistory.cpp
@@ -18,6 +18,7 @@
 
 void CommitHistory::noteEnd(
     const store::StoreResult<store::CommitAnswer> &Answer) {
+  ++this->Ended;
   ++this->Outcomes[outcomeOf(Answer)];
   this->Path = Answer ? store::StorePath::Unknown : Answer.error().Path;
 }
--- a/src/libs/dispatch/commithistory.h
+++ b/src/libs/dispatch/commithistory.h
@@ -16,6 +16,8 @@
   void noteEnd(const store::StoreResult<store::CommitAnswer> &Answer);
 
   size_t count() const { return this->Count; }
+  /// The number of commits that have not ended.
+  size_t open() const { return this->Count - this->Ended; }
   TimePoint firstBegin() const { return this->First; }
   TimePoint lastBegin() const { return this->Last; }
   /// The number of commits for each way in which they ended, such as
@@ -26,6 +28,7 @@
 
 private:
   size_t Count = 0;
+  size_t Ended = 0;
   TimePoint First = TimePoint::min();
   TimePoint Last = TimePoint::min();
   store::StorePath Path = store::StorePath::Unknown;
--- a/src/libs/dispatch/jobrequestaccess.cpp
+++ b/src/libs/dispatch/jobrequestaccess.cpp
@@ -1,7 +1,5 @@
 #include "jobrequesthandler.h"
 
-#include "jobresponses.h"
-
 #include <algorithm>
 #include <charconv>
 
@@ -11,8 +9,9 @@
 
 /// Time for a request without a deadline of its own.
 static constexpr Duration DefaultTimeout = std::chrono::seconds(3);
-/// Reserved from the client's deadline for sending the answer.
-static constexpr Duration AnswerMargin = std::chrono::milliseconds(300);
+/// Reserved from the client's deadline for sending the answer, but at most half
+/// of the time until then.
+static constexpr Duration MaxAnswerMargin = std::chrono::milliseconds(300);
 /// Maximum time spent on one request.
 static constexpr Duration MaxRequestTime = std::chrono::seconds(5);
 static constexpr size_t MaxLoggedPathBytes = 80;
@@ -39,6 +38,14 @@
   return Request.Target.substr(0, Request.Target.find('?'));
 }
 
+/// The time by which a request must be answered.
+static TimePoint answerDeadline(const http::HttpRequest &Request,
+                                TimePoint Arrived) {
+  const Duration Given = clientTimeout(Request);
+  return Arrived +
+         std::min(MaxRequestTime, Given - std::min(MaxAnswerMargin, Given / 2));
+}
+
 void JobRequestHandler::handle(const http::HttpRequest &Request,
                                http::Responder Respond) {
   if (!this->Configuration.Queues()) {
@@ -47,15 +54,29 @@
     Respond(errorResponse(status::ServiceUnavailable, "no configuration yet"));
     return;
   }
-  const TimePoint Arrived = this->Shared.now();
+  ReceivedRequest Received;
+  Received.Request = Request;
+  Received.Arrived = this->Shared.now();
+  Received.Deadline = answerDeadline(Request, Received.Arrived);
+  Received.Answer = std::make_shared<PendingAnswer>(std::move(Respond));
+  if (const jobs::JobId Id = jobOfPath(requestPath(Request));
+      Request.Method == "POST" && !Id.isEmpty())
+    Received.Submission = this->Submissions->open(Id);
   if (!this->mustRefresh()) {
-    this->route(Request, std::move(Respond), Arrived);
+    this->route(std::move(Received));
     return;
   }
-  this->Configuration.Refresh([Weak = this->weak_from_this(), Request, Arrived,
-                               Respond = std::move(Respond)]() mutable {
-    if (const auto Self = Weak.lock())
-      Self->route(Request, std::move(Respond), Arrived);
+  scheduleFor(this->Shared.Loop, this->shared_from_this(), Received.Deadline,
+              [Request, Weak = std::weak_ptr<PendingAnswer>(Received.Answer)](
+                  JobRequestHandler &Self) {
+                if (const auto Answer = Weak.lock())
+                  Self.expireUnrouted(Request, Answer);
+              });
+  this->Configuration.Refresh([Weak = this->weak_from_this(),
+                               Received = std::move(Received)]() mutable {
+    const auto Self = Weak.lock();
+    if (Self && !Received.Answer->isSent())
+      Self->route(std::move(Received));
   });
 }
 
@@ -103,34 +124,48 @@
                        "the configuration may be out of date");
 }
 
-void JobRequestHandler::route(const http::HttpRequest &Request,
-                              http::Responder Respond, TimePoint Arrived) {
+void JobRequestHandler::expireUnrouted(
+    const http::HttpRequest &Request,
+    const std::shared_ptr<PendingAnswer> &Answer) {
+  if (Answer->isSent())
+    return;
+  // No commit was made, but those of earlier requests are not known.
+  const int Status = Request.Method == "GET" ? status::ServiceUnavailable
+                                             : status::GatewayTimeout;
+  const std::string Reason = "the configuration could not be read in time";
+  this->logUnrouted(Request, Status, Reason);
+  Answer->send(errorResponse(Status, Reason));
+}
+
+void JobRequestHandler::route(ReceivedRequest Received) {
+  const http::HttpRequest &Request = Received.Request;
   const std::shared_ptr<const jobs::QueueTable> CurrentQueues =
       this->Configuration.Queues();
   const std::string Path = requestPath(Request);
   const jobs::Queue *Queue = CurrentQueues->find(requestHost(Request), Path);
   const std::string Key = Request.Headers.find("Key").value_or("");
   const tenants::AccessDecision Access =
-      this->decideAccess(*CurrentQueues, Queue, Key, Arrived);
+      this->decideAccess(*CurrentQueues, Queue, Key, Received.Arrived);
   if (Access.Outcome != tenants::AccessOutcome::Allowed) {
+    Received.Submission = nullptr;
     const http::HttpResponse Refusal = refusalOf(Access.Outcome);
     if (Queue)
       this->logKeyRefusal(Request, Access, Refusal.Status, Queue->Name);
     else
       this->logUnknownQueue(Request, Refusal.Status,
                             CurrentQueues->configuration().Version);
-    Respond(Refusal);
+    Received.Answer->send(Refusal);
     return;
   }
   const std::string IdText = Path.substr(Queue->Prefix.size());
   if (IdText.empty() && Request.Method == "GET") {
-    this->showWaiting(*CurrentQueues, Queue->Name, Respond);
+    this->showWaiting(*CurrentQueues, Queue->Name, Received.Answer);
     return;
   }
   if (!isJobId(IdText)) {
     this->logUnrouted(Request, status::NotFound, "no job in the path");
-    Respond(errorResponse(status::NotFound,
-                          "expected a job of 16 hexadecimal digits"));
+    Received.Answer->send(errorResponse(
+        status::NotFound, "expected a job of 16 hexadecimal digits"));
     return;
   }
   auto Job = std::make_shared<JobRequest>();
@@ -144,10 +179,14 @@
   Job->Tenant = Access.Tenant;
   Job->Queues = CurrentQueues;
   Job->Queue = Queue;
-  Job->Respond = std::move(Respond);
-  Job->Deadline =
-      this->Shared.now() +
-      std::min(MaxRequestTime, clientTimeout(Request) - AnswerMargin);
+  Job->Answer = Received.Answer;
+  Job->Deadline = Received.Deadline;
+  Job->Submission = std::move(Received.Submission);
+  scheduleFor(this->Shared.Loop, this->shared_from_this(), Job->Deadline,
+              [Weak = std::weak_ptr<JobRequest>(Job)](JobRequestHandler &Self) {
+                if (const auto Open = Weak.lock())
+                  Self.expire(Open);
+              });
   const size_t MaxBytes = CurrentQueues->configuration().MaxBodyBytes;
   if (Request.Method == "POST" && MaxBytes > 0 &&
       Request.Body.size() > MaxBytes)
--- a/src/libs/dispatch/jobrequesthandler.cpp
+++ b/src/libs/dispatch/jobrequesthandler.cpp
@@ -1,6 +1,5 @@
 #include "jobrequesthandler.h"
 
-#include "jobresponses.h"
 #include "storekeys.h"
 
 namespace whintack::dispatch::Internal {
@@ -10,12 +9,7 @@
 static constexpr int Forbidden = 403;
 static constexpr int Gone = 410;
 static constexpr Duration StoreRetryDelay = std::chrono::milliseconds(120);
-/// How long to wait for a planner before reading the store instead.
-static constexpr Duration PlannerTimeout = std::chrono::milliseconds(500);
 static constexpr int64_t MaxNoticeAttempts = 20;
-/// Time for the other VMs to tell what they know of a job that is not stored.
-/// Taken from what is reserved for sending the answer.
-static constexpr Duration OutcomeTimeout = std::chrono::milliseconds(150);
 
 JobRequestHandler::JobRequestHandler(
     Context Shared, jobs::PlatformCodec Codec,
@@ -38,7 +32,7 @@
   RefusedRequest Refused{Job.Id, Job.Method, Status, Reason};
   if (Status == Forbidden)
     Refused.Tenant = Job.Tenant;
-  if (Job.Method == "POST")
+  if (Job.Commits.count() > 0 || Job.Method == "POST")
     logRefusal(Refused, Job.Commits, this->Shared.now());
   else
     logRefusal(Refused);
@@ -46,13 +40,39 @@
 
 void JobRequestHandler::refuse(const SharedJobRequest &Job, int Status,
                                const std::string &Reason) const {
+  this->refuse(Job, Status, Reason, Reason);
+}
+
+void JobRequestHandler::refuse(const SharedJobRequest &Job, int Status,
+                               const std::string &Reason,
+                               const std::string &Shown) const {
+  if (Job->Answer->isSent())
+    return;
   this->logRefusedJob(*Job, Status, Reason);
-  Job->Respond(errorResponse(Status, Reason));
+  if (Job->Commits.open() == 0)
+    Job->Submission = nullptr;
+  Job->Answer->send(errorResponse(Status, Shown));
 }
 
 void JobRequestHandler::refuseOtherTenant(const SharedJobRequest &Job) const {
-  this->logRefusedJob(*Job, Forbidden, "other-tenant");
-  Job->Respond(errorResponse(Forbidden, "the job belongs to another tenant"));
+  this->refuse(Job, Forbidden, "other-tenant",
+               "the job belongs to another tenant");
+}
+
+void JobRequestHandler::expire(const SharedJobRequest &Job) {
+  if (Job->Answer->isSent() || Job->AreOthersAsked)
+    return;
+  const std::string Reason = "no outcome by the deadline";
+  if (Job->Method == "POST") {
+    this->Submissions->noteMayBeStored(Job->Id);
+    this->refuseUnstored(Job, true, Reason);
+  } else if (Job->Method == "DELETE") {
+    this->refuse(Job, status::GatewayTimeout, Reason,
+                 "it is not known whether the job is cancelled");
+  } else {
+    this->refuse(Job, status::ServiceUnavailable, Reason,
+                 "the job's state is not known at present");
+  }
 }
 
 void JobRequestHandler::submit(const SharedJobRequest &Job,
@@ -64,7 +84,6 @@
   }
   Job->Record = encodeStoredJob({Job->QueueName, this->Shared.Time.WallNow(),
                                  Body, std::nullopt, Job->Tenant, *Job->Queue});
-  Job->Submission = this->Submissions->open(Job->Id);
   this->storeJob(Job);
 }
 
@@ -128,7 +147,7 @@
     return;
   }
   this->logAccepted(*Job, Answer, Stored);
-  Job->Respond(http::jsonResponse(status::Ok, "{}"));
+  Job->Answer->send(http::jsonResponse(status::Ok, "{}"));
   this->announce(Job, Stored, AnnounceCause::Accepted);
 }
 
@@ -149,24 +168,41 @@
             {"again", Answer.IsCommitted ? "no" : "yes"},
             {"revision", Answer.Revision},
             {"stored-ms", StoredFor},
+            {"late", Job.Answer->isSent() ? "yes" : ""},
             {"commits", IsFirst ? "" : std::to_string(Job.Commits.count())},
             {"outcomes", IsFirst ? "" : Job.Commits.outcomes()}});
 }
 
 void JobRequestHandler::retryStoring(const SharedJobRequest &Job,
                                      const std::string &Cause) {
+  if (Job->Answer->isSent())
+    return;
   const TimePoint Next =
       this->Shared.now() + this->Shared.jittered(StoreRetryDelay);
-  if (Next < Job->Deadline) {
-    scheduleFor(this->Shared.Loop, this->shared_from_this(), Next,
-                [Job](JobRequestHandler &Self) { Self.storeJob(Job); });
+  if (Next >= Job->Deadline) {
+    this->endStoring(Job, Cause);
     return;
   }
+  scheduleFor(this->Shared.Loop, this->shared_from_this(), Next,
+              [Job, Cause](JobRequestHandler &Self) {
+                // The process may have been suspended meanwhile.
+                if (Self.Shared.now() < Job->Deadline)
+                  Self.storeJob(Job);
+                else
+                  Self.endStoring(Job, Cause);
+              });
+}
+
+void JobRequestHandler::endStoring(const SharedJobRequest &Job,
+                                   const std::string &Cause) {
+  if (Job->Answer->isSent())
+    return;
   Job->Submission = nullptr;
   if (Job->IsOutcomeUnknown) {
     this->refuseUnstored(Job, true, Cause);
     return;
   }
+  Job->AreOthersAsked = true;
   this->Submissions->ask(
       Job->Id, OutcomeTimeout,
       [Weak = this->weak_from_this(), Job, Cause](SubmissionOutcome Outcome) {
@@ -179,12 +215,12 @@
 void JobRequestHandler::refuseUnstored(const SharedJobRequest &Job,
                                        bool IsOutcomeUnknown,
                                        const std::string &Cause) {
-  const int Status =
-      IsOutcomeUnknown ? status::GatewayTimeout : status::ServiceUnavailable;
-  this->logRefusedJob(*Job, Status, Cause);
-  Job->Respond(errorResponse(
-      Status, IsOutcomeUnknown ? "it is not known whether the job is stored"
-                               : "the job could not be stored"));
+  if (IsOutcomeUnknown)
+    this->refuse(Job, status::GatewayTimeout, Cause,
+                 "it is not known whether the job is stored");
+  else
+    this->refuse(Job, status::ServiceUnavailable, Cause,
+                 "the job could not be stored");
 }
 
 void JobRequestHandler::announce(const SharedJobRequest &Job,
@@ -272,7 +308,7 @@
           return;
         const auto State = valueOf(jobs::JobStateNames, Answer.Content);
         if (Answer.Outcome == CallOutcome::Done && State) {
-          Job->Respond(
+          Job->Answer->send(
               http::jsonResponse(status::Ok, Self->Codec.EncodeState(*State)));
           return;
         }
@@ -285,34 +321,35 @@
         Self->findRecord(
             Job, Retry,
             [Self, Job, IsUnknown](store::StoreResult<std::string> Record) {
-              if (!Record) {
-                Self->logRefusedJob(*Job, status::ServiceUnavailable,
-                                    Record.error().Message);
-                Job->Respond(
-                    errorResponse(status::ServiceUnavailable,
-                                  "the job's state is not known at present"));
-                return;
-              }
-              if (Record.value().empty()) {
+              if (!Record)
+                Self->refuse(Job, status::ServiceUnavailable,
+                             Record.error().Message,
+                             "the job's state is not known at present");
+              else if (Record.value().empty())
                 Self->refuse(Job, Gone, "no such job");
-                return;
-              }
-              const auto Stored = decodeStoredJob(Record.value());
-              if (Stored && isOtherTenant(*Job, Stored.value())) {
-                Self->refuseOtherTenant(Job);
-                return;
-              }
-              const jobs::JobState Shown = Stored && Stored.value().End
-                                               ? *Stored.value().End
-                                               : jobs::JobState::Queued;
-              Job->Respond(http::jsonResponse(status::Ok,
-                                              Self->Codec.EncodeState(Shown)));
-              if (IsUnknown && Stored)
-                Self->announce(Job, Record.value(), AnnounceCause::StateAsked);
+              else
+                Self->showRecord(Job, Record.value(), IsUnknown);
             });
       });
 }
 
+void JobRequestHandler::showRecord(const SharedJobRequest &Job,
+                                   const std::string &Record,
+                                   bool IsUnknownToPlanner) {
+  const auto Stored = decodeStoredJob(Record);
+  if (Stored && isOtherTenant(*Job, Stored.value())) {
+    this->refuseOtherTenant(Job);
+    return;
+  }
+  const jobs::JobState Shown = Stored && Stored.value().End
+                                   ? *Stored.value().End
+                                   : jobs::JobState::Queued;
+  Job->Answer->send(
+      http::jsonResponse(status::Ok, this->Codec.EncodeState(Shown)));
+  if (IsUnknownToPlanner && Stored)
+    this->announce(Job, Record, AnnounceCause::StateAsked);
+}
+
 void JobRequestHandler::cancel(const SharedJobRequest &Job) {
   this->Calls->call(
       {0, Job->Service, peers::ServiceCallKind::CancelJob, Job->Id.text(),
@@ -323,7 +360,7 @@
         if (!Self)
           return;
         if (Answer.Outcome == CallOutcome::Done)
-          Job->Respond(http::jsonResponse(status::Ok, "{}"));
+          Job->Answer->send(http::jsonResponse(status::Ok, "{}"));
         else if (Answer.Outcome == CallOutcome::OtherTenant)
           Self->refuseOtherTenant(Job);
         else
@@ -340,57 +377,59 @@
   this->findRecord(
       Job, Retry,
       [Self, Job, IsUnknownToPlanner](store::StoreResult<std::string> Record) {
-        if (!Record) {
-          Self->logRefusedJob(*Job, status::ServiceUnavailable,
-                              Record.error().Message);
-          Job->Respond(errorResponse(status::ServiceUnavailable,
-                                     "the job cannot be cancelled at present"));
-          return;
-        }
-        if (Record.value().empty()) {
+        if (!Record)
+          Self->refuse(Job, status::ServiceUnavailable, Record.error().Message,
+                       "the job cannot be cancelled at present");
+        else if (Record.value().empty())
           Self->refuse(Job, Gone, "no such job");
-          return;
-        }
-        const auto Stored = decodeStoredJob(Record.value());
-        if (Stored && isOtherTenant(*Job, Stored.value())) {
-          Self->refuseOtherTenant(Job);
-          return;
-        }
-        if (Stored && Stored.value().End) {
-          Job->Respond(http::jsonResponse(status::Ok, "{}"));
-          return;
-        }
-        if (IsUnknownToPlanner)
-          Self->announce(Job, Record.value(), AnnounceCause::CancelAsked);
-        Self->writeNotice(
-            Job, keys::cancellations(Job->Service) + Job->Id.text(), "{}",
-            MaxNoticeAttempts / 4, [Self, Job](bool IsStored) {
-              logEvent(LogLevel::Info, "cancel-noted",
-                       {{"job", Job->Id}, {"stored", IsStored ? "yes" : "no"}});
-              if (IsStored)
-                Job->Respond(http::jsonResponse(status::Ok, "{}"));
-              else
-                Self->refuse(Job, status::GatewayTimeout,
-                             "it is not known whether the job is cancelled");
-            });
+        else
+          Self->cancelRecord(Job, Record.value(), IsUnknownToPlanner);
+      });
+}
+
+void JobRequestHandler::cancelRecord(const SharedJobRequest &Job,
+                                     const std::string &Record,
+                                     bool IsUnknownToPlanner) {
+  const auto Stored = decodeStoredJob(Record);
+  if (Stored && isOtherTenant(*Job, Stored.value())) {
+    this->refuseOtherTenant(Job);
+    return;
+  }
+  if (Stored && Stored.value().End) {
+    Job->Answer->send(http::jsonResponse(status::Ok, "{}"));
+    return;
+  }
+  if (IsUnknownToPlanner)
+    this->announce(Job, Record, AnnounceCause::CancelAsked);
+  this->writeNotice(
+      Job, keys::cancellations(Job->Service) + Job->Id.text(), "{}",
+      MaxNoticeAttempts / 4,
+      [Self = this->shared_from_this(), Job](bool IsStored) {
+        logEvent(LogLevel::Info, "cancel-noted",
+                 {{"job", Job->Id}, {"stored", IsStored ? "yes" : "no"}});
+        if (IsStored)
+          Job->Answer->send(http::jsonResponse(status::Ok, "{}"));
+        else
+          Self->refuse(Job, status::GatewayTimeout,
+                       "it is not known whether the job is cancelled");
       });
 }
 
-void JobRequestHandler::showWaiting(const jobs::QueueTable &Queues,
-                                    const std::string &QueueName,
-                                    const http::Responder &Respond) {
+void JobRequestHandler::showWaiting(
+    const jobs::QueueTable &Queues, const std::string &QueueName,
+    const std::shared_ptr<PendingAnswer> &Answer) {
   this->Waiting->count(
       Queues, QueueName,
-      [Weak = this->weak_from_this(), Respond](std::optional<size_t> Count) {
+      [Weak = this->weak_from_this(), Answer](std::optional<size_t> Count) {
         const auto Self = Weak.lock();
         if (!Self)
           return;
         if (Count)
-          Respond(http::jsonResponse(status::Ok,
-                                     Self->Codec.EncodeWaiting(*Count)));
+          Answer->send(http::jsonResponse(status::Ok,
+                                          Self->Codec.EncodeWaiting(*Count)));
         else
-          Respond(errorResponse(status::ServiceUnavailable,
-                                "the count is not known at present"));
+          Answer->send(errorResponse(status::ServiceUnavailable,
+                                     "the count is not known at present"));
       });
 }
 
--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -1,11 +1,10 @@
 #ifndef WHINTACK_DISPATCH_JOBREQUESTHANDLER_H
 #define WHINTACK_DISPATCH_JOBREQUESTHANDLER_H
 
-#include "commithistory.h"
 #include "jobownership.h"
 #include "jobrecords.h"
+#include "jobresponses.h"
 #include "servicecalls.h"
-#include "submissiontracker.h"
 #include "waitingcounts.h"
 
 #include "whintack/base/loglimiter.h"
@@ -50,6 +49,8 @@
 /// unknown outcome is answered as a time-out, never as "not accepted" or "no
 /// such job".
 ///
+/// Each request is answered by its deadline, also if the store is silent.
+///
 /// A job belongs for good to the service that its queue had in the
 /// configuration by which it was accepted. Later configurations, and VMs that
 /// know another version, may send the queue elsewhere.
@@ -71,6 +72,12 @@
   void handle(const http::HttpRequest &Request, http::Responder Respond);
 
 private:
+  /// Time for the other VMs to tell what they know of a job that is not stored.
+  /// Taken from what is reserved for sending the answer.
+  static constexpr Duration OutcomeTimeout = std::chrono::milliseconds(150);
+  /// How long to wait for a planner before reading the store instead.
+  static constexpr Duration PlannerTimeout = std::chrono::milliseconds(500);
+
   /// Age of the configuration at \p At; Duration::max() if it is not known.
   Duration configurationAge(TimePoint At) const;
   /// Whether the configuration must be read again before a request is handled.
@@ -79,9 +86,21 @@
                                        const jobs::Queue *Queue,
                                        const std::string &Key,
                                        TimePoint Arrived) const;
+  /// A request that has been read and is not routed yet.
+  struct ReceivedRequest {
+    http::HttpRequest Request;
+    TimePoint Arrived;
+    TimePoint Deadline;
+    std::shared_ptr<PendingAnswer> Answer;
+    /// Held from the arrival, for a request that may submit a job.
+    SubmissionTracker::OpenSubmission Submission;
+  };
+
+  /// Answers a request that still waits for the configuration at its deadline.
+  void expireUnrouted(const http::HttpRequest &Request,
+                      const std::shared_ptr<PendingAnswer> &Answer);
   /// Handles a request by the current configuration.
-  void route(const http::HttpRequest &Request, http::Responder Respond,
-             TimePoint Arrived);
+  void route(ReceivedRequest Received);
   /// A request that concerns one job and is not answered yet.
   struct JobRequest {
     jobs::JobId Id;
@@ -96,8 +115,10 @@
     std::shared_ptr<const jobs::QueueTable> Queues;
     /// The queue in that configuration.
     const jobs::Queue *Queue = nullptr;
-    http::Responder Respond;
+    std::shared_ptr<PendingAnswer> Answer;
     TimePoint Deadline;
+    /// The VMs have been asked, which takes until after the deadline.
+    bool AreOthersAsked = false;
     /// The record to store, for a submitted job.
     std::string Record;
     /// The stored record, to be announced to the planner.
@@ -119,9 +140,14 @@
                      const std::string &QueueName);
   void logRefusedJob(const JobRequest &Job, int Status,
                      const std::string &Reason) const;
+  /// Answers a request whose outcome is not known at its deadline.
+  void expire(const SharedJobRequest &Job);
   /// Refuses the request, logs \p Reason and tells it to the client.
   void refuse(const SharedJobRequest &Job, int Status,
               const std::string &Reason) const;
+  /// As above, and tells \p Shown to the client instead.
+  void refuse(const SharedJobRequest &Job, int Status,
+              const std::string &Reason, const std::string &Shown) const;
   /// Whether the stored job belongs to a tenant that the request may not act
   /// for.
   static bool isOtherTenant(const JobRequest &Job, const StoredJob &Stored);
@@ -135,6 +161,8 @@
   void logAccepted(const JobRequest &Job, const store::CommitAnswer &Answer,
                    const std::string &Stored) const;
   void retryStoring(const SharedJobRequest &Job, const std::string &Cause);
+  /// Answers a submission for which no further commit is made.
+  void endStoring(const SharedJobRequest &Job, const std::string &Cause);
   void refuseUnstored(const SharedJobRequest &Job, bool IsOutcomeUnknown,
                       const std::string &Cause);
   /// Announces the job to its planner by its stored record, unless it has
@@ -146,10 +174,14 @@
                    const std::string &Content, int64_t AttemptsLeft,
                    const std::function<void(bool)> &Done);
   void showState(const SharedJobRequest &Job);
+  void showRecord(const SharedJobRequest &Job, const std::string &Record,
+                  bool IsUnknownToPlanner);
   void cancel(const SharedJobRequest &Job);
   void cancelInStore(const SharedJobRequest &Job, bool IsUnknownToPlanner);
+  void cancelRecord(const SharedJobRequest &Job, const std::string &Record,
+                    bool IsUnknownToPlanner);
   void showWaiting(const jobs::QueueTable &Queues, const std::string &QueueName,
-                   const http::Responder &Respond);
+                   const std::shared_ptr<PendingAnswer> &Answer);
   using TextCallback = std::function<void(store::StoreResult<std::string>)>;
   /// Reads the value under a key; passes an empty text if there is none.
   void readValue(const SharedJobRequest &Job, const std::string &Key,
--- a/src/libs/dispatch/jobrequestrecords.cpp
+++ b/src/libs/dispatch/jobrequestrecords.cpp
@@ -1,6 +1,5 @@
 #include "jobrequesthandler.h"
 
-#include "jobresponses.h"
 #include "storekeys.h"
 
 namespace whintack::dispatch::Internal {
--- a/src/libs/dispatch/jobresponses.h
+++ b/src/libs/dispatch/jobresponses.h
@@ -2,8 +2,9 @@
 #define WHINTACK_DISPATCH_JOBRESPONSES_H
 
 #include "commithistory.h"
+#include "submissiontracker.h"
 
-#include "whintack/http/httpmessage.h"
+#include "whintack/http/httpserver.h"
 #include "whintack/jobs/jobspec.h"
 
 #include <string>
@@ -14,6 +15,23 @@
 /// it to try again after a second.
 http::HttpResponse errorResponse(int Status, const std::string &Reason);
 
+/// The answer to a request. Only the first one is sent, since a deadline may
+/// come before the outcome.
+class PendingAnswer {
+public:
+  explicit PendingAnswer(http::Responder Respond)
+      : Respond(std::move(Respond)) {}
+
+  bool isSent() const { return !this->Respond; }
+  void send(http::HttpResponse Response) {
+    if (const auto Send = std::exchange(this->Respond, nullptr))
+      Send(std::move(Response));
+  }
+
+private:
+  http::Responder Respond;
+};
+
 /// A request that is refused.
 struct RefusedRequest {
   jobs::JobId Job;
--- a/tests/auto/dispatch/lonehandler.h
+++ b/tests/auto/dispatch/lonehandler.h
@@ -16,6 +16,11 @@
       [](const peers::ServiceCall &) { return peers::ServiceOutcome::Done; };
   /// Returns the queues; null for those of the example fleet.
   std::function<std::shared_ptr<const jobs::QueueTable>()> Queues = nullptr;
+  /// Returns the time through which the configuration is known; null for now.
+  std::function<TimePoint()> KnownThrough = nullptr;
+  /// Reads the configuration again.
+  std::function<void(std::function<void()>)> Refresh =
+      [](const std::function<void()> &Done) { Done(); };
 };
 
 /// Adds the example fleet to \p Platform and returns the request handler of a
@@ -44,7 +49,10 @@
              Platform.codec().DecodeConfiguration("1").value())] {
           return Queues;
         };
-  Configuration.KnownThrough = [&Loop] { return Loop.Time.now(); };
+  Configuration.KnownThrough = std::move(Hooks.KnownThrough);
+  if (!Configuration.KnownThrough)
+    Configuration.KnownThrough = [&Loop] { return Loop.Time.now(); };
+  Configuration.Refresh = std::move(Hooks.Refresh);
   Configuration.IsOutdated = [] { return false; };
   const auto Submissions = std::make_shared<SubmissionTracker>(Shared, Calls);
   Submissions->setPeers({});
--- /dev/null
+++ b/tests/auto/dispatch/tst_requestdeadlines.cpp
@@ -0,0 +1,149 @@
+#include "lonehandler.h"
+#include "storekeys.h"
+
+#include <catch2/catch.hpp>
+
+using namespace whintack;
+using namespace whintack::dispatch::Internal;
+using namespace whintack::tests;
+using peers::ServiceCallKind;
+using peers::ServiceOutcome;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const std::string Id = "00000000000000a1";
+const std::string Key = keys::jobs(ServiceName("quotes")) + Id;
+constexpr int Ok = 200;
+constexpr int ServiceUnavailable = 503;
+constexpr int GatewayTimeout = 504;
+
+/// The answer to a request.
+struct Answered {
+  int Status = 0;
+  /// Time from the request to the answer.
+  Duration Within = Duration::max();
+};
+
+/// A request handler whose store holds calls back.
+class Fixture {
+public:
+  Fixture() {
+    store::AsyncStore Store = this->Platform.store().interface(EntryName("e1"));
+    Store.Commit = [this, Direct = Store.Commit](
+                       const store::StoreTransaction &Change,
+                       const store::StoreCallback<store::CommitAnswer> &Done) {
+      ++this->Commits;
+      this->delay([Direct, Change, Done] { Direct(Change, Done); });
+    };
+    Store.Range = [this, Direct = Store.Range](
+                      const std::string &Prefix, const std::string &After,
+                      store::ReadKind Kind,
+                      const store::StoreCallback<store::StorePage> &Done) {
+      this->delay([this, Direct, Prefix, After, Kind, Done] {
+        Direct(Prefix, After, Kind,
+               [this, Done](store::StoreResult<store::StorePage> Page) {
+                 Done(std::move(Page));
+                 if (this->OnRead)
+                   this->OnRead();
+               });
+      });
+    };
+    LoneHandlerHooks Hooks{Store};
+    Hooks.CallPlanner = [this](const peers::ServiceCall &Call) {
+      if (Call.Kind != ServiceCallKind::SubmitJob)
+        return ServiceOutcome::Unknown;
+      ++this->Announced;
+      return ServiceOutcome::Done;
+    };
+    Hooks.Queues = [this, Queues = std::make_shared<const jobs::QueueTable>(
+                              simulation::exampleConfiguration(1))]() {
+      return this->IsConfigured ? Queues : nullptr;
+    };
+    Hooks.KnownThrough = [this] {
+      return this->Loop.Time.now() - this->ConfigurationAge;
+    };
+    Hooks.Refresh = [this](const std::function<void()> &Done) {
+      this->delay(Done);
+    };
+    this->Handler =
+        makeLoneHandler(this->Loop, this->Platform, std::move(Hooks));
+  }
+
+  std::shared_ptr<Answered> send(const std::string &Method, Duration Deadline,
+                                 const std::string &Queue = "/quotes/") {
+    http::HttpRequest Request;
+    Request.Method = Method;
+    Request.Target = Queue + Id;
+    Request.Headers.set("Host", simulation::ExampleHost);
+    Request.Headers.set("Deadline-Ms",
+                        std::to_string(toMilliseconds(Deadline)));
+    Request.Body = "short";
+    const auto Answer = std::make_shared<Answered>();
+    this->Handler->handle(Request, [this, Answer, Sent = this->Loop.Time.now()](
+                                       const http::HttpResponse &Response) {
+      CHECK(Answer->Status == 0);
+      *Answer = {Response.Status, this->Loop.Time.now() - Sent};
+    });
+    return Answer;
+  }
+
+  SteppedLoop Loop;
+  simulation::SimulatedPlatform Platform{this->Loop.Time.clock(),
+                                         this->Loop.Queue, seededRandom(1)};
+  std::shared_ptr<JobRequestHandler> Handler;
+  Duration StoreDelay = Duration::zero();
+  bool IsConfigured = true;
+  Duration ConfigurationAge = Duration::zero();
+  /// Called after each read of the store.
+  std::function<void()> OnRead;
+  size_t Commits = 0;
+  size_t Announced = 0;
+
+private:
+  void delay(std::function<void()> Call) {
+    this->Loop.Queue.schedule(this->Loop.Time.now() + this->StoreDelay,
+                              std::move(Call));
+  }
+};
+
+} // namespace
+
+// Guards against requests without an answer by their deadline, because the
+// store is silent (issue 61).
+TEST_CASE("a request is answered by its deadline while the store is silent") {
+  const auto Deadline =
+      milliseconds(GENERATE(100, 300, 500, 1000, 1500, 2500, 9000));
+  Fixture Entry;
+  Entry.StoreDelay = seconds(20);
+  std::string Method;
+  int Status = GatewayTimeout;
+  SECTION("a submission") { Method = "POST"; }
+  SECTION("a cancellation") { Method = "DELETE"; }
+  SECTION("a question for the state") {
+    Method = "GET";
+    Status = ServiceUnavailable;
+  }
+  SECTION("a submission that waits for the configuration") {
+    Method = "POST";
+    Entry.ConfigurationAge = seconds(10);
+  }
+  INFO("within " << toMilliseconds(Deadline) << " ms");
+  const auto Answer = Entry.send(Method, Deadline);
+  Entry.Loop.runFor(seconds(60));
+  CHECK(Answer->Status == Status);
+  CHECK(Answer->Within < Deadline);
+}
+
+// Guards against a job that is stored and waits, because its request had been
+// answered before its commit.
+TEST_CASE("a job that is stored after its request was answered is announced") {
+  Fixture Entry;
+  Entry.StoreDelay = seconds(2);
+  const auto Answer = Entry.send("POST", seconds(1));
+  Entry.Loop.runFor(seconds(10));
+  CHECK(Answer->Status == GatewayTimeout);
+  CHECK(Entry.Commits == 1);
+  CHECK(Entry.Announced == 1);
+}
