Dispatch: Ask the other VMs before a job is called unknown

Callers saw: 410 for a job that ran afterwards. The read that finds no record says nothing of a commit that is open at another VM, or was not answered and is carried out later.

A VM answers 410 only if all VMs deny that a commit of the job is open or was sent less than 15 s ago, and 503 otherwise. What was settled before that is shown by the read, so the answers of a VM count from 15 s after its start, not from a minute. The log tells who was asked, who denied it and who could not.

--- a/src/libs/dispatch/jobrequesthandler.cpp
+++ b/src/libs/dispatch/jobrequesthandler.cpp
@@ -30,6 +30,7 @@
 void JobRequestHandler::logRefusedJob(const JobRequest &Job, int Status,
                                       const std::string &Reason) const {
   RefusedRequest Refused{Job.Id, Job.Method, Status, Reason};
+  Refused.Report = Job.Report;
   if (Status == Forbidden)
     Refused.Tenant = Job.Tenant;
   if (Job.Commits.count() > 0 || Job.Method == "POST")
@@ -75,6 +76,18 @@
   }
 }
 
+void JobRequestHandler::askOthers(const SharedJobRequest &Job,
+                                  SubmissionScope Scope,
+                                  std::function<void(SubmissionOutcome)> Done) {
+  Job->AreOthersAsked = true;
+  this->Submissions->ask(
+      Job->Id, Scope, OutcomeTimeout,
+      [Job, Done = std::move(Done)](const SubmissionReport &Report) {
+        Job->Report = Report;
+        Done(Report.Outcome);
+      });
+}
+
 void JobRequestHandler::submit(const SharedJobRequest &Job,
                                const std::string &Body) {
   const auto Spec = this->Codec.DecodeJob(Job->Id, Body);
@@ -202,9 +215,8 @@
     this->refuseUnstored(Job, true, Cause);
     return;
   }
-  Job->AreOthersAsked = true;
-  this->Submissions->ask(
-      Job->Id, OutcomeTimeout,
+  this->askOthers(
+      Job, SubmissionScope::Repeatable,
       [Weak = this->weak_from_this(), Job, Cause](SubmissionOutcome Outcome) {
         if (const auto Self = Weak.lock())
           Self->refuseUnstored(Job, Outcome != SubmissionOutcome::NotStored,
@@ -326,7 +338,7 @@
                              Record.error().Message,
                              "the job's state is not known at present");
               else if (Record.value().empty())
-                Self->refuse(Job, Gone, "no such job");
+                Self->showNoRecord(Job);
               else
                 Self->showRecord(Job, Record.value(), IsUnknown);
             });
@@ -350,6 +362,23 @@
     this->announce(Job, Record, AnnounceCause::StateAsked);
 }
 
+void JobRequestHandler::showNoRecord(const SharedJobRequest &Job) {
+  // A commit that was not answered may be carried out after the read.
+  this->askOthers(
+      Job, SubmissionScope::Unsettled,
+      [Weak = this->weak_from_this(), Job](SubmissionOutcome Outcome) {
+        const auto Self = Weak.lock();
+        if (!Self)
+          return;
+        if (Outcome == SubmissionOutcome::NotStored)
+          Self->refuse(Job, Gone, "no such job");
+        else
+          Self->refuse(Job, status::ServiceUnavailable,
+                       "a submission may be open",
+                       "the job's state is not known at present");
+      });
+}
+
 void JobRequestHandler::cancel(const SharedJobRequest &Job) {
   this->Calls->call(
       {0, Job->Service, peers::ServiceCallKind::CancelJob, Job->Id.text(),
--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -44,10 +44,9 @@
 /// Handles the requests of clients: accepts jobs, shows their state and cancels
 /// them.
 ///
-/// A job is accepted only after it is stored. "Not accepted" is only answered
-/// for a job whose record was certainly not written, at another VM neither. An
-/// unknown outcome is answered as a time-out, never as "not accepted" or "no
-/// such job".
+/// A job is accepted only after it is stored. "Not accepted" and "no such job"
+/// are only answered for a job whose record was certainly not written and will
+/// not be, at another VM neither. An unknown outcome is answered as a time-out.
 ///
 /// Each request is answered by its deadline, also if the store is silent.
 ///
@@ -117,6 +116,8 @@
     const jobs::Queue *Queue = nullptr;
     std::shared_ptr<PendingAnswer> Answer;
     TimePoint Deadline;
+    /// What the VMs said about the job; nothing if they were not asked.
+    std::optional<SubmissionReport> Report;
     /// The VMs have been asked, which takes until after the deadline.
     bool AreOthersAsked = false;
     /// The record to store, for a submitted job.
@@ -142,6 +143,9 @@
                      const std::string &Reason) const;
   /// Answers a request whose outcome is not known at its deadline.
   void expire(const SharedJobRequest &Job);
+  /// Asks all VMs about the job and calls \p Done with what they say.
+  void askOthers(const SharedJobRequest &Job, SubmissionScope Scope,
+                 std::function<void(SubmissionOutcome)> Done);
   /// Refuses the request, logs \p Reason and tells it to the client.
   void refuse(const SharedJobRequest &Job, int Status,
               const std::string &Reason) const;
@@ -176,6 +180,8 @@
   void showState(const SharedJobRequest &Job);
   void showRecord(const SharedJobRequest &Job, const std::string &Record,
                   bool IsUnknownToPlanner);
+  /// Answers a question for a job that the store does not hold.
+  void showNoRecord(const SharedJobRequest &Job);
   void cancel(const SharedJobRequest &Job);
   void cancelInStore(const SharedJobRequest &Job, bool IsUnknownToPlanner);
   void cancelRecord(const SharedJobRequest &Job, const std::string &Record,
--- a/src/libs/dispatch/jobresponses.cpp
+++ b/src/libs/dispatch/jobresponses.cpp
@@ -20,17 +20,40 @@
   return Response;
 }
 
+/// The fields that tell who was asked about a refused job.
+struct ReportFields {
+  explicit ReportFields(const std::optional<SubmissionReport> &Report) {
+    if (!Report)
+      return;
+    this->Outcome = nameOf(SubmissionOutcomeNames, Report->Outcome);
+    this->Asked = std::to_string(Report->Asked);
+    this->Denied = std::to_string(Report->Denied);
+    this->Undenied = Report->Undenied.text();
+  }
+
+  std::string Outcome;
+  std::string Asked;
+  std::string Denied;
+  std::string Undenied;
+};
+
 void logRefusal(const RefusedRequest &Refused) {
+  const ReportFields Report(Refused.Report);
   logEvent(LogLevel::Info, "request-refused",
            {{"job", Refused.Job},
             {"method", Refused.Method},
             {"status", Refused.Status},
             {"reason", Refused.Reason},
-            {"tenant", Refused.Tenant}});
+            {"tenant", Refused.Tenant},
+            {"submissions", Report.Outcome},
+            {"asked", Report.Asked},
+            {"denied", Report.Denied},
+            {"undenied", Report.Undenied}});
 }
 
 void logRefusal(const RefusedRequest &Refused, const CommitHistory &Commits,
                 TimePoint Now) {
+  const ReportFields Report(Refused.Report);
   const bool HasCommits = Commits.count() > 0;
   const auto Age = [&](TimePoint Begin) {
     return HasCommits ? std::to_string(toMilliseconds(Now - Begin)) : "";
@@ -48,7 +71,11 @@
        {"first-ms", Age(Commits.firstBegin())},
        {"last-ms", Age(Commits.lastBegin())},
        {"last-path",
-        HasCommits ? nameOf(store::StorePathNames, Commits.lastPath()) : ""}});
+        HasCommits ? nameOf(store::StorePathNames, Commits.lastPath()) : ""},
+       {"submissions", Report.Outcome},
+       {"asked", Report.Asked},
+       {"denied", Report.Denied},
+       {"undenied", Report.Undenied}});
 }
 
 bool isJobId(std::string_view Text) {
--- a/src/libs/dispatch/jobresponses.h
+++ b/src/libs/dispatch/jobresponses.h
@@ -40,6 +40,8 @@
   std::string Reason;
   /// The tenant that the request may not act for; empty for other reasons.
   TenantName Tenant = TenantName();
+  /// What the VMs said about the job; nothing if they were not asked.
+  std::optional<SubmissionReport> Report = std::nullopt;
 };
 
 void logRefusal(const RefusedRequest &Refused);
--- a/src/libs/dispatch/submissiontracker.cpp
+++ b/src/libs/dispatch/submissiontracker.cpp
@@ -5,23 +5,34 @@
 /// How long a job that may be stored is remembered: longer than clients repeat
 /// a request and than the store holds a call back.
 static constexpr Duration RetentionTime = std::chrono::seconds(60);
+/// Longest time after which the store carries out a call that it has not
+/// answered.
+static constexpr Duration SettlingTime = std::chrono::seconds(15);
 static constexpr size_t MaxKnown = 20000;
 
+static Duration lengthOf(SubmissionScope Scope) {
+  return Scope == SubmissionScope::Repeatable ? RetentionTime : SettlingTime;
+}
+
 /// One question to all VMs.
 struct SubmissionTracker::Question {
+  SubmissionReport Report;
   size_t Unanswered = 0;
-  std::function<void(SubmissionOutcome)> Done;
+  std::function<void(const SubmissionReport &)> Done;
 
-  void finish(SubmissionOutcome Outcome) {
+  void finish(SubmissionOutcome Outcome, const EntryName &Undenied) {
+    this->Report.Outcome = Outcome;
+    this->Report.Undenied = Undenied;
     if (const auto Callback = std::exchange(this->Done, nullptr))
-      Callback(Outcome);
+      Callback(this->Report);
   }
 };
 
 SubmissionTracker::SubmissionTracker(Context Shared,
                                      std::shared_ptr<ServiceCalls> Calls)
     : Shared(std::move(Shared)), Calls(std::move(Calls)),
-      CompleteFrom(this->Shared.now() + RetentionTime) {}
+      CompleteFrom(this->Shared.now() + RetentionTime),
+      UnsettledCompleteFrom(this->Shared.now() + SettlingTime) {}
 
 SubmissionTracker::OpenSubmission
 SubmissionTracker::open(const jobs::JobId &Id) {
@@ -42,11 +53,15 @@
 void SubmissionTracker::noteMayBeStored(const jobs::JobId &Id) {
   this->forgetExpired();
   const TimePoint Until = this->Shared.now() + RetentionTime;
+  const TimePoint SettledAt = this->Shared.now() + SettlingTime;
   if (this->Expiries.size() >= MaxKnown) {
     this->CompleteFrom = Until;
+    this->UnsettledCompleteFrom = SettledAt;
     return;
   }
-  this->Known[Id].KeptUntil = Until;
+  Submissions &Noted = this->Known[Id];
+  Noted.KeptUntil = Until;
+  Noted.SettledAt = SettledAt;
   this->Expiries.emplace_back(Until, Id);
 }
 
@@ -78,12 +93,18 @@
   });
 }
 
-SubmissionOutcome SubmissionTracker::ownOutcome(const jobs::JobId &Id) {
+SubmissionOutcome SubmissionTracker::ownOutcome(const jobs::JobId &Id,
+                                                SubmissionScope Scope) {
   this->forgetExpired();
-  if (this->Known.contains(Id))
-    return SubmissionOutcome::MayBeStored;
-  return this->Shared.now() < this->CompleteFrom ? SubmissionOutcome::NotKnown
-                                                 : SubmissionOutcome::NotStored;
+  const TimePoint Now = this->Shared.now();
+  const bool IsRepeatable = Scope == SubmissionScope::Repeatable;
+  if (const auto Found = this->Known.find(Id); Found != this->Known.end())
+    if (IsRepeatable || Found->second.Open > 0 || Found->second.SettledAt > Now)
+      return SubmissionOutcome::MayBeStored;
+  const TimePoint Complete =
+      IsRepeatable ? this->CompleteFrom : this->UnsettledCompleteFrom;
+  return Now < Complete ? SubmissionOutcome::NotKnown
+                        : SubmissionOutcome::NotStored;
 }
 
 /// What an answer says; an earlier version answers that it plans no such
@@ -102,22 +123,24 @@
   return SubmissionOutcome::NotKnown;
 }
 
-void SubmissionTracker::ask(const jobs::JobId &Id, Duration Timeout,
-                            std::function<void(SubmissionOutcome)> Done) {
+void SubmissionTracker::ask(
+    const jobs::JobId &Id, SubmissionScope Scope, Duration Timeout,
+    std::function<void(const SubmissionReport &)> Done) {
   const TimePoint Now = this->Shared.now();
-  SubmissionOutcome Own = this->ownOutcome(Id);
+  SubmissionOutcome Own = this->ownOutcome(Id, Scope);
   if (Own == SubmissionOutcome::NotStored && !this->AreMembersKnown)
     Own = SubmissionOutcome::NotKnown;
   std::vector<EntryName> Asked;
   for (const auto &[Name, LastMember] : this->Peers)
-    if (this->Members.contains(Name) || Now < LastMember + RetentionTime)
+    if (this->Members.contains(Name) || Now < LastMember + lengthOf(Scope))
       Asked.push_back(Name);
   if (Own != SubmissionOutcome::NotStored || Asked.empty()) {
-    Done(Own);
+    Done({Own});
     return;
   }
   const auto Open = std::make_shared<Question>();
   Open->Unanswered = Asked.size();
+  Open->Report.Asked = Asked.size();
   Open->Done = std::move(Done);
   for (const EntryName &Peer : Asked) {
     // The first VM that cannot deny it decides.
@@ -125,33 +148,64 @@
       return;
     this->Calls->callPeer(
         Peer,
-        {0, ServiceName(), peers::ServiceCallKind::JobState, Id.text(), ""},
+        {0, ServiceName(), peers::ServiceCallKind::JobState, Id.text(),
+         std::string(nameOf(SubmissionScopeNames, Scope))},
         Timeout,
-        [Open, Self = this->shared_from_this(), Id](const CallResult &Answer) {
+        [Open, Self = this->shared_from_this(), Id, Scope,
+         Peer](const CallResult &Answer) {
           --Open->Unanswered;
           const SubmissionOutcome Outcome = outcomeOf(Answer);
-          if (Outcome != SubmissionOutcome::NotStored)
-            Open->finish(Outcome);
-          else if (Open->Unanswered == 0)
-            // Another request for the job may have arrived here meanwhile.
-            Open->finish(Self->ownOutcome(Id));
+          if (Outcome != SubmissionOutcome::NotStored) {
+            Open->finish(Outcome, Peer);
+            return;
+          }
+          ++Open->Report.Denied;
+          // Another request for the job may have arrived here meanwhile.
+          if (Open->Unanswered == 0)
+            Open->finish(Self->ownOutcome(Id, Scope), EntryName());
         });
   }
 }
 
+/// Logs what keeps another VM from denying a job.
+void SubmissionTracker::logUndenied(const peers::ServiceCall &Call,
+                                    SubmissionScope Scope,
+                                    SubmissionOutcome Outcome) {
+  const TimePoint Now = this->Shared.now();
+  const std::optional<size_t> NotLogged = this->Lines.admit(Now);
+  if (!NotLogged)
+    return;
+  const auto Found = this->Known.find(jobs::JobId(Call.Subject));
+  const bool IsKnown = Found != this->Known.end();
+  const auto TimeLeft = [Now](TimePoint End) {
+    return toMilliseconds(std::max(End, Now) - Now);
+  };
+  logEvent(LogLevel::Info, "submission-not-denied",
+           {{"job", Call.Subject},
+            {"scope", nameOf(SubmissionScopeNames, Scope)},
+            {"outcome", nameOf(SubmissionOutcomeNames, Outcome)},
+            {"open", IsKnown ? Found->second.Open : 0},
+            {"unsettled-ms", TimeLeft(IsKnown ? Found->second.SettledAt
+                                              : this->UnsettledCompleteFrom)},
+            {"kept-ms",
+             TimeLeft(IsKnown ? Found->second.KeptUntil : this->CompleteFrom)},
+            {"not-logged", *NotLogged}});
+}
+
 void SubmissionTracker::answer(const peers::ServiceCall &Call,
                                const AnswerCallback &Respond) {
+  // An earlier version names no scope.
+  const SubmissionScope Scope = valueOf(SubmissionScopeNames, Call.Content)
+                                    .value_or(SubmissionScope::Repeatable);
+  const SubmissionOutcome Own =
+      this->ownOutcome(jobs::JobId(Call.Subject), Scope);
   peers::ServiceOutcome Outcome = peers::ServiceOutcome::Failed;
-  switch (this->ownOutcome(jobs::JobId(Call.Subject))) {
-  case SubmissionOutcome::MayBeStored:
+  if (Own == SubmissionOutcome::MayBeStored)
     Outcome = peers::ServiceOutcome::Done;
-    break;
-  case SubmissionOutcome::NotStored:
+  else if (Own == SubmissionOutcome::NotStored)
     Outcome = peers::ServiceOutcome::Unknown;
-    break;
-  case SubmissionOutcome::NotKnown:
-    break;
-  }
+  if (Own != SubmissionOutcome::NotStored)
+    this->logUndenied(Call, Scope, Own);
   Respond({Call.Id, Outcome, ""});
 }
 
--- a/tests/auto/dispatch/tst_requestlog.cpp
+++ b/tests/auto/dispatch/tst_requestlog.cpp
@@ -181,6 +181,24 @@
   CHECK_FALSE(Entry.field("reason").empty());
 }
 
+// Guards against an answer that a job does not exist or never runs of which the
+// log does not tell who was asked (issue 61).
+TEST_CASE("a refusal tells what the VMs say of other submissions") {
+  Fixture Entry;
+  SECTION("no such job") {
+    REQUIRE(Entry.send("GET") == 410);
+    CHECK(Entry.field("submissions") == "not-stored");
+  }
+  SECTION("a commit of an earlier request is not settled") {
+    Entry.CommitErrors = {{StoreErrorCode::Ambiguous, "no answer"}};
+    REQUIRE(Entry.send("POST") == 504);
+    REQUIRE(Entry.send("GET") == 503);
+    const auto Lines = Entry.Log.lines("request-refused");
+    CHECK(LogCapture::field(Lines.back(), "submissions") == "may-be-stored");
+    CHECK(LogCapture::field(Lines.back(), "asked") == "0");
+  }
+}
+
 TEST_CASE("a refusal by the path or the key names the job in the path") {
   Fixture Entry;
   SECTION("no such queue") {
--- a/tests/auto/dispatch/tst_submissiontracker.cpp
+++ b/tests/auto/dispatch/tst_submissiontracker.cpp
@@ -15,6 +15,8 @@
 const jobs::JobId Job("00000000000000a1");
 /// How long a VM remembers a submission.
 constexpr Duration Retention = seconds(60);
+/// Longest time after which the store carries out a call.
+constexpr Duration Settling = seconds(15);
 
 peers::PeerEndpoint peer(const std::string &Name) {
   return {EntryName(Name), DataCentreName("d1"), Address()};
@@ -37,15 +39,31 @@
     this->Tracker = std::make_shared<SubmissionTracker>(Shared, this->Calls);
   }
 
-  SubmissionOutcome ask() {
-    std::vector<SubmissionOutcome> Outcomes;
-    this->Tracker->ask(Job, milliseconds(150),
-                       [&Outcomes](SubmissionOutcome Outcome) {
-                         Outcomes.push_back(Outcome);
+  SubmissionReport report(SubmissionScope Scope = SubmissionScope::Repeatable) {
+    std::vector<SubmissionReport> Reports;
+    this->Tracker->ask(Job, Scope, milliseconds(150),
+                       [&Reports](const SubmissionReport &Report) {
+                         Reports.push_back(Report);
                        });
     this->Loop.runFor(milliseconds(200));
-    REQUIRE(Outcomes.size() == 1);
-    return Outcomes.front();
+    REQUIRE(Reports.size() == 1);
+    return Reports.front();
+  }
+
+  SubmissionOutcome ask(SubmissionScope Scope = SubmissionScope::Repeatable) {
+    return this->report(Scope).Outcome;
+  }
+
+  /// How this VM answers the question of another one.
+  ServiceOutcome answer(const std::string &Scope) {
+    std::optional<ServiceOutcome> Outcome;
+    this->Tracker->answer(
+        {1, ServiceName(), peers::ServiceCallKind::JobState, Job.text(), Scope},
+        [&Outcome](const peers::ServiceAnswer &Answer) {
+          Outcome = Answer.Outcome;
+        });
+    REQUIRE(Outcome);
+    return *Outcome;
   }
 
   SteppedLoop Loop;
@@ -170,3 +188,57 @@
     CHECK(Vm.ask() == SubmissionOutcome::NotStored);
   }
 }
+
+// Guards against a denial of a job whose commit may still be carried out, and
+// against doubt about a job whose commits are all settled, for which a read of
+// the store is enough.
+TEST_CASE(
+    "a commit is unsettled until the store cannot carry it out any more") {
+  Fixture Vm;
+  Vm.Tracker->setPeers({});
+  SECTION("after a start") {
+    CHECK(Vm.ask(SubmissionScope::Unsettled) == SubmissionOutcome::NotKnown);
+    Vm.Loop.runFor(Settling);
+    CHECK(Vm.ask(SubmissionScope::Unsettled) == SubmissionOutcome::NotStored);
+    CHECK(Vm.ask() == SubmissionOutcome::NotKnown);
+    CHECK(Vm.answer("unsettled") == ServiceOutcome::Unknown);
+    CHECK(Vm.answer("repeatable") == ServiceOutcome::Failed);
+  }
+  SECTION("after an unknown outcome") {
+    Vm.Loop.runFor(Retention);
+    auto Open = Vm.Tracker->open(Job);
+    Vm.Loop.runFor(Settling);
+    CHECK(Vm.ask(SubmissionScope::Unsettled) == SubmissionOutcome::MayBeStored);
+    Vm.Tracker->noteMayBeStored(Job);
+    Open = nullptr;
+    Vm.Loop.runFor(Settling - seconds(1));
+    CHECK(Vm.ask(SubmissionScope::Unsettled) == SubmissionOutcome::MayBeStored);
+    CHECK(Vm.answer("unsettled") == ServiceOutcome::Done);
+    Vm.Loop.runFor(seconds(1));
+    CHECK(Vm.ask(SubmissionScope::Unsettled) == SubmissionOutcome::NotStored);
+    CHECK(Vm.ask() == SubmissionOutcome::MayBeStored);
+    CHECK(Vm.answer("unsettled") == ServiceOutcome::Unknown);
+    // An earlier version names no scope.
+    CHECK(Vm.answer("") == ServiceOutcome::Done);
+  }
+  SECTION("after another VM has left") {
+    Vm.Loop.runFor(Retention);
+    Vm.Tracker->setPeers({peer("e2")});
+    Vm.Tracker->setPeers({});
+    CHECK(Vm.ask(SubmissionScope::Unsettled) == SubmissionOutcome::NotKnown);
+    Vm.Loop.runFor(Settling);
+    CHECK(Vm.ask(SubmissionScope::Unsettled) == SubmissionOutcome::NotStored);
+    CHECK(Vm.ask() == SubmissionOutcome::NotKnown);
+  }
+}
+
+TEST_CASE("a report tells who was asked and who could not deny the job") {
+  Fixture Vm;
+  Vm.Tracker->setPeers({peer("e2"), peer("e3")});
+  Vm.Loop.runFor(Retention);
+  Vm.Answers = {{"e2", ServiceOutcome::Unknown}, {"e3", ServiceOutcome::Done}};
+  const SubmissionReport Report = Vm.report();
+  CHECK(Report.Asked == 2);
+  CHECK(Report.Denied == 1);
+  CHECK(Report.Undenied == EntryName("e3"));
+}
