Dispatch: Store the cancellation of a job without a record

Callers saw: 410 to DELETE, and the job ran. The commit of its submission was carried out after the read that found no record.

Such a job is stored as cancelled, under the conditions by which it would be accepted: a commit that comes later fails and finds it cancelled. This needs no question to other VMs and holds across restarts.

--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -186,6 +186,9 @@
   void cancelInStore(const SharedJobRequest &Job, bool IsUnknownToPlanner);
   void cancelRecord(const SharedJobRequest &Job, const std::string &Record,
                     bool IsUnknownToPlanner);
+  void storeCancelled(const SharedJobRequest &Job);
+  void handleCancelled(const SharedJobRequest &Job,
+                       const store::StoreResult<store::CommitAnswer> &Answer);
   void showWaiting(const jobs::QueueTable &Queues, const std::string &QueueName,
                    const std::shared_ptr<PendingAnswer> &Answer);
   using TextCallback = std::function<void(store::StoreResult<std::string>)>;
--- a/tests/auto/dispatch/tst_unknownjobs.cpp
+++ b/tests/auto/dispatch/tst_unknownjobs.cpp
@@ -67,6 +67,35 @@
   CHECK(Fleet.Platform.runChecker().starts() == ShortTasks);
 }
 
+// Guards against a cancelled job that runs, because another VM's commit is
+// carried out after the cancellation was answered (issue 61).
+TEST_CASE("a job is cancelled before its commit is carried out") {
+  const int LateBy = GENERATE(2, 6, 12);
+  LateCommitFleet Fleet{seconds(LateBy)};
+  SECTION("while its request is open") {}
+  SECTION("after its request was answered") { Fleet.runFor(AnswerTime / 2); }
+  SECTION("after the other VM has died") { Fleet.killNode("e1"); }
+  SECTION("after all VMs have started again") {
+    for (const std::string &Node : Fleet.nodeNames()) {
+      Fleet.killNode(Node);
+      Fleet.restartNode(Node);
+    }
+    Fleet.runFor(milliseconds(1500));
+  }
+  INFO("carried out " << LateBy << " s late");
+  REQUIRE(Fleet.ask("e2", "DELETE") == Ok);
+  Fleet.Decide = nullptr;
+  Fleet.runFor(seconds(13));
+  CHECK(Fleet.stateOf(Job) == "cancelled");
+  Fleet.runFor(seconds(10));
+  CHECK(Fleet.Platform.runChecker().starts() == 0);
+  // A repeated submission finds the job as it is.
+  const auto Again = Fleet.post("e3", Job);
+  Fleet.runFor(seconds(10));
+  CHECK(Again->Status == Ok);
+  CHECK(Fleet.Platform.runChecker().starts() == 0);
+}
+
 // Guards against doubt about jobs that nobody has submitted.
 TEST_CASE("a job that was never submitted is unknown") {
   UnansweredCommitsFleet Fleet;
