Dispatch: Find a job that is stored between two reads

Callers could see: 410 for an accepted job. Its record and its service are read one after the other; if the job is stored in between, the first read is empty and the second one names the service of the request, which was taken as no such job.

--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -203,6 +203,7 @@
   void findService(const SharedJobRequest &Job,
                    const std::function<void()> &Retry,
                    const TextCallback &Done);
+  void readNewRecord(const SharedJobRequest &Job, const TextCallback &Done);
   void setService(const SharedJobRequest &Job, const ServiceName &Service);
   /// Accepts a job that is stored in another service than that of its queue.
   void acceptFromOtherService(const SharedJobRequest &Job,
--- a/src/libs/dispatch/jobrequestrecords.cpp
+++ b/src/libs/dispatch/jobrequestrecords.cpp
@@ -60,18 +60,33 @@
   this->readValue(Job, keys::jobService(Job->Id),
                   [Self = this->shared_from_this(), Job, Retry,
                    Done](store::StoreResult<std::string> Stored) {
-                    if (!Stored || Stored.value().empty() ||
-                        Stored.value() == Job->Service.text()) {
-                      if (Stored)
-                        Stored.value().clear();
+                    if (!Stored || Stored.value().empty()) {
                       Done(std::move(Stored));
                       return;
                     }
+                    if (Stored.value() == Job->Service.text()) {
+                      Self->readNewRecord(Job, Done);
+                      return;
+                    }
                     Self->setService(Job, ServiceName(Stored.value()));
                     Retry();
                   });
 }
 
+/// Reads a record that was written after it had been found missing.
+void JobRequestHandler::readNewRecord(const SharedJobRequest &Job,
+                                      const TextCallback &Done) {
+  this->readValue(
+      Job, keys::jobs(Job->Service) + Job->Id.text(),
+      [Done](store::StoreResult<std::string> Record) {
+        if (Record && Record.value().empty())
+          Done(failure(store::StoreError{store::StoreErrorCode::Ambiguous,
+                                         "a service without a record"}));
+        else
+          Done(std::move(Record));
+      });
+}
+
 void JobRequestHandler::setService(const SharedJobRequest &Job,
                                    const ServiceName &Service) {
   logEvent(LogLevel::Info, "job-in-other-service",
--- a/tests/auto/dispatch/tst_requestdeadlines.cpp
+++ b/tests/auto/dispatch/tst_requestdeadlines.cpp
@@ -147,3 +147,20 @@
   CHECK(Entry.Commits == 1);
   CHECK(Entry.Announced == 1);
 }
+
+// Guards against 410 for a job that is stored between the two reads that look
+// for it (issue 61).
+TEST_CASE("a job that is stored between two reads is found") {
+  Fixture Entry;
+  Entry.OnRead = [&Entry] {
+    Entry.OnRead = nullptr;
+    Entry.Platform.store().put(
+        Key, encodeStoredJob({"quotes", Entry.Loop.Time.clock().WallNow(),
+                              "short", std::nullopt}));
+    Entry.Platform.store().put(keys::jobService(jobs::JobId(Id)), "quotes");
+  };
+  const auto Answer = Entry.send(GENERATE("GET", "DELETE"), seconds(3));
+  Entry.Loop.runFor(seconds(3));
+  CHECK(Answer->Status == Ok);
+  CHECK(Entry.Platform.store().value(Key).has_value());
+}
