Dispatch: Do not refuse a job unasked for want of a configuration

Such a submission is answered 503 only if all VMs deny an earlier one, else 504. A request that waits for the configuration counts as open.

requestdeadlines: without the change 504 is 503 in the case of an old configuration. The VM of tenantrequests has been up for long now, so that it may refuse.

--- a/src/libs/dispatch/jobrequestaccess.cpp
+++ b/src/libs/dispatch/jobrequestaccess.cpp
@@ -48,17 +48,18 @@
 
 void JobRequestHandler::handle(const http::HttpRequest &Request,
                                http::Responder Respond) {
-  if (!this->Configuration.Queues()) {
-    this->logUnrouted(Request, status::ServiceUnavailable,
-                      "no configuration yet");
-    Respond(errorResponse(status::ServiceUnavailable, "no configuration yet"));
-    return;
-  }
   ReceivedRequest Received;
   Received.Request = Request;
   Received.Arrived = this->Shared.now();
   Received.Deadline = answerDeadline(Request, Received.Arrived);
   Received.Answer = std::make_shared<PendingAnswer>(std::move(Respond));
+  if (!this->Configuration.Queues()) {
+    const std::string Reason = "no configuration yet";
+    this->logUnrouted(Request, status::ServiceUnavailable, Reason);
+    this->refuseAccess(Received,
+                       errorResponse(status::ServiceUnavailable, Reason));
+    return;
+  }
   if (const jobs::JobId Id = jobOfPath(requestPath(Request));
       Request.Method == "POST" && !Id.isEmpty())
     Received.Submission = this->Submissions->open(Id);
@@ -137,6 +138,30 @@
   Answer->send(errorResponse(Status, Reason));
 }
 
+void JobRequestHandler::refuseAccess(const ReceivedRequest &Received,
+                                     const http::HttpResponse &Refusal) {
+  const jobs::JobId Id = jobOfPath(requestPath(Received.Request));
+  if (Received.Request.Method != "POST" || Id.isEmpty() ||
+      Refusal.Status != status::ServiceUnavailable) {
+    Received.Answer->send(Refusal);
+    return;
+  }
+  this->Submissions->ask(
+      Id, SubmissionScope::Repeatable, OutcomeTimeout,
+      [Answer = Received.Answer, Id, Refusal](const SubmissionReport &Report) {
+        if (Report.Outcome == SubmissionOutcome::NotStored) {
+          Answer->send(Refusal);
+          return;
+        }
+        logRefusal({Id, "POST", status::GatewayTimeout,
+                    "an earlier submission may be stored", TenantName(),
+                    Report});
+        Answer->send(
+            errorResponse(status::GatewayTimeout,
+                          "it is not known whether the job is stored"));
+      });
+}
+
 void JobRequestHandler::route(ReceivedRequest Received) {
   const http::HttpRequest &Request = Received.Request;
   const std::shared_ptr<const jobs::QueueTable> CurrentQueues =
@@ -154,7 +179,7 @@
     else
       this->logUnknownQueue(Request, Refusal.Status,
                             CurrentQueues->configuration().Version);
-    Received.Answer->send(Refusal);
+    this->refuseAccess(Received, Refusal);
     return;
   }
   const std::string IdText = Path.substr(Queue->Prefix.size());
@@ -236,6 +261,10 @@
        {"path", Path.substr(0, MaxLoggedPathBytes)},
        {"version", Version},
        {"age-ms", toMilliseconds(Now - this->Configuration.KnownThrough())},
+       {"submissions",
+        nameOf(SubmissionOutcomeNames,
+               this->Submissions->ownOutcome(jobOfPath(Path),
+                                             SubmissionScope::Repeatable))},
        {"not-logged", *NotLogged}});
 }
 
--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -100,6 +100,10 @@
                       const std::shared_ptr<PendingAnswer> &Answer);
   /// Handles a request by the current configuration.
   void route(ReceivedRequest Received);
+  /// Answers a request that may not proceed. A submission is only refused for
+  /// good if no earlier one of the same job may be stored.
+  void refuseAccess(const ReceivedRequest &Received,
+                    const http::HttpResponse &Refusal);
   /// A request that concerns one job and is not answered yet.
   struct JobRequest {
     jobs::JobId Id;
--- a/tests/auto/dispatch/tst_requestdeadlines.cpp
+++ b/tests/auto/dispatch/tst_requestdeadlines.cpp
@@ -148,6 +148,28 @@
   CHECK(Entry.Announced == 1);
 }
 
+// Guards against 503 for a job whose earlier submission is not settled, from a
+// VM whose configuration is missing or cannot be confirmed (issue 61).
+TEST_CASE("a job is not refused for want of a configuration while a submission "
+          "is open") {
+  Fixture Entry;
+  bool HasEarlier = false;
+  SECTION("an earlier submission has no outcome") {
+    HasEarlier = true;
+    Entry.StoreDelay = seconds(2);
+    const auto First = Entry.send("POST", seconds(1));
+    Entry.Loop.runFor(seconds(1));
+    REQUIRE(First->Status == GatewayTimeout);
+    Entry.StoreDelay = Duration::zero();
+  }
+  SECTION("there is none") {}
+  Entry.IsConfigured = GENERATE(true, false);
+  Entry.ConfigurationAge = seconds(10);
+  const auto Answer = Entry.send("POST", seconds(1), "/unknown/");
+  Entry.Loop.runFor(seconds(1));
+  CHECK(Answer->Status == (HasEarlier ? GatewayTimeout : ServiceUnavailable));
+}
+
 // Guards against 410 for a job that is stored between the two reads that look
 // for it (issue 61).
 TEST_CASE("a job that is stored between two reads is found") {
--- a/tests/auto/dispatch/tst_requestlog.cpp
+++ b/tests/auto/dispatch/tst_requestlog.cpp
@@ -206,6 +206,10 @@
     CHECK(LogCapture::field(Lines.back(), "submissions") == "may-be-stored");
     CHECK(LogCapture::field(Lines.back(), "asked") == "0");
   }
+  SECTION("an unknown queue") {
+    REQUIRE(Entry.send("POST", "/nothing/" + Id) == 404);
+    CHECK(Entry.field("submissions", "queue-unknown") == "not-stored");
+  }
 }
 
 TEST_CASE("a refusal by the path or the key names the job in the path") {
--- a/tests/auto/dispatch/tst_tenantrequests.cpp
+++ b/tests/auto/dispatch/tst_tenantrequests.cpp
@@ -70,9 +70,13 @@
                                   Done();
                                 });
     };
+    // A VM that has been up for long knows what it has stored.
+    const auto Submissions = std::make_shared<SubmissionTracker>(Shared, Calls);
+    Submissions->setPeers({});
+    this->Loop.runFor(std::chrono::minutes(2));
+    this->KnownThrough = this->Loop.Time.now();
     this->Handler = std::make_shared<JobRequestHandler>(
-        Shared, this->Platform.codec(), Calls,
-        std::make_shared<SubmissionTracker>(Shared, Calls), Configuration,
+        Shared, this->Platform.codec(), Calls, Submissions, Configuration,
         Bounds);
   }
 
