Dispatch: Share the commit that creates a job's record

Submissions and cancellations without a record write the same two keys in the same order, so that the log names both by whintack/job-service/ID. The tests tell them apart by the final state in the record. No change of behaviour.

--- a/src/libs/dispatch/jobrequestcancellation.cpp
+++ b/src/libs/dispatch/jobrequestcancellation.cpp
@@ -76,31 +76,14 @@
 /// Stores a job that has no record as cancelled, so that a submission of it
 /// that is carried out later finds it as such.
 void JobRequestHandler::storeCancelled(const SharedJobRequest &Job) {
-  const std::string Key = keys::jobs(Job->Service) + Job->Id.text();
-  const std::string ServiceKey = keys::jobService(Job->Id);
-  store::StoreTransaction Change;
-  Change.Expect = {{ServiceKey, 0}, {Key, 0}};
-  Change.Puts = {{Key,
-                  encodeStoredJob({Job->QueueName, this->Shared.Time.WallNow(),
-                                   "", jobs::JobState::Cancelled, Job->Tenant}),
-                  0},
-                 {ServiceKey, Job->Service.text(), 0}};
-  Change.IsRepeatable = true;
-  Job->Commits.noteBegin(this->Shared.now());
-  this->Shared.Store.Commit(
-      Change,
-      onLoop<JobRequestHandler, store::StoreResult<store::CommitAnswer>>(
-          this->Shared.Loop, this->shared_from_this(),
-          [Job](JobRequestHandler &Self,
-                const store::StoreResult<store::CommitAnswer> &Answer) {
-            Self.handleCancelled(Job, Answer);
-          }));
+  Job->Record = encodeStoredJob({Job->QueueName, this->Shared.Time.WallNow(),
+                                 "", jobs::JobState::Cancelled, Job->Tenant});
+  this->createRecord(Job, &JobRequestHandler::handleCancelled);
 }
 
 void JobRequestHandler::handleCancelled(
     const SharedJobRequest &Job,
     const store::StoreResult<store::CommitAnswer> &Answer) {
-  Job->Commits.noteEnd(Answer);
   if (Answer && Answer.value().IsCommitted) {
     logEvent(LogLevel::Info, "cancelled-unsubmitted",
              {{"job", Job->Id},
--- a/src/libs/dispatch/jobrequesthandler.cpp
+++ b/src/libs/dispatch/jobrequesthandler.cpp
@@ -101,6 +101,11 @@
 }
 
 void JobRequestHandler::storeJob(const SharedJobRequest &Job) {
+  this->createRecord(Job, &JobRequestHandler::handleStored);
+}
+
+void JobRequestHandler::createRecord(const SharedJobRequest &Job,
+                                     const CommitHandler &Handle) {
   const std::string Key = keys::jobs(Job->Service) + Job->Id.text();
   const std::string ServiceKey = keys::jobService(Job->Id);
   store::StoreTransaction Change;
@@ -112,16 +117,16 @@
       Change,
       onLoop<JobRequestHandler, store::StoreResult<store::CommitAnswer>>(
           this->Shared.Loop, this->shared_from_this(),
-          [Job](JobRequestHandler &Self,
-                const store::StoreResult<store::CommitAnswer> &Answer) {
-            Self.handleStored(Job, Answer);
+          [Job, Handle](JobRequestHandler &Self,
+                        const store::StoreResult<store::CommitAnswer> &Answer) {
+            Job->Commits.noteEnd(Answer);
+            Handle(Self, Job, Answer);
           }));
 }
 
 void JobRequestHandler::handleStored(
     const SharedJobRequest &Job,
     const store::StoreResult<store::CommitAnswer> &Answer) {
-  Job->Commits.noteEnd(Answer);
   if (Answer || Answer.error().Code != store::StoreErrorCode::Unreachable)
     this->Submissions->noteMayBeStored(Job->Id);
   if (!Answer) {
--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -162,6 +162,11 @@
   void refuseOtherTenant(const SharedJobRequest &Job) const;
   void submit(const SharedJobRequest &Job, const std::string &Body);
   void storeJob(const SharedJobRequest &Job);
+  using CommitHandler =
+      std::function<void(JobRequestHandler &, const SharedJobRequest &,
+                         const store::StoreResult<store::CommitAnswer> &)>;
+  /// Stores the record of a job that has none in any service.
+  void createRecord(const SharedJobRequest &Job, const CommitHandler &Handle);
   void handleStored(const SharedJobRequest &Job,
                     const store::StoreResult<store::CommitAnswer> &Answer);
   void accept(const SharedJobRequest &Job, const store::CommitAnswer &Answer,
--- a/tests/auto/dispatch/unansweredcommits.h
+++ b/tests/auto/dispatch/unansweredcommits.h
@@ -58,7 +58,8 @@
                        const store::StoreCallback<store::CommitAnswer> &Done) {
       const bool AcceptsJob =
           !Change.Puts.empty() &&
-          Change.Puts.front().Key.starts_with("whintack/job-service/");
+          Change.Puts.front().Key.starts_with("whintack/job-service/") &&
+          Change.Puts.back().Value.find("\"end\":") == std::string::npos;
       const CommitFate Fate =
           AcceptsJob && this->Decide ? this->Decide() : CommitFate();
       this->handle(Fate, Direct, Change, Done);
--- a/tests/soak/storefaults.py
+++ b/tests/soak/storefaults.py
@@ -1,6 +1,6 @@
 """Faults of the platform's store as one entry VM sees it: the page of the store
 allows each of them, to one VM or to all."""
-import asyncio, enum, json
+import asyncio, base64, enum, json
 
 JOB_KEY = "whintack/job-service/"
 
@@ -21,7 +21,9 @@
     if method != "POST" or target != "/v1/kv-txn" or not body:
         return False
     puts = json.loads(body).get("puts", [])
-    return bool(puts) and puts[0]["key"].startswith(JOB_KEY)
+    if not puts or not puts[0]["key"].startswith(JOB_KEY):
+        return False
+    return "end" not in json.loads(base64.b64decode(puts[1]["value"]))
 
 
 class StoreFaults:
