Dispatch: Separate the last attempt from the answer to a request

No commit or read begins after the one deadline, and the request is answered at the other one, halfway between it and the client's. refusedjobs also requires 410 for a job that nobody has submitted, on VMs that have been up long enough to deny it.

--- a/src/libs/dispatch/jobrequestaccess.cpp
+++ b/src/libs/dispatch/jobrequestaccess.cpp
@@ -9,8 +9,9 @@
 
 /// Time for a request without a deadline of its own.
 static constexpr Duration DefaultTimeout = std::chrono::seconds(3);
-/// Reserved from the client's deadline for sending the answer, but at most half
-/// of the time until then.
+/// Reserved from the client's deadline, but at most half of the time until
+/// then: one half for the end of what is open, the other for sending the
+/// answer.
 static constexpr Duration MaxAnswerMargin = std::chrono::milliseconds(300);
 /// Maximum time spent on one request.
 static constexpr Duration MaxRequestTime = std::chrono::seconds(5);
@@ -38,46 +39,45 @@
   return Request.Target.substr(0, Request.Target.find('?'));
 }
 
-/// The time by which a request must be answered.
-static TimePoint answerDeadline(const http::HttpRequest &Request,
-                                TimePoint Arrived) {
-  const Duration Given = clientTimeout(Request);
-  return Arrived +
-         std::min(MaxRequestTime, Given - std::min(MaxAnswerMargin, Given / 2));
-}
-
 void JobRequestHandler::handle(const http::HttpRequest &Request,
                                http::Responder Respond) {
-  ReceivedRequest Received;
-  Received.Request = Request;
-  Received.Arrived = this->Shared.now();
-  Received.Deadline = answerDeadline(Request, Received.Arrived);
-  Received.Answer = std::make_shared<PendingAnswer>(std::move(Respond));
+  const auto Received = std::make_shared<ReceivedRequest>();
+  const Duration Given = clientTimeout(Request);
+  const Duration Margin = std::min(MaxAnswerMargin, Given / 2);
+  Received->Request = Request;
+  Received->Arrived = this->Shared.now();
+  Received->Deadline =
+      Received->Arrived + std::min(MaxRequestTime, Given - Margin);
+  Received->AnswerDeadline = Received->Deadline + Margin / 2;
+  Received->Answer = std::make_shared<PendingAnswer>(std::move(Respond));
   if (!this->Configuration.Queues()) {
     const std::string Reason = "no configuration yet";
     this->logUnrouted(Request, status::ServiceUnavailable, Reason);
-    this->refuseAccess(Received,
+    this->refuseAccess(*Received,
                        errorResponse(status::ServiceUnavailable, Reason));
     return;
   }
   if (const jobs::JobId Id = jobOfPath(requestPath(Request));
       Request.Method == "POST" && !Id.isEmpty())
-    Received.Submission = this->Submissions->open(Id);
+    Received->Submission = this->Submissions->open(Id);
   if (!this->mustRefresh()) {
-    this->route(std::move(Received));
+    this->route(std::move(*Received));
     return;
   }
-  scheduleFor(this->Shared.Loop, this->shared_from_this(), Received.Deadline,
-              [Request, Weak = std::weak_ptr<PendingAnswer>(Received.Answer)](
+  scheduleFor(this->Shared.Loop, this->shared_from_this(),
+              Received->AnswerDeadline,
+              [Weak = std::weak_ptr<ReceivedRequest>(Received)](
                   JobRequestHandler &Self) {
-                if (const auto Answer = Weak.lock())
-                  Self.expireUnrouted(Request, Answer);
+                const auto Waiting = Weak.lock();
+                if (Waiting && !Waiting->IsRouted)
+                  Self.expireUnrouted(*Waiting);
               });
-  this->Configuration.Refresh([Weak = this->weak_from_this(),
-                               Received = std::move(Received)]() mutable {
+  this->Configuration.Refresh([Weak = this->weak_from_this(), Received] {
     const auto Self = Weak.lock();
-    if (Self && !Received.Answer->isSent())
-      Self->route(std::move(Received));
+    if (!Self || Received->Answer->isSent())
+      return;
+    Received->IsRouted = true;
+    Self->route(std::move(*Received));
   });
 }
 
@@ -125,17 +125,14 @@
                        "the configuration may be out of date");
 }
 
-void JobRequestHandler::expireUnrouted(
-    const http::HttpRequest &Request,
-    const std::shared_ptr<PendingAnswer> &Answer) {
-  if (Answer->isSent())
-    return;
+void JobRequestHandler::expireUnrouted(const ReceivedRequest &Received) {
   // No commit was made, but those of earlier requests are not known.
-  const int Status = Request.Method == "GET" ? status::ServiceUnavailable
-                                             : status::GatewayTimeout;
+  const int Status = Received.Request.Method == "GET"
+                         ? status::ServiceUnavailable
+                         : status::GatewayTimeout;
   const std::string Reason = "the configuration could not be read in time";
-  this->logUnrouted(Request, Status, Reason);
-  Answer->send(errorResponse(Status, Reason));
+  this->logUnrouted(Received.Request, Status, Reason);
+  Received.Answer->send(errorResponse(Status, Reason));
 }
 
 void JobRequestHandler::refuseAccess(const ReceivedRequest &Received,
@@ -147,7 +144,8 @@
     return;
   }
   this->Submissions->ask(
-      Id, SubmissionScope::Repeatable, OutcomeTimeout,
+      Id, SubmissionScope::Repeatable,
+      std::min(MaxQuestionTime, Received.AnswerDeadline - this->Shared.now()),
       [Answer = Received.Answer, Id, Refusal](const SubmissionReport &Report) {
         if (Report.Outcome == SubmissionOutcome::NotStored) {
           Answer->send(Refusal);
@@ -184,6 +182,14 @@
   }
   const std::string IdText = Path.substr(Queue->Prefix.size());
   if (IdText.empty() && Request.Method == "GET") {
+    scheduleFor(
+        this->Shared.Loop, this->shared_from_this(), Received.AnswerDeadline,
+        [Weak = std::weak_ptr<PendingAnswer>(Received.Answer)](
+            JobRequestHandler &) {
+          if (const auto Answer = Weak.lock())
+            Answer->send(errorResponse(status::ServiceUnavailable,
+                                       "the count is not known at present"));
+        });
     this->showWaiting(*CurrentQueues, Queue->Name, Received.Answer);
     return;
   }
@@ -206,8 +212,9 @@
   Job->Queue = Queue;
   Job->Answer = Received.Answer;
   Job->Deadline = Received.Deadline;
+  Job->AnswerDeadline = Received.AnswerDeadline;
   Job->Submission = std::move(Received.Submission);
-  scheduleFor(this->Shared.Loop, this->shared_from_this(), Job->Deadline,
+  scheduleFor(this->Shared.Loop, this->shared_from_this(), Job->AnswerDeadline,
               [Weak = std::weak_ptr<JobRequest>(Job)](JobRequestHandler &Self) {
                 if (const auto Open = Weak.lock())
                   Self.expire(Open);
--- a/src/libs/dispatch/jobrequesthandler.cpp
+++ b/src/libs/dispatch/jobrequesthandler.cpp
@@ -61,7 +61,7 @@
 }
 
 void JobRequestHandler::expire(const SharedJobRequest &Job) {
-  if (Job->Answer->isSent() || Job->AreOthersAsked)
+  if (Job->Answer->isSent())
     return;
   const std::string Reason = "no outcome by the deadline";
   if (Job->Method == "POST") {
@@ -79,9 +79,16 @@
 void JobRequestHandler::askOthers(const SharedJobRequest &Job,
                                   SubmissionScope Scope,
                                   std::function<void(SubmissionOutcome)> Done) {
-  Job->AreOthersAsked = true;
+  if (Job->Answer->isSent())
+    return;
+  const TimePoint Now = this->Shared.now();
+  // A process that was suspended cannot tell what has happened since its read.
+  if (Now >= Job->AnswerDeadline) {
+    this->expire(Job);
+    return;
+  }
   this->Submissions->ask(
-      Job->Id, Scope, OutcomeTimeout,
+      Job->Id, Scope, std::min(MaxQuestionTime, Job->AnswerDeadline - Now),
       [Job, Done = std::move(Done)](const SubmissionReport &Report) {
         Job->Report = Report;
         Done(Report.Outcome);
--- a/src/libs/dispatch/jobrequesthandler.h
+++ b/src/libs/dispatch/jobrequesthandler.h
@@ -71,9 +71,9 @@
   void handle(const http::HttpRequest &Request, http::Responder Respond);
 
 private:
-  /// Time for the other VMs to tell what they know of a job that is not stored.
-  /// Taken from what is reserved for sending the answer.
-  static constexpr Duration OutcomeTimeout = std::chrono::milliseconds(150);
+  /// Longest time for the other VMs to tell what they know of a job that is not
+  /// stored.
+  static constexpr Duration MaxQuestionTime = std::chrono::milliseconds(150);
   /// How long to wait for a planner before reading the store instead.
   static constexpr Duration PlannerTimeout = std::chrono::milliseconds(500);
 
@@ -89,21 +89,25 @@
   struct ReceivedRequest {
     http::HttpRequest Request;
     TimePoint Arrived;
+    /// No commit or read begins after this time.
     TimePoint Deadline;
+    /// The request is answered at this time whatever is still open.
+    TimePoint AnswerDeadline;
     std::shared_ptr<PendingAnswer> Answer;
     /// Held from the arrival, for a request that may submit a job.
     SubmissionTracker::OpenSubmission Submission;
+    bool IsRouted = false;
   };
 
   /// Answers a request that still waits for the configuration at its deadline.
-  void expireUnrouted(const http::HttpRequest &Request,
-                      const std::shared_ptr<PendingAnswer> &Answer);
+  void expireUnrouted(const ReceivedRequest &Received);
   /// Handles a request by the current configuration.
   void route(ReceivedRequest Received);
   /// Answers a request that may not proceed. A submission is only refused for
   /// good if no earlier one of the same job may be stored.
   void refuseAccess(const ReceivedRequest &Received,
                     const http::HttpResponse &Refusal);
+
   /// A request that concerns one job and is not answered yet.
   struct JobRequest {
     jobs::JobId Id;
@@ -119,11 +123,11 @@
     /// The queue in that configuration.
     const jobs::Queue *Queue = nullptr;
     std::shared_ptr<PendingAnswer> Answer;
+    /// As in ReceivedRequest.
     TimePoint Deadline;
+    TimePoint AnswerDeadline;
     /// What the VMs said about the job; nothing if they were not asked.
     std::optional<SubmissionReport> Report;
-    /// The VMs have been asked, which takes until after the deadline.
-    bool AreOthersAsked = false;
     /// The record to store, for a submitted job.
     std::string Record;
     /// The stored record, to be announced to the planner.
--- a/src/libs/dispatch/submissiontracker.cpp
+++ b/src/libs/dispatch/submissiontracker.cpp
@@ -5,7 +5,7 @@
 /// How long a job that may be stored is remembered: longer than clients repeat
 /// a request and than the store holds a call back.
 static constexpr Duration RetentionTime = std::chrono::seconds(60);
-/// Longest time after which the store carries out a call that it has not
+/// Time after which the store is taken to carry out no call that it has not
 /// answered.
 static constexpr Duration SettlingTime = std::chrono::seconds(15);
 static constexpr size_t MaxKnown = 20000;
--- a/tests/auto/dispatch/tst_fleet.cpp
+++ b/tests/auto/dispatch/tst_fleet.cpp
@@ -78,8 +78,11 @@
 
 TEST_CASE("invalid requests are rejected at once and start nothing") {
   BusyFleet Fleet;
-  // Longer than a commit of an earlier process can be carried out late.
-  Fleet.runFor(seconds(16));
+  // A commit of an earlier process may still be carried out.
+  const auto Early = Fleet.send("e1", "GET", "/quotes/00000000000000aa");
+  Fleet.runFor(seconds(1));
+  CHECK(Early->Status == 503);
+  Fleet.runFor(seconds(15));
   const auto Body = Fleet.send("e1", "POST", "/quotes/00000000000000aa", "odd");
   const auto Id = Fleet.send("e1", "POST", "/quotes/zz", "short");
   const auto Queue =
--- a/tests/auto/dispatch/tst_requestdeadlines.cpp
+++ b/tests/auto/dispatch/tst_requestdeadlines.cpp
@@ -1,3 +1,4 @@
+#include "logcapture.h"
 #include "lonehandler.h"
 #include "storekeys.h"
 
@@ -65,7 +66,8 @@
       return this->Loop.Time.now() - this->ConfigurationAge;
     };
     Hooks.Refresh = [this](const std::function<void()> &Done) {
-      this->delay(Done);
+      this->Loop.Queue.schedule(this->Loop.Time.now() + this->RefreshDelay,
+                                Done);
     };
     this->Handler =
         makeLoneHandler(this->Loop, this->Platform, std::move(Hooks));
@@ -94,6 +96,7 @@
                                          this->Loop.Queue, seededRandom(1)};
   std::shared_ptr<JobRequestHandler> Handler;
   Duration StoreDelay = Duration::zero();
+  Duration RefreshDelay = Duration::zero();
   bool IsConfigured = true;
   Duration ConfigurationAge = Duration::zero();
   /// Called after each read of the store.
@@ -128,6 +131,7 @@
   SECTION("a submission that waits for the configuration") {
     Method = "POST";
     Entry.ConfigurationAge = seconds(10);
+    Entry.RefreshDelay = seconds(20);
   }
   INFO("within " << toMilliseconds(Deadline) << " ms");
   const auto Answer = Entry.send(Method, Deadline);
@@ -136,6 +140,31 @@
   CHECK(Answer->Within < Deadline);
 }
 
+// Guards against an unknown outcome of a commit that the store answers shortly
+// before the deadline.
+TEST_CASE("an answer of the store before the deadline is passed on") {
+  Fixture Entry;
+  Entry.StoreDelay = milliseconds(300);
+  const auto Answer = Entry.send("POST", milliseconds(500));
+  Entry.Loop.runFor(seconds(3));
+  CHECK(Answer->Status == Ok);
+}
+
+// Guards against a request that is answered as one that waits for the
+// configuration although it has been routed.
+TEST_CASE("a request that was routed is answered by its own outcome") {
+  LogCapture Log;
+  Fixture Entry;
+  Entry.ConfigurationAge = seconds(10);
+  Entry.StoreDelay = seconds(20);
+  const auto Answer = Entry.send("POST", seconds(1));
+  Entry.Loop.runFor(seconds(60));
+  CHECK(Answer->Status == GatewayTimeout);
+  const auto Lines = Log.lines("request-refused");
+  REQUIRE(Lines.size() == 1);
+  CHECK(LogCapture::field(Lines[0], "open") == "1");
+}
+
 // Guards against a job that is stored and waits, because its request had been
 // answered before its commit.
 TEST_CASE("a job that is stored after its request was answered is announced") {
@@ -181,8 +210,14 @@
                               "short", std::nullopt}));
     Entry.Platform.store().put(keys::jobService(jobs::JobId(Id)), "quotes");
   };
-  const auto Answer = Entry.send(GENERATE("GET", "DELETE"), seconds(3));
+  const std::string Method = GENERATE("GET", "DELETE");
+  const auto Answer = Entry.send(Method, seconds(3));
   Entry.Loop.runFor(seconds(3));
   CHECK(Answer->Status == Ok);
-  CHECK(Entry.Platform.store().value(Key).has_value());
+  const auto Record =
+      decodeStoredJob(Entry.Platform.store().value(Key).value());
+  CHECK_FALSE(Record.value().End.has_value());
+  const std::string Notice = keys::cancellations(ServiceName("quotes")) + Id;
+  CHECK(Entry.Platform.store().value(Notice).has_value() ==
+        (Method == "DELETE"));
 }
--- a/tests/soak/refusedjobs.py
+++ b/tests/soak/refusedjobs.py
@@ -11,6 +11,7 @@
 NODES, MACHINES = 3, 4
 STEPS = [{"count": 2, "cpu": 500, "mem-mb": 100, "estimated-ms": 300, "work-ms": 300}]
 LATE_S = 4.0
+UPTIME_S = 17    # a VM that has just started cannot deny anything
 
 
 async def unanswered_submission(deployed, faults, client, method):
@@ -48,12 +49,21 @@
                             f"{(told.deadline - told.sent) * 1000:.0f} ms")
 
 
+async def unknown_job(deployed, client):
+    """A job that nobody has submitted is still called unknown."""
+    job = client.new_job(STEPS)
+    told = await client.call(job, "GET", "front-2", 1200)
+    if told.status != 410:
+        deployed.broken(f"{told.status} to GET for a job that was never submitted")
+
+
 async def scenario(deployed):
-    await deployed.settled(NODES, MACHINES)
+    await deployed.settled(NODES, MACHINES, settle=UPTIME_S)
     draw = random.Random(61)
     faults = StoreFaults(deployed, draw, accepts_job)
     faults.attach()
     client = Client(deployed, draw)
+    await unknown_job(deployed, client)
     for method in ("GET", "DELETE"):
         await unanswered_submission(deployed, faults, client, method)
     await silent_store(deployed, faults, draw)
