Soak: Connect anew when the other end has closed the connection

The client now looks whether the other end has closed the connection. A connection that ends under a request counts as before.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -35,8 +35,14 @@
         self.reader = self.writer = None
         self.is_sent = False
 
+    def is_ended(self):
+        """Whether the other end has closed it, as when its process is gone."""
+        return self.reader is not None and (self.reader.at_eof() or self.reader.exception() is not None)
+
     async def request(self, method, target, host, deadline_ms, body, timeout):
         self.is_sent = False
+        if self.is_ended():
+            self.close()
         try:
             async with asyncio.timeout(timeout):
                 if self.writer is None:
