Soak: Keep each time in which a process may not have run

Only the last one was kept for each VM, so that a request before it never counted as answered late or broken off, however long its process had run. Each time from SIGKILL, SIGTERM or SIGSTOP to the next start or SIGCONT is kept now, and a request that overlaps none of them counts. This makes both checks stricter.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -1,6 +1,6 @@
 """A deployment of real entry VMs on loopback addresses for the soak and for
 regression tests, after the stand-ins of review/world.py."""
-import asyncio, os, signal, subprocess, sys, time
+import asyncio, math, os, signal, subprocess, sys, time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "review"))
@@ -19,7 +19,7 @@
         super().__init__(record)
         self.program = os.path.abspath(program)
         self.starts = {}        # job -> times at which its tasks began
-        self.disturbed = {}     # VM -> end of the last time in which its process may not have run
+        self.disturbed = {}     # VM -> [begin, end] of each time in which its process may not have run
 
     def run_begun(self, executor, run):
         self.starts.setdefault(run.task.split(".")[0], []).append(time.monotonic())
@@ -32,9 +32,21 @@
                 [self.program, "entry", "--settings", node["settings"]], cwd=ROOT, stdout=log, stderr=log,
                 stdin=subprocess.DEVNULL, env={k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ})
         self.processes.append(node["process"])
-        self.disturbed[name] = time.monotonic()
+        self.end_disturbance(name, time.monotonic())
         self.note(f"node {name} started")
 
+    def begin_disturbance(self, name):
+        self.disturbed.setdefault(name, []).append([time.monotonic(), math.inf])
+
+    def end_disturbance(self, name, end):
+        for times in self.disturbed.get(name, []):
+            times[1] = min(times[1], end)
+
+    def signal_node(self, name, number):
+        if number in (signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP):
+            self.begin_disturbance(name)
+        super().signal_node(name, number)
+
     def is_up(self, name):
         process = self.nodes[name]["process"]
         return process is not None and process.poll() is None
@@ -47,10 +59,9 @@
         """Stops the process for a while."""
         async def resume():
             await asyncio.sleep(seconds)
-            self.disturbed[name] = time.monotonic()
             if self.is_up(name):
                 self.signal_node(name, signal.SIGCONT)
-        self.disturbed[name] = time.monotonic() + seconds
+                self.end_disturbance(name, time.monotonic())
         self.signal_node(name, signal.SIGSTOP)
         return self.spawn(resume())
 
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -7,7 +7,8 @@
 
 def is_calm(deployed, told):
     """Whether the process of the VM ran all through the request."""
-    return deployed.disturbed.get(told.node, 0) < told.sent and deployed.is_up(told.node)
+    return not any(begin <= told.answered and told.sent <= end
+                   for begin, end in deployed.disturbed.get(told.node, []))
 
 
 def check_job(deployed, job):
