--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,6 +18,7 @@
     def __init__(self, options, seed):
         self.options, self.draw = options, random.Random(seed)
         self.until = 0.0
+        self.restarts = []
 
     async def play(self, deployed):
         options = self.options
@@ -30,6 +31,8 @@
         series = [self.store_series(), self.process_series(), self.executor_series(), self.configuration_series()]
         await asyncio.gather(*(s for s in series), *(self.client_series(c) for c in self.clients))
         self.faults.clear()
+        # A process that is started twice would share its addresses with itself.
+        await asyncio.gather(*self.restarts)
         for name in deployed.nodes:
             if not deployed.is_up(name):
                 deployed.start_node(name)
@@ -60,13 +63,13 @@
             if not self.deployed.is_up(name):
                 continue
             if kind == "kill":
-                self.deployed.spawn(self.deployed.kill_node(name, self.draw.uniform(0, 2)))
+                self.kill(name)
             elif kind == "pair":
                 for each in self.draw.sample(names, min(2, len(names))):
                     if self.deployed.is_up(each):
-                        self.deployed.spawn(self.deployed.kill_node(each, self.draw.uniform(0, 2)))
+                        self.kill(each)
             elif kind == "suspend":
-                self.deployed.suspend(name, self.draw.uniform(0.3, 5))
+                self.restarts.append(self.deployed.suspend(name, self.draw.uniform(0.3, 5)))
             elif kind == "settings":
                 self.deployed.signal_node(name, signal.SIGHUP)
             else:
@@ -74,6 +77,9 @@
                 await asyncio.sleep(self.draw.uniform(0, 2))
                 self.deployed.start_node(name)
 
+    def kill(self, name):
+        self.restarts.append(self.deployed.spawn(self.deployed.kill_node(name, self.draw.uniform(0, 2))))
+
     async def executor_series(self):
         while not self.is_over():
             await asyncio.sleep(self.draw.uniform(3, 12))
