Soak: Report processes that end by themselves

A VM whose process crashed was started again at the end of the play, and nothing told of it. A process that has ended without SIGKILL or SIGTERM from the soak breaks the play now ("CRASH").

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -19,6 +19,7 @@
         super().__init__(record)
         self.program = os.path.abspath(program)
         self.starts = {}        # job -> times at which its tasks began
+        self.asked_to_end = set()
         self.disturbed = {}     # VM -> [begin, end] of each time in which its process may not have run
 
     def run_begun(self, executor, run):
@@ -45,8 +46,16 @@
     def signal_node(self, name, number):
         if number in (signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP):
             self.begin_disturbance(name)
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self.asked_to_end.add(self.nodes[name]["process"].pid)
         super().signal_node(name, number)
 
+    def check_processes(self):
+        """Processes that have ended although nobody asked them to."""
+        for process in self.processes:
+            if process.poll() is not None and process.pid not in self.asked_to_end:
+                self.broken(f"CRASH: process {process.pid} ended by itself with {process.returncode}")
+
     def is_up(self, name):
         process = self.nodes[name]["process"]
         return process is not None and process.poll() is None
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -38,6 +38,7 @@
                 deployed.start_node(name)
         await deployed.wait_ready()
         await self.check()
+        deployed.check_processes()
         for client in self.clients:
             client.close()
 
