Soak: Check the states that clients are shown

GET answers that LOST of RULES.md forbids went unnoticed: "failed" (no task of the soak fails by itself), "cancelled" for a job that nobody cancelled, and 410 more than visible-ms after the job was accepted.

--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -1,7 +1,8 @@
 """Compares what clients were told of each job with what the executors ran."""
-import collections
+import collections, math
 
 CANCEL_S = 3.0          # time after which a cancelled job starts nothing
+VISIBLE_S = 3.0         # time after which an accepted job is known to each VM
 REFUSALS = (400, 401, 404, 410, 413, 429, 503)
 
 
@@ -27,6 +28,19 @@
     for told in job.of("DELETE"):
         if told.status == 200 and any(s > told.answered + CANCEL_S for s in starts):
             broken.append("UNASKED: it was cancelled, and started later")
+    broken += check_shown(job, min((t.answered for t in posts if t.status == 200), default=math.inf))
+    return broken
+
+
+def check_shown(job, accepted):
+    """Tasks of the soak never fail, and only clients cancel jobs."""
+    is_cancelled = bool(job.of("DELETE"))
+    broken = []
+    for told in job.of("GET"):
+        if told.state == "failed" or told.state == "cancelled" and not is_cancelled:
+            broken.append(f"LOST: it was shown as {told.state} without cause")
+        if told.status == 410 and not is_cancelled and told.sent > accepted + VISIBLE_S:
+            broken.append("LOST: it was accepted, and a GET was answered 410")
     return broken
 
 
