--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,6 +12,7 @@
 STEPS = [{"count": 2, "cpu": 500, "mem-mb": 100, "estimated-ms": 300, "work-ms": 300}]
 SETTLE_S = 25
 MAX_ATTEMPTS = 4
+PROCESS_FAULTS = ["kill", "suspend", "stop", "settings", "pair"]
 
 
 class Soak:
@@ -60,7 +61,7 @@
         names = list(self.deployed.nodes)
         while not self.is_over():
             await asyncio.sleep(self.draw.uniform(1, 8))
-            name, kind = self.draw.choice(names), self.draw.choice(["kill", "suspend", "stop", "settings", "pair"])
+            name, kind = self.draw.choice(names), self.draw.choice(self.options.process_faults)
             if not self.deployed.is_up(name):
                 continue
             if kind == "kill":
@@ -156,6 +157,9 @@
     parser.add_argument("--vms", type=int, default=4)
     parser.add_argument("--machines", type=int, default=8)
     parser.add_argument("--clients", type=int, default=6)
+    # A process denies nothing in its first minute, so that plays in which many are
+    # started again hold few refusals.
+    parser.add_argument("--process-faults", nargs="+", choices=PROCESS_FAULTS, default=PROCESS_FAULTS)
     parser.add_argument("--records", help="folder for the records of all plays; else only those of broken ones are kept")
     options = parser.parse_args()
     first, last = map(int, options.seeds.split("-"))
