Dispatch: Look soon for executors lost after others

Tasks on an executor that was lost just after another one were released only 0.6 s later, and a crash under one of them was counted that late.

Cause: the machines were read at once only if no other executor was silent, and that list says nothing of an executor that becomes silent after it was requested.

An early check reads the machines 20 ms after an executor has become silent beside others, at most once in 0.6 s for a shard. Only rows count in it: absences are counted at the regular checks as before.

--- a/src/libs/dispatch/lostexecutortracker.cpp
+++ b/src/libs/dispatch/lostexecutortracker.cpp
@@ -28,46 +28,63 @@
   return LostExecutor{Id, ExecutorLoss::Replaced, "other-executor"};
 }
 
-std::vector<LostExecutor>
-LostExecutorTracker::findLost(const std::vector<MachineInfo> &List,
-                              const std::set<ExecutorId> &Silent) {
+LostExecutorTracker::Judgement
+LostExecutorTracker::judge(const std::vector<MachineInfo> &List,
+                           const std::set<ExecutorId> &Silent) const {
   std::multimap<jobs::MachineName, ExecutorId> SilentOn;
   for (const ExecutorId &Id : Silent)
     if (const auto Known = this->Machines.find(Id);
         Known != this->Machines.end())
       SilentOn.emplace(Known->second, Id);
-  std::set<ExecutorId> Up;
-  std::map<ExecutorId, LostExecutor> Lost;
-  // The executor of a machine that is up without an id may be any that is
-  // absent.
-  bool IsConclusive = true;
+  Judgement Result;
   for (const MachineInfo &Row : List) {
     if (Row.State == MachineState::Up && Row.Executor.isEmpty() &&
         Row.Pool == this->Pool)
-      IsConclusive = false;
+      // Its executor may be any that is absent.
+      Result.IsConclusive = false;
     if (Silent.contains(Row.Executor)) {
       if (Row.State == MachineState::Up)
-        Up.insert(Row.Executor);
+        Result.Up.insert(Row.Executor);
       else
-        Lost[Row.Executor] = *judgeMachine(Row.Executor, Row);
+        Result.Lost[Row.Executor] = *judgeMachine(Row.Executor, Row);
     }
     const auto [Begin, End] = SilentOn.equal_range(Row.Name);
     for (auto Each = Begin; Each != End; ++Each)
       if (auto Evidence = judgeMachine(Each->second, Row))
-        Lost[Each->second] = std::move(*Evidence);
+        Result.Lost[Each->second] = std::move(*Evidence);
   }
+  for (const ExecutorId &Id : Result.Up)
+    Result.Lost.erase(Id);
+  return Result;
+}
+
+std::vector<LostExecutor>
+LostExecutorTracker::findLostByRow(const std::vector<MachineInfo> &List,
+                                   const std::set<ExecutorId> &Silent) const {
+  std::vector<LostExecutor> Found;
+  const Judgement Judged = this->judge(List, Silent);
+  for (const auto &[Id, Evidence] : Judged.Lost)
+    Found.push_back(Evidence);
+  return Found;
+}
+
+std::vector<LostExecutor>
+LostExecutorTracker::findLost(const std::vector<MachineInfo> &List,
+                              const std::set<ExecutorId> &Silent) {
+  const Judgement Judged = this->judge(List, Silent);
   std::erase_if(this->Absences, [&](const auto &Entry) {
     return !Silent.contains(Entry.first);
   });
   std::vector<LostExecutor> Found;
   for (const ExecutorId &Id : Silent) {
-    if (Up.contains(Id)) {
+    if (Judged.Up.contains(Id)) {
       this->Absences.erase(Id);
       continue;
     }
-    if (const auto Evidence = Lost.find(Id); Evidence != Lost.end())
-      Found.push_back(std::move(Evidence->second));
-    else if (this->isConfirmedAbsent(Id, IsConclusive))
+    if (const auto Evidence = Judged.Lost.find(Id);
+        Evidence != Judged.Lost.end())
+      Found.push_back(Evidence->second);
+    else if (this->isConfirmedAbsent(Id, Judged.IsConclusive))
       Found.push_back({Id, ExecutorLoss::MachineLost, "absent"});
   }
   return Found;
--- a/src/libs/dispatch/lostexecutortracker.h
+++ b/src/libs/dispatch/lostexecutortracker.h
@@ -34,6 +34,10 @@
   /// was requested are lost.
   std::vector<LostExecutor> findLost(const std::vector<jobs::MachineInfo> &List,
                                      const std::set<jobs::ExecutorId> &Silent);
+  /// The same, but only those of which a row proves it.
+  std::vector<LostExecutor>
+  findLostByRow(const std::vector<jobs::MachineInfo> &List,
+                const std::set<jobs::ExecutorId> &Silent) const;
   /// Learns on which machines the executors of the pool run, and forgets those
   /// that are neither listed nor needed.
   void
@@ -43,6 +47,16 @@
   void noteAnswer(const jobs::ExecutorId &Id) { this->Absences.erase(Id); }
 
 private:
+  /// What the rows of a list tell of silent executors.
+  struct Judgement {
+    std::set<jobs::ExecutorId> Up;
+    std::map<jobs::ExecutorId, LostExecutor> Lost;
+    /// Whether no row may belong to an executor that is in none.
+    bool IsConclusive = true;
+  };
+
+  Judgement judge(const std::vector<jobs::MachineInfo> &List,
+                  const std::set<jobs::ExecutorId> &Silent) const;
   bool isConfirmedAbsent(const jobs::ExecutorId &Id, bool IsListConclusive);
 
   ServiceName Pool;
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -166,6 +166,9 @@
   void endGrace();
   void noteUnlistedEmpty(const std::vector<jobs::ExecutorId> &Unlisted);
   void checkSilentExecutors();
+  void scheduleEarlyCheck();
+  void checkEarly();
+  void handleLost(const std::vector<LostExecutor> &Lost);
   void handleSilentMachines(
       const jobs::GatewayResult<std::vector<jobs::MachineInfo>> &Found);
   void learnMachines(const std::vector<jobs::MachineInfo> &List);
@@ -223,6 +226,13 @@
   std::set<jobs::ExecutorId> SilentAtRequest;
   /// Number of checks of silent executors that have begun.
   uint64_t SilentChecks = 0;
+  /// Executors that were silent when the last early check began and have not
+  /// answered since.
+  std::set<jobs::ExecutorId> SilentAtEarlyRequest;
+  /// Number of early checks that have begun.
+  uint64_t EarlyChecks = 0;
+  bool IsEarlyCheckScheduled = false;
+  TimePoint NextEarlyCheckAt = TimePoint::min();
   LostExecutorTracker LostExecutors;
   /// Jobs not known yet whose cancellation is in the store.
   std::set<jobs::JobId> PendingCancellations;
--- a/src/libs/dispatch/serviceshardlinks.cpp
+++ b/src/libs/dispatch/serviceshardlinks.cpp
@@ -1,9 +1,14 @@
 #include "serviceshard.h"
 
+#include <algorithm>
+
 namespace whintack::dispatch::Internal {
 
 /// Interval between two checks of the machines while executors are silent.
 static constexpr Duration SilentCheckInterval = std::chrono::milliseconds(600);
+/// Time over which executors that become silent after the last check began are
+/// collected for an early one.
+static constexpr Duration EarlyCheckDelay = std::chrono::milliseconds(20);
 /// Reserved from a ticket's validity for sending the order.
 static constexpr Duration TicketMargin = std::chrono::milliseconds(100);
 
@@ -78,13 +83,17 @@
   };
   Hooks.OnReachable = [this](const jobs::ExecutorId &Id, bool IsReachable) {
     this->Planner.setReachable(Id, IsReachable);
-    if (!IsReachable && this->Silent.insert(Id).second &&
-        this->Silent.size() == 1)
-      this->checkSilentExecutors();
+    if (!IsReachable && this->Silent.insert(Id).second) {
+      if (this->Silent.size() == 1)
+        this->checkSilentExecutors();
+      else
+        this->scheduleEarlyCheck();
+    }
     if (IsReachable) {
       this->Silent.erase(Id);
       // A list that was requested before proves nothing about a later silence.
       this->SilentAtRequest.erase(Id);
+      this->SilentAtEarlyRequest.erase(Id);
       this->LostExecutors.noteAnswer(Id);
     }
     this->requestPlan();
@@ -109,21 +118,62 @@
   });
 }
 
+/// Reads the machines once more before the next check is due, for executors
+/// that have become silent since the last one began. Readings of the list are
+/// limited, so there is at most one early check in an interval.
+void ServiceShard::scheduleEarlyCheck() {
+  if (this->IsEarlyCheckScheduled)
+    return;
+  this->IsEarlyCheckScheduled = true;
+  scheduleFor(
+      this->Shared.Loop, this->shared_from_this(),
+      std::max(this->Shared.now() + EarlyCheckDelay, this->NextEarlyCheckAt),
+      [](ServiceShard &Self) {
+        Self.IsEarlyCheckScheduled = false;
+        if (!Self.IsStopped)
+          Self.checkEarly();
+      });
+}
+
+void ServiceShard::checkEarly() {
+  const auto &Known = this->SilentAtRequest;
+  if (std::includes(Known.begin(), Known.end(), this->Silent.begin(),
+                    this->Silent.end()))
+    return;
+  this->NextEarlyCheckAt = this->Shared.now() + SilentCheckInterval;
+  this->SilentAtEarlyRequest = this->Silent;
+  this->listMachines([Check = ++this->EarlyChecks](ServiceShard &Self,
+                                                   const MachineList &Found) {
+    if (Check != Self.EarlyChecks || Self.IsStopped || !Found ||
+        Self.mayBeSucceeded())
+      return;
+    // Absences are counted at intervals, and not by early checks.
+    Self.handleLost(Self.LostExecutors.findLostByRow(
+        Found.value(), Self.SilentAtEarlyRequest));
+  });
+}
+
+void ServiceShard::handleLost(const std::vector<LostExecutor> &Lost) {
+  for (const LostExecutor &Each : Lost) {
+    this->Silent.erase(Each.Id);
+    this->SilentAtRequest.erase(Each.Id);
+    this->SilentAtEarlyRequest.erase(Each.Id);
+    logEvent(LogLevel::Info, "machine-lost",
+             {{"executor", Each.Id}, {"machine", Each.Machine}});
+    this->Planner.noteEmpty(Each.Id, Each.Cause, this->Shared.now());
+  }
+  this->requestFlush();
+  this->requestPlan();
+}
+
 void ServiceShard::handleSilentMachines(const MachineList &Found) {
   if (this->IsStopped)
     return;
   // A successor may have read what ended on a machine that was moved since.
   if (Found && !Found.value().empty() && !this->mayBeSucceeded()) {
-    for (const LostExecutor &Each :
-         this->LostExecutors.findLost(Found.value(), this->SilentAtRequest)) {
-      this->Silent.erase(Each.Id);
-      logEvent(LogLevel::Info, "machine-lost",
-               {{"executor", Each.Id}, {"machine", Each.Machine}});
-      this->Planner.noteEmpty(Each.Id, Each.Cause, this->Shared.now());
-    }
+    this->handleLost(
+        this->LostExecutors.findLost(Found.value(), this->SilentAtRequest));
     this->learnMachines(Found.value());
-    this->requestFlush();
-    this->requestPlan();
   }
   if (this->Silent.empty())
     return;
--- a/tests/auto/dispatch/tst_silentexecutors.cpp
+++ b/tests/auto/dispatch/tst_silentexecutors.cpp
@@ -157,3 +157,23 @@
   for (const std::string &Text : Fleet.Platform.runChecker().violations())
     FAIL_CHECK(Text);
 }
+
+// Guards against an executor whose loss, and the crashes under its tasks, are
+// noticed an interval late because another one was lost just before it.
+TEST_CASE("executors that are lost one after the other are all noticed soon") {
+  SimulatedFleet Fleet;
+  Fleet.startAll();
+  Fleet.runFor(seconds(3));
+  std::vector<jobs::MachineName> Machines;
+  for (const jobs::MachineInfo &Each : Fleet.Platform.machineList())
+    if (Each.Pool == ServiceName("quotes") && !Each.Executor.isEmpty())
+      Machines.push_back(Each.Name);
+  REQUIRE(Machines.size() >= 3);
+  const LogCapture Log;
+  for (size_t Count = 0; Count < 3; ++Count) {
+    Fleet.Platform.crashExecutor(Machines[Count], seconds(5));
+    Fleet.runFor(milliseconds(1));
+  }
+  Fleet.runFor(milliseconds(200));
+  CHECK(Log.lines("machine-lost").size() == 3);
+}
