Http: Fail the call whose answer has a chunk of negative size

Cause: cpprestsdk's client reads the size as a signed number and gives memory to it; the exception ends a thread of the library.

Change: the client reports the size of an answer before it gives memory to its next chunk, and fails the call if that report throws. A size that goes back, or grows by more than half of the range, was negative: the call fails as broken.

--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -34,6 +34,8 @@
   /// Whether the whole header was written. A server acts on no part of it.
   std::atomic<bool> IsHeaderWritten{false};
   std::atomic<bool> HasAnswerBegun{false};
+  /// Size of the answer so far, as the library counts it.
+  std::atomic<uint64_t> ReceivedBytes{0};
   TimerQueueRef Timers;
   HttpCallback Done;
 
@@ -44,6 +46,15 @@
       this->Deadline = this->OnProgress();
   }
 
+  /// Called with the size of the answer before the library gives memory to its
+  /// next chunk. Throws if the size of the chunk is negative; the library then
+  /// fails the call.
+  void checkReceived(uint64_t Bytes) {
+    const uint64_t Chunk = Bytes - this->ReceivedBytes.exchange(Bytes);
+    if (Chunk > std::numeric_limits<uint64_t>::max() / 2)
+      throw std::runtime_error("a chunk of the answer has no valid size");
+  }
+
   void finish(HttpResult Outcome) {
     {
       const std::lock_guard<std::mutex> Lock(this->ProgressMutex);
@@ -334,8 +345,11 @@
   // The library reports the first progress when it has written the header, also
   // if no body follows.
   Converted.set_progress_handler(
-      [Call](web::http::message_direction::direction, uint64_t) {
+      [Call](web::http::message_direction::direction Direction,
+             uint64_t Bytes) {
         Call->IsHeaderWritten = true;
+        if (Direction == web::http::message_direction::download)
+          Call->checkReceived(Bytes);
       });
   armDeadline(Call, this->D->Timers);
   this->D->send(Call, Converted);
--- a/tests/auto/http/tst_callclient.cpp
+++ b/tests/auto/http/tst_callclient.cpp
@@ -169,3 +169,27 @@
   Release.set_value();
   CHECK(Ended.get_future().get());
 }
+
+// Guards against an answer that ends the process: a chunk size of -1 did (issue
+// 52).
+TEST_CASE("a chunk size of an answer that is no size fails its call only") {
+  const Address Server = ownAddress(9, 18092);
+  std::string Chunks;
+  ScriptedServer Backend(Server, [&](const std::string &, unsigned) {
+    return ScriptedAnswer{
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunks, true};
+  });
+  REQUIRE(Backend.isOpen());
+  TimerQueue Timers(systemClock());
+  CallClient Calls(systemClock(), Timers, 1 << 20);
+  for (const std::string Size : {"-1", "-2", "-5", "-7fffffff",
+                                 "5\r\nhello\r\n-1", "5\r\nhello\r\n-5"}) {
+    INFO(Size);
+    Chunks = Size + "\r\nhello, hello\r\n0\r\n\r\n";
+    REQUIRE_FALSE(callOnce(Calls, Server, std::chrono::seconds(1)));
+    Chunks = "5\r\nhello\r\n0\r\n\r\n";
+    const HttpResult Sound = callOnce(Calls, Server);
+    REQUIRE(Sound);
+    REQUIRE(Sound.value().Body == "hello");
+  }
+}
