--- a/src/libs/dispatch/jobresponses.cpp
+++ b/src/libs/dispatch/jobresponses.cpp
@@ -28,13 +28,13 @@
     this->Outcome = nameOf(SubmissionOutcomeNames, Report->Outcome);
     this->Asked = std::to_string(Report->Asked);
     this->Denied = std::to_string(Report->Denied);
-    this->Undenied = Report->Undenied.text();
+    this->NotDeniedBy = Report->NotDeniedBy.text();
   }
 
   std::string Outcome;
   std::string Asked;
   std::string Denied;
-  std::string Undenied;
+  std::string NotDeniedBy;
 };
 
 void logRefusal(const RefusedRequest &Refused) {
@@ -48,7 +48,7 @@
             {"submissions", Report.Outcome},
             {"asked", Report.Asked},
             {"denied", Report.Denied},
-            {"undenied", Report.Undenied}});
+            {"not-denied-by", Report.NotDeniedBy}});
 }
 
 void logRefusal(const RefusedRequest &Refused, const CommitHistory &Commits,
@@ -75,7 +75,7 @@
        {"submissions", Report.Outcome},
        {"asked", Report.Asked},
        {"denied", Report.Denied},
-       {"undenied", Report.Undenied}});
+       {"not-denied-by", Report.NotDeniedBy}});
 }
 
 bool isJobId(std::string_view Text) {
--- a/src/libs/dispatch/jobresponses.h
+++ b/src/libs/dispatch/jobresponses.h
@@ -7,7 +7,9 @@
 #include "whintack/http/httpserver.h"
 #include "whintack/jobs/jobspec.h"
 
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace whintack::dispatch::Internal {
 
--- a/src/libs/dispatch/submissiontracker.cpp
+++ b/src/libs/dispatch/submissiontracker.cpp
@@ -20,9 +20,9 @@
   size_t Unanswered = 0;
   std::function<void(const SubmissionReport &)> Done;
 
-  void finish(SubmissionOutcome Outcome, const EntryName &Undenied) {
+  void finish(SubmissionOutcome Outcome, const EntryName &NotDeniedBy) {
     this->Report.Outcome = Outcome;
-    this->Report.Undenied = Undenied;
+    this->Report.NotDeniedBy = NotDeniedBy;
     if (const auto Callback = std::exchange(this->Done, nullptr))
       Callback(this->Report);
   }
--- a/src/libs/dispatch/submissiontracker.h
+++ b/src/libs/dispatch/submissiontracker.h
@@ -49,7 +49,7 @@
   size_t Asked = 0;
   size_t Denied = 0;
   /// The VM that could not deny it; empty if that is this one, or if all deny.
-  EntryName Undenied = EntryName();
+  EntryName NotDeniedBy = EntryName();
 };
 
 /// Remembers which jobs this VM may have stored, and asks the other VMs for
--- a/tests/auto/dispatch/tst_submissiontracker.cpp
+++ b/tests/auto/dispatch/tst_submissiontracker.cpp
@@ -240,5 +240,5 @@
   const SubmissionReport Report = Vm.report();
   CHECK(Report.Asked == 2);
   CHECK(Report.Denied == 1);
-  CHECK(Report.Undenied == EntryName("e3"));
+  CHECK(Report.NotDeniedBy == EntryName("e3"));
 }
