--- a/review/world2.py
+++ b/review/world2.py
@@ -489,6 +489,8 @@
 
     async def hold(self, body):
         seen = body.get("last-seen", 0)
+        self.world.seen.update((self.id, self.born, row[1], row[2])
+                               for row in self.ended if row[0] <= seen)
         self.ended = [row for row in self.ended if row[0] > seen]
         self.extend(body.get("deadline-ms"))
         wait = min(2000, body.get("wait-ms", 0)) / 1000.0
@@ -520,6 +522,7 @@
         self.links = {}
         self.paths = {}
         self.noted = []
+        self.seen = set()  # ends that last-seen has reached
         self.jobs = {}
         self.cloud_hook = None
         self.upkeeps = []
