Waves: Settle an order without an answer only by an answer

Two waves named the same machines, and the cloud API reset calls for a second.

Cause: an order that got no answer was settled by the list of machines. A machine in maintenance counted as begun, but the list does not name the wave, and it was in maintenance for the other one. The inference was stored as a fact.

Change: only the platform's answer says that a maintenance has begun; a repeated order is answered with 200 if it is done for that wave. Until then the machine counts as down. The order is repeated while the machine is in maintenance, unless another wave may have caused that; then it waits until the machine is up and its new executor is empty, because an order that arrives late would be carried out. machine-maintenance-confirmed logs the answer.

Tests: overlappingwaves (whole fleet) and waveproperties (the scheduler alone, random answers, lists and successors).

The simulated platform counts the machines that are down for the same wave against its limit, as the rule says; it counted those of all waves.

--- a/src/libs/dispatch/wavemanager.cpp
+++ b/src/libs/dispatch/wavemanager.cpp
@@ -4,6 +4,7 @@
 
 #include "whintack/jobs/planner.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cpprest/json.h>
 
@@ -215,11 +216,13 @@
               {"cause", Found.error().Message}});
     return;
   }
+  // The last machine of a completed wave may still be in maintenance, which
+  // matters to the other waves.
   for (auto &[Number, Current] : this->Waves)
-    if (!Current.IsReported) {
-      Current.Scheduler->noteMachines(Found.value(), this->ListRequestedAt);
+    Current.Scheduler->noteMachines(Found.value(), this->ListRequestedAt);
+  for (auto &[Number, Current] : this->Waves)
+    if (!Current.IsReported)
       this->advance(Current);
-    }
 }
 
 std::set<jobs::MachineName> WaveManager::machinesInProgress() const {
@@ -241,7 +244,8 @@
   for (const jobs::MachineInfo &Machine : Current.Scheduler->machinesToEvacuate(
            this->Shared.now(),
            [this](const jobs::MachineInfo &Each) { return this->useOf(Each); }))
-    if (this->InFlight.insert(Machine.Name).second)
+    if (!this->mustAwaitEnd(Number, Machine) &&
+        this->InFlight.insert(Machine.Name).second)
       this->vacate(Number, Machine);
 }
 
@@ -255,6 +259,18 @@
   return IsVacant ? jobs::MachineUse::Vacant : jobs::MachineUse::Busy;
 }
 
+bool WaveManager::mustAwaitEnd(uint64_t Number,
+                               const jobs::MachineInfo &Machine) const {
+  // A repeated order that arrives after the end of another wave's maintenance
+  // is carried out, so the new executor has to be vacated first.
+  return Machine.State == jobs::MachineState::Maintenance &&
+         std::any_of(this->Waves.begin(), this->Waves.end(),
+                     [&](const auto &Entry) {
+                       return Entry.first != Number &&
+                              Entry.second.Scheduler->mayBeDown(Machine.Name);
+                     });
+}
+
 void WaveManager::vacate(uint64_t Number, const jobs::MachineInfo &Machine) {
   const TimePoint SendBy = this->Shared.now() + jobs::EvacuationTimeout / 2;
   const auto OrderIfAllowed = [this, Number, Machine,
@@ -265,7 +281,8 @@
         Scheduler.canOrder(Machine.Name, Remaining, this->Shared.now()))
       this->order(Number, Machine, SendBy);
   };
-  if (this->useOf(Machine) == jobs::MachineUse::Unused) {
+  if (Machine.State == jobs::MachineState::Maintenance ||
+      this->useOf(Machine) == jobs::MachineUse::Unused) {
     OrderIfAllowed(jobs::Occupancy::Vacant);
     return;
   }
@@ -333,6 +350,10 @@
   if (Answer) {
     // The platform also confirms an order that it carried out for an earlier
     // holder, so this does not mean that the executor has just ended.
+    logEvent(LogLevel::Info, "machine-maintenance-confirmed",
+             {{"wave", Number},
+              {"machine", Machine.Name},
+              {"listed", nameOf(jobs::MachineStateNames, Machine.State)}});
     Current.Scheduler->noteBegun(Machine.Name, this->Shared.now());
     this->advance(Current);
     return;
--- a/src/libs/dispatch/wavemanager.h
+++ b/src/libs/dispatch/wavemanager.h
@@ -59,6 +59,9 @@
   void
   handleMachines(jobs::GatewayResult<std::vector<jobs::MachineInfo>> Found);
   jobs::MachineUse useOf(const jobs::MachineInfo &Machine) const;
+  /// Whether the machine may be in maintenance for another wave than
+  /// \p Number.
+  bool mustAwaitEnd(uint64_t Number, const jobs::MachineInfo &Machine) const;
   void vacate(uint64_t Number, const jobs::MachineInfo &Machine);
   /// Sends the order unless it cannot be sent by \p SendBy.
   void order(uint64_t Number, const jobs::MachineInfo &Machine,
--- a/src/libs/jobs/include/whintack/jobs/wavescheduler.h
+++ b/src/libs/jobs/include/whintack/jobs/wavescheduler.h
@@ -69,8 +69,9 @@
   void noteMachines(const std::vector<MachineInfo> &Listed,
                     TimePoint RequestedAt);
   /// Returns the machines to evacuate now, including those that are being
-  /// evacuated already. \p UseOf tells the use of a machine; without it, all
-  /// machines count as unused.
+  /// evacuated already, and those in maintenance whose order is to be repeated.
+  /// \p UseOf tells the use of a machine; without it, all machines count as
+  /// unused.
   std::vector<MachineInfo> machinesToEvacuate(TimePoint Now,
                                               const MachineUseHook &UseOf = {});
   /// Whether the machine may be ordered into maintenance now.
@@ -80,8 +81,9 @@
   /// The order to maintain the machine is about to be sent.
   void noteOrdered(const MachineName &Machine);
   /// The order got no answer, so the maintenance may begin at any time. The
-  /// machine counts as down and is evacuated again. The order may be repeated,
-  /// because the platform then answers with the actual state.
+  /// machine counts as down and is evacuated again. Only the answer to a
+  /// repeated order settles whether the maintenance has begun: a list does not
+  /// tell for which wave a machine is in maintenance.
   void noteUnanswered(const MachineName &Machine);
   /// The platform confirmed that the maintenance has begun, now or earlier.
   void noteBegun(const MachineName &Machine, TimePoint Now);
@@ -92,6 +94,8 @@
   std::set<MachineName> begun() const;
   /// Machines that are being evacuated or may be down.
   std::set<MachineName> machinesInProgress() const;
+  /// Whether the machine may be in maintenance for this wave.
+  bool mayBeDown(const MachineName &Machine) const;
   /// Whether the maintenance of all machines has begun or is over.
   bool isCompleted() const;
   /// Number of machines that may be down.
--- a/src/libs/jobs/wavescheduler.cpp
+++ b/src/libs/jobs/wavescheduler.cpp
@@ -39,9 +39,12 @@
       continue;
     Machine &Each = Found->second;
     Each.IsListed = true;
+    // The tasks of a new executor get as much time to end as those of a machine
+    // that is ordered for the first time.
+    if (Each.HasUnansweredOrder && Info.State == MachineState::Up &&
+        Each.Info.State != MachineState::Up)
+      Each.EvacuatingSince = RequestedAt;
     Each.Info = Info;
-    if (Each.HasUnansweredOrder && Info.State == MachineState::Maintenance)
-      this->noteBegun(Info.Name, RequestedAt);
     if (Each.State != WaveMachineState::Begun || Info.State != MachineState::Up)
       continue;
     // The machine is up although its maintenance had begun before the list was
@@ -107,7 +110,9 @@
       ++ActiveMachines;
       Chosen.push_back(Each.Info);
     } else if (Each.State == WaveMachineState::Ordered &&
-               Each.HasUnansweredOrder && Each.Info.State == MachineState::Up) {
+               Each.HasUnansweredOrder &&
+               (Each.Info.State == MachineState::Up ||
+                Each.Info.State == MachineState::Maintenance)) {
       Chosen.push_back(Each.Info);
     }
   }
@@ -201,6 +206,13 @@
   return Names;
 }
 
+bool WaveScheduler::mayBeDown(const MachineName &Name) const {
+  const auto Found = this->Machines.find(Name);
+  return Found != this->Machines.end() &&
+         (Found->second.State == WaveMachineState::Ordered ||
+          Found->second.State == WaveMachineState::Begun);
+}
+
 bool WaveScheduler::isCompleted() const {
   return this->HasList &&
          std::all_of(this->Machines.begin(), this->Machines.end(),
--- a/src/libs/simulation/include/whintack/simulation/simulatedplatform.h
+++ b/src/libs/simulation/include/whintack/simulation/simulatedplatform.h
@@ -65,6 +65,9 @@
   void addTemplate(const std::string &Name, const jobs::JobSpec &Spec);
   void addMachine(const MachineSetup &Setup);
   void requestWave(const jobs::WaveRequest &Wave);
+  /// Whether the machine's maintenance for the wave has begun.
+  bool hasBegunMaintenance(const jobs::MachineName &Machine,
+                           uint64_t Wave) const;
 
   /// The calls to executors, those to machines, and the message formats, as an
   /// entry VM is given them.
--- a/src/libs/simulation/simulatedplatform.cpp
+++ b/src/libs/simulation/simulatedplatform.cpp
@@ -68,6 +68,11 @@
   this->bringUp(Setup.Name);
 }
 
+bool SimulatedPlatform::hasBegunMaintenance(const jobs::MachineName &Machine,
+                                            uint64_t Wave) const {
+  return this->Machines.at(Machine)->BegunWaves.contains(Wave);
+}
+
 void SimulatedPlatform::requestWave(const jobs::WaveRequest &Wave) {
   this->Waves[Wave.Number] = Wave;
   this->Store.put(WavePrefix + std::to_string(Wave.Number),
@@ -471,18 +476,20 @@
                                    const jobs::GatewayCallback<void> &Done) {
     After([=, this] {
       Machine &Target = *this->Machines.at(Name);
-      if (Target.CompletedWaves.contains(Wave)) {
+      if (Target.BegunWaves.contains(Wave)) {
         Done(success());
         return;
       }
       const auto Checked = this->admitOrder(By, Target);
       if (Checked) {
-        Target.CompletedWaves.insert(Wave);
         const auto Down = static_cast<size_t>(std::count_if(
             this->Machines.begin(), this->Machines.end(),
-            [](const auto &Entry) {
-              return Entry.second->State == MachineState::Maintenance;
+            [Wave](const auto &Entry) {
+              return Entry.second->State == MachineState::Maintenance &&
+                     Entry.second->LastWave == Wave;
             }));
+        Target.BegunWaves.insert(Wave);
+        Target.LastWave = Wave;
         if (Down >= this->Waves.at(Wave).MaxConcurrent)
           this->Checker.noteViolation(
               "more machines of a wave are in maintenance than it allows");
--- a/src/libs/simulation/simulatedplatform_p.h
+++ b/src/libs/simulation/simulatedplatform_p.h
@@ -31,7 +31,10 @@
   uint64_t HighestToken = 0;
   std::string LastHolder;
   TimePoint LastOrder = TimePoint::min();
-  std::set<uint64_t> CompletedWaves;
+  /// Waves for which the maintenance has begun.
+  std::set<uint64_t> BegunWaves;
+  /// The wave of the last maintenance.
+  uint64_t LastWave = 0;
 };
 
 } // namespace whintack::simulation
