Waves: Require all lists of two seconds to lack a removed machine

What operators would see: a wave is completed without the maintenance of a machine that a single list had left out.

Cause: a machine that one list lacked counted as maintained at once and for good, and was stored so. The pages of a list are read one after the other, so a row may be missed.

Change: the machine counts as removed only if all lists of 2 s lack it, it counts again once it is listed, and it is not stored as maintained. A machine whose maintenance has begun counts as down for 3.5 s without a row.

Tests: tst_policies, "a machine that a single list lacks still gets its maintenance", and waveproperties with missed rows and removed machines.

--- a/src/libs/jobs/include/whintack/jobs/wavescheduler.h
+++ b/src/libs/jobs/include/whintack/jobs/wavescheduler.h
@@ -4,6 +4,7 @@
 #include "whintack/jobs/gateways.h"
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace whintack::jobs {
@@ -20,9 +21,11 @@
   Ordered,
   /// The maintenance has begun; the machine may still be down.
   Begun,
-  /// The maintenance has begun and the machine is up again, or the machine is
-  /// no longer listed.
+  /// The maintenance has begun and is over.
   Finished,
+  /// The lists have lacked the machine for long, so it needs no maintenance
+  /// unless it is listed again.
+  Removed,
 };
 
 /// What still runs on an executor that is being evacuated.
@@ -90,13 +93,14 @@
   /// The platform refused the order without doing anything.
   void noteRefused(const MachineName &Machine);
 
-  /// Machines whose maintenance has begun, is over or is not needed any more.
+  /// Machines whose maintenance has begun or is over.
   std::set<MachineName> begun() const;
   /// Machines that are being evacuated or may be down.
   std::set<MachineName> machinesInProgress() const;
   /// Whether the machine may be in maintenance for this wave.
   bool mayBeDown(const MachineName &Machine) const;
-  /// Whether the maintenance of all machines has begun or is over.
+  /// Whether the maintenance of all machines that were not removed has begun or
+  /// is over.
   bool isCompleted() const;
   /// Number of machines that may be down.
   size_t down() const;
@@ -107,12 +111,16 @@
     WaveMachineState State = WaveMachineState::Waiting;
     MachineInfo Info;
     bool IsListed = false;
+    /// When the first list was requested that lacked the machine, as have all
+    /// since; not set if the machine is listed.
+    std::optional<TimePoint> AbsentSince;
     TimePoint EvacuatingSince;
     TimePoint BegunAt = TimePoint::min();
     /// An order got no answer and may still take effect.
     bool HasUnansweredOrder = false;
   };
 
+  static void noteAbsent(Machine &Absent, TimePoint RequestedAt);
   /// Number of machines that are not yet ordered.
   size_t unordered() const;
   Duration maxTaskWait(TimePoint Now) const;
--- a/src/libs/jobs/wavescheduler.cpp
+++ b/src/libs/jobs/wavescheduler.cpp
@@ -9,6 +9,10 @@
 static constexpr Duration MaintenanceTime = std::chrono::milliseconds(3500);
 /// How far the list of machines may lag behind a confirmed order.
 static constexpr Duration MaxListLag = std::chrono::milliseconds(300);
+/// How long all lists have to lack a machine until it counts as removed. Pages
+/// of a list are read one after the other, and a row may be missed between
+/// them.
+static constexpr Duration MinAbsence = std::chrono::seconds(2);
 /// Maximum wait for interruptible tasks to end, even if the wave has time to
 /// spare.
 static constexpr Duration MaxTaskWait = std::chrono::seconds(4);
@@ -39,6 +43,10 @@
       continue;
     Machine &Each = Found->second;
     Each.IsListed = true;
+    Each.AbsentSince.reset();
+    if (Each.State == WaveMachineState::Removed)
+      Each.State = Each.HasUnansweredOrder ? WaveMachineState::Ordered
+                                           : WaveMachineState::Waiting;
     // The tasks of a new executor get as much time to end as those of a machine
     // that is ordered for the first time.
     if (Each.HasUnansweredOrder && Info.State == MachineState::Up &&
@@ -52,10 +60,22 @@
     if (RequestedAt >= Each.BegunAt + MaxListLag)
       Each.State = WaveMachineState::Finished;
   }
-  // A machine that is no longer listed needs no maintenance.
   for (auto &[Name, Each] : this->Machines)
     if (!Each.IsListed)
-      Each.State = WaveMachineState::Finished;
+      noteAbsent(Each, RequestedAt);
+}
+
+void WaveScheduler::noteAbsent(Machine &Absent, TimePoint RequestedAt) {
+  if (!Absent.AbsentSince)
+    Absent.AbsentSince = RequestedAt;
+  const Duration Absence = RequestedAt - *Absent.AbsentSince;
+  if (Absent.State == WaveMachineState::Begun) {
+    if (Absence >= MaintenanceTime)
+      Absent.State = WaveMachineState::Finished;
+  } else if (Absent.State != WaveMachineState::Finished &&
+             Absence >= MinAbsence) {
+    Absent.State = WaveMachineState::Removed;
+  }
 }
 
 size_t WaveScheduler::down() const {
@@ -142,7 +162,7 @@
 std::vector<WaveScheduler::Machine *> WaveScheduler::waitingMachines() {
   std::vector<Machine *> Found;
   for (auto &[Name, Each] : this->Machines)
-    if (Each.State == WaveMachineState::Waiting &&
+    if (Each.State == WaveMachineState::Waiting && Each.IsListed &&
         Each.Info.State == MachineState::Up)
       Found.push_back(&Each);
   return Found;
@@ -218,7 +238,9 @@
          std::all_of(this->Machines.begin(), this->Machines.end(),
                      [](const auto &Entry) {
                        return Entry.second.State == WaveMachineState::Begun ||
-                              Entry.second.State == WaveMachineState::Finished;
+                              Entry.second.State ==
+                                  WaveMachineState::Finished ||
+                              Entry.second.State == WaveMachineState::Removed;
                      });
 }
 
--- a/tests/auto/jobs/tst_policies.cpp
+++ b/tests/auto/jobs/tst_policies.cpp
@@ -341,6 +341,49 @@
   CHECK(Scheduler.canOrder(First, Occupancy::Interruptible, at(12s)));
 }
 
+// A wave was reported as completed without the maintenance of a machine that
+// one list had left out.
+TEST_CASE("a machine that a single list lacks still gets its maintenance") {
+  WaveRequest Request;
+  Request.MaxConcurrent = 1;
+  Request.Machines = {MachineName("m0"), MachineName("m1")};
+  WaveScheduler Scheduler(Request, at(60s), {});
+  const std::vector<MachineInfo> All = {machine("m0", "p"), machine("m1", "p")};
+  const std::vector<MachineInfo> OnlySecond = {All[1]};
+  Scheduler.noteMachines(OnlySecond, at(0s));
+  CHECK(Scheduler.begun().empty());
+  const auto Listed = Scheduler.machinesToEvacuate(at(0s));
+  REQUIRE(Listed.size() == 1);
+  CHECK(Listed[0].Name == All[1].Name);
+  Scheduler.noteOrdered(All[1].Name);
+  Scheduler.noteBegun(All[1].Name, at(0s));
+  CHECK_FALSE(Scheduler.isCompleted());
+
+  // The machine in maintenance is missed, too, and still counts as down.
+  Scheduler.noteMachines({All[0]}, at(400ms));
+  CHECK(Scheduler.down() == 1);
+  CHECK(Scheduler.machinesToEvacuate(at(400ms)).empty());
+
+  SECTION("listed again") {
+    Scheduler.noteMachines(All, at(4s));
+    const auto Next = Scheduler.machinesToEvacuate(at(4s));
+    REQUIRE(Next.size() == 1);
+    CHECK(Next[0].Name == All[0].Name);
+    CHECK_FALSE(Scheduler.isCompleted());
+  }
+  SECTION("removed for good") {
+    Scheduler.noteMachines(OnlySecond, at(4s));
+    CHECK_FALSE(Scheduler.isCompleted());
+    Scheduler.noteMachines(OnlySecond, at(6s));
+    CHECK(Scheduler.isCompleted());
+    // A successor looks for itself.
+    CHECK(Scheduler.begun() == std::set<MachineName>{All[1].Name});
+    Scheduler.noteMachines(All, at(7s));
+    CHECK_FALSE(Scheduler.isCompleted());
+    CHECK(Scheduler.machinesToEvacuate(at(7s)).size() == 1);
+  }
+}
+
 TEST_CASE("job progress is encoded and decoded, and damage is reported") {
   JobProgress Progress;
   Progress.State = JobState::Running;
--- a/tests/auto/jobs/tst_waveproperties.cpp
+++ b/tests/auto/jobs/tst_waveproperties.cpp
@@ -1,7 +1,8 @@
 // Guards against waves that are completed although a machine has had no
 // maintenance for them, and against waves that take more machines down than
-// they allow: orders and their answers are lost or late, lists lag, holders are
-// replaced, and two waves name the same machines.
+// they allow: orders and their answers are lost or late, lists lag or miss a
+// row, machines are removed, holders are replaced, and two waves name the same
+// machines.
 
 #include "whintack/jobs/wavescheduler.h"
 
@@ -49,6 +50,7 @@
   struct SimulatedMachine {
     MachineState State = MachineState::Up;
     TimePoint UpAt;
+    bool IsRemoved = false;
     /// The wave of the last maintenance.
     uint64_t Wave = 0;
     std::set<uint64_t> BegunFor;
@@ -78,13 +80,21 @@
         [](const auto &Entry) { return Entry.second.isCompleted(); });
   }
 
-  Snapshot snapshot() const {
+  /// A list of the machines, which may miss a row.
+  Snapshot snapshot(bool HasFaults) const {
+    const int Missed =
+        HasFaults && *rc::gen::inRange(0, 6) == 0
+            ? *rc::gen::inRange(0, static_cast<int>(MachineCount))
+            : -1;
     Snapshot Rows;
+    int Row = 0;
     for (const auto &[Name, Each] : this->Machines) {
-      MachineInfo Row;
-      Row.Name = Name;
-      Row.State = Each.State;
-      Rows.push_back(Row);
+      if (Each.IsRemoved || Row++ == Missed)
+        continue;
+      MachineInfo Info;
+      Info.Name = Name;
+      Info.State = Each.State;
+      Rows.push_back(Info);
     }
     return Rows;
   }
@@ -94,7 +104,7 @@
     SimulatedMachine &Target = this->Machines.at(Name);
     if (Target.BegunFor.contains(Wave))
       return true;
-    if (Target.State != MachineState::Up)
+    if (Target.IsRemoved || Target.State != MachineState::Up)
       return false;
     const auto Down = static_cast<size_t>(std::count_if(
         this->Machines.begin(), this->Machines.end(), [&](const auto &Entry) {
@@ -144,9 +154,11 @@
         this->carryOut(Each.Machine, Each.Wave);
       else
         this->LateOrders.push_back(Each);
-    this->Snapshots.push_front(this->snapshot());
+    this->Snapshots.push_front(this->snapshot(HasFaults));
     if (this->Snapshots.size() > 2)
       this->Snapshots.pop_back();
+    if (HasFaults && *rc::gen::inRange(0, 100) == 0)
+      this->removeMachine();
     if (HasFaults && this->HasSuccessors && *rc::gen::inRange(0, 25) == 0)
       this->replaceHolder();
     const size_t Age =
@@ -170,6 +182,14 @@
                                                  {1, OrderFate::Late}});
   }
 
+  void removeMachine() {
+    const auto Index = *rc::gen::inRange<size_t>(0, MachineCount);
+    SimulatedMachine &Removed =
+        std::next(this->Machines.begin(), static_cast<int>(Index))->second;
+    Removed.IsRemoved = true;
+    Removed.State = MachineState::Down;
+  }
+
   void replaceHolder() {
     for (auto &[Number, Scheduler] : this->Waves)
       Scheduler = this->makeScheduler(Number, Scheduler.begun());
@@ -179,7 +199,7 @@
     if (!this->Waves.at(Wave).isCompleted())
       return;
     for (const auto &[Name, Each] : this->Machines)
-      RC_ASSERT(Each.BegunFor.contains(Wave));
+      RC_ASSERT(Each.IsRemoved || Each.BegunFor.contains(Wave));
   }
 
   bool HasSuccessors;
