Waves: Follow changes of a request

What operators would see: a machine that is added to op/wave/N while the wave is open, or after it was completed, never gets its maintenance, and the status says "completed". A wave whose request drops a machine waits for it for ever.

Cause: the requests were read once, by number.

Change: a changed request is adopted; what is known of its machines stays. The status of a completed wave goes back to running. A holder compares the stored status with what it knows after its first list, since an earlier one may have written it for another request. A wave whose request is removed is left alone.

--- a/src/libs/dispatch/wavemanager.cpp
+++ b/src/libs/dispatch/wavemanager.cpp
@@ -80,9 +80,34 @@
   this->Requests = Requested;
   if (!this->IsLoaded)
     return;
-  for (const jobs::WaveRequest &Request : Requested)
-    if (!this->Waves.contains(Request.Number))
+  for (auto &[Number, Each] : this->Waves)
+    Each.IsRequested = false;
+  for (const jobs::WaveRequest &Request : Requested) {
+    const auto Known = this->Waves.find(Request.Number);
+    if (Known == this->Waves.end())
       this->openWave(Request);
+    else
+      this->changeWave(Known->second, Request);
+  }
+}
+
+void WaveManager::changeWave(Wave &Changed, const jobs::WaveRequest &Request) {
+  Changed.IsRequested = true;
+  if (Changed.Scheduler->request() == Request)
+    return;
+  Changed.Scheduler->setRequest(Request, this->deadlineOf(Changed, Request));
+  logEvent(LogLevel::Info, "wave-changed",
+           {{"wave", Request.Number},
+            {"machines", Request.Machines.size()},
+            {"begun", Changed.Scheduler->begun().size()},
+            {"at-once", Request.MaxConcurrent},
+            {"length-ms", toMilliseconds(Request.Length)}});
+}
+
+TimePoint WaveManager::deadlineOf(const Wave &Of,
+                                  const jobs::WaveRequest &Request) const {
+  const Duration Age = this->Shared.Time.WallNow() - Of.Begun;
+  return this->Shared.now() + Request.Length - Age - EndMargin;
 }
 
 void WaveManager::openWave(const jobs::WaveRequest &Request) {
@@ -105,9 +130,8 @@
     }
   }
   Opened.StoredBegun = Begun.size();
-  const Duration Age = this->Shared.Time.WallNow() - Opened.Begun;
   Opened.Scheduler = std::make_unique<jobs::WaveScheduler>(
-      Request, this->Shared.now() + Request.Length - Age - EndMargin, Begun);
+      Request, this->deadlineOf(Opened, Request), Begun);
   logEvent(LogLevel::Info, "wave-opened",
            {{"wave", Request.Number},
             {"machines", Request.Machines.size()},
@@ -158,9 +182,9 @@
             Written.Revision = Answer.value().Revision;
             Written.IsStored = true;
             Written.StoredBegun = Count;
-            if (IsCompleted && !Written.IsReported)
+            if (IsCompleted && Written.ReportedCompletion != true)
               logEvent(LogLevel::Info, "wave-completed", {{"wave", Number}});
-            Written.IsReported = IsCompleted;
+            Written.ReportedCompletion = IsCompleted;
           }));
 }
 
@@ -184,7 +208,7 @@
     return;
   bool IsAnyOpen = false;
   for (auto &[Number, Current] : this->Waves) {
-    if (Current.IsReported)
+    if (!Current.isOpen())
       continue;
     IsAnyOpen = true;
     this->advance(Current);
@@ -221,14 +245,14 @@
   for (auto &[Number, Current] : this->Waves)
     Current.Scheduler->noteMachines(Found.value(), this->ListRequestedAt);
   for (auto &[Number, Current] : this->Waves)
-    if (!Current.IsReported)
+    if (Current.isOpen())
       this->advance(Current);
 }
 
 std::set<jobs::MachineName> WaveManager::machinesInProgress() const {
   std::set<jobs::MachineName> Names;
   for (const auto &[Number, Current] : this->Waves)
-    if (!Current.IsReported)
+    if (Current.isOpen())
       Names.merge(Current.Scheduler->machinesInProgress());
   return Names;
 }
@@ -236,7 +260,8 @@
 void WaveManager::advance(Wave &Current) {
   if (!Current.IsStored ||
       Current.StoredBegun != Current.Scheduler->begun().size() ||
-      (Current.Scheduler->isCompleted() && !Current.IsReported))
+      (Current.Scheduler->hasList() &&
+       Current.Scheduler->isCompleted() != Current.ReportedCompletion))
     this->record(Current);
   if (!this->canOrder() || !Current.IsStored)
     return;
@@ -371,8 +396,10 @@
   case jobs::GatewayErrorCode::Fenced:
     this->Environment.OnLost(this->OwnClaim.Shard, "fenced by a later holder");
     return;
-  case jobs::GatewayErrorCode::Busy:
   case jobs::GatewayErrorCode::Refused:
+    Current.Scheduler->noteRejected(Machine.Name);
+    return;
+  case jobs::GatewayErrorCode::Busy:
   case jobs::GatewayErrorCode::OtherIncarnation:
     Current.Scheduler->noteRefused(Machine.Name);
     return;
--- a/src/libs/dispatch/wavemanager.h
+++ b/src/libs/dispatch/wavemanager.h
@@ -8,6 +8,8 @@
 
 #include "whintack/jobs/wavescheduler.h"
 
+#include <optional>
+
 namespace whintack::dispatch::Internal {
 
 /// What WaveManager and PoolRebalancer need from their process.
@@ -48,12 +50,23 @@
     uint64_t Revision = 0;
     bool IsStored = false;
     bool IsWriting = false;
-    bool IsReported = false;
+    /// Whether the stored status says that the wave is completed; not set if
+    /// this holder has not written it.
+    std::optional<bool> ReportedCompletion;
+    /// Whether the operator requests the wave.
+    bool IsRequested = true;
+
+    bool isOpen() const {
+      return this->IsRequested && !(this->ReportedCompletion == true &&
+                                    this->Scheduler->isCompleted());
+    }
   };
 
   void load();
   void handleRecords(store::StoreResult<store::StorePage> Answer);
   void openWave(const jobs::WaveRequest &Request);
+  void changeWave(Wave &Changed, const jobs::WaveRequest &Request);
+  TimePoint deadlineOf(const Wave &Of, const jobs::WaveRequest &Request) const;
   void tick();
   void advance(Wave &Current);
   void
--- a/src/libs/jobs/include/whintack/jobs/gateways.h
+++ b/src/libs/jobs/include/whintack/jobs/gateways.h
@@ -156,6 +156,8 @@
   Duration Length = Duration::zero();
   /// Maximum number of machines of the wave under maintenance at a time.
   size_t MaxConcurrent = 1;
+
+  bool operator==(const WaveRequest &) const = default;
 };
 
 /// Data written by the platform or a client cannot be decoded.
--- a/src/libs/jobs/include/whintack/jobs/wavescheduler.h
+++ b/src/libs/jobs/include/whintack/jobs/wavescheduler.h
@@ -23,8 +23,8 @@
   Begun,
   /// The maintenance has begun and is over.
   Finished,
-  /// The lists have lacked the machine for long, so it needs no maintenance
-  /// unless it is listed again.
+  /// The lists have lacked the machine for long, or the request no longer names
+  /// it. It needs no maintenance unless it is listed again.
   Removed,
 };
 
@@ -67,10 +67,14 @@
   WaveScheduler(WaveRequest Request, TimePoint Deadline,
                 const std::set<MachineName> &Begun);
 
+  /// Adopts a changed request. What is known of the machines that it still
+  /// names stays.
+  void setRequest(WaveRequest Changed, TimePoint NewDeadline);
   /// Adopts the list of machines that the platform was asked for at
   /// \p RequestedAt.
   void noteMachines(const std::vector<MachineInfo> &Listed,
                     TimePoint RequestedAt);
+  bool hasList() const { return this->HasList; }
   /// Returns the machines to evacuate now, including those that are being
   /// evacuated already, and those in maintenance whose order is to be repeated.
   /// \p UseOf tells the use of a machine; without it, all machines count as
@@ -92,6 +96,9 @@
   void noteBegun(const MachineName &Machine, TimePoint Now);
   /// The platform refused the order without doing anything.
   void noteRefused(const MachineName &Machine);
+  /// The platform refused the order for good. A machine that the request no
+  /// longer names has had no maintenance for the wave and gets none.
+  void noteRejected(const MachineName &Machine);
 
   /// Machines whose maintenance has begun or is over.
   std::set<MachineName> begun() const;
@@ -99,8 +106,8 @@
   std::set<MachineName> machinesInProgress() const;
   /// Whether the machine may be in maintenance for this wave.
   bool mayBeDown(const MachineName &Machine) const;
-  /// Whether the maintenance of all machines that were not removed has begun or
-  /// is over.
+  /// Whether the maintenance of all requested machines that were not removed
+  /// has begun or is over.
   bool isCompleted() const;
   /// Number of machines that may be down.
   size_t down() const;
@@ -110,6 +117,8 @@
   struct Machine {
     WaveMachineState State = WaveMachineState::Waiting;
     MachineInfo Info;
+    /// Whether the operator's request names the machine.
+    bool IsRequested = false;
     bool IsListed = false;
     /// When the first list was requested that lacked the machine, as have all
     /// since; not set if the machine is listed.
--- a/src/libs/jobs/wavescheduler.cpp
+++ b/src/libs/jobs/wavescheduler.cpp
@@ -24,12 +24,19 @@
 
 WaveScheduler::WaveScheduler(WaveRequest Given, TimePoint Deadline,
                              const std::set<MachineName> &Begun)
-    : Request(std::move(Given)), Deadline(Deadline) {
-  for (const MachineName &Name : this->Request.Machines) {
-    Machine &Each = this->Machines[Name];
-    if (Begun.contains(Name))
-      Each.State = WaveMachineState::Begun;
-  }
+    : Deadline(Deadline) {
+  for (const MachineName &Name : Begun)
+    this->Machines[Name].State = WaveMachineState::Begun;
+  this->setRequest(std::move(Given), Deadline);
+}
+
+void WaveScheduler::setRequest(WaveRequest Given, TimePoint NewDeadline) {
+  this->Request = std::move(Given);
+  this->Deadline = NewDeadline;
+  for (auto &[Name, Each] : this->Machines)
+    Each.IsRequested = false;
+  for (const MachineName &Name : this->Request.Machines)
+    this->Machines[Name].IsRequested = true;
 }
 
 void WaveScheduler::noteMachines(const std::vector<MachineInfo> &Listed,
@@ -91,8 +98,9 @@
 size_t WaveScheduler::unordered() const {
   return static_cast<size_t>(std::count_if(
       this->Machines.begin(), this->Machines.end(), [](const auto &Entry) {
-        return Entry.second.State == WaveMachineState::Waiting ||
-               Entry.second.State == WaveMachineState::Evacuating;
+        return Entry.second.IsRequested &&
+               (Entry.second.State == WaveMachineState::Waiting ||
+                Entry.second.State == WaveMachineState::Evacuating);
       }));
 }
 
@@ -126,7 +134,7 @@
     return Chosen;
   size_t ActiveMachines = this->down();
   for (const auto &[Name, Each] : this->Machines) {
-    if (Each.State == WaveMachineState::Evacuating) {
+    if (Each.State == WaveMachineState::Evacuating && Each.IsRequested) {
       ++ActiveMachines;
       Chosen.push_back(Each.Info);
     } else if (Each.State == WaveMachineState::Ordered &&
@@ -162,8 +170,8 @@
 std::vector<WaveScheduler::Machine *> WaveScheduler::waitingMachines() {
   std::vector<Machine *> Found;
   for (auto &[Name, Each] : this->Machines)
-    if (Each.State == WaveMachineState::Waiting && Each.IsListed &&
-        Each.Info.State == MachineState::Up)
+    if (Each.State == WaveMachineState::Waiting && Each.IsRequested &&
+        Each.IsListed && Each.Info.State == MachineState::Up)
       Found.push_back(&Each);
   return Found;
 }
@@ -176,6 +184,7 @@
   const bool IsRepeated =
       Each.State == WaveMachineState::Ordered && Each.HasUnansweredOrder;
   const bool IsNext = Each.State == WaveMachineState::Evacuating &&
+                      Each.IsRequested &&
                       this->down() < this->Request.MaxConcurrent;
   if (!IsRepeated && !IsNext)
     return false;
@@ -207,6 +216,16 @@
     Each.State = WaveMachineState::Evacuating;
 }
 
+void WaveScheduler::noteRejected(const MachineName &Name) {
+  Machine &Each = this->Machines.at(Name);
+  if (Each.IsRequested || Each.State != WaveMachineState::Ordered) {
+    this->noteRefused(Name);
+    return;
+  }
+  Each.HasUnansweredOrder = false;
+  Each.State = WaveMachineState::Removed;
+}
+
 std::set<MachineName> WaveScheduler::begun() const {
   std::set<MachineName> Names;
   for (const auto &[Name, Each] : this->Machines)
@@ -219,7 +238,7 @@
 std::set<MachineName> WaveScheduler::machinesInProgress() const {
   std::set<MachineName> Names;
   for (const auto &[Name, Each] : this->Machines)
-    if (Each.State == WaveMachineState::Evacuating ||
+    if ((Each.State == WaveMachineState::Evacuating && Each.IsRequested) ||
         Each.State == WaveMachineState::Ordered ||
         Each.State == WaveMachineState::Begun)
       Names.insert(Name);
@@ -237,7 +256,8 @@
   return this->HasList &&
          std::all_of(this->Machines.begin(), this->Machines.end(),
                      [](const auto &Entry) {
-                       return Entry.second.State == WaveMachineState::Begun ||
+                       return !Entry.second.IsRequested ||
+                              Entry.second.State == WaveMachineState::Begun ||
                               Entry.second.State ==
                                   WaveMachineState::Finished ||
                               Entry.second.State == WaveMachineState::Removed;
