--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -1,6 +1,6 @@
 """A deployment of real entry VMs on loopback addresses for the soak and for
 regression tests, after the stand-ins of review/world.py."""
-import asyncio, math, os, signal, subprocess, sys, time
+import asyncio, json, math, os, signal, subprocess, sys, time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "review"))
@@ -20,6 +20,7 @@
         self.program = os.path.abspath(program)
         self.starts = {}        # job -> times at which its tasks began
         self.asked_to_end = set()
+        self.upkeep_for = {}    # machine -> wave of its last upkeep
         self.disturbed = {}     # VM -> [begin, end] of each time in which its process may not have run
 
     def run_begun(self, executor, run):
@@ -43,6 +44,27 @@
         for times in self.disturbed.get(name, []):
             times[1] = min(times[1], end)
 
+    async def cloud_call(self, target, headers, given):
+        machine = self.machines.get(given.get("machine"))
+        if target != "/v1/machine-upkeep" or not machine or given["wave"] in machine["waves"]:
+            return await super().cloud_call(target, headers, given)
+        # The limit of a wave counts the machines that are down for it, and not those of
+        # other waves, as the base class does.
+        wave = json.loads(self.store.read(f"op/wave/{given['wave']}") or b"{}")
+        if machine["state"] != "up":
+            return 409, {"reason": "busy"}
+        if given["machine"] not in wave.get("machines", []):
+            return 409, {"reason": "wave"}
+        self.note(f"cloud: upkeep of {given['machine']} for wave {given['wave']} by {headers.get('duty-holder')}")
+        down = [m["machine"] for m in self.machines.values()
+                if m["state"] == "upkeep" and self.upkeep_for.get(m["machine"]) == given["wave"]]
+        if len(down) >= wave["maximum"]:
+            self.broken(f"LIMIT: upkeep of {given['machine']} for wave {given['wave']} begins while {down} are down")
+        machine["waves"].add(given["wave"])
+        self.upkeep_for[given["machine"]] = given["wave"]
+        self.spawn(self.renew(machine, "upkeep", self.upkeep_s))
+        return 200, {}
+
     def signal_node(self, name, number):
         if number in (signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP):
             self.begin_disturbance(name)
