Planner: Move tasks off a draining executor whenever their runs become known

Cause: tasks are stopped when the entry of their executor changes to draining. A planner that takes over reads the entry first and learns of the runs afterwards; the same holds for a start that is answered after the change.

Change: a run on a draining executor is stopped when it becomes known, too.

Test: tst_leavingtasks, "a long-running task leaves a draining executor, whenever its run becomes known"; both sections failed before and pass after.

--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -83,6 +83,8 @@
   void updateThrottle(Internal::ExecutorRecord &Executor,
                       const ExecutorReport &Report, TimePoint Now);
   void drain(Internal::ExecutorRecord &Executor);
+  void stopIfDraining(const Internal::ExecutorRecord &Executor,
+                      const TaskKey &Key);
   void stopGang(const StepKey &Step);
   // Incarnations of executors.
   /// Handles that the executor has started again under its id: nothing that was
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -127,17 +127,22 @@
   }
 }
 
-/// Stops the long-running and checkpointing tasks on a draining executor, so
-/// that they continue elsewhere: the executor ends everything when it leaves.
 void Planner::Private::drain(ExecutorRecord &Executor) {
-  for (const auto &[Key, Number] : Executor.Runs) {
-    const JobRecord &Job = *this->findJob(Key.Step.Job);
-    const StepSpec &Spec = this->stepSpec(Job, Key.Step);
-    TaskRecord &Task = *this->findTask(Key);
-    if (Task.Current->Phase == RunPhase::Running && !Spec.IsGang &&
-        (Spec.IsLongRunning || Spec.IsCheckpointing))
-      this->orderStop(Key, Task);
-  }
+  for (const auto &[Key, Number] : Executor.Runs)
+    this->stopIfDraining(Executor, Key);
+}
+
+/// Stops a long-running or checkpointing task on a draining executor, so that
+/// it continues elsewhere: the executor ends everything when it leaves.
+void Planner::Private::stopIfDraining(const ExecutorRecord &Executor,
+                                      const TaskKey &Key) {
+  if (!Executor.Info.IsDraining)
+    return;
+  const StepSpec &Spec = this->stepSpec(*this->findJob(Key.Step.Job), Key.Step);
+  TaskRecord &Task = *this->findTask(Key);
+  if (Task.Current->Phase == RunPhase::Running && !Spec.IsGang &&
+      (Spec.IsLongRunning || Spec.IsCheckpointing))
+    this->orderStop(Key, Task);
 }
 
 void Planner::Private::handleSuccess(JobRecord &Job, const TaskKey &Key,
@@ -334,6 +339,8 @@
         Spec.IsGang ? this->gangLeader(Row.Task.Step) : *Task;
     CheckpointOwner.Stored.Checkpoint = Row.Checkpoint;
   }
+  // The run may have become known only after the executor began to drain.
+  this->stopIfDraining(Executor, Row.Task);
 }
 
 void Planner::Private::releaseMissingRuns(ExecutorRecord &Executor,
--- a/src/libs/jobs/plannerorders.cpp
+++ b/src/libs/jobs/plannerorders.cpp
@@ -48,6 +48,7 @@
         Executor.Throttle.percent() < 100)
       this->D->Orders.push_back(PaceOrder{Order.Executor, Order.Task, Order.Run,
                                           Executor.Throttle.percent()});
+    this->D->stopIfDraining(Executor, Order.Task);
     return;
   case StartOutcome::Unknown:
     // The run may exist. Wait for a report before stopping it needlessly.
--- a/tests/auto/jobs/tst_leavingtasks.cpp
+++ b/tests/auto/jobs/tst_leavingtasks.cpp
@@ -83,3 +83,40 @@
   CHECK(Pool.Confirmed.size() >= Before);
   CHECK(Pool.Stops.empty());
 }
+
+// Tasks stayed on an executor that was about to leave, ended with it, and ran
+// again only once its leases had run out: their runs became known after the
+// executor had been listed as draining.
+TEST_CASE("a long-running task leaves a draining executor, whenever its run "
+          "becomes known") {
+  PlannerFixture Fixture;
+  ExecutorInfo Draining = executor("draining");
+  SECTION("a new planner takes the run over") {
+    Draining.IsDraining = true;
+    Fixture.Planner.setExecutors({Draining, executor("other")});
+    const AcceptedJob Lasting = lastingJob("lasting");
+    Fixture.Planner.addJob(Lasting);
+    Fixture.report("other", {}, {});
+    Fixture.report("draining", {{{{Lasting.Spec.Id, 0, 0}, 0}, 1, "", 100, 0}},
+                   {});
+  }
+  SECTION("the start is answered late") {
+    Fixture.list({Draining});
+    Fixture.Planner.addJob(lastingJob("lasting"));
+    const std::vector<StartOrder> Starts = Fixture.starts();
+    REQUIRE(Starts.size() == 1);
+    Draining.IsDraining = true;
+    Fixture.Planner.setExecutors({Draining, executor("other")});
+    Fixture.report("other", {}, {});
+    CHECK(Fixture.takeOrders<StopOrder>().empty());
+    Fixture.confirm(Starts[0]);
+  }
+  const std::vector<StopOrder> Stops = Fixture.takeOrders<StopOrder>();
+  REQUIRE(Stops.size() == 1);
+  CHECK(Stops[0].Executor == Draining.Id);
+  Fixture.Planner.noteStop(Stops[0], ++Fixture.ExecutorNow, Fixture.Time.now());
+  Fixture.report("draining", {}, {{1, Stops[0].Task, 1, RunEnd::Stopped, ""}});
+  const std::vector<StartOrder> Again = Fixture.starts();
+  REQUIRE(Again.size() == 1);
+  CHECK(Again[0].Executor == ExecutorId("other"));
+}
