Planner: Let long-running tasks wait for executors that restart

Its start order got no answer, the executor crashed, the task was started elsewhere, and the next incarnation of the executor carried the late order out.

Cause: other tasks wait for 15 s until such an order is certainly lost; long-running tasks did not wait at all, since their service is away meanwhile.

Change: they wait for 5 s from the sending of the order, within which an executor that restarts is back and lists or refuses the run. After that they start elsewhere as before, and the run stays barred, so an executor that is away for longer may still run it twice for a moment.

Test: tst_incarnations, "a long-running task waits for the restart of an executor that may have its start order"; failed before, passes after.

--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -91,10 +91,11 @@
   /// known of the earlier incarnation holds for the one that reports.
   void beginIncarnation(Internal::ExecutorRecord &Executor,
                         const ExecutorReport &Report, TimePoint Now);
-  /// Whether a later incarnation of the executor may carry out the start order
-  /// of the run.
-  bool mayStartLate(const TaskKey &Key, const Internal::RunRecord &Run,
-                    TimePoint Now);
+  /// Until when the task waits because a later incarnation of the executor may
+  /// carry out the start order of the run; TimePoint::min() if it does not
+  /// wait.
+  TimePoint lateStartDeadline(const TaskKey &Key,
+                              const Internal::RunRecord &Run);
   /// Keeps a run on an executor that is lost, so that the task does not start
   /// elsewhere before the order of the run is certainly lost.
   void awaitLateStart(const Internal::ExecutorRecord &Executor,
--- a/src/libs/jobs/plannercrashes.cpp
+++ b/src/libs/jobs/plannercrashes.cpp
@@ -239,7 +239,7 @@
   const bool CanComeBack = Cause != ExecutorLoss::Replaced;
   for (const auto &[Key, Number] : Booked) {
     const RunRecord &Run = *this->D->findTask(Key)->Current;
-    if (!CanComeBack || !this->D->mayStartLate(Key, Run, Now)) {
+    if (!CanComeBack || Now >= this->D->lateStartDeadline(Key, Run)) {
       this->D->giveUpRun(Found->second, Key, lossOf(Cause), Now);
       continue;
     }
--- a/src/libs/jobs/plannerincarnations.cpp
+++ b/src/libs/jobs/plannerincarnations.cpp
@@ -7,6 +7,11 @@
 
 using namespace Internal;
 
+/// How much earlier than OrderLostAt a long-running task starts elsewhere: its
+/// service is away meanwhile, and an executor that restarts does so within
+/// seconds.
+static constexpr Duration LongRunningHeadStart = std::chrono::seconds(10);
+
 /// Whether the report lists the run as running or ended.
 static bool isListed(const ExecutorReport &Report, const TaskKey &Task,
                      uint64_t Number) {
@@ -74,30 +79,32 @@
     this->D->findTask(Order.Task)->Current->OrderLostAt = Now + MaxCallDelay;
 }
 
-bool Planner::Private::mayStartLate(const TaskKey &Key, const RunRecord &Run,
-                                    TimePoint Now) {
+TimePoint Planner::Private::lateStartDeadline(const TaskKey &Key,
+                                              const RunRecord &Run) {
   const JobRecord &Job = *this->findJob(Key.Step.Job);
   const StepSpec &Spec = this->stepSpec(Job, Key.Step);
-  // A service that is away for seconds is worse than one that runs twice until
-  // the executor has been reached.
-  if (Spec.IsLongRunning || Spec.AllowsCopies)
-    return false;
-  return Run.KnownSince == TimePoint::max() && Now < Run.OrderLostAt &&
-         !isFinal(Job.State) && !this->findTask(Key)->Stored.IsDone;
+  const bool IsAwaited = Run.KnownSince == TimePoint::max() &&
+                         !Spec.AllowsCopies && !isFinal(Job.State) &&
+                         !this->findTask(Key)->Stored.IsDone &&
+                         Run.OrderLostAt != TimePoint::min();
+  if (!IsAwaited)
+    return TimePoint::min();
+  return Spec.IsLongRunning ? Run.OrderLostAt - LongRunningHeadStart
+                            : Run.OrderLostAt;
 }
 
 void Planner::Private::awaitLateStart(const ExecutorRecord &Executor,
                                       const TaskKey &Key, TimePoint Now) {
   RunRecord &Run = *this->findTask(Key)->Current;
-  this->log("late-start-awaited",
-            {{"task", Key.text()},
-             {"run", Run.Number},
-             {"executor", Executor.Info.Id},
-             {"for-ms", toMilliseconds(Run.OrderLostAt - Now)}});
+  const TimePoint Until = this->lateStartDeadline(Key, Run);
+  this->log("late-start-awaited", {{"task", Key.text()},
+                                   {"run", Run.Number},
+                                   {"executor", Executor.Info.Id},
+                                   {"for-ms", toMilliseconds(Until - Now)}});
   // The first report of an executor that is back either lists the run or leads
   // to its stop.
   Run.StartTimeoutAt = std::min(Run.StartTimeoutAt, Now);
-  this->NextStopAt = std::min(this->NextStopAt, Run.OrderLostAt);
+  this->NextStopAt = std::min(this->NextStopAt, Until);
 }
 
 void Planner::Private::releaseLostStarts(ExecutorRecord &Executor,
@@ -105,8 +112,9 @@
   const std::map<TaskKey, uint64_t> Kept = Executor.Runs;
   for (const auto &[Key, Number] : Kept) {
     const RunRecord &Run = *this->findTask(Key)->Current;
-    if (this->mayStartLate(Key, Run, Now))
-      this->NextStopAt = std::min(this->NextStopAt, Run.OrderLostAt);
+    const TimePoint Until = this->lateStartDeadline(Key, Run);
+    if (Now < Until)
+      this->NextStopAt = std::min(this->NextStopAt, Until);
     else
       this->giveUpRun(Executor, Key, RunLoss::OrderLost, Now);
   }
--- a/tests/auto/jobs/tst_incarnations.cpp
+++ b/tests/auto/jobs/tst_incarnations.cpp
@@ -64,8 +64,11 @@
   }
 
   /// Starts a job of one task on "a".
-  StartOrder startOne(const std::string &Id, bool IsAnswered = true) {
-    this->Planner.addJob(job(Id, {step(1, 2000)}));
+  StartOrder startOne(const std::string &Id, bool IsAnswered = true,
+                      bool IsLongRunning = false) {
+    AcceptedJob Job = job(Id, {step(1, 2000)});
+    Job.Spec.Steps[0].IsLongRunning = IsLongRunning;
+    this->Planner.addJob(Job);
     const auto Orders = this->starts();
     REQUIRE(Orders.size() == 1);
     REQUIRE(Orders.front().Executor == ExecutorId("a"));
@@ -76,8 +79,9 @@
 
   /// Starts a job of one task on "a", loses that executor before it answers,
   /// and lists another one with room.
-  StartOrder loseUnanswered(ExecutorLoss Cause, bool IsSent = true) {
-    const StartOrder Order = this->startOne("1", false);
+  StartOrder loseUnanswered(ExecutorLoss Cause, bool IsSent = true,
+                            bool IsLongRunning = false) {
+    const StartOrder Order = this->startOne("1", false, IsLongRunning);
     if (IsSent)
       this->Planner.noteStartSent(Order, this->Time.now());
     this->Time.advance(milliseconds(800));
@@ -219,6 +223,38 @@
   }
 }
 
+// Guards against a long-running task that runs twice: its executor restarted
+// within seconds and carried out the late order, while the task had been
+// started elsewhere.
+TEST_CASE("a long-running task waits for the restart of an executor that may "
+          "have its start order") {
+  RestartFixture Fixture;
+  const StartOrder Order =
+      Fixture.loseUnanswered(ExecutorLoss::MachineLost, true, true);
+  CHECK(Fixture.starts().empty());
+  Fixture.Time.advance(seconds(3));
+  CHECK(Fixture.starts().empty());
+  SECTION("the next incarnation has carried the order out") {
+    Fixture.reportFrom("a", Second, 5, {{Order.Task, Order.Run, "", 100, 0}},
+                       {});
+    Fixture.Time.advance(seconds(20));
+    CHECK(Fixture.starts().empty());
+    CHECK(Fixture.takeOrders<StopOrder>().empty());
+  }
+  SECTION("the executor does not come back") {
+    Fixture.Time.advance(seconds(2));
+    const auto Again = Fixture.starts();
+    REQUIRE(Again.size() == 1);
+    CHECK(Again.front().Executor == ExecutorId("c"));
+    // The order may still come.
+    Fixture.reportFrom("a", Second, 5, {}, {});
+    Fixture.Planner.repeatStops(Fixture.Time.now());
+    const auto Stops = Fixture.takeOrders<StopOrder>();
+    REQUIRE(Stops.size() == 1);
+    CHECK(Stops.front().Run == Order.Run);
+  }
+}
+
 // Guards against a task that waits although no later incarnation can carry out
 // its order.
 TEST_CASE("an unanswered start is not awaited if it cannot be carried out") {
