Planner: Keep the machine of an executor whose ends are not stored

Cause: an executor counted as vacant when its last run had ended, although its ends were only in the planner's memory. If its machine was moved or maintained then, and the planner was replaced before it had stored them, nobody could report the ends any more.

Change: an executor with ends that are not stored is not vacant.

Test: tst_leavingtasks, "an executor is not vacant until its ends are stored"; failed before, passes after.

--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -190,7 +190,8 @@
   /// least work on them and without long-running tasks. What runs there goes
   /// on.
   void release(size_t Count, TimePoint Now);
-  /// What still runs on an executor.
+  /// What would be lost if the executor ended now: its runs, and ends that are
+  /// not stored yet.
   Occupancy occupancy(const ExecutorId &Id) const;
 
   /// Repeats stop orders that were not answered.
@@ -225,6 +226,8 @@
   StoreBacklog storeBacklog() const;
   /// Number of the last end that the executor may discard.
   uint64_t lastDiscardableEnd(const ExecutorId &Id) const;
+  /// Whether the executor has reported ends that are not stored yet.
+  bool hasUnstoredEnds(const ExecutorId &Id) const;
   /// Logs the ends of runs that had been given up, when the executor is told to
   /// discard its ends up to the number \p Through.
   void noteAcknowledged(const ExecutorId &Id, uint64_t Through, TimePoint Now);
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -441,4 +441,12 @@
   return Executor.LastDiscardableEnd;
 }
 
+bool Planner::hasUnstoredEnds(const ExecutorId &Id) const {
+  // Removes the ends that have become discardable.
+  this->lastDiscardableEnd(Id);
+  const auto Found = this->D->Executors.find(Id);
+  return Found != this->D->Executors.end() &&
+         !Found->second.UnacknowledgedEnds.empty();
+}
+
 } // namespace whintack::jobs
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -82,6 +82,8 @@
                           const ExecutorReport &Report, TimePoint Now);
   void updateThrottle(Internal::ExecutorRecord &Executor,
                       const ExecutorReport &Report, TimePoint Now);
+  /// What runs on the executor.
+  Occupancy runsOn(const Internal::ExecutorRecord &Executor);
   void drain(Internal::ExecutorRecord &Executor);
   void stopIfDraining(const Internal::ExecutorRecord &Executor,
                       const TaskKey &Key);
--- a/src/libs/jobs/plannerdemand.cpp
+++ b/src/libs/jobs/plannerdemand.cpp
@@ -105,7 +105,7 @@
                                         Executor.LongRunningMilliCores) /
                     MilliCoresPerCore;
     if (Executor.HasReported && Executor.Runs.empty() &&
-        !Executor.HasUnknownRuns)
+        !Executor.HasUnknownRuns && !this->hasUnstoredEnds(Id))
       Demand.Vacant.insert(Id);
   }
   for (const ArrivedExecutor &Each : Arrived)
--- a/src/libs/jobs/plannerevacuation.cpp
+++ b/src/libs/jobs/plannerevacuation.cpp
@@ -122,29 +122,35 @@
     Best->Free = {};
 }
 
-Occupancy Planner::occupancy(const ExecutorId &Id) const {
-  const auto Found = this->D->Executors.find(Id);
+Occupancy Planner::Private::runsOn(const ExecutorRecord &Executor) {
   // Until the executor has reported, runs that an earlier planner started there
   // may be unknown.
-  if (Found == this->D->Executors.end() || !Found->second.HasReported ||
-      Found->second.HasUnknownRuns)
+  if (!Executor.HasReported || Executor.HasUnknownRuns)
     return Occupancy::Protected;
-  if (Found->second.Runs.empty())
+  if (Executor.Runs.empty())
     return Occupancy::Vacant;
-  for (const auto &[Key, Number] : Found->second.Runs) {
-    const JobRecord &Job = *this->D->findJob(Key.Step.Job);
-    if (this->D->stepSpec(Job, Key.Step).IsLongRunning)
+  for (const auto &[Key, Number] : Executor.Runs) {
+    const JobRecord &Job = *this->findJob(Key.Step.Job);
+    if (this->stepSpec(Job, Key.Step).IsLongRunning)
       return Occupancy::Protected;
   }
   return Occupancy::Interruptible;
 }
 
+Occupancy Planner::occupancy(const ExecutorId &Id) const {
+  const auto Found = this->D->Executors.find(Id);
+  // Until an end is stored, only the executor can report it to a successor.
+  if (Found == this->D->Executors.end() || this->hasUnstoredEnds(Id))
+    return Occupancy::Protected;
+  return this->D->runsOn(Found->second);
+}
+
 void Planner::release(size_t Count, TimePoint Now) {
   std::vector<ExecutorRecord *> InUse;
   for (auto &[Id, Executor] : this->D->Executors) {
     const bool CanGetTasks = Executor.IsListed && Executor.IsReachable &&
                              !Executor.Info.IsDraining && Executor.HasReported;
-    if (CanGetTasks && this->occupancy(Id) == Occupancy::Interruptible)
+    if (CanGetTasks && this->D->runsOn(Executor) == Occupancy::Interruptible)
       InUse.push_back(&Executor);
   }
   // Executors that were released before come first, so that they get empty.
--- a/tests/auto/jobs/tst_leavingtasks.cpp
+++ b/tests/auto/jobs/tst_leavingtasks.cpp
@@ -120,3 +120,22 @@
   REQUIRE(Again.size() == 1);
   CHECK(Again[0].Executor == ExecutorId("other"));
 }
+
+// Guards against tasks that run again after they are done: the machine of their
+// executor was moved before their ends were stored, and a successor could not
+// learn of them from anyone.
+TEST_CASE("an executor is not vacant until its ends are stored") {
+  PlannerFixture Fixture;
+  const ExecutorId Id("a");
+  Fixture.list({executor("a")});
+  Fixture.Planner.addJob(job("1", {step(1)}));
+  const std::vector<StartOrder> Starts = Fixture.starts();
+  REQUIRE(Starts.size() == 1);
+  Fixture.confirm(Starts[0]);
+  Fixture.endRun(Starts[0], RunEnd::Done);
+  CHECK(Fixture.Planner.occupancy(Id) == Occupancy::Protected);
+  CHECK(Fixture.Planner.demand(Fixture.Time.now(), {}).Vacant.empty());
+  Fixture.store();
+  CHECK(Fixture.Planner.occupancy(Id) == Occupancy::Vacant);
+  CHECK(Fixture.Planner.demand(Fixture.Time.now(), {}).Vacant.contains(Id));
+}
