--- a/src/libs/simulation/simulatedplatform_p.h
+++ b/src/libs/simulation/simulatedplatform_p.h
@@ -8,6 +8,9 @@
 
 namespace Internal {
 
+/// One-way network delay between an entry VM and a machine or the platform.
+inline constexpr Duration NetworkDelay = std::chrono::milliseconds(1);
+
 inline const std::string ConfigurationKey = "declared/configuration";
 inline const std::string WavePrefix = "declared/wave/";
 inline const std::string ExecutorPrefix = "executors/";
