--- a/review/world3.py
+++ b/review/world3.py
@@ -52,7 +52,7 @@
 
 class Server:
     """An HTTP/1.1 server; the handler is called with method, path, query,
-    headers and body, and returns a status and a JSON value."""
+    headers and body, and returns a status and a JSON value, or its text."""
 
     def __init__(self, handler):
         self.handler = handler
@@ -86,7 +86,9 @@
                     # No answer comes on this connection any more.
                     await asyncio.sleep(3600)
                 status, content = answer
-                text = json.dumps(content, separators=(",", ":")).encode()
+                text = content
+                if not isinstance(content, bytes):
+                    text = json.dumps(content, separators=(",", ":")).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
                     f"Content-Length: {len(text)}\r\n\r\n".encode()
@@ -244,7 +246,16 @@
                 break
             found.append(item)
             size += len(item["value"])
-        return 200, {"items": found, "has-more": has_more, "as-of": self.revision}
+        # Pages are large and many, so their text is put together here.
+        rows = ",".join(
+            f'{{"key":"{row["key"]}","value":"{row["value"]}",'
+            f'"revision":{row["revision"]},"created":{row["created"]},'
+            f'"lease":{row["lease"]}}}'
+            for row in found
+        )
+        more = "true" if has_more else "false"
+        text = f'{{"items":[{rows}],"has-more":{more},"as-of":{self.revision}}}'
+        return 200, text.encode()
 
     async def watch(self, query):
         prefix, after = query.get("prefix", ""), int(query["after"])
@@ -318,6 +329,12 @@
         self.zone = world.zones[number % len(world.zones)]
         self.capacity = {"cpu": cpu, "mem-mb": memory, "gpu": 0}
         self.labels = ["a", rack]
+        self.is_up = True
+        self.port = 0
+        self.begin_life()
+        self.server = Server(self.handle)
+
+    def begin_life(self):
         self.token = 0
         self.born = int(time.time() * 1000)
         self.start = time.monotonic()
@@ -327,16 +344,29 @@
         self.last_end = 0
         self.lease = 0
         self.changed = asyncio.Event()
-        self.server = Server(self.handle)
         self.sequence = 0
 
     async def open(self):
         await self.server.open()
+        self.port = int(self.server.address.split(":")[1])
         self.register()
         loop = asyncio.get_running_loop()
         loop.create_task(self.beat())
         loop.create_task(self.work())
 
+    async def crash(self, down_s):
+        """Crashes, and starts again under its id and address."""
+        self.world.record.note("crash", executor=self.id, runs=len(self.runs))
+        self.is_up = False
+        self.server.close()
+        self.begin_life()
+        await asyncio.sleep(down_s)
+        self.begin_life()
+        await self.server.open(port=self.port)
+        self.is_up = True
+        self.register()
+        self.world.record.note("restart", executor=self.id, born=self.born)
+
     def clock(self):
         return int((time.monotonic() - self.start) * 1000) + 1
 
@@ -363,7 +393,8 @@
     async def beat(self):
         while True:
             await asyncio.sleep(1.5)
-            self.register()
+            if self.is_up:
+                self.register()
 
     async def work(self):
         """Ends what is done and what has no lease any more."""
@@ -383,7 +414,6 @@
         self.ended.append([self.last_end, name, run["run"], how, ""])
         if how == "done":
             self.world.done(name, run["run"], self)
-        self.world.ended += 1
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -396,6 +426,31 @@
     async def handle(self, method, path, query, headers, body):
         if path == "/health":
             return 200, {}
+        delay = self.world.lateness(self, path)
+        if delay is None:
+            return await self.execute(path, headers, body)
+        if path == "/v1/hold":
+            self.world.record.note("hold-late", executor=self.id, body=body.decode())
+        asyncio.get_running_loop().create_task(
+            self.execute_late(delay, path, headers, body)
+        )
+        return None
+
+    async def execute_late(self, delay, path, headers, body):
+        await asyncio.sleep(delay)
+        if not self.is_up:
+            return
+        if path == "/v1/hold":
+            self.world.record.note(
+                "hold-carried-out", executor=self.id, late=f"{delay:.1f}s",
+                ends=[row[:4] for row in self.ended], body=body.decode(),
+            )
+        status, _ = await self.execute(path, headers, body)
+        if path == "/v1/run-start" and status == 200:
+            order = json.loads(body)
+            self.world.late_starts.add((order["task"], order["run"]))
+
+    async def execute(self, path, headers, body):
         expected = headers.get("expected-instance")
         if expected and expected != self.id:
             return 421, {}
@@ -445,6 +500,9 @@
 
     async def hold(self, order):
         seen = order.get("last-seen", 0)
+        for number, name, run, how, _ in self.ended:
+            if number <= seen and how == "done":
+                self.world.noted(name, run)
         self.ended = [row for row in self.ended if row[0] > seen]
         end = time.monotonic() + min(order.get("wait-ms", 0), 2000) / 1000
         while not self.ended and time.monotonic() < end:
@@ -525,9 +583,10 @@
         self.jobs = {}
         self.starts = {}
         self.dones = {}
-        self.ended = 0
-        self.running = {}
+        self.seen_done = {}
+        self.late_starts = set()
         self.next_client = 0
+        self.lateness = lambda executor, path: None
 
     async def open(self, services, executors, cpu=32000, memory=131072, vms=3):
         """services: names, the last one is the spare pool without executors.
@@ -608,7 +667,7 @@
                     {
                         "machine": each.machine,
                         "pool": each.service,
-                        "state": "up",
+                        "state": "up" if each.is_up else "down",
                         "zone": each.zone,
                         "labels": each.labels,
                         "capacity": each.capacity,
@@ -637,8 +696,6 @@
 
     def started(self, name, number, executor, order):
         self.starts.setdefault(name, []).append((self.record.now(), number))
-        job = name.split(".")[0]
-        self.running[job] = self.running.get(job, 0) + 1
         if len(self.starts) <= 200 or len(self.starts) % 500 == 0:
             self.record.note(
                 "run-start", task=name, run=number, executor=executor.id,
@@ -648,6 +705,27 @@
     def done(self, name, number, executor):
         self.dones.setdefault(name, []).append((self.record.now(), number))
 
+    def noted(self, name, run):
+        """An executor was told that the end `done` of this run has been seen."""
+        self.seen_done.setdefault((name, run), self.record.now())
+
+    def started_after_done(self):
+        """Tasks with a start after a run had ended `done`, whose end was taken
+        note of then or later: task, the run that had ended and when, the run
+        that was started and when, and whether that order was carried out late."""
+        found = []
+        for name, dones in self.dones.items():
+            ends = [(at, run) for at, run in dones if (name, run) in self.seen_done]
+            if not ends:
+                continue
+            at, run = min(ends)
+            found += [
+                (name, run, round(at, 2), later, round(start, 2), (name, later) in self.late_starts)
+                for start, later in self.starts[name]
+                if start > at
+            ]
+        return found
+
     def runs_of(self, job):
         return [t for t in self.starts if t.startswith(job + ".")]
 
