--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,7 +1,7 @@
 """One large job with anti-affinity stops every service, for good.
 
 Clients hand in small jobs on three queues, two a second. With trouble, one of
-them hands in one large job first: 4,000 one-core tasks, at most 64 of them on an
+them hands in one large job first: 5,000 one-core tasks, at most 64 of them on an
 executor, for a pool of 85 executors with 64 cores each, which has room for all
 of them at once.
 """
@@ -22,7 +22,7 @@
     "task-spec": "sweep",
     "steps": [
         {
-            "count": int(os.environ.get("COUNT", "4000")),
+            "count": int(os.environ.get("COUNT", "5000")),
             "cpu": 1000,
             "mem-mb": 1000,
             "estimated-ms": 1000,
--- a/review/world3.py
+++ b/review/world3.py
@@ -11,6 +11,7 @@
 import collections
 import json
 import os
+import shutil
 import signal
 import socket
 import sys
@@ -821,6 +822,11 @@
             if vm.process:
                 await vm.process.wait()
         self.record.note("ended")
+        # KEEP=1 keeps the settings and the logs of the entry VMs.
+        if os.environ.get("KEEP") == "1":
+            print(f"logs: {self.folder}")
+        else:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def main(case, folder):
@@ -832,9 +838,13 @@
             print("target/whintack is missing: run the build of the deploy file")
             return 2
         world = World(folder)
+        play = asyncio.ensure_future(case(world))
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, play.cancel)
         try:
-            return await asyncio.wait_for(case(world), 110)
-        except asyncio.TimeoutError:
+            return await asyncio.wait_for(play, 110)
+        except (asyncio.TimeoutError, asyncio.CancelledError):
             print("the case did not end in time")
             return 2
         finally:
