--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
+# Writes what was sent, answered and run to record.txt.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 # TROUBLE=0: the same with another name for the service.
 cd "$(dirname "$0")" && exec python3 -B case.py
