--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -28,7 +28,8 @@
       Advice(std::make_shared<AdviceClient>(this->Shared,
                                             this->Connections.Advice)),
       Processor(this->Self.ProcessorShare, this->Connections.ProcessorTime,
-                logWarning) {
+                logWarning),
+      Longest(std::make_shared<LongestWork>(this->Shared.Time)) {
   // The lease knows of one grace only. A successor would wait in vain for more.
   this->Self.MachineOrderGrace =
       std::min(this->Self.MachineOrderGrace, this->Self.StoreOutageGrace);
@@ -285,6 +286,7 @@
     return Items->knownThrough();
   };
   Environment.MaxConfigurationAge = maxConfigurationAge();
+  Environment.Longest = this->Longest;
   Environment.Loads = this->Loads;
   Environment.ProcessorTime = this->Connections.ProcessorTime;
   Environment.MaxLease = this->Self.MaxLease;
--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -149,6 +149,8 @@
   std::shared_ptr<LoadQueue> Loads;
   std::shared_ptr<AdviceClient> Advice;
   ProcessorMonitor Processor;
+  /// The longest work of the planners since the last reconciliation.
+  std::shared_ptr<LongestWork> Longest;
   std::shared_ptr<ServiceCalls> Calls;
   std::shared_ptr<SubmissionTracker> Submissions;
   std::shared_ptr<ExecutorRelay> ExecutorCalls;
--- a/src/libs/dispatch/fleetcoreload.cpp
+++ b/src/libs/dispatch/fleetcoreload.cpp
@@ -9,10 +9,15 @@
 /// that long.
 void FleetCore::reportLoopDelay() const {
   const Duration Delay = this->Shared.now() - this->NextCheck;
+  const LongestWork::Item Work = this->Longest->take();
   if (Delay > MaxLoopDelay)
     logEvent(LogLevel::Warning, "event-loop-late",
              {{"delay-ms", toMilliseconds(Delay)},
-              {"shards", this->OwnClaims.size()}});
+              {"shards", this->OwnClaims.size()},
+              {"longest", nameOf(PlannerWorkNames, Work.Kind)},
+              {"longest-ms", toMilliseconds(Work.Time)},
+              {"size", Work.Size},
+              {"shard", Work.Service}});
 }
 
 std::vector<ShardCandidate> FleetCore::executorRelays() const {
--- a/src/libs/dispatch/loadmonitor.cpp
+++ b/src/libs/dispatch/loadmonitor.cpp
@@ -13,6 +13,8 @@
 /// Time from the decision to the answer above which orders count as slow.
 /// Executors take milliseconds to answer.
 static constexpr Duration MaxOrderTime = std::chrono::milliseconds(100);
+/// Time above which a planning pass counts as slow.
+static constexpr Duration MaxPassTime = std::chrono::seconds(1);
 
 ProcessorMonitor::ProcessorMonitor(double ProcessorShare,
                                    std::function<Duration()> UsedTime,
@@ -40,9 +42,10 @@
 
 PlannerLoadMonitor::PlannerLoadMonitor(ServiceName Service,
                                        std::function<Duration()> UsedTime,
+                                       std::shared_ptr<LongestWork> Longest,
                                        jobs::DecisionLog Log)
     : Service(std::move(Service)), UsedTime(std::move(UsedTime)),
-      Log(std::move(Log)) {}
+      Longest(std::move(Longest)), Log(std::move(Log)) {}
 
 void PlannerLoadMonitor::update(size_t Waiting, TimePoint Now) {
   if (Now < this->NextLogAt)
@@ -64,6 +67,21 @@
                              {"waiting-jobs", Waiting}});
 }
 
+PassMonitor::PassMonitor(ServiceName Service, jobs::DecisionLog Log)
+    : Service(std::move(Service)), Log(std::move(Log)) {}
+
+void PassMonitor::update(const std::optional<jobs::OpenPass> &Open,
+                         TimePoint Now) {
+  if (!Open || Now < Open->BeganAt + MaxPassTime || Now < this->NextLogAt)
+    return;
+  this->NextLogAt = Now + LogInterval;
+  this->Log("pass-slow", {{"shard", this->Service},
+                          {"since-ms", toMilliseconds(Now - Open->BeganAt)},
+                          {"turns", Open->Turns},
+                          {"jobs-left", Open->JobsLeft},
+                          {"next", Open->Next ? Open->Next->text() : ""}});
+}
+
 OrderMonitor::OrderMonitor(ServiceName Service, jobs::DecisionLog Log)
     : Service(std::move(Service)), Log(std::move(Log)) {}
 
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -8,6 +8,9 @@
 /// Minimum time between two planning passes. A pass looks at all executors and
 /// waiting jobs, so reports that arrive together share one.
 static constexpr Duration MinPlanInterval = std::chrono::milliseconds(5);
+/// Time after which a planning pass is interrupted, so that the loop can renew
+/// the lease and answer calls.
+static constexpr Duration PassTurnTime = std::chrono::milliseconds(10);
 static constexpr Duration DiscoveryTimeout = std::chrono::milliseconds(1000);
 /// Wait of one watch call for notices. While none come, what is known is as old
 /// as two calls, which must stay below MaxKnowledgeAge also with slow answers.
@@ -28,11 +31,13 @@
                                      std::initializer_list<LogField> Fields) {
              logEvent(LogLevel::Info, Event, Fields);
            },
-           this->Environment.ReservesRoom}),
+           this->Environment.ReservesRoom,
+           [this] { return this->Shared.now() >= this->TurnEnd; }}),
       BacklogMonitor(this->Service, logWarning),
       OrderTimes(this->Service, logWarning),
-      Load(this->Service, this->Environment.ProcessorTime, logWarning),
-      LostExecutors(this->Service) {}
+      Load(this->Service, this->Environment.ProcessorTime,
+           this->Environment.Longest, logWarning),
+      PassTimes(this->Service, logWarning), LostExecutors(this->Service) {}
 
 void ServiceShard::start() {
   this->ClaimedAt = this->Shared.now();
@@ -167,13 +172,15 @@
 void ServiceShard::handleContents(const ShardStore::Contents &Loaded) {
   if (this->IsStopped)
     return;
-  std::unordered_map<std::string, std::string> Progress;
-  for (const store::StoreItem &Item : Loaded.Progress)
-    Progress[Item.Key.substr(keys::progress(this->Service).size())] =
-        Item.Value;
   this->adoptStoredQuotas(Loaded);
-  for (const store::StoreItem &Item : Loaded.Jobs)
-    this->restore(Item, jobs::JobSource::TakeOver, Progress);
+  this->Load.measure(PlannerWork::Load, Loaded.Jobs.size(), [&] {
+    std::unordered_map<std::string, std::string> Progress;
+    for (const store::StoreItem &Item : Loaded.Progress)
+      Progress[Item.Key.substr(keys::progress(this->Service).size())] =
+          Item.Value;
+    for (const store::StoreItem &Item : Loaded.Jobs)
+      this->restore(Item, jobs::JobSource::TakeOver, Progress);
+  });
   this->KnownAsOf = Loaded.AsOf;
   this->IsLoaded = true;
   logEvent(LogLevel::Info, "shard-loaded",
@@ -402,17 +409,22 @@
     this->endGrace();
   this->reportStartPause();
   this->checkConfigurationAge();
-  this->Load.measure(PlannerWork::Pass, [this, Now] {
-    if (this->canStartTasks())
-      this->Planner.plan(Now, this->Shared.Time.WallNow());
-    else if (this->canOrder())
-      this->Planner.repeatStops(Now);
-  });
-  this->Load.measure(PlannerWork::Orders, [this] {
-    for (const jobs::Order &Order : this->Planner.takeOrders())
+  const bool WasInterrupted = this->Planner.openPass().has_value();
+  this->TurnEnd = Now + PassTurnTime;
+  this->Load.measure(PlannerWork::Pass, this->Planner.startableJobs(),
+                     [this, Now] {
+                       if (this->canStartTasks())
+                         this->Planner.plan(Now, this->Shared.Time.WallNow());
+                       else if (this->canOrder())
+                         this->Planner.repeatStops(Now);
+                     });
+  const std::vector<jobs::Order> Orders = this->Planner.takeOrders();
+  this->Load.measure(PlannerWork::Orders, Orders.size(), [&] {
+    for (const jobs::Order &Order : Orders)
       this->execute(Order);
   });
   this->Load.update(this->Planner.startableJobs(), Now);
+  this->PassTimes.update(this->Planner.openPass(), Now);
   this->checkBacklog();
   this->requestFlush();
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
@@ -421,6 +433,9 @@
                   Self.requestPlan();
               });
   this->LastPlan = Now;
+  // A pass that took several turns has not seen what happened meanwhile.
+  if (WasInterrupted || this->Planner.openPass())
+    this->requestPlan();
 }
 
 JobOrigin ServiceShard::originOf(const jobs::JobId &Job) const {
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -38,6 +38,7 @@
   /// Returns the processor time that this process has used; null if that is not
   /// known.
   std::function<Duration()> ProcessorTime;
+  std::shared_ptr<LongestWork> Longest;
   std::shared_ptr<LoadQueue> Loads;
   /// Requests a new list of executors.
   std::function<void()> RefreshExecutors;
@@ -214,6 +215,7 @@
   StoreBacklogMonitor BacklogMonitor;
   OrderMonitor OrderTimes;
   PlannerLoadMonitor Load;
+  PassMonitor PassTimes;
   std::shared_ptr<PrefixWatch> Notices;
   std::map<jobs::ExecutorId, std::shared_ptr<ExecutorLink>> Links;
   /// Time by which the leases that calls of closed links can give have expired.
@@ -254,6 +256,8 @@
   /// Revision of the store through which all jobs have been read.
   uint64_t KnownAsOf = 0;
   TimePoint LastPlan = TimePoint::min();
+  /// When the present turn of a planning pass has used its time.
+  TimePoint TurnEnd = TimePoint::max();
   TimePoint NextBacklogCheck = TimePoint::min();
   DiscoveryState Discovery = DiscoveryState::NotNeeded;
   bool IsLoaded = false;
--- a/src/libs/dispatch/serviceshardlinks.cpp
+++ b/src/libs/dispatch/serviceshardlinks.cpp
@@ -60,7 +60,7 @@
   };
   Hooks.OnReport = [this](const jobs::ExecutorId &Id,
                           const jobs::ExecutorReport &Report) {
-    this->Load.measure(PlannerWork::Reports, [&] {
+    this->Load.measure(PlannerWork::Reports, Report.Running.size(), [&] {
       this->Planner.noteReport(Id, Report, this->Shared.now());
     });
     this->requestFlush();
@@ -71,7 +71,7 @@
   };
   Hooks.OnStart = [this](const jobs::StartOrder &Order,
                          jobs::StartOutcome Outcome, jobs::ExecutorTime At) {
-    this->Load.measure(PlannerWork::StartAnswers, [&] {
+    this->Load.measure(PlannerWork::StartAnswers, 1, [&] {
       this->Planner.noteStart(Order, Outcome, At, this->Shared.now());
     });
     if (Outcome != jobs::StartOutcome::Started)
--- a/src/libs/dispatch/serviceshardwrites.cpp
+++ b/src/libs/dispatch/serviceshardwrites.cpp
@@ -11,7 +11,10 @@
   ProgressWriterHooks Hooks;
   Hooks.Writable = [this] { return this->Planner.writableJobs(); };
   Hooks.Take = [this](size_t MaxEntries) {
-    return this->Planner.takeWrites(MaxEntries);
+    std::vector<jobs::JobWrite> Taken;
+    this->Load.measure(PlannerWork::Flush, this->Planner.writableJobs(),
+                       [&] { Taken = this->Planner.takeWrites(MaxEntries); });
+    return Taken;
   };
   Hooks.Return = [this](const std::vector<jobs::JobWrite> &Writes) {
     this->Planner.noteWriteFailed(Writes);
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -39,6 +39,8 @@
   DecisionLog Log;
   /// Reserve room for large tasks that wait.
   bool ReservesRoom = false;
+  /// Whether a pass is to be interrupted after the present task; null if never.
+  std::function<bool()> IsTurnOver = nullptr;
 };
 
 /// How a planner learned of a job.
@@ -81,6 +83,17 @@
   uint64_t Through = 0;
 };
 
+/// How far a planning pass that was interrupted has got.
+struct OpenPass {
+  TimePoint BeganAt;
+  /// Number of calls of plan() so far.
+  size_t Turns = 0;
+  /// Number of jobs that have not been planned to their ends.
+  size_t JobsLeft = 0;
+  /// The task that comes next, if the pass was interrupted within a job.
+  std::optional<TaskKey> Next;
+};
+
 /// What the planner has recorded and the store does not have yet.
 struct StoreBacklog {
   /// Number of jobs with changes that are not stored.
@@ -197,8 +210,11 @@
   /// Repeats stop orders that were not answered.
   void repeatStops(TimePoint Now);
   /// Orders the start of all tasks that can start now, and repeats stop orders
-  /// that were not answered.
+  /// that were not answered. If the pass is interrupted, the next call goes on
+  /// with it.
   void plan(TimePoint Now, WallTime WallNow);
+  /// The pass that was interrupted; std::nullopt if there is none.
+  std::optional<OpenPass> openPass() const;
   /// Returns the orders issued since the last call.
   std::vector<Order> takeOrders();
   /// Number of jobs that a pass looks at.
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -10,6 +10,10 @@
 /// planner starts above all numbers that earlier generations can have used.
 static constexpr uint64_t RunsPerGeneration = 10000;
 
+/// Number of tasks after which takeWrites() takes no further job. A commit has
+/// no room for more.
+static constexpr size_t MaxTakenTasks = 4000;
+
 bool OccurrenceRecord::isDone() const {
   return std::all_of(this->Steps.begin(), this->Steps.end(),
                      [](const StepRecord &Step) { return Step.isDone(); });
@@ -190,6 +194,8 @@
     return;
   this->FinalJobs[Id] = Job->ShownState;
   this->removeStartable(*Job);
+  if (this->Pass)
+    this->Pass->RemovedJobs.insert(Job);
   TenantAccounts::removeJob(Job->Tenant);
   this->Advice.erase(this->Advice.lower_bound(StepKey{Id, 0, 0}),
                      this->Advice.upper_bound(StepKey{Id, INT64_MAX, 0}));
@@ -331,9 +337,10 @@
 std::vector<JobWrite> Planner::takeWrites(size_t MaxEntries) {
   std::vector<JobWrite> Writes;
   size_t Entries = 0;
+  size_t Tasks = 0;
   const auto Collect = [&](size_t Limit, bool WantsOnlyFinal) {
     for (const auto &[Position, Unstored] : this->D->UnstoredJobs) {
-      if (Entries >= Limit)
+      if (Entries >= Limit || Tasks >= MaxTakenTasks)
         return;
       JobRecord &Job = *Unstored;
       if (Job.IsBeingWritten || (WantsOnlyFinal && !isFinal(Job.State)) ||
@@ -351,6 +358,7 @@
       });
       this->D->beginWrite(Job);
       Entries += entriesOf(Job);
+      Tasks += Write.Progress.Tasks.size();
       Job.ChangedSinceWriteAt = TimePoint::max();
       Writes.push_back(std::move(Write));
     }
--- a/src/libs/jobs/planner_p.h
+++ b/src/libs/jobs/planner_p.h
@@ -158,11 +158,23 @@
 
   // Placement.
   std::vector<Internal::Candidate> candidates(TimePoint Now);
-  void planJob(Internal::JobRecord &Job,
-               std::vector<Internal::Candidate> &Candidates, TimePoint Now,
-               WallTime WallNow);
-  void planStep(Internal::JobRecord &Job, const StepKey &Step,
-                std::vector<Internal::Candidate> &Candidates, TimePoint Now);
+  /// Whether the executor may get new tasks.
+  bool isUsable(const Internal::ExecutorRecord &Executor, TimePoint Now) const;
+  /// Plans the job from \p Next on. Returns false if it was interrupted, with
+  /// \p Next at the task to go on with.
+  bool planJob(Internal::JobRecord &Job,
+               std::vector<Internal::Candidate> &Candidates,
+               Internal::PassPosition &Next, TimePoint Now, WallTime WallNow);
+  /// The same for the tasks of a step from \p Next on.
+  bool planStep(Internal::JobRecord &Job, const StepKey &Step,
+                std::vector<Internal::Candidate> &Candidates, size_t &Next,
+                TimePoint Now);
+  Internal::TaskPlan planTask(Internal::JobRecord &Job, const TaskKey &Key,
+                              std::vector<Internal::Candidate> &Candidates,
+                              TimePoint Now);
+  bool isTurnOver() const {
+    return this->Setup.IsTurnOver && this->Setup.IsTurnOver();
+  }
   /// Holds a place for a long-running task that leaves its executor, and stops
   /// it there once it has one.
   void planLeavingTask(Internal::JobRecord &Job, const TaskKey &Key,
@@ -199,7 +211,6 @@
                      TimePoint Now);
   /// Handles that an executor has rejected the ticket of a start order.
   void noteTicketRejected(const StartOrder &Order, TimePoint Now);
-  size_t countLongRunning(Internal::Candidate &Target);
   size_t countUnavailableTasks(const Internal::JobRecord &Job,
                                const StepKey &Step);
   /// Reserves one executor for a long-running task that does not fit anywhere
@@ -229,11 +240,24 @@
   std::optional<Internal::StartableJob> review(Internal::JobRecord &Job);
   /// Determines the effort of the steps that are not done, for the job's rank.
   static void updateRemainingEffort(Internal::JobRecord &Job);
-  std::vector<Internal::RankedJob> rankStartable(TimePoint Now,
-                                                 bool IsRecovering);
-  void planInOrder(std::vector<Internal::RankedJob> Waiting,
-                   std::vector<Internal::Candidate> &Candidates, TimePoint Now,
-                   WallTime WallNow);
+  std::vector<Internal::RankedJob> rankStartable(TimePoint Now);
+  /// Begins a pass; returns false if no executor can get tasks.
+  bool beginPass(TimePoint Now);
+  /// Notes what is free, so that resumePass() can tell what is lost by then.
+  void interruptPass();
+  /// Adapts the pass to what has happened since it was interrupted.
+  void resumePass(TimePoint Now);
+  /// Plans the jobs of the pass in the order of their ranks. Returns false if
+  /// it was interrupted.
+  bool planInOrder(TimePoint Now, WallTime WallNow);
+  /// Makes the job that ranks first the current one of the pass. Returns false
+  /// if there is none.
+  bool beginNextJob();
+  /// Ends the current job, and drops those that have become unplaceable.
+  void endCurrentJob(TimePoint Now);
+  bool isRecovering() const {
+    return this->IsDiscoveringExecutors || !this->AwaitedExecutors.empty();
+  }
   /// Whether planning the job has no effect, because its tasks do not fit.
   bool isUnplaceable(const Internal::StartableJob &Job) const;
   /// Whether planning the job has no effect, not even a reservation.
@@ -329,6 +353,8 @@
   /// The most that was free on any executor when the pass began, separately for
   /// each resource.
   ComputeResources MostFree;
+  /// The pass that was interrupted, or is being made.
+  std::optional<Internal::PlanningPass> Pass;
 };
 
 } // namespace whintack::jobs
--- a/src/libs/jobs/plannerevacuation.cpp
+++ b/src/libs/jobs/plannerevacuation.cpp
@@ -112,6 +112,8 @@
                                         TimePoint Now) {
   Candidate *Best = nullptr;
   for (Candidate &Each : Candidates) {
+    if (Each.Free == NoResources)
+      continue;
     Candidate Emptied = Each;
     Emptied.Free = Each.Executor->Info.Capacity;
     if (this->canRunOn(Job, Key, Emptied, Now) &&
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -14,8 +14,12 @@
   Executor.Booked += Spec.bookedResources();
   this->Tenants.book(Job.Tenant, Spec);
   Executor.Ends.ValidUntil = TimePoint::min();
-  if (Spec.IsLongRunning)
+  if (Spec.IsLongRunning) {
     Executor.LongRunningMilliCores += Spec.bookedResources().MilliCores;
+    ++Executor.LongRunningRuns;
+  }
+  if (Spec.MaxTasksPerExecutor > 0)
+    ++Job.step(Key.Step).TasksByExecutor[Run.Executor];
   if (Run.IsLastChance)
     this->LastChanceMilliCores += Spec.bookedResources().MilliCores;
   Executor.Runs[Key] = Run.Number;
@@ -33,8 +37,16 @@
   Executor.Booked -= Spec.bookedResources();
   this->Tenants.release(Job.Tenant, Spec);
   Executor.Ends.ValidUntil = TimePoint::min();
-  if (Spec.IsLongRunning)
+  if (Spec.IsLongRunning) {
     Executor.LongRunningMilliCores -= Spec.bookedResources().MilliCores;
+    --Executor.LongRunningRuns;
+  }
+  if (Spec.MaxTasksPerExecutor > 0) {
+    auto &Counts = Job.step(Key.Step).TasksByExecutor;
+    const auto Count = Counts.find(Task.Current->Executor);
+    if (--Count->second == 0)
+      Counts.erase(Count);
+  }
   if (Task.Current->IsLastChance)
     this->LastChanceMilliCores -= Spec.bookedResources().MilliCores;
   Executor.Runs.erase(Key);
@@ -117,7 +129,8 @@
       this->D->log("executor-unlisted", {{"executor", Entry->first},
                                          {"runs", Executor.Runs.size()}});
     Executor.IsListed = false;
-    const bool IsOver = Executor.Runs.empty() &&
+    // An interrupted pass refers to the executors that it may use.
+    const bool IsOver = !this->D->Pass && Executor.Runs.empty() &&
                         Executor.UnexplainedRuns.empty() &&
                         Executor.BarredRuns.empty() &&
                         !this->D->AwaitedExecutors.contains(Entry->first);
@@ -149,9 +162,9 @@
                                      TimePoint Now) {
   const bool IsGang = this->stepSpec(Job, Key.Step).IsGang;
   StepRecord &Step = Job.step(Key.Step);
-  for (size_t Index = 0; Index < Step.Tasks.size(); ++Index) {
-    if (!IsGang && Index != Key.Index)
-      continue;
+  const size_t First = IsGang ? 0 : Key.Index;
+  const size_t End = IsGang ? Step.Tasks.size() : Key.Index + 1;
+  for (size_t Index = First; Index < End; ++Index) {
     TaskRecord &Task = Step.Tasks[Index];
     if (Task.Stored.IsDone)
       continue;
--- a/src/libs/jobs/plannerpass.cpp
+++ b/src/libs/jobs/plannerpass.cpp
@@ -23,8 +23,8 @@
   return Most;
 }
 
-std::vector<RankedJob> Planner::Private::rankStartable(TimePoint Now,
-                                                       bool IsRecovering) {
+std::vector<RankedJob> Planner::Private::rankStartable(TimePoint Now) {
+  const bool IsRecovering = this->isRecovering();
   std::vector<StartableJob> Waiting;
   Waiting.reserve(this->Startable.size());
   for (size_t Position = 0; Position < this->Startable.size();) {
@@ -73,24 +73,90 @@
          LastChanceShare * static_cast<double>(this->TotalMilliCores);
 }
 
-void Planner::Private::planInOrder(std::vector<RankedJob> Waiting,
-                                   std::vector<Candidate> &Candidates,
-                                   TimePoint Now, WallTime WallNow) {
-  // Few jobs fit into what becomes free between two passes, so a heap is
-  // cheaper than sorting all of them. It has pointers, as ranked jobs are
-  // large.
-  const auto IsLater = [Now](const RankedJob *First, const RankedJob *Second) {
-    return isPlannedBefore(*Second, *First, Now);
+/// Compares entries of a pass's heap, the first one by rank on top. Few jobs
+/// fit into what becomes free between two passes, so a heap is cheaper than
+/// sorting all of them. It has pointers, as ranked jobs are large.
+static auto heapOrder(const PlanningPass &Pass) {
+  return
+      [Began = Pass.BeganAt](const RankedJob *First, const RankedJob *Second) {
+        return isPlannedBefore(*Second, *First, Began);
+      };
+}
+
+static size_t countLongRunning(const std::vector<RankedJob *> &Jobs) {
+  return static_cast<size_t>(
+      std::count_if(Jobs.begin(), Jobs.end(), [](const RankedJob *Each) {
+        return Each->Rank.IsLongRunning;
+      }));
+}
+
+bool Planner::Private::beginPass(TimePoint Now) {
+  std::vector<Candidate> Candidates = this->candidates(Now);
+  if (Candidates.empty())
+    return false;
+  this->UnplaceableNeed.reset();
+  this->MostFree = mostFree(Candidates);
+  this->TotalMilliCores =
+      std::accumulate(Candidates.begin(), Candidates.end(), int64_t{0},
+                      [](int64_t Sum, const Candidate &Each) {
+                        return Sum + Each.Executor->Info.Capacity.MilliCores;
+                      });
+  this->beginReservations(Candidates);
+  PlanningPass &Begun = this->Pass.emplace();
+  Begun.BeganAt = Now;
+  Begun.Candidates = std::move(Candidates);
+  Begun.Waiting = this->rankStartable(Now);
+  Begun.Heap.reserve(Begun.Waiting.size());
+  for (RankedJob &Each : Begun.Waiting)
+    Begun.Heap.push_back(&Each);
+  std::make_heap(Begun.Heap.begin(), Begun.Heap.end(), heapOrder(Begun));
+  Begun.LongRunning = countLongRunning(Begun.Heap);
+  return true;
+}
+
+void Planner::Private::interruptPass() {
+  for (Candidate &Each : this->Pass->Candidates)
+    Each.FreeAtInterruption = Each.Executor->free();
+}
+
+/// What is left of \p Free if \p Before was free on the executor and \p Now is.
+/// More than \p Free is never left.
+static ComputeResources remaining(const ComputeResources &Free,
+                                  const ComputeResources &Before,
+                                  const ComputeResources &Now) {
+  const auto LeftOf = [&](int64_t ComputeResources::*Part) {
+    return Free.*Part - std::max<int64_t>(Before.*Part - Now.*Part, 0);
   };
-  std::vector<RankedJob *> Heap;
-  Heap.reserve(Waiting.size());
-  for (RankedJob &Each : Waiting)
-    Heap.push_back(&Each);
-  std::make_heap(Heap.begin(), Heap.end(), IsLater);
-  auto LongRunning =
-      std::count_if(Waiting.begin(), Waiting.end(), [](const RankedJob &Each) {
-        return Each.Rank.IsLongRunning;
-      });
+  return {LeftOf(&ComputeResources::MilliCores),
+          LeftOf(&ComputeResources::MemoryMb), LeftOf(&ComputeResources::Gpus)};
+}
+
+void Planner::Private::resumePass(TimePoint Now) {
+  PlanningPass &Resumed = *this->Pass;
+  for (Candidate &Each : Resumed.Candidates)
+    Each.Free = this->isUsable(*Each.Executor, Now)
+                    ? remaining(Each.Free, Each.FreeAtInterruption,
+                                Each.Executor->free())
+                    : NoResources;
+  const std::unordered_set<const JobRecord *> Removed =
+      std::exchange(Resumed.RemovedJobs, {});
+  const auto IsRemoved = [&Removed](const RankedJob *Each) {
+    return Removed.contains(Each->Startable.Job);
+  };
+  if (std::erase_if(Resumed.Heap, IsRemoved) > 0)
+    std::make_heap(Resumed.Heap.begin(), Resumed.Heap.end(),
+                   heapOrder(Resumed));
+  if (Resumed.Current && IsRemoved(Resumed.Current))
+    Resumed.Current = nullptr;
+  Resumed.LongRunning = countLongRunning(Resumed.Heap);
+  if (Resumed.Current && Resumed.Current->Rank.IsLongRunning)
+    ++Resumed.LongRunning;
+}
+
+bool Planner::Private::beginNextJob() {
+  PlanningPass &Present = *this->Pass;
+  std::vector<RankedJob *> &Heap = Present.Heap;
+  const auto IsLater = heapOrder(Present);
   while (!Heap.empty()) {
     std::pop_heap(Heap.begin(), Heap.end(), IsLater);
     RankedJob &Next = *Heap.back();
@@ -109,24 +175,51 @@
     Heap.pop_back();
     if (this->isHeldBackByQuota(Next.Startable))
       continue;
-    this->IsPlanningLastChance = Next.Rank.IsLastChance;
-    const std::optional<ComputeResources> EarlierNeed = this->UnplaceableNeed;
-    const bool MightReserve = this->Room.Reservations.mayReserve();
-    this->planJob(*Next.Startable.Job, Candidates, Now, WallNow);
-    if (Next.Rank.IsLongRunning)
-      --LongRunning;
-    // What does not fit anywhere determines whether an executor is reserved for
-    // a long-running task, so all jobs that rank before it are planned.
-    const bool HasLessRoom =
-        this->UnplaceableNeed != EarlierNeed ||
-        MightReserve != this->Room.Reservations.mayReserve();
-    const bool MayDrop =
-        LongRunning == 0 && (HasLessRoom || Next.Rank.IsLongRunning);
-    if (MayDrop && std::erase_if(Heap, [this, Now](const RankedJob *Each) {
-                     return this->isDroppable(*Each, Now);
-                   }) > 0)
-      std::make_heap(Heap.begin(), Heap.end(), IsLater);
+    Present.beginJob(Next);
+    Present.EarlierNeed = this->UnplaceableNeed;
+    Present.MightReserve = this->Room.Reservations.mayReserve();
+    return true;
   }
+  return false;
+}
+
+void Planner::Private::endCurrentJob(TimePoint Now) {
+  PlanningPass &Present = *this->Pass;
+  const bool IsLongRunning =
+      std::exchange(Present.Current, nullptr)->Rank.IsLongRunning;
+  if (IsLongRunning)
+    --Present.LongRunning;
+  // What does not fit anywhere determines whether an executor is reserved for
+  // a long-running task, so all jobs that rank before it are planned.
+  const bool HasLessRoom =
+      this->UnplaceableNeed != Present.EarlierNeed ||
+      Present.MightReserve != this->Room.Reservations.mayReserve();
+  const bool MayDrop =
+      Present.LongRunning == 0 && (HasLessRoom || IsLongRunning);
+  if (MayDrop &&
+      std::erase_if(Present.Heap, [this, Now](const RankedJob *Each) {
+        return this->isDroppable(*Each, Now);
+      }) > 0)
+    std::make_heap(Present.Heap.begin(), Present.Heap.end(),
+                   heapOrder(Present));
+}
+
+bool Planner::Private::planInOrder(TimePoint Now, WallTime WallNow) {
+  PlanningPass &Present = *this->Pass;
+  while (Present.Current || this->beginNextJob()) {
+    JobRecord &Job = *Present.Current->Startable.Job;
+    this->IsPlanningLastChance = Present.Current->Rank.IsLastChance;
+    // The job may have ended, or the recovery begun, since an interruption.
+    const bool MayStart =
+        !isFinal(Job.State) && !(Job.MayHaveRun && this->isRecovering());
+    if (MayStart &&
+        !this->planJob(Job, Present.Candidates, Present.Next, Now, WallNow))
+      return false;
+    this->endCurrentJob(Now);
+    if (!Present.Heap.empty() && this->isTurnOver())
+      return false;
+  }
+  return true;
 }
 
 void Planner::repeatStops(TimePoint Now) { this->D->resendStops(Now); }
@@ -134,20 +227,36 @@
 void Planner::plan(TimePoint Now, WallTime WallNow) {
   this->repeatStops(Now);
   this->D->updateUnknownUse();
-  std::vector<Candidate> Candidates = this->D->candidates(Now);
-  if (Candidates.empty())
+  if (this->D->Pass)
+    this->D->resumePass(Now);
+  else if (!this->D->beginPass(Now))
     return;
-  this->D->UnplaceableNeed.reset();
-  this->D->MostFree = mostFree(Candidates);
-  this->D->TotalMilliCores =
-      std::accumulate(Candidates.begin(), Candidates.end(), int64_t{0},
-                      [](int64_t Sum, const Candidate &Each) {
-                        return Sum + Each.Executor->Info.Capacity.MilliCores;
-                      });
-  this->D->beginReservations(Candidates);
-  this->D->planInOrder(this->D->rankStartable(Now, this->isRecovering()),
-                       Candidates, Now, WallNow);
+  ++this->D->Pass->Turns;
+  if (!this->D->planInOrder(Now, WallNow)) {
+    this->D->interruptPass();
+    return;
+  }
   this->D->Room.Changes.endPass(Now);
+  this->D->Pass.reset();
+}
+
+std::optional<OpenPass> Planner::openPass() const {
+  if (!this->D->Pass)
+    return std::nullopt;
+  const PlanningPass &Present = *this->D->Pass;
+  OpenPass Open;
+  Open.BeganAt = Present.BeganAt;
+  Open.Turns = Present.Turns;
+  Open.JobsLeft = Present.Heap.size() + (Present.Current ? 1 : 0);
+  // A job that has been removed since is no longer there to be named.
+  if (Present.Current &&
+      !Present.RemovedJobs.contains(Present.Current->Startable.Job)) {
+    const PassPosition &Next = Present.Next;
+    const JobId &Job = Present.Current->Startable.Job->Spec.Id;
+    Open.Next = TaskKey{{Job, static_cast<int64_t>(Next.Occurrence), Next.Step},
+                        Next.Task};
+  }
+  return Open;
 }
 
 std::vector<Order> Planner::takeOrders() {
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -10,21 +10,24 @@
 
 /// How long before it has no value a late job takes part in that share.
 static constexpr Duration LastChanceTime = std::chrono::milliseconds(1000);
-/// Does not cover any need, not even one of 0.
-static constexpr ComputeResources NoResources = {-1, -1, -1};
+
+bool Planner::Private::isUsable(const ExecutorRecord &Executor,
+                                TimePoint Now) const {
+  const auto Policy = this->Services.find(Executor.Info.Service);
+  const bool EnforcesCapacity =
+      Policy == this->Services.end() || Policy->second.ExecutorsCheckAdmission;
+  return Executor.IsListed && !Executor.Info.IsDraining &&
+         Executor.IsReachable && Executor.HasReported &&
+         Executor.isInfoCurrent() && Now >= Executor.EvacuatingUntil &&
+         Now >= Executor.NoRoomUntil &&
+         (!Executor.HasUnknownRuns || EnforcesCapacity);
+}
 
 std::vector<Candidate> Planner::Private::candidates(TimePoint Now) {
   std::vector<Candidate> Healthy;
   std::vector<Candidate> Suspect;
   for (auto &[Id, Executor] : this->Executors) {
-    const auto Policy = this->Services.find(Executor.Info.Service);
-    const bool EnforcesCapacity = Policy == this->Services.end() ||
-                                  Policy->second.ExecutorsCheckAdmission;
-    if (!Executor.IsListed || Executor.Info.IsDraining ||
-        !Executor.IsReachable || !Executor.HasReported ||
-        !Executor.isInfoCurrent() || Now < Executor.EvacuatingUntil ||
-        Now < Executor.NoRoomUntil ||
-        (Executor.HasUnknownRuns && !EnforcesCapacity))
+    if (!this->isUsable(Executor, Now))
       continue;
     Candidate Found{&Executor, Executor.free(), rackOf(Executor.Info)};
     (this->HealthTracker.isSuspect(Id, Now) ? Suspect : Healthy)
@@ -154,26 +157,6 @@
   });
 }
 
-static size_t countTasksOn(const StepRecord &Step, const ExecutorId &Id) {
-  return static_cast<size_t>(std::count_if(
-      Step.Tasks.begin(), Step.Tasks.end(), [&Id](const TaskRecord &Task) {
-        return Task.Current && Task.Current->Executor == Id;
-      }));
-}
-
-/// Counts the long-running tasks on the executor, once in a pass unless a task
-/// is started there.
-size_t Planner::Private::countLongRunning(Candidate &Target) {
-  if (!Target.LongRunningTasks)
-    Target.LongRunningTasks = static_cast<size_t>(std::count_if(
-        Target.Executor->Runs.begin(), Target.Executor->Runs.end(),
-        [this](const auto &Run) {
-          const JobRecord &Job = *this->findJob(Run.first.Step.Job);
-          return this->stepSpec(Job, Run.first.Step).IsLongRunning;
-        }));
-  return *Target.LongRunningTasks;
-}
-
 bool Planner::Private::canHost(const JobRecord &Job, const TaskKey &Key,
                                const Candidate &Target) {
   const StepSpec &Spec = this->stepSpec(Job, Key.Step);
@@ -188,8 +171,7 @@
   if (Spec.IsOnOneRack && !Step.Rack.empty() && Target.Rack != Step.Rack)
     return false;
   return Spec.MaxTasksPerExecutor == 0 ||
-         countTasksOn(Step, Target.Executor->Info.Id) <
-             Spec.MaxTasksPerExecutor;
+         Step.tasksOn(Target.Executor->Info.Id) < Spec.MaxTasksPerExecutor;
 }
 
 bool Planner::Private::canRunOn(const JobRecord &Job, const TaskKey &Key,
@@ -221,7 +203,7 @@
     PlacementScore Score = scorePlacement(Spec, Each.Free, Each.Rack);
     Score.HasFailedThere = Each.Executor->Info.Id == LastFailedOn;
     if (Spec.IsLongRunning)
-      Score.LongRunningTasks = this->countLongRunning(Each);
+      Score.LongRunningTasks = Each.Executor->LongRunningRuns;
     if (!Best || Score < BestScore) {
       Best = &Each;
       BestScore = Score;
@@ -258,7 +240,6 @@
   this->bookRun(Key, Task, std::move(Record));
   this->noteStartOrdered(*Target.Executor, Key, Now);
   Target.Free -= Spec.bookedResources();
-  Target.LongRunningTasks.reset();
   if (this->Room.Reservations.hasReservations())
     this->Room.Reservations.notePlaced(Target.Position, Spec.bookedResources(),
                                        this->latestEnd(Job, Key.Step, Now));
@@ -276,6 +257,36 @@
   Step.Rack = rackFittingMostTasks(Spec, RackCandidates);
 }
 
+/// How many tasks with this need the resources cover, at most \p Limit.
+static size_t countCovered(const ComputeResources &Free,
+                           const ComputeResources &Need, size_t Limit) {
+  const auto Bound = [&](int64_t ComputeResources::*Part) {
+    if (Need.*Part > 0)
+      Limit = std::min(Limit, static_cast<size_t>(std::max<int64_t>(
+                                  Free.*Part / Need.*Part, 0)));
+  };
+  Bound(&ComputeResources::MilliCores);
+  Bound(&ComputeResources::MemoryMb);
+  Bound(&ComputeResources::Gpus);
+  return Free.covers(Need) ? Limit : 0;
+}
+
+/// Whether the gang may find room. A gang that waits is planned in each pass,
+/// and a search for all of its members takes far longer than this.
+static bool mayFit(const StepSpec &Spec,
+                   const std::vector<Candidate> &Candidates) {
+  const size_t MostOnOne = Spec.MaxTasksPerExecutor == 0
+                               ? Spec.Count
+                               : std::min(Spec.Count, Spec.MaxTasksPerExecutor);
+  size_t Places = 0;
+  for (const Candidate &Each : Candidates) {
+    Places += countCovered(Each.Free, Spec.bookedResources(), MostOnOne);
+    if (Places >= Spec.Count)
+      return true;
+  }
+  return false;
+}
+
 void Planner::Private::planGang(JobRecord &Job, const StepKey &Step,
                                 std::vector<Candidate> &Candidates,
                                 TimePoint Now) {
@@ -284,7 +295,8 @@
     if (this->findTask({Step, Index})->Current)
       return;
   if (!this->isCrashStored(Job, {Step, 0}) ||
-      !this->Tenants.mayStart(Job.Tenant, this->stepSpec(Job, Step)))
+      !this->Tenants.mayStart(Job.Tenant, this->stepSpec(Job, Step)) ||
+      !mayFit(this->stepSpec(Job, Step), Candidates))
     return;
   // Place all members on a copy of the candidates first, so that either all of
   // them start or none does.
@@ -313,86 +325,108 @@
     this->start(Job, {Step, Index}, Run, Candidates[Places[Index]], Now);
 }
 
-void Planner::Private::planStep(JobRecord &Job, const StepKey &Step,
+bool Planner::Private::planStep(JobRecord &Job, const StepKey &Step,
                                 std::vector<Candidate> &Candidates,
-                                TimePoint Now) {
+                                size_t &Next, TimePoint Now) {
   const StepSpec &Spec = this->stepSpec(Job, Step);
   StepRecord &Record = Job.step(Step);
   if (Record.isDone() || !this->ensureTickets(Job, Step, Candidates, Now))
-    return;
+    return true;
   const ComputeResources Need = Spec.bookedResources();
   if (this->UnplaceableNeed && Need.covers(*this->UnplaceableNeed)) {
     this->reserveRoomForStep(Job, Step, Candidates, Now);
-    return;
+    return true;
   }
   this->chooseRack(Spec, Record, Candidates);
   if (Spec.IsGang) {
     this->planGang(Job, Step, Candidates, Now);
-    return;
+    return true;
   }
-  for (size_t Index = 0; Index < Record.Tasks.size(); ++Index) {
-    TaskRecord &Task = Record.Tasks[Index];
-    const TaskKey Key{Step, Index};
-    if (Spec.IsLongRunning && Task.Current) {
-      this->planLeavingTask(Job, Key, Candidates, Now);
-      continue;
+  while (Next < Record.Tasks.size()) {
+    const TaskKey Key{Step, Next++};
+    switch (this->planTask(Job, Key, Candidates, Now)) {
+    case TaskPlan::Skipped:
+      break;
+    case TaskPlan::Planned:
+      if (this->isTurnOver())
+        return false;
+      break;
+    case TaskPlan::StepBlocked:
+      return true;
     }
-    if (Task.Stored.IsDone || Task.Current || Now < Task.EarliestStart ||
-        !this->isCrashStored(Job, Key))
-      continue;
-    if (!this->Tenants.mayStart(Job.Tenant, Spec))
-      return;
-    bool IsHeldBack = false;
-    Candidate *Place =
-        this->chooseCandidate(Job, Key, Candidates, Now, &IsHeldBack);
-    const StartCaution Caution = this->startCaution(Key);
-    if (!Place && Caution == StartCaution::Alone)
-      this->reserveForSuspect(Job, Key, Candidates, Now);
-    if (!Place && Caution != StartCaution::None)
-      continue;
-    if (!Place && Spec.IsLongRunning) {
-      this->reserveCandidate(Job, Key, Candidates, Now);
-      return;
-    }
-    if (!Place && this->Setup.ReservesRoom)
-      this->reserveRoom(Job, Key, Candidates, IsHeldBack, Now);
-    if (!Place && IsHeldBack) {
-      this->noteRefusal(Candidates);
-      return;
-    }
-    if (!Place) {
-      const bool IsUnconstrained =
-          Spec.RequiredLabel.empty() && !Spec.IsOnOneRack &&
-          Spec.MaxTasksPerExecutor == 0 && !Job.Policy.Advice;
-      if (IsUnconstrained)
-        this->UnplaceableNeed = Need;
-      return;
-    }
-    this->start(Job, Key, this->nextRunNumber(Step, Index), *Place, Now);
   }
+  return true;
 }
 
-void Planner::Private::planJob(JobRecord &Job,
+TaskPlan Planner::Private::planTask(JobRecord &Job, const TaskKey &Key,
+                                    std::vector<Candidate> &Candidates,
+                                    TimePoint Now) {
+  const StepSpec &Spec = this->stepSpec(Job, Key.Step);
+  const TaskRecord &Task = Job.step(Key.Step).Tasks[Key.Index];
+  if (Spec.IsLongRunning && Task.Current) {
+    this->planLeavingTask(Job, Key, Candidates, Now);
+    return TaskPlan::Planned;
+  }
+  if (Task.Stored.IsDone || Task.Current || Now < Task.EarliestStart ||
+      !this->isCrashStored(Job, Key))
+    return TaskPlan::Skipped;
+  if (!this->Tenants.mayStart(Job.Tenant, Spec))
+    return TaskPlan::StepBlocked;
+  bool IsHeldBack = false;
+  Candidate *Place =
+      this->chooseCandidate(Job, Key, Candidates, Now, &IsHeldBack);
+  if (Place) {
+    this->start(Job, Key, this->nextRunNumber(Key.Step, Key.Index), *Place,
+                Now);
+    return TaskPlan::Planned;
+  }
+  const StartCaution Caution = this->startCaution(Key);
+  if (Caution == StartCaution::Alone)
+    this->reserveForSuspect(Job, Key, Candidates, Now);
+  if (Caution != StartCaution::None)
+    return TaskPlan::Planned;
+  if (Spec.IsLongRunning) {
+    this->reserveCandidate(Job, Key, Candidates, Now);
+    return TaskPlan::StepBlocked;
+  }
+  if (this->Setup.ReservesRoom)
+    this->reserveRoom(Job, Key, Candidates, IsHeldBack, Now);
+  const bool IsUnconstrained =
+      Spec.RequiredLabel.empty() && !Spec.IsOnOneRack &&
+      Spec.MaxTasksPerExecutor == 0 && !Job.Policy.Advice;
+  if (IsHeldBack)
+    this->noteRefusal(Candidates);
+  else if (IsUnconstrained)
+    this->UnplaceableNeed = Spec.bookedResources();
+  return TaskPlan::StepBlocked;
+}
+
+bool Planner::Private::planJob(JobRecord &Job,
                                std::vector<Candidate> &Candidates,
-                               TimePoint Now, WallTime WallNow) {
-  for (size_t Occurrence = 0; Occurrence < Job.Occurrences.size();
-       ++Occurrence) {
-    const WallTime Due = Job.Spec.FirstRun +
-                         Job.Spec.Interval * static_cast<int64_t>(Occurrence);
+                               PassPosition &Next, TimePoint Now,
+                               WallTime WallNow) {
+  for (; Next.Occurrence < Job.Occurrences.size();
+       ++Next.Occurrence, Next.Step = 0) {
+    const WallTime Due =
+        Job.Spec.FirstRun +
+        Job.Spec.Interval * static_cast<int64_t>(Next.Occurrence);
     if (Job.Spec.isPeriodic() && WallNow < Due)
-      return;
-    if (Occurrence >= Job.Tenant.DueOccurrences) {
-      Job.Tenant.DueOccurrences = Occurrence + 1;
+      return true;
+    if (Next.Occurrence >= Job.Tenant.DueOccurrences) {
+      Job.Tenant.DueOccurrences = Next.Occurrence + 1;
       this->markForReview(Job);
     }
-    if (Job.Occurrences[Occurrence].isDone())
+    if (Job.Occurrences[Next.Occurrence].isDone())
       continue;
-    for (size_t Step = 0; Step < Job.Spec.Steps.size(); ++Step) {
-      const StepKey Key{Job.Spec.Id, static_cast<int64_t>(Occurrence), Step};
-      if (this->canStart(Job, Key))
-        this->planStep(Job, Key, Candidates, Now);
+    for (; Next.Step < Job.Spec.Steps.size(); ++Next.Step, Next.Task = 0) {
+      const StepKey Key{Job.Spec.Id, static_cast<int64_t>(Next.Occurrence),
+                        Next.Step};
+      if (this->canStart(Job, Key) &&
+          !this->planStep(Job, Key, Candidates, Next.Task, Now))
+        return false;
     }
   }
+  return true;
 }
 
 } // namespace whintack::jobs
--- a/src/libs/jobs/plannerquota.cpp
+++ b/src/libs/jobs/plannerquota.cpp
@@ -154,8 +154,7 @@
 }
 
 std::map<TenantName, TenantBacklog> Planner::Private::backlogs(TimePoint Now) {
-  const bool IsRecovering =
-      this->IsDiscoveringExecutors || !this->AwaitedExecutors.empty();
+  const bool IsRecovering = this->isRecovering();
   std::map<TenantName, TenantBacklog> Found;
   for (const StartableJob &Each : this->Startable) {
     const JobRecord &Job = *Each.Job;
--- a/src/libs/jobs/plannerrecords_p.h
+++ b/src/libs/jobs/plannerrecords_p.h
@@ -13,6 +13,8 @@
 #include <forward_list>
 #include <map>
 #include <set>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace whintack::jobs {
 
@@ -114,11 +116,18 @@
 struct StepRecord {
   std::vector<TaskRecord> Tasks;
   size_t DoneTasks = 0;
+  /// Number of tasks with a run on each executor. Kept only if the step has a
+  /// maximum, which is checked for each executor whenever a task is placed.
+  std::unordered_map<ExecutorId, size_t> TasksByExecutor;
   /// Rack chosen for a step whose tasks stay on one rack.
   std::string Rack;
   estimates::StepRunTimes RunTimes;
 
   bool isDone() const { return this->DoneTasks == this->Tasks.size(); }
+  size_t tasksOn(const ExecutorId &Id) const {
+    const auto Found = this->TasksByExecutor.find(Id);
+    return Found == this->TasksByExecutor.end() ? 0 : Found->second;
+  }
 };
 
 /// State of one occurrence of a job's steps.
@@ -231,6 +240,8 @@
   ComputeResources Booked;
   /// The part of Booked that belongs to long-running tasks.
   int64_t LongRunningMilliCores = 0;
+  /// Number of runs of long-running tasks.
+  size_t LongRunningRuns = 0;
   std::map<TaskKey, uint64_t> Runs;
   uint64_t LastEnd = 0;
   /// The ends that the executor still keeps, by number.
@@ -283,6 +294,9 @@
   StartableJob Startable;
 };
 
+/// Does not cover any need, not even one of 0.
+inline constexpr ComputeResources NoResources = {-1, -1, -1};
+
 /// An executor that may get tasks, and the resources left on it during one
 /// planning pass.
 struct Candidate {
@@ -291,8 +305,56 @@
   std::string Rack;
   /// Position in the pass's list of candidates.
   size_t Position = 0;
-  /// Number of long-running tasks on the executor; not set until it is needed.
-  std::optional<size_t> LongRunningTasks = std::nullopt;
+  /// What the executor had free when the pass was interrupted last.
+  ComputeResources FreeAtInterruption = {};
+};
+
+/// What a pass did with a task.
+enum class TaskPlan {
+  /// It has nothing to start.
+  Skipped,
+  /// Executors were searched for it.
+  Planned,
+  /// No further task of its step can start in this pass.
+  StepBlocked,
+};
+
+/// The next task of a job that a pass plans.
+struct PassPosition {
+  size_t Occurrence = 0;
+  size_t Step = 0;
+  size_t Task = 0;
+};
+
+/// A planning pass. It may be interrupted after any task, so that the event
+/// loop can handle other events before it goes on. All jobs keep the ranks that
+/// they had at its beginning, and what becomes free meanwhile is left to the
+/// next pass, which offers it to the first jobs first.
+struct PlanningPass {
+  TimePoint BeganAt;
+  /// Number of calls of Planner::plan() that have worked on the pass.
+  size_t Turns = 0;
+  std::vector<Candidate> Candidates;
+  std::vector<RankedJob> Waiting;
+  /// The entries of Waiting that have not been planned, as a heap with the
+  /// first one by rank on top.
+  std::vector<RankedJob *> Heap;
+  /// The job that is being planned, and where; null between two jobs.
+  RankedJob *Current = nullptr;
+  PassPosition Next;
+  /// Number of long-running jobs among Heap and Current.
+  size_t LongRunning = 0;
+  /// What UnplaceableNeed and mayReserve() were before Current.
+  std::optional<ComputeResources> EarlierNeed;
+  bool MightReserve = false;
+  /// Jobs that were removed since the pass was interrupted.
+  std::unordered_set<const JobRecord *> RemovedJobs;
+
+  /// Takes the next job from the heap.
+  void beginJob(RankedJob &Job) {
+    this->Current = &Job;
+    this->Next = {};
+  }
 };
 
 } // namespace Internal
--- a/src/libs/jobs/plannerrecovery.cpp
+++ b/src/libs/jobs/plannerrecovery.cpp
@@ -51,8 +51,6 @@
   }
 }
 
-bool Planner::isRecovering() const {
-  return this->D->IsDiscoveringExecutors || !this->D->AwaitedExecutors.empty();
-}
+bool Planner::isRecovering() const { return this->D->isRecovering(); }
 
 } // namespace whintack::jobs
--- a/tests/auto/dispatch/tst_serviceshard.cpp
+++ b/tests/auto/dispatch/tst_serviceshard.cpp
@@ -198,6 +198,8 @@
 
   ShardEnvironment environment() {
     ShardEnvironment Environment;
+    Environment.Longest =
+        std::make_shared<LongestWork>(this->Loop.Time.clock());
     Environment.Executors = this->executors();
     Environment.DecodeJob = this->Platform.codec().DecodeJob;
     Environment.Queues = [this] { return this->Queues; };
--- a/tests/auto/jobs/tst_plannerproperties.cpp
+++ b/tests/auto/jobs/tst_plannerproperties.cpp
@@ -40,11 +40,13 @@
   /// If \p ReviewsAll is set, the planner determines anew before each pass what
   /// every job can start.
   /// With \p HasTenants, the jobs belong to tenants with small maximums, whose
-  /// shares and maximums change.
+  /// shares and maximums change. If \p InterruptsPasses is set, each pass is
+  /// interrupted after each task, and anything may happen before it goes on.
   explicit SimulatedCluster(bool ReviewsAll = false, bool HasTenants = false,
-                            bool ReservesRoom = false)
+                            bool ReservesRoom = false,
+                            bool InterruptsPasses = false)
       : ReviewsAll(ReviewsAll), HasTenants(HasTenants),
-        ReservesRoom(ReservesRoom) {
+        ReservesRoom(ReservesRoom), InterruptsPasses(InterruptsPasses) {
     for (int Number = 0; Number < 3; ++Number)
       this->addExecutor();
     this->replacePlanner();
@@ -116,7 +118,9 @@
   void replacePlanner() {
     ++this->Token;
     this->Planner = std::make_unique<jobs::Planner>(
-        PlannerSetup{TestService, this->Token, {}, this->ReservesRoom});
+        PlannerSetup{TestService, this->Token, {}, this->ReservesRoom, [this] {
+                       return this->InterruptsPasses;
+                     }});
     if (this->HasTenants) {
       this->reviewAll();
       this->Planner->adoptQuota(this->Granted);
@@ -429,6 +433,7 @@
   bool MayStartLimited = true;
   size_t LimitedStarts = 0;
   bool ReservesRoom = false;
+  bool InterruptsPasses = false;
   std::string Orders;
   ManualClock Time;
   std::unique_ptr<jobs::Planner> Planner;
@@ -524,3 +529,15 @@
 TEST_CASE("passes over changed jobs of tenants give the same orders, too") {
   checkSameOrders(true);
 }
+
+// Guards against passes that act on what was true before they were interrupted.
+TEST_CASE("interrupted passes violate no invariant") {
+  CHECK(rc::check("interrupted passes", [](bool HasTenants, bool ReservesRoom) {
+    SimulatedCluster Cluster(false, HasTenants, ReservesRoom, true);
+    const auto Actions =
+        *rc::gen::container<std::vector<std::pair<uint8_t, uint16_t>>>(
+            400, rc::gen::arbitrary<std::pair<uint8_t, uint16_t>>());
+    for (const auto &[Action, Choice] : Actions)
+      Cluster.perform(Action, Choice);
+  }));
+}
--- a/tests/auto/support/logcapture.cpp
+++ b/tests/auto/support/logcapture.cpp
@@ -7,7 +7,10 @@
 
 class LogCapture::Sink : public google::LogSink {
 public:
-  Sink() { google::AddLogSink(this); }
+  explicit Sink(std::function<void(const std::string &)> OnLine)
+      : OnLine(std::move(OnLine)) {
+    google::AddLogSink(this);
+  }
   ~Sink() override { google::RemoveLogSink(this); }
 
   using google::LogSink::send;
@@ -16,6 +19,8 @@
             size_t Length) override {
     const std::lock_guard<std::mutex> Lock(this->Mutex);
     this->Texts.emplace_back(Text, Length);
+    if (this->OnLine)
+      this->OnLine(this->Texts.back());
   }
 
   std::vector<std::string> texts() const {
@@ -24,11 +29,13 @@
   }
 
 private:
+  std::function<void(const std::string &)> OnLine;
   mutable std::mutex Mutex;
   std::vector<std::string> Texts;
 };
 
-LogCapture::LogCapture() : Lines(std::make_unique<Sink>()) {}
+LogCapture::LogCapture(std::function<void(const std::string &Text)> OnLine)
+    : Lines(std::make_unique<Sink>(std::move(OnLine))) {}
 
 LogCapture::~LogCapture() = default;
 
--- a/tests/auto/support/logcapture.h
+++ b/tests/auto/support/logcapture.h
@@ -1,6 +1,7 @@
 #ifndef WHINTACK_TESTS_LOGCAPTURE_H
 #define WHINTACK_TESTS_LOGCAPTURE_H
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -10,7 +11,9 @@
 /// Collects the lines that the process logs while this exists.
 class LogCapture {
 public:
-  LogCapture();
+  /// \p OnLine is called with the text of each line, if it is not null.
+  explicit LogCapture(
+      std::function<void(const std::string &Text)> OnLine = nullptr);
   ~LogCapture();
 
   /// The fields of each line of the event, as "key=value key=value"; only those
