--- a/bench/quota_traffic.cpp
+++ b/bench/quota_traffic.cpp
@@ -36,7 +36,7 @@
       this->Tenants.push_back(TenantName("t" + std::to_string(Number)));
     for (const ServiceName &Name : this->Services)
       this->Store.put(keys::Claims + Name.text(), "holder");
-    this->Store.put(keys::Claims + keys::FleetShard, "holder");
+    this->Store.put(keys::claim(ShardId::fleet()), "holder");
   }
 
   Traffic run(Duration Length) {
@@ -44,7 +44,7 @@
         Context{this->Loop.Time.clock(), seededRandom(1), this->Loop.Queue,
                 this->store()},
         this->environment(),
-        HeldClaim{keys::FleetShard, this->tokenOf(keys::FleetShard), 1,
+        HeldClaim{ShardId::fleet(), this->tokenOf(ShardId::fleet().text()), 1,
                   TimePoint::min()});
     Coordinator->setTenants(this->configuration());
     this->Begin = this->Loop.Time.now();
@@ -103,7 +103,7 @@
           });
     };
     Environment.ClaimValidUntil = [] { return TimePoint::max(); };
-    Environment.OnLost = [](const std::string &, const std::string &Cause) {
+    Environment.OnLost = [](const ShardId &, const std::string &Cause) {
       std::printf("claim lost: %s\n", Cause.c_str());
     };
     return Environment;
--- a/src/libs/dispatch/claimtracker.cpp
+++ b/src/libs/dispatch/claimtracker.cpp
@@ -41,7 +41,8 @@
         this->Holders.clear();
         for (const auto &[Key, Item] : Items)
           if (std::optional<Claim> Read = decodeClaim(Item))
-            this->Holders[Key.substr(keys::Claims.size())] = std::move(*Read);
+            this->Holders[ShardId::fromText(Key.substr(keys::Claims.size()))] =
+                std::move(*Read);
         this->IsKnown = true;
         this->OnChange();
       },
@@ -56,7 +57,7 @@
     this->Watch->stop();
 }
 
-std::optional<Claim> ClaimTracker::holder(const std::string &Shard) const {
+std::optional<Claim> ClaimTracker::holder(const ShardId &Shard) const {
   const auto Found = this->Holders.find(Shard);
   if (Found == this->Holders.end())
     return std::nullopt;
--- a/src/libs/dispatch/claimtracker.h
+++ b/src/libs/dispatch/claimtracker.h
@@ -3,6 +3,7 @@
 
 #include "prefixwatch.h"
 #include "revisionclock.h"
+#include "shardid.h"
 
 #include "whintack/base/identifier.h"
 
@@ -33,8 +34,8 @@
   void stop();
   bool isKnown() const { return this->IsKnown; }
   /// The claim on the shard; nothing if it has no holder.
-  std::optional<Claim> holder(const std::string &Shard) const;
-  const std::map<std::string, Claim> &holders() const { return this->Holders; }
+  std::optional<Claim> holder(const ShardId &Shard) const;
+  const std::map<ShardId, Claim> &holders() const { return this->Holders; }
   /// Store revision up to which the claims are known.
   uint64_t asOf() const { return this->Watch ? this->Watch->asOf() : 0; }
   /// Maps store revisions to times of this process's clock.
@@ -46,7 +47,7 @@
   Context Shared;
   std::function<void()> OnChange;
   std::shared_ptr<PrefixWatch> Watch;
-  std::map<std::string, Claim> Holders;
+  std::map<ShardId, Claim> Holders;
   RevisionClock Revisions;
   bool IsKnown = false;
 };
--- a/src/libs/dispatch/fleetcore.cpp
+++ b/src/libs/dispatch/fleetcore.cpp
@@ -44,9 +44,9 @@
   };
 }
 
-std::function<void(const std::string &Shard, const std::string &Cause)>
+std::function<void(const ShardId &Shard, const std::string &Cause)>
 FleetCore::shardLossHandler() {
-  return [Weak = this->weak_from_this()](const std::string &Shard,
+  return [Weak = this->weak_from_this()](const ShardId &Shard,
                                          const std::string &Cause) {
     if (const auto Alive = Weak.lock())
       Alive->dropShard(Shard, Cause);
@@ -133,7 +133,7 @@
     const auto Alive = Weak.lock();
     if (!Alive)
       return;
-    const std::map<std::string, HeldClaim> Held = Alive->OwnClaims;
+    const std::map<ShardId, HeldClaim> Held = Alive->OwnClaims;
     for (const auto &[Shard, Claim] : Held)
       Alive->dropShard(Shard, "the lease expired");
   });
@@ -183,7 +183,7 @@
     const std::vector<EntryName> Usable = Alive->usablePeers();
     return std::find(Usable.begin(), Usable.end(), Name) != Usable.end();
   };
-  Hooks.HandOver = [Weak](const std::string &Shard) {
+  Hooks.HandOver = [Weak](const ShardId &Shard) {
     if (const auto Alive = Weak.lock())
       Alive->handOverShard(Shard);
   };
@@ -195,7 +195,7 @@
 void FleetCore::openGraceMonitor() {
   this->Grace = std::make_shared<GraceMonitor>(
       this->Shared, this->Lease, [Weak = this->weak_from_this()] {
-        std::set<std::string> Held;
+        std::set<ShardId> Held;
         if (const auto Alive = Weak.lock())
           for (const auto &[Shard, Claimed] : Alive->OwnClaims)
             Held.insert(Shard);
@@ -253,8 +253,8 @@
     this->releaseClaim(Acquired.Shard, Acquired.Token, [] {});
     return;
   }
-  this->OwnClaims[Acquired.Shard] = Acquired;
-  if (Acquired.Shard == keys::FleetShard)
+  this->OwnClaims.insert_or_assign(Acquired.Shard, Acquired);
+  if (Acquired.Shard.isFleet())
     this->openFleetShard(Acquired);
   else
     this->openServiceShard(Acquired);
@@ -294,24 +294,24 @@
   Environment.OnLost = this->shardLossHandler();
   Environment.LoadTime =
       LoadTime * (1U << std::min(this->GiveUps[Acquired.Shard], MaxDoublings));
-  Environment.OnOverdue =
-      [Weak = this->weak_from_this()](const std::string &Shard) {
-        if (const auto Alive = Weak.lock())
-          Alive->giveUpShard(Shard);
-      };
+  Environment.OnOverdue = [Weak =
+                               this->weak_from_this()](const ShardId &Shard) {
+    if (const auto Alive = Weak.lock())
+      Alive->giveUpShard(Shard);
+  };
   auto Shard =
       std::make_shared<ServiceShard>(this->Shared, Environment, Acquired);
   this->Shards[Acquired.Shard] = Shard;
   Shard->start();
 }
 
-void FleetCore::dropShard(const std::string &Shard, const std::string &Cause) {
+void FleetCore::dropShard(const ShardId &Shard, const std::string &Cause) {
   if (this->OwnClaims.erase(Shard) == 0)
     return;
   logEvent(LogLevel::Warning, "shard-dropped",
            {{"shard", Shard}, {"cause", Cause}});
   this->Grace->noteDropped(Shard, Cause);
-  if (Shard == keys::FleetShard)
+  if (Shard.isFleet())
     this->closeFleetShard();
   if (const auto Found = this->Shards.find(Shard);
       Found != this->Shards.end()) {
@@ -320,7 +320,7 @@
   }
 }
 
-void FleetCore::giveUpShard(const std::string &Shard) {
+void FleetCore::giveUpShard(const ShardId &Shard) {
   const auto Held = this->OwnClaims.find(Shard);
   if (Held == this->OwnClaims.end())
     return;
@@ -336,7 +336,7 @@
 void FleetCore::reconcileClaims() {
   if (!this->Tracker->isKnown())
     return;
-  const std::map<std::string, HeldClaim> Held = this->OwnClaims;
+  const std::map<ShardId, HeldClaim> Held = this->OwnClaims;
   for (const auto &[Shard, Claimed] : Held) {
     const std::optional<Claim> InStore = this->Tracker->holder(Shard);
     const bool IsCurrent = this->Tracker->asOf() >= Claimed.Token;
@@ -353,18 +353,17 @@
 
 /// Removes a claim in this process's name under which it does not work: an
 /// earlier process left it behind, or the answer to the commit was lost.
-void FleetCore::releaseStrayClaim(const std::string &Shard,
-                                  const Claim &Stray) {
+void FleetCore::releaseStrayClaim(const ShardId &Shard, const Claim &Stray) {
   logEvent(LogLevel::Info, "stray-claim",
            {{"shard", Shard}, {"token", Stray.Token}});
   this->releaseClaim(Shard, Stray.Token, [] {});
 }
 
-void FleetCore::releaseClaim(const std::string &Shard, uint64_t Token,
+void FleetCore::releaseClaim(const ShardId &Shard, uint64_t Token,
                              const std::function<void()> &Done) {
   store::StoreTransaction Change;
-  Change.Expect = {{keys::Claims + Shard, Token}};
-  Change.Removals = {keys::Claims + Shard};
+  Change.Expect = {{keys::claim(Shard), Token}};
+  Change.Removals = {keys::claim(Shard)};
   Change.IsRepeatable = true;
   // The members must not prefer this VM for the shard that it releases.
   if (const auto Registration = this->Members->registration();
@@ -420,7 +419,7 @@
 /// Stores what is not stored yet and releases the claim. A shard whose changes
 /// do not end is released without the last ones, which its next planner learns
 /// from the executors.
-void FleetCore::handOverShard(const std::string &Shard) {
+void FleetCore::handOverShard(const ShardId &Shard) {
   const HeldClaim Claimed = this->OwnClaims.at(Shard);
   this->HandingOver = Claimed.Token;
   const auto Release = [Weak = this->weak_from_this(), Claimed] {
@@ -433,7 +432,7 @@
         Held == Alive->OwnClaims.end() || Held->second.Token != Claimed.Token)
       return;
     Alive->OwnClaims.erase(Held);
-    if (Claimed.Shard == keys::FleetShard)
+    if (Claimed.Shard.isFleet())
       Alive->closeFleetShard();
     Alive->releaseShard(Claimed, [] {});
   };
--- a/src/libs/dispatch/fleetcore.h
+++ b/src/libs/dispatch/fleetcore.h
@@ -100,12 +100,12 @@
   void openFleetShard(const HeldClaim &Acquired);
   void openQuotas(const HeldClaim &Acquired);
   void openServiceShard(const HeldClaim &Acquired);
-  void dropShard(const std::string &Shard, const std::string &Cause);
+  void dropShard(const ShardId &Shard, const std::string &Cause);
   /// Releases the claim of a shard that was not loaded in time.
-  void giveUpShard(const std::string &Shard);
+  void giveUpShard(const ShardId &Shard);
   void closeFleetShard();
   void reconcileClaims();
-  void releaseStrayClaim(const std::string &Shard, const Claim &Stray);
+  void releaseStrayClaim(const ShardId &Shard, const Claim &Stray);
   bool answerLocally(const peers::ServiceCall &Call,
                      const AnswerCallback &Respond);
   std::vector<EntryName> usablePeers() const;
@@ -117,17 +117,17 @@
   /// The VMs that can make calls to executors for this one.
   std::vector<ShardCandidate> executorRelays() const;
   std::vector<HeldClaim> movableShards() const;
-  void handOverShard(const std::string &Shard);
+  void handOverShard(const ShardId &Shard);
   /// Stops planning the shard and releases the claim.
   void releaseShard(const HeldClaim &Claimed,
                     const std::function<void()> &Done);
-  void releaseClaim(const std::string &Shard, uint64_t Token,
+  void releaseClaim(const ShardId &Shard, uint64_t Token,
                     const std::function<void()> &Done);
   ConfigurationHooks configurationHooks();
   /// Returns a function that returns the current queues.
   std::function<std::shared_ptr<const jobs::QueueTable>()> queueSource();
   /// Returns a function that drops a shard whose claim was lost.
-  std::function<void(const std::string &Shard, const std::string &Cause)>
+  std::function<void(const ShardId &Shard, const std::string &Cause)>
   shardLossHandler();
   std::function<TimePoint()> claimValidity() const;
   /// How old the configuration may be when a task of a tenant with a maximum is
@@ -166,10 +166,10 @@
   /// Revision of the configuration that was decoded last.
   uint64_t ConfigurationRevision = 0;
   std::vector<jobs::WaveRequest> Waves;
-  std::map<std::string, HeldClaim> OwnClaims;
-  std::map<std::string, std::shared_ptr<ServiceShard>> Shards;
+  std::map<ShardId, HeldClaim> OwnClaims;
+  std::map<ShardId, std::shared_ptr<ServiceShard>> Shards;
   /// How often this process gave up each shard.
-  std::map<std::string, unsigned> GiveUps;
+  std::map<ShardId, unsigned> GiveUps;
   /// Kept after the fleet shard is closed until it has told its successor.
   std::shared_ptr<MachineOrders> Orders;
   std::shared_ptr<WaveManager> Maintenance;
--- a/src/libs/dispatch/fleetcorecalls.cpp
+++ b/src/libs/dispatch/fleetcorecalls.cpp
@@ -10,7 +10,7 @@
     this->Submissions->answer(Call, Respond);
     return true;
   }
-  const auto Found = this->Shards.find(Call.Service.text());
+  const auto Found = this->Shards.find(ShardId::of(Call.Service));
   if (Found == this->Shards.end())
     return false;
   Found->second->answer(Call, Respond);
--- a/src/libs/dispatch/fleetcoreconfiguration.cpp
+++ b/src/libs/dispatch/fleetcoreconfiguration.cpp
@@ -96,11 +96,11 @@
        {"tenants", Newest.Tenants.size()},
        {"client-keys", Newest.RequiresKeys ? "required" : "not-required"}});
   this->Queues = std::make_shared<const jobs::QueueTable>(std::move(Newest));
-  std::set<std::string> RequiredShards = {keys::FleetShard};
+  std::set<ShardId> RequiredShards = {ShardId::fleet()};
   for (const jobs::ServicePolicy &Service :
        this->Queues->configuration().Services)
     if (!Service.IsSpare)
-      RequiredShards.insert(Service.Name.text());
+      RequiredShards.insert(ShardId::of(Service.Name));
   for (const auto &[Name, Shard] : this->Shards)
     Shard->setQueues(*this->Queues);
   if (this->Quotas)
--- a/src/libs/dispatch/fleetcoremachines.cpp
+++ b/src/libs/dispatch/fleetcoremachines.cpp
@@ -31,7 +31,7 @@
   Hooks.Phase = Phase;
   this->Orders = std::make_shared<MachineOrders>(
       this->Shared, OrderingProcess{this->Self.Name, this->Self.Incarnation},
-      store::ExpectedRevision{keys::Claims + Acquired.Shard, Acquired.Token},
+      store::ExpectedRevision{keys::claim(Acquired.Shard), Acquired.Token},
       std::move(Hooks),
       HolderGrace{this->Self.MachineOrderGrace, NodeLease::Length,
                   Acquired.ClaimedAt});
--- a/src/libs/dispatch/gracemonitor.cpp
+++ b/src/libs/dispatch/gracemonitor.cpp
@@ -7,7 +7,7 @@
 static constexpr Duration CheckInterval = std::chrono::milliseconds(100);
 
 GraceMonitor::GraceMonitor(Context Shared, std::shared_ptr<NodeLease> Lease,
-                           std::function<std::set<std::string>()> HeldShards)
+                           std::function<std::set<ShardId>()> HeldShards)
     : Shared(std::move(Shared)), Lease(std::move(Lease)),
       HeldShards(std::move(HeldShards)) {}
 
@@ -32,7 +32,7 @@
 
 void GraceMonitor::beginGrace() {
   const Duration Left = this->Lease->graceUntil() - this->Shared.now();
-  for (const std::string &Shard : this->HeldShards())
+  for (const ShardId &Shard : this->HeldShards())
     if (this->InGrace.insert(Shard).second)
       logEvent(LogLevel::Warning, "grace-begun",
                {{"shard", Shard},
@@ -41,13 +41,12 @@
 }
 
 void GraceMonitor::endGrace(const std::string &Cause) {
-  for (const std::string &Shard : std::exchange(this->InGrace, {}))
+  for (const ShardId &Shard : std::exchange(this->InGrace, {}))
     logEvent(LogLevel::Warning, "grace-ended",
              {{"shard", Shard}, {"cause", Cause}});
 }
 
-void GraceMonitor::noteDropped(const std::string &Shard,
-                               const std::string &Cause) {
+void GraceMonitor::noteDropped(const ShardId &Shard, const std::string &Cause) {
   if (this->InGrace.erase(Shard) > 0)
     logEvent(LogLevel::Warning, "grace-ended",
              {{"shard", Shard}, {"cause", Cause}});
--- a/src/libs/dispatch/gracemonitor.h
+++ b/src/libs/dispatch/gracemonitor.h
@@ -2,6 +2,7 @@
 #define WHINTACK_DISPATCH_GRACEMONITOR_H
 
 #include "nodelease.h"
+#include "shardid.h"
 
 #include <set>
 #include <string>
@@ -14,12 +15,12 @@
 public:
   /// \p HeldShards returns the shards that this process holds.
   GraceMonitor(Context Shared, std::shared_ptr<NodeLease> Lease,
-               std::function<std::set<std::string>()> HeldShards);
+               std::function<std::set<ShardId>()> HeldShards);
 
   /// Checks periodically from now on.
   void start();
   /// The shard is no longer held.
-  void noteDropped(const std::string &Shard, const std::string &Cause);
+  void noteDropped(const ShardId &Shard, const std::string &Cause);
 
 private:
   void check();
@@ -28,9 +29,9 @@
 
   Context Shared;
   std::shared_ptr<NodeLease> Lease;
-  std::function<std::set<std::string>()> HeldShards;
+  std::function<std::set<ShardId>()> HeldShards;
   /// Shards whose begin of the grace has been logged, and not its end.
-  std::set<std::string> InGrace;
+  std::set<ShardId> InGrace;
 };
 
 } // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/progresswriter.cpp
+++ b/src/libs/dispatch/progresswriter.cpp
@@ -163,7 +163,7 @@
 
 void ProgressWriter::send(size_t Index) {
   Stream &Sent = this->Streams[Index];
-  Sent.Change.Expect = {{keys::Claims + this->Service.text(), this->Token},
+  Sent.Change.Expect = {{keys::claim(ShardId::of(this->Service)), this->Token},
                         {this->streamKey(Index), Sent.Revision}};
   this->Shared.Store.Commit(
       Sent.Change,
@@ -247,7 +247,7 @@
 void ProgressWriter::handleConflict(size_t Index,
                                     const store::CommitAnswer &Answer) {
   Stream &Current = this->Streams[Index];
-  const std::string Claim = keys::Claims + this->Service.text();
+  const std::string Claim = keys::claim(ShardId::of(this->Service));
   if (store::revisionOf(Answer.Current, Claim) != this->Token) {
     this->IsStopped = true;
     this->Hooks.OnSuperseded();
--- a/src/libs/dispatch/quotacoordinator.cpp
+++ b/src/libs/dispatch/quotacoordinator.cpp
@@ -94,7 +94,7 @@
   };
   this->Writer = std::make_shared<QuotaRecordWriter>(
       this->Shared,
-      store::ExpectedRevision{keys::Claims + this->OwnClaim.Shard,
+      store::ExpectedRevision{keys::claim(this->OwnClaim.Shard),
                               this->OwnClaim.Token},
       std::move(Hooks));
 }
--- a/src/libs/dispatch/quotacoordinator.h
+++ b/src/libs/dispatch/quotacoordinator.h
@@ -16,8 +16,7 @@
                      ResultCallback Done)>
       Call;
   std::function<TimePoint()> ClaimValidUntil;
-  std::function<void(const std::string &Shard, const std::string &Cause)>
-      OnLost;
+  std::function<void(const ShardId &Shard, const std::string &Cause)> OnLost;
 };
 
 /// Divides the tenants' quotas among the services, under the claim of the fleet
--- a/src/libs/dispatch/quotarecordwriter.cpp
+++ b/src/libs/dispatch/quotarecordwriter.cpp
@@ -73,7 +73,7 @@
   store::StoreTransaction Change;
   Change.Expect = {this->Claim};
   for (const auto &[Service, Token] : Current->Plan.Confirmations)
-    Change.Expect.push_back({keys::Claims + Service.text(), Token});
+    Change.Expect.push_back({keys::claim(ShardId::of(Service)), Token});
   for (const auto &[Number, Record] : Current->Records) {
     Change.Expect.push_back(
         {quotaRecordKey(Number), this->Records[Number].Revision});
--- a/src/libs/dispatch/servicecalls.cpp
+++ b/src/libs/dispatch/servicecalls.cpp
@@ -10,7 +10,8 @@
         AnswerLocally)
     : Shared(std::move(Shared)), Self(std::move(Self)),
       Tracker(std::move(Tracker)), Send(std::move(Send)),
-      AnswerLocally(std::move(AnswerLocally)), LastId(Incarnation) {}
+      AnswerLocally(std::move(AnswerLocally)), LastId(Incarnation),
+      Absences(logWarning) {}
 
 static CallResult resultOf(const peers::ServiceAnswer &Answer) {
   switch (Answer.Outcome) {
@@ -27,9 +28,11 @@
   return {CallOutcome::Unavailable, Answer.Content};
 }
 
-peers::CallId ServiceCalls::open(Duration Timeout, ResultCallback Done) {
+peers::CallId ServiceCalls::open(const ServiceName &Service, Duration Timeout,
+                                 ResultCallback Done) {
   const peers::CallId Id = ++this->LastId;
-  this->OpenCalls.emplace(Id, PendingCall{std::move(Done), EntryName()});
+  this->OpenCalls.emplace(Id,
+                          PendingCall{std::move(Done), Service, EntryName()});
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
               this->Shared.now() + Timeout, [Id](ServiceCalls &Self) {
                 Self.finish(Id, {CallOutcome::NoAnswer, ""});
@@ -45,13 +48,13 @@
 
 void ServiceCalls::callPeer(const EntryName &Peer, peers::ServiceCall Call,
                             Duration Timeout, ResultCallback Done) {
-  Call.Id = this->open(Timeout, std::move(Done));
+  Call.Id = this->open(Call.Service, Timeout, std::move(Done));
   this->send(Peer, Call);
 }
 
 void ServiceCalls::call(peers::ServiceCall Call, Duration Timeout,
                         ResultCallback Done) {
-  Call.Id = this->open(Timeout, std::move(Done));
+  Call.Id = this->open(Call.Service, Timeout, std::move(Done));
   const bool IsLocal = this->AnswerLocally(
       Call,
       [Weak = this->weak_from_this()](const peers::ServiceAnswer &Answer) {
@@ -61,7 +64,7 @@
   if (IsLocal)
     return;
   const std::optional<Claim> Holder =
-      this->Tracker->holder(Call.Service.text());
+      this->Tracker->holder(ShardId::of(Call.Service));
   if (!Holder || Holder->Holder == this->Self) {
     this->finish(Call.Id, {CallOutcome::Unavailable, ""});
     return;
@@ -93,8 +96,26 @@
   if (Found == this->OpenCalls.end())
     return;
   const ResultCallback Done = std::move(Found->second.Done);
+  this->notePlanner(Found->second, Result.Outcome);
   this->OpenCalls.erase(Found);
   Done(std::move(Result));
 }
 
+void ServiceCalls::notePlanner(const PendingCall &Call, CallOutcome Outcome) {
+  if (Call.Service.isEmpty())
+    return;
+  switch (Outcome) {
+  case CallOutcome::Done:
+  case CallOutcome::Unknown:
+  case CallOutcome::OtherTenant:
+    this->Absences.notePresent(Call.Service);
+    return;
+  case CallOutcome::Unavailable:
+    this->Absences.noteAbsent(Call.Service, Call.Peer, this->Shared.now());
+    return;
+  case CallOutcome::NoAnswer:
+    return;
+  }
+}
+
 } // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/servicecalls.h
+++ b/src/libs/dispatch/servicecalls.h
@@ -2,6 +2,7 @@
 #define WHINTACK_DISPATCH_SERVICECALLS_H
 
 #include "claimtracker.h"
+#include "plannerabsencemonitor.h"
 
 #include "whintack/peers/peernetwork.h"
 
@@ -72,11 +73,15 @@
   /// A call that has not ended.
   struct PendingCall {
     ResultCallback Done;
+    /// The service whose planner is called; empty if it is a VM itself.
+    ServiceName Service;
     /// The VM that was asked; empty if the call is answered in this process.
     EntryName Peer;
   };
 
-  peers::CallId open(Duration Timeout, ResultCallback Done);
+  peers::CallId open(const ServiceName &Service, Duration Timeout,
+                     ResultCallback Done);
+  void notePlanner(const PendingCall &Call, CallOutcome Outcome);
   /// Sends an open call; ends it if there is no link to the peer.
   void send(const EntryName &Peer, const peers::ServiceCall &Call);
   void finish(peers::CallId Id, CallResult Result);
@@ -88,6 +93,7 @@
   std::function<bool(const peers::ServiceCall &, AnswerCallback)> AnswerLocally;
   peers::CallId LastId;
   std::unordered_map<peers::CallId, PendingCall> OpenCalls;
+  PlannerAbsenceMonitor Absences;
 };
 
 } // namespace whintack::dispatch::Internal
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -24,7 +24,7 @@
 ServiceShard::ServiceShard(Context Shared, ShardEnvironment Environment,
                            HeldClaim OwnClaim)
     : Shared(std::move(Shared)), Environment(std::move(Environment)),
-      OwnClaim(std::move(OwnClaim)), Service(this->OwnClaim.Shard),
+      OwnClaim(std::move(OwnClaim)), Service(this->OwnClaim.Shard.service()),
       Planner(
           {this->Service, this->OwnClaim.Generation,
            [Service = this->Service](std::string_view Event,
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -55,10 +55,9 @@
   /// Time in which the shard must be loaded.
   Duration LoadTime = Duration::zero();
   /// The shard was not loaded in time; the claim should be released.
-  std::function<void(const std::string &Shard)> OnOverdue;
+  std::function<void(const ShardId &Shard)> OnOverdue;
   /// The claim is lost and the shard must be dropped.
-  std::function<void(const std::string &Shard, const std::string &Cause)>
-      OnLost;
+  std::function<void(const ShardId &Shard, const std::string &Cause)> OnLost;
 };
 
 /// Plans one service under a claim: recovers its state from the store and the
--- a/src/libs/dispatch/serviceshardgrace.cpp
+++ b/src/libs/dispatch/serviceshardgrace.cpp
@@ -60,7 +60,7 @@
   std::set<std::string> Others;
   for (const std::string &Key : Changed) {
     const auto Found = Items.find(Key);
-    if (!Key.starts_with(Jobs))
+    if (!Key.starts_with(Jobs) || !keys::isRecordOf(Key, Jobs))
       Others.insert(Key);
     else if (Found != Items.end())
       this->DeferredNotices[Key] = Found->second;
--- a/src/libs/dispatch/serviceshardnotices.cpp
+++ b/src/libs/dispatch/serviceshardnotices.cpp
@@ -19,11 +19,11 @@
     const auto Found = Items.find(Key);
     if (Found == Items.end())
       continue;
-    if (Key.starts_with(Jobs)) {
+    if (Key.starts_with(Jobs) && keys::isRecordOf(Key, Jobs)) {
       this->addStoredJob(jobs::JobId(Key.substr(Jobs.size())),
                          Found->second.Value, jobs::JobSource::Notice, nullptr);
       this->HandledNotices.insert(Key);
-    } else if (Key.starts_with(Cancels)) {
+    } else if (Key.starts_with(Cancels) && keys::isRecordOf(Key, Cancels)) {
       this->cancelByNotice(jobs::JobId(Key.substr(Cancels.size())));
     }
   }
@@ -63,7 +63,7 @@
       this->HandledNotices.empty())
     return;
   store::StoreTransaction Change;
-  Change.Expect = {{keys::Claims + this->OwnClaim.Shard, this->OwnClaim.Token}};
+  Change.Expect = {{keys::claim(this->OwnClaim.Shard), this->OwnClaim.Token}};
   for (const std::string &Key : this->HandledNotices) {
     if (Change.Expect.size() + Change.Removals.size() >=
         store::MaxTransactionEntries)
--- a/src/libs/dispatch/shardassignment.cpp
+++ b/src/libs/dispatch/shardassignment.cpp
@@ -29,15 +29,16 @@
 /// Orders the candidates by their load per processor share with \p Weight
 /// added.
 static std::vector<EntryName>
-orderFor(const std::string &Shard, double Weight,
+orderFor(const ShardId &Shard, double Weight,
          const std::vector<ShardCandidate> &Candidates,
          std::map<EntryName, double> &Loads) {
   std::vector<std::tuple<double, size_t, EntryName>> Ranks;
   Ranks.reserve(Candidates.size());
   for (const ShardCandidate &Each : Candidates)
-    Ranks.emplace_back((Loads[Each.Name] + Weight) / processorShare(Each),
-                       std::hash<std::string>()(Each.Name.text() + "/" + Shard),
-                       Each.Name);
+    Ranks.emplace_back(
+        (Loads[Each.Name] + Weight) / processorShare(Each),
+        std::hash<std::string>()(Each.Name.text() + "/" + Shard.text()),
+        Each.Name);
   std::sort(Ranks.begin(), Ranks.end());
   std::vector<EntryName> Order;
   Order.reserve(Ranks.size());
@@ -47,7 +48,7 @@
 }
 
 ShardRanking rankCandidates(const ShardLayout &Layout) {
-  std::vector<std::pair<double, std::string>> Vacant;
+  std::vector<std::pair<double, ShardId>> Vacant;
   for (const auto &[Shard, Weight] : Layout.Weights)
     if (!Layout.Holders.contains(Shard))
       Vacant.emplace_back(Weight, Shard);
@@ -79,7 +80,7 @@
 
 std::optional<ShardMove>
 findShardMove(const ShardLayout &Layout, const EntryName &From,
-              const std::function<bool(const std::string &Shard)> &IsMovable) {
+              const std::function<bool(const ShardId &Shard)> &IsMovable) {
   for (const auto &[Shard, Weight] : Layout.Weights)
     if (!Layout.Holders.contains(Shard))
       return std::nullopt;
--- a/src/libs/dispatch/shardassignment.h
+++ b/src/libs/dispatch/shardassignment.h
@@ -1,7 +1,7 @@
 #ifndef WHINTACK_DISPATCH_SHARDASSIGNMENT_H
 #define WHINTACK_DISPATCH_SHARDASSIGNMENT_H
 
-#include "whintack/base/identifier.h"
+#include "shardid.h"
 
 #include <functional>
 #include <map>
@@ -23,13 +23,13 @@
   std::vector<ShardCandidate> Candidates;
   /// The weight of each shard that must have a holder. VMs agree on an
   /// assignment only if they use the same weights.
-  std::map<std::string, double> Weights;
+  std::map<ShardId, double> Weights;
   /// The holders of the shards that have one.
-  std::map<std::string, EntryName> Holders;
+  std::map<ShardId, EntryName> Holders;
 };
 
 /// The candidates for each shard without a holder, the preferred one first.
-using ShardRanking = std::map<std::string, std::vector<EntryName>>;
+using ShardRanking = std::map<ShardId, std::vector<EntryName>>;
 
 /// Ranks the candidates for the shards without a holder. The shards are
 /// assigned jointly, the heaviest first, each to the VM that has the lowest
@@ -39,7 +39,7 @@
 
 /// A shard that should pass from its holder to another VM.
 struct ShardMove {
-  std::string Shard;
+  ShardId Shard;
   EntryName To;
 
   bool operator==(const ShardMove &) const = default;
@@ -51,7 +51,7 @@
 /// Finds nothing while a shard has no holder.
 std::optional<ShardMove>
 findShardMove(const ShardLayout &Layout, const EntryName &From,
-              const std::function<bool(const std::string &Shard)> &IsMovable);
+              const std::function<bool(const ShardId &Shard)> &IsMovable);
 
 } // namespace whintack::dispatch::Internal
 
--- a/src/libs/dispatch/shardbalancer.cpp
+++ b/src/libs/dispatch/shardbalancer.cpp
@@ -20,7 +20,7 @@
       Claimer(std::move(Claimer)), Members(std::move(Members)),
       Lease(std::move(Lease)), Hooks(std::move(Hooks)) {}
 
-bool ShardBalancer::isMovable(const std::string &Shard) const {
+bool ShardBalancer::isMovable(const ShardId &Shard) const {
   const std::vector<HeldClaim> Movable = this->Hooks.Movable();
   return std::any_of(
       Movable.begin(), Movable.end(), [&](const HeldClaim &Held) {
@@ -34,7 +34,7 @@
     return std::nullopt;
   std::optional<ShardMove> Move = findShardMove(
       this->Claimer->layout(), this->Self,
-      [this](const std::string &Shard) { return this->isMovable(Shard); });
+      [this](const ShardId &Shard) { return this->isMovable(Shard); });
   if (!Move || !this->Hooks.IsLinked(Move->To))
     return std::nullopt;
   return Move;
--- a/src/libs/dispatch/shardbalancer.h
+++ b/src/libs/dispatch/shardbalancer.h
@@ -13,7 +13,7 @@
   /// Whether there is a usable link to the VM.
   std::function<bool(const EntryName &)> IsLinked;
   /// Hands the shard over to whichever member claims it.
-  std::function<void(const std::string &Shard)> HandOver;
+  std::function<void(const ShardId &Shard)> HandOver;
 };
 
 /// Finds shards of this VM that another VM should plan, and hands them over one
@@ -31,7 +31,7 @@
 
 private:
   std::optional<ShardMove> findMove() const;
-  bool isMovable(const std::string &Shard) const;
+  bool isMovable(const ShardId &Shard) const;
   void confirm(const ShardMove &Move);
 
   Context Shared;
--- a/src/libs/dispatch/shardclaimer.cpp
+++ b/src/libs/dispatch/shardclaimer.cpp
@@ -27,7 +27,7 @@
       Tracker(std::move(Tracker)), Lease(std::move(Lease)),
       Members(std::move(Members)), OnClaimed(std::move(OnClaimed)) {}
 
-void ShardClaimer::setShards(std::set<std::string> Shards) {
+void ShardClaimer::setShards(std::set<ShardId> Shards) {
   this->RequiredShards = std::move(Shards);
   this->claimShards();
 }
@@ -38,20 +38,20 @@
     if (!Each.IsStopping)
       Layout.Candidates.push_back({Each.Endpoint.Name, Each.ProcessorShare});
   // No count of executors is known to all members alike.
-  for (const std::string &Shard : this->RequiredShards)
+  for (const ShardId &Shard : this->RequiredShards)
     Layout.Weights[Shard] = 1;
   for (const auto &[Shard, Held] : this->Tracker->holders())
     Layout.Holders.emplace(Shard, Held.Holder);
   return Layout;
 }
 
-bool ShardClaimer::isHeldOff(const std::string &Shard) const {
+bool ShardClaimer::isHeldOff(const ShardId &Shard) const {
   const auto Found = this->HeldOffUntil.find(Shard);
   return Found != this->HeldOffUntil.end() &&
          this->Shared.now() < Found->second;
 }
 
-void ShardClaimer::tryClaimAt(const std::string &Shard, TimePoint When) {
+void ShardClaimer::tryClaimAt(const ShardId &Shard, TimePoint When) {
   scheduleFor(this->Shared.Loop, this->shared_from_this(), When,
               [Shard](ShardClaimer &Self) { Self.tryClaim(Shard); });
 }
@@ -60,8 +60,8 @@
   if (this->IsStopped || !this->Tracker->isKnown() ||
       !this->Members->isSettled())
     return;
-  std::set<std::string> Vacant;
-  for (const std::string &Shard : this->RequiredShards)
+  std::set<ShardId> Vacant;
+  for (const ShardId &Shard : this->RequiredShards)
     if (!this->Tracker->holder(Shard) && this->Pending.insert(Shard).second)
       Vacant.insert(Shard);
   if (Vacant.empty())
@@ -74,9 +74,9 @@
   });
 }
 
-void ShardClaimer::claimVacant(const std::set<std::string> &Vacant) {
+void ShardClaimer::claimVacant(const std::set<ShardId> &Vacant) {
   const ShardRanking Ranking = rankCandidates(this->layout());
-  for (const std::string &Shard : Vacant) {
+  for (const ShardId &Shard : Vacant) {
     const auto Ranked = Ranking.find(Shard);
     if (Ranked == Ranking.end()) {
       this->Pending.erase(Shard);
@@ -98,7 +98,7 @@
   }
 }
 
-void ShardClaimer::tryClaim(const std::string &Shard) {
+void ShardClaimer::tryClaim(const ShardId &Shard) {
   if (this->IsStopped)
     return;
   // The lease may have been replaced since the attempt was scheduled.
@@ -107,7 +107,7 @@
     return;
   }
   this->Shared.Store.Range(
-      keys::Generations + Shard, "", store::ReadKind::Current,
+      keys::generation(Shard), "", store::ReadKind::Current,
       onLoop<ShardClaimer, store::StoreResult<store::StorePage>>(
           this->Shared.Loop, this->shared_from_this(),
           [Shard](ShardClaimer &Self,
@@ -117,7 +117,7 @@
 }
 
 void ShardClaimer::handleGeneration(
-    const std::string &Shard, store::StoreResult<store::StorePage> Answer) {
+    const ShardId &Shard, store::StoreResult<store::StorePage> Answer) {
   if (!Answer) {
     this->retryLater(Shard, Answer.error().Message);
     return;
@@ -127,7 +127,7 @@
     this->Pending.erase(Shard);
     return;
   }
-  const std::string Key = keys::Generations + Shard;
+  const std::string Key = keys::generation(Shard);
   uint64_t Generation = 0;
   uint64_t Revision = 0;
   for (const store::StoreItem &Item : Answer.value().Items)
@@ -139,8 +139,8 @@
   ++Generation;
   const std::string Attempt = randomIdentifier(this->Shared.Source);
   store::StoreTransaction Change;
-  Change.Expect = {{keys::Claims + Shard, 0}, {Key, Revision}};
-  Change.Puts = {{keys::Claims + Shard, encodeClaim({this->Self, 0, Attempt}),
+  Change.Expect = {{keys::claim(Shard), 0}, {Key, Revision}};
+  Change.Puts = {{keys::claim(Shard), encodeClaim({this->Self, 0, Attempt}),
                   this->Lease->id()},
                  {Key, std::to_string(Generation), 0}};
   Change.IsRepeatable = true;
@@ -161,7 +161,7 @@
 }
 
 void ShardClaimer::handleCommit(
-    const std::string &Shard, const std::string &Attempt, uint64_t Generation,
+    const ShardId &Shard, const std::string &Attempt, uint64_t Generation,
     store::StoreResult<store::CommitAnswer> Answer) {
   if (!Answer) {
     // If the commit took effect after all, the claim tracker shows this process
@@ -175,7 +175,7 @@
   }
   // A retried commit conflicts with its own first copy.
   for (const store::StoreItem &Item : Answer.value().Current)
-    if (Item.Key == keys::Claims + Shard)
+    if (Item.Key == keys::claim(Shard))
       if (const std::optional<Claim> Read = decodeClaim(Item);
           Read && Read->Attempt == Attempt) {
         this->reportClaimed(Shard, Item.Revision, Generation);
@@ -184,7 +184,7 @@
   this->retryLater(Shard, "claimed by another process");
 }
 
-void ShardClaimer::reportClaimed(const std::string &Shard, uint64_t Token,
+void ShardClaimer::reportClaimed(const ShardId &Shard, uint64_t Token,
                                  uint64_t Generation) {
   this->Pending.erase(Shard);
   logEvent(LogLevel::Info, "shard-claimed",
@@ -196,8 +196,7 @@
   this->OnClaimed({Shard, Token, Generation, this->Shared.now()});
 }
 
-void ShardClaimer::retryLater(const std::string &Shard,
-                              const std::string &Cause) {
+void ShardClaimer::retryLater(const ShardId &Shard, const std::string &Cause) {
   logEvent(LogLevel::Info, "shard-not-claimed",
            {{"shard", Shard}, {"cause", Cause}});
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
--- a/src/libs/dispatch/shardclaimer.h
+++ b/src/libs/dispatch/shardclaimer.h
@@ -13,7 +13,7 @@
 
 /// A claim that this process holds.
 struct HeldClaim {
-  std::string Shard;
+  ShardId Shard;
   uint64_t Token = 0;
   /// Number of times that the shard has been claimed, including this one.
   uint64_t Generation = 1;
@@ -32,35 +32,34 @@
                std::function<void(const HeldClaim &)> OnClaimed);
 
   /// Sets the shards that must have a holder.
-  void setShards(std::set<std::string> RequiredShards);
+  void setShards(std::set<ShardId> RequiredShards);
   /// The members, and which of them hold which of the shards.
   ShardLayout layout() const;
   /// Leaves the shard to the other members until \p Until: claims it only if
   /// it stays without a holder.
-  void holdOff(const std::string &Shard, TimePoint Until) {
+  void holdOff(const ShardId &Shard, TimePoint Until) {
     this->HeldOffUntil[Shard] = Until;
   }
   /// Tries to claim all shards that have no holder.
   void claimShards();
   void stop() { this->IsStopped = true; }
   /// Whether an attempt to claim the shard is running or scheduled.
-  bool isPending(const std::string &Shard) const {
+  bool isPending(const ShardId &Shard) const {
     return this->Pending.contains(Shard);
   }
 
 private:
-  void claimVacant(const std::set<std::string> &Vacant);
-  bool isHeldOff(const std::string &Shard) const;
-  void tryClaimAt(const std::string &Shard, TimePoint When);
-  void tryClaim(const std::string &Shard);
-  void handleGeneration(const std::string &Shard,
+  void claimVacant(const std::set<ShardId> &Vacant);
+  bool isHeldOff(const ShardId &Shard) const;
+  void tryClaimAt(const ShardId &Shard, TimePoint When);
+  void tryClaim(const ShardId &Shard);
+  void handleGeneration(const ShardId &Shard,
                         store::StoreResult<store::StorePage> Answer);
-  void handleCommit(const std::string &Shard, const std::string &Attempt,
+  void handleCommit(const ShardId &Shard, const std::string &Attempt,
                     uint64_t Generation,
                     store::StoreResult<store::CommitAnswer> Answer);
-  void reportClaimed(const std::string &Shard, uint64_t Token,
-                     uint64_t Generation);
-  void retryLater(const std::string &Shard, const std::string &Cause);
+  void reportClaimed(const ShardId &Shard, uint64_t Token, uint64_t Generation);
+  void retryLater(const ShardId &Shard, const std::string &Cause);
 
   Context Shared;
   EntryName Self;
@@ -68,10 +67,10 @@
   std::shared_ptr<NodeLease> Lease;
   std::shared_ptr<Membership> Members;
   std::function<void(const HeldClaim &)> OnClaimed;
-  std::set<std::string> RequiredShards;
+  std::set<ShardId> RequiredShards;
   /// Shards for which an attempt is running or scheduled.
-  std::set<std::string> Pending;
-  std::map<std::string, TimePoint> HeldOffUntil;
+  std::set<ShardId> Pending;
+  std::map<ShardId, TimePoint> HeldOffUntil;
   bool IsStopped = false;
 };
 
--- a/src/libs/dispatch/shardstore.cpp
+++ b/src/libs/dispatch/shardstore.cpp
@@ -31,8 +31,14 @@
 
 void ShardStore::read(const std::string &Prefix,
                       std::function<void(PortionedRead::Contents)> Done) {
-  this->Reading =
-      std::make_shared<PortionedRead>(this->Shared, Prefix, std::move(Done));
+  this->Reading = std::make_shared<PortionedRead>(
+      this->Shared, Prefix,
+      [Prefix, Done = std::move(Done)](PortionedRead::Contents Found) {
+        std::erase_if(Found.Items, [&Prefix](const store::StoreItem &Item) {
+          return !keys::isRecordOf(Item.Key, Prefix);
+        });
+        Done(std::move(Found));
+      });
   this->Reading->start();
 }
 
@@ -90,7 +96,7 @@
 /// Finds out which revision the store has now.
 void ShardStore::findTarget(const std::shared_ptr<ChangeRead> &Current) {
   this->Shared.Store.Range(
-      keys::Claims + this->Service.text(), "", store::ReadKind::Current,
+      keys::claim(ShardId::of(this->Service)), "", store::ReadKind::Current,
       onLoop<ShardStore, store::StoreResult<store::StorePage>>(
           this->Shared.Loop, this->shared_from_this(),
           [Current](ShardStore &Self,
@@ -139,11 +145,14 @@
   const bool IsLast = Answer.value().Changes.empty();
   Current->After =
       IsLast ? Current->Target : std::max(Current->After, Answer.value().AsOf);
-  for (store::StoreChange &Change : Answer.value().Changes)
+  for (store::StoreChange &Change : Answer.value().Changes) {
+    if (!keys::isRecordOf(Change.Key, keys::jobs(this->Service)))
+      continue;
     if (Change.Item)
       Current->Jobs[Change.Key] = std::move(*Change.Item);
     else
       Current->Jobs.erase(Change.Key);
+  }
   this->readChanges(Current);
 }
 
--- a/src/libs/dispatch/storekeys.h
+++ b/src/libs/dispatch/storekeys.h
@@ -1,7 +1,8 @@
 #ifndef WHINTACK_DISPATCH_STOREKEYS_H
 #define WHINTACK_DISPATCH_STOREKEYS_H
 
-#include "whintack/base/identifier.h"
+#include "shardid.h"
+
 #include "whintack/jobs/taskkey.h"
 
 #include <string>
@@ -25,13 +26,20 @@
 /// orders.
 inline const std::string MachineReleases = MachineOrders + "/released/";
 
-/// The shard that maintains and moves machines.
-inline const std::string FleetShard = "fleet";
-
+inline std::string claim(const ShardId &Shard) { return Claims + Shard.text(); }
+inline std::string generation(const ShardId &Shard) {
+  return Generations + Shard.text();
+}
 /// Records of all accepted jobs of the service, by job id.
 inline std::string jobs(const ServiceName &Service) {
   return "whintack/job/" + Service.text() + "/";
 }
+/// Whether the key, which begins with one of the prefixes of a service, is that
+/// of a record of the service. The names of other services may begin with its
+/// name and "/", and so may their keys. Job ids have no "/".
+inline bool isRecordOf(const std::string &Key, const std::string &Prefix) {
+  return Key.find('/', Prefix.size()) == std::string::npos;
+}
 /// Name of the service that an accepted job belongs to. Makes the id unique
 /// among the jobs of all services.
 inline std::string jobService(const jobs::JobId &Id) {
--- a/src/libs/dispatch/wavemanager.cpp
+++ b/src/libs/dispatch/wavemanager.cpp
@@ -158,7 +158,7 @@
   Record["machines"] = Names;
   const uint64_t Number = Current.Scheduler->request().Number;
   store::StoreTransaction Change;
-  Change.Expect = {{keys::Claims + this->OwnClaim.Shard, this->OwnClaim.Token},
+  Change.Expect = {{keys::claim(this->OwnClaim.Shard), this->OwnClaim.Token},
                    {keys::Waves + std::to_string(Number), Current.Revision}};
   Change.Puts = {{keys::Waves + std::to_string(Number), Record.serialize(), 0},
                  {this->Environment.Codec.WaveStatusKey(Number),
@@ -192,7 +192,7 @@
 /// time-out. The record is written again by the next tick.
 void WaveManager::handleRecordConflict(Wave &Current,
                                        const store::CommitAnswer &Answer) {
-  const std::string Claim = keys::Claims + this->OwnClaim.Shard;
+  const std::string Claim = keys::claim(this->OwnClaim.Shard);
   if (store::revisionOf(Answer.Current, Claim) != this->OwnClaim.Token) {
     this->Environment.OnLost(this->OwnClaim.Shard,
                              "another process holds the claim");
--- a/src/libs/dispatch/wavemanager.h
+++ b/src/libs/dispatch/wavemanager.h
@@ -22,8 +22,7 @@
   std::function<ClaimPhase()> Phase;
   std::shared_ptr<MachineOrders> Orders;
   std::shared_ptr<DemandTracker> Demands;
-  std::function<void(const std::string &Shard, const std::string &Cause)>
-      OnLost;
+  std::function<void(const ShardId &Shard, const std::string &Cause)> OnLost;
 };
 
 /// Maintains the machines of the operator's waves under the claim of the fleet
--- a/tests/auto/dispatch/tst_executorrelay.cpp
+++ b/tests/auto/dispatch/tst_executorrelay.cpp
@@ -234,7 +234,8 @@
                        {EntryName("c"), 0.25},
                        {EntryName("d"), 0.12},
                        {EntryName("e"), 0.5}};
-  Layout.Holders = {{"quotes", EntryName("a")}, {"payouts", EntryName("e")}};
+  Layout.Holders = {{ShardId::fromText("quotes"), EntryName("a")},
+                    {ShardId::fromText("payouts"), EntryName("e")}};
   const std::vector<ShardCandidate> Relays = chooseRelays(
       Layout, EntryName("a"),
       {EntryName("b"), EntryName("c"), EntryName("d"), EntryName("e")});
--- a/tests/auto/dispatch/tst_lapsedlease.cpp
+++ b/tests/auto/dispatch/tst_lapsedlease.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+const ShardId Shard = ShardId::fromText("s");
+
 /// One VM, e1, that claims the shard "s". The test can hold back the answers to
 /// commits of claims and to renewals of the lease.
 class Fixture {
@@ -94,10 +96,10 @@
 
 TEST_CASE("a vacant shard is claimed once") {
   Fixture Test;
-  Test.Claimer->setShards({"s"});
+  Test.Claimer->setShards({Shard});
   Test.Loop.runFor(seconds(4));
   CHECK(Test.Claimed.size() == 1);
-  CHECK(Test.Tracker->holder("s")->Token == Test.Claimed.front().Token);
+  CHECK(Test.Tracker->holder(Shard)->Token == Test.Claimed.front().Token);
 }
 
 // Guards against two planners of one shard: the lease under which a claim was
@@ -106,7 +108,7 @@
 TEST_CASE("a claim written under a lease that has lapsed is not taken up") {
   Fixture Test;
   Test.HoldsClaims = true;
-  Test.Claimer->setShards({"s"});
+  Test.Claimer->setShards({Shard});
   Test.Loop.runFor(seconds(3));
   REQUIRE(Test.HeldAnswers.size() == 1);
   Test.HoldsClaims = false;
@@ -119,7 +121,7 @@
   CHECK(Test.Claimed.empty());
   Test.Loop.runFor(seconds(4));
   REQUIRE(Test.Claimed.size() == 1);
-  CHECK(Test.Tracker->holder("s")->Token == Test.Claimed.front().Token);
+  CHECK(Test.Tracker->holder(Shard)->Token == Test.Claimed.front().Token);
 }
 
 // Guards against orders that a process sends after it has ended its lease, when
--- a/tests/auto/dispatch/tst_quotacoordinator.cpp
+++ b/tests/auto/dispatch/tst_quotacoordinator.cpp
@@ -36,7 +36,8 @@
   void open() {
     if (this->Coordinator)
       this->Coordinator->stop();
-    const HeldClaim Claim{keys::FleetShard, this->claim(keys::FleetShard),
+    const HeldClaim Claim{ShardId::fleet(),
+                          this->claim(ShardId::fleet().text()),
                           ++this->Generation, TimePoint::min()};
     QuotaEnvironment Environment;
     Environment.Call = [this](const peers::ServiceCall &Call, Duration,
@@ -47,7 +48,7 @@
           [this, Call, Done] { Done(this->answer(Call)); });
     };
     Environment.ClaimValidUntil = [this] { return this->ValidUntil; };
-    Environment.OnLost = [this](const std::string &, const std::string &) {
+    Environment.OnLost = [this](const ShardId &, const std::string &) {
       this->IsLost = true;
     };
     store::AsyncStore Access = this->Store.interface(Vm);
@@ -302,7 +303,7 @@
   Fixture Test;
   Test.configure(100);
   Test.Loop.runFor(seconds(1));
-  Test.claim(keys::FleetShard);
+  Test.claim(ShardId::fleet().text());
   Test.wait(Second, 200);
   Test.Loop.runFor(seconds(1));
   CHECK(Test.IsLost);
--- a/tests/auto/dispatch/tst_servicecalls.cpp
+++ b/tests/auto/dispatch/tst_servicecalls.cpp
@@ -1,5 +1,6 @@
 #include "servicecalls.h"
 
+#include "logcapture.h"
 #include "steppedloop.h"
 #include "storekeys.h"
 
@@ -113,3 +114,36 @@
   Test.answer("e2", Test.LastSent);
   CHECK(*Outcome == "done");
 }
+
+// Guards against a service that nobody plans without a word in the log.
+TEST_CASE("the log tells if calls for a service reach no planner for long") {
+  const tests::LogCapture Log;
+  Fixture Test;
+  const auto Refuse = [&Test] {
+    Test.submit();
+    Test.Calls->handle(EntryName("e2"),
+                       peers::ServiceAnswer{Test.LastSent,
+                                            peers::ServiceOutcome::NotPlanner,
+                                            ""});
+    Test.Loop.runFor(std::chrono::seconds(1));
+  };
+  for (int Call = 0; Call < 4; ++Call)
+    Refuse();
+  CHECK(Log.lines("planner-absent").empty());
+  SECTION("which is repeated while it lasts") {
+    for (int Call = 0; Call < 8; ++Call)
+      Refuse();
+    const std::vector<std::string> Lines = Log.lines("planner-absent");
+    REQUIRE(Lines.size() == 2);
+    CHECK(tests::LogCapture::field(Lines[0], "service") == "s");
+    CHECK(tests::LogCapture::field(Lines[0], "asked") == "e2");
+    CHECK(tests::LogCapture::field(Lines[1], "calls") == "11");
+  }
+  SECTION("but not once a planner has answered") {
+    Test.submit();
+    Test.answer("e2", Test.LastSent);
+    for (int Call = 0; Call < 4; ++Call)
+      Refuse();
+    CHECK(Log.lines("planner-absent").empty());
+  }
+}
--- a/tests/auto/dispatch/tst_serviceshard.cpp
+++ b/tests/auto/dispatch/tst_serviceshard.cpp
@@ -57,7 +57,7 @@
     this->Token = Token;
     this->Shard = std::make_shared<ServiceShard>(
         Shared, this->environment(),
-        HeldClaim{Service.text(), Token, Generation, Shared.now()});
+        HeldClaim{ShardId::of(Service), Token, Generation, Shared.now()});
     this->Shard->start();
     this->Loop.runFor(milliseconds(50));
   }
@@ -220,8 +220,8 @@
     };
     Environment.MaxLease = MaxLease;
     Environment.LoadTime = seconds(10);
-    Environment.OnOverdue = [](const std::string &) {};
-    Environment.OnLost = [](const std::string &, const std::string &) {};
+    Environment.OnOverdue = [](const ShardId &) {};
+    Environment.OnLost = [](const ShardId &, const std::string &) {};
     return Environment;
   }
 
--- a/tests/auto/dispatch/tst_shardassignment.cpp
+++ b/tests/auto/dispatch/tst_shardassignment.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+ShardId shard(const std::string &Name) {
+  return ShardId::of(ServiceName(Name));
+}
+
 ShardLayout makeLayout(size_t LargeVms, size_t SmallVms, size_t Shards) {
   ShardLayout Layout;
   for (size_t Index = 0; Index < SmallVms; ++Index)
@@ -15,7 +19,7 @@
   for (size_t Index = 0; Index < LargeVms; ++Index)
     Layout.Candidates.push_back({EntryName("v" + std::to_string(Index)), 0.5});
   for (size_t Index = 0; Index < Shards; ++Index)
-    Layout.Weights["s" + std::to_string(Index)] = 1;
+    Layout.Weights[shard("s" + std::to_string(Index))] = 1;
   return Layout;
 }
 
@@ -52,20 +56,20 @@
 
 TEST_CASE("shards that are held count as load of their holder") {
   ShardLayout Layout = makeLayout(2, 1, 3);
-  Layout.Holders["s0"] = EntryName("v0");
-  Layout.Holders["s1"] = EntryName("v0");
+  Layout.Holders[shard("s0")] = EntryName("v0");
+  Layout.Holders[shard("s1")] = EntryName("v0");
   const ShardRanking Ranking = rankCandidates(Layout);
   CHECK(Ranking.size() == 1);
-  CHECK(Ranking.at("s2").front() == EntryName("v1"));
-  CHECK(Ranking.at("s2").size() == 3);
+  CHECK(Ranking.at(shard("s2")).front() == EntryName("v1"));
+  CHECK(Ranking.at(shard("s2")).size() == 3);
 }
 
 TEST_CASE("the heaviest shard is assigned first") {
   ShardLayout Layout = makeLayout(1, 1, 2);
-  Layout.Weights = {{"heavy", 10}, {"light", 1}};
+  Layout.Weights = {{shard("heavy"), 10}, {shard("light"), 1}};
   const ShardRanking Ranking = rankCandidates(Layout);
-  CHECK(Ranking.at("heavy").front() == EntryName("v0"));
-  CHECK(Ranking.at("light").front() == EntryName("a0"));
+  CHECK(Ranking.at(shard("heavy")).front() == EntryName("v0"));
+  CHECK(Ranking.at(shard("light")).front() == EntryName("a0"));
 }
 
 TEST_CASE("the assignment does not depend on the order of the candidates") {
@@ -77,14 +81,14 @@
 
 TEST_CASE("holders that are no candidates and an empty fleet are allowed") {
   ShardLayout Layout = makeLayout(0, 0, 2);
-  Layout.Holders["s0"] = EntryName("gone");
+  Layout.Holders[shard("s0")] = EntryName("gone");
   const ShardRanking Ranking = rankCandidates(Layout);
-  CHECK(Ranking.at("s1").empty());
+  CHECK(Ranking.at(shard("s1")).empty());
 }
 
 TEST_CASE("a shard moves to a VM that has far less load with it") {
   ShardLayout Layout = makeLayout(3, 3, 3);
-  const auto All = [](const std::string &) { return true; };
+  const auto All = [](const ShardId &) { return true; };
   for (const auto &[Shard, Weight] : Layout.Weights)
     Layout.Holders[Shard] = EntryName("a0");
   for (int Count = 0; Count < 3; ++Count) {
@@ -107,9 +111,8 @@
         Layout.Holders[Shard] = EntryName("a0");
       const auto MoveAny = [&Layout] {
         for (const ShardCandidate &Each : Layout.Candidates)
-          if (const auto Move =
-                  findShardMove(Layout, Each.Name,
-                                [](const std::string &) { return true; })) {
+          if (const auto Move = findShardMove(
+                  Layout, Each.Name, [](const ShardId &) { return true; })) {
             Layout.Holders[Move->Shard] = Move->To;
             return true;
           }
@@ -125,11 +128,11 @@
 TEST_CASE(
     "nothing moves while a shard has no holder, or if the shard may not") {
   ShardLayout Layout = makeLayout(2, 2, 2);
-  Layout.Holders["s0"] = EntryName("a0");
-  const auto All = [](const std::string &) { return true; };
+  Layout.Holders[shard("s0")] = EntryName("a0");
+  const auto All = [](const ShardId &) { return true; };
   CHECK_FALSE(findShardMove(Layout, EntryName("a0"), All));
-  Layout.Holders["s1"] = EntryName("v0");
+  Layout.Holders[shard("s1")] = EntryName("v0");
   CHECK(findShardMove(Layout, EntryName("a0"), All));
   CHECK_FALSE(findShardMove(Layout, EntryName("a0"),
-                            [](const std::string &) { return false; }));
+                            [](const ShardId &) { return false; }));
 }
--- a/tests/auto/tenants/tst_quotaproperties.cpp
+++ b/tests/auto/tenants/tst_quotaproperties.cpp
@@ -235,7 +235,7 @@
       *this->Validities.back() = TimePoint::min();
     ++this->Generation;
     const EntryName Vm("e" + std::to_string(this->Generation));
-    const uint64_t Token = this->claim(keys::FleetShard);
+    const uint64_t Token = this->claim(ShardId::fleet().text());
     const auto Valid = std::make_shared<TimePoint>(TimePoint::max());
     this->Validities.push_back(Valid);
     QuotaEnvironment Environment;
@@ -244,14 +244,14 @@
       this->call(Call, Timeout, Done);
     };
     Environment.ClaimValidUntil = [Valid] { return *Valid; };
-    Environment.OnLost = [Valid](const std::string &, const std::string &) {
+    Environment.OnLost = [Valid](const ShardId &, const std::string &) {
       *Valid = TimePoint::min();
     };
     this->Coordinators.push_back(std::make_shared<QuotaCoordinator>(
         Context{this->Loop.Time.clock(), seededRandom(this->Generation),
                 this->Loop.Queue, this->Store.interface(Vm)},
         Environment,
-        HeldClaim{keys::FleetShard, Token, this->Generation,
+        HeldClaim{ShardId::fleet(), Token, this->Generation,
                   TimePoint::min()}));
     this->Coordinators.back()->setTenants(this->configuration());
   }
