Executors: Take one that is gone from all lists as lost

Cause: an executor whose machine was known was lost only if a row of the list of machines said so. One that is taken away has no row, so its runs, and after a take-over all tasks that may run on it, waited until its leases had run out, up to hold-max-ms. Executors that had not registered when the planner took over were asked for by nobody until then.

Change: a silent executor is lost if its registration is gone and five lists in a row name neither it nor its machine. While the list of executors is not current, it counts as registered. Executors that have not registered within 2 s of a take-over are checked like silent ones.

Log: task-waits tells each second what a long-running task waits for.

--- a/src/libs/dispatch/lostexecutortracker.cpp
+++ b/src/libs/dispatch/lostexecutortracker.cpp
@@ -13,6 +13,9 @@
 /// machine is not known. One list may leave out a machine that changes its
 /// place between two pages; the next one begins anew.
 static constexpr unsigned MinAbsences = 2;
+/// The same if the machine is known. At the interval of the lists, this takes
+/// longer than a registration that expired in an outage needs to come back.
+static constexpr unsigned MinKnownMachineAbsences = 5;
 
 /// What the row of an executor's machine proves about its loss.
 static std::optional<LostExecutor> judgeMachine(const ExecutorId &Id,
@@ -49,9 +52,11 @@
         Result.Lost[Row.Executor] = *judgeMachine(Row.Executor, Row);
     }
     const auto [Begin, End] = SilentOn.equal_range(Row.Name);
-    for (auto Each = Begin; Each != End; ++Each)
+    for (auto Each = Begin; Each != End; ++Each) {
+      Result.OnListedMachines.insert(Each->second);
       if (auto Evidence = judgeMachine(Each->second, Row))
         Result.Lost[Each->second] = std::move(*Evidence);
+    }
   }
   for (const ExecutorId &Id : Result.Up)
     Result.Lost.erase(Id);
@@ -84,21 +89,25 @@
     if (const auto Evidence = Judged.Lost.find(Id);
         Evidence != Judged.Lost.end())
       Found.push_back(Evidence->second);
-    else if (this->isConfirmedAbsent(Id, Judged.IsConclusive))
+    else if (this->isConfirmedAbsent(Id, Judged))
       Found.push_back({Id, ExecutorLoss::MachineLost, "absent"});
   }
   return Found;
 }
 
 bool LostExecutorTracker::isConfirmedAbsent(const ExecutorId &Id,
-                                            bool IsListConclusive) {
-  if (this->Machines.contains(Id))
-    return false;
-  if (!IsListConclusive) {
+                                            const Judgement &Judged) {
+  const bool IsMachineKnown = this->Machines.contains(Id);
+  const bool MayBeThere =
+      IsMachineKnown ? Judged.OnListedMachines.contains(Id) ||
+                           !this->IsRegistered || this->IsRegistered(Id)
+                     : !Judged.IsConclusive;
+  if (MayBeThere) {
     this->Absences.erase(Id);
     return false;
   }
-  return ++this->Absences[Id] >= MinAbsences;
+  return ++this->Absences[Id] >=
+         (IsMachineKnown ? MinKnownMachineAbsences : MinAbsences);
 }
 
 void LostExecutorTracker::learnMachines(
--- a/src/libs/dispatch/lostexecutortracker.h
+++ b/src/libs/dispatch/lostexecutortracker.h
@@ -25,10 +25,17 @@
 /// are lost. The pages of a list are not a snapshot, so an executor that is in
 /// no row may be up: its machine may have changed its place between two pages,
 /// or its row may have no id for a moment. An executor is lost if the machine
-/// on which it ran is listed as not up, or as up with another executor.
+/// on which it ran is listed as not up, or as up with another executor. One
+/// that is taken away with its machine is in no list from then on; it has left
+/// if its registration is gone as well.
 class LostExecutorTracker {
 public:
-  explicit LostExecutorTracker(ServiceName Pool) : Pool(std::move(Pool)) {}
+  /// \p IsRegistered returns whether an executor is registered, or may be; null
+  /// if all are.
+  explicit LostExecutorTracker(
+      ServiceName Pool,
+      std::function<bool(const jobs::ExecutorId &)> IsRegistered = nullptr)
+      : Pool(std::move(Pool)), IsRegistered(std::move(IsRegistered)) {}
 
   /// Returns which of the executors that have been silent since before \p List
   /// was requested are lost.
@@ -51,19 +58,24 @@
   struct Judgement {
     std::set<jobs::ExecutorId> Up;
     std::map<jobs::ExecutorId, LostExecutor> Lost;
+    /// The silent executors whose machines have a row.
+    std::set<jobs::ExecutorId> OnListedMachines;
     /// Whether no row may belong to an executor that is in none.
     bool IsConclusive = true;
   };
 
   Judgement judge(const std::vector<jobs::MachineInfo> &List,
                   const std::set<jobs::ExecutorId> &Silent) const;
-  bool isConfirmedAbsent(const jobs::ExecutorId &Id, bool IsListConclusive);
+  /// Whether this list and those before it name neither the executor nor its
+  /// machine, so that it is gone.
+  bool isConfirmedAbsent(const jobs::ExecutorId &Id, const Judgement &Judged);
 
   ServiceName Pool;
+  std::function<bool(const jobs::ExecutorId &)> IsRegistered;
   /// The machine of each executor that a list has named.
   std::map<jobs::ExecutorId, jobs::MachineName> Machines;
-  /// Number of successive lists that did not name a silent executor whose
-  /// machine is not known.
+  /// Number of successive lists that named neither a silent executor nor its
+  /// machine.
   std::map<jobs::ExecutorId, unsigned> Absences;
 };
 
--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -11,6 +11,7 @@
 /// Time after which a planning pass is interrupted, so that the loop can renew
 /// the lease and answer calls.
 static constexpr Duration PassTurnTime = std::chrono::milliseconds(10);
+static constexpr Duration WaitLogInterval = std::chrono::seconds(1);
 static constexpr Duration DiscoveryTimeout = std::chrono::milliseconds(1000);
 /// Wait of one watch call for notices. While none come, what is known is as old
 /// as two calls, which must stay below MaxKnowledgeAge also with slow answers.
@@ -18,6 +19,9 @@
 /// Time after which an earlier planner's claim has certainly expired.
 static constexpr Duration RescanDelay =
     NodeLease::Length + std::chrono::seconds(1);
+/// Time in which executors whose registrations expired in an outage of the
+/// store have registered again, if they are up.
+static constexpr Duration RegistrationTime = std::chrono::seconds(2);
 static constexpr Duration DiscoveryRetryDelay = std::chrono::milliseconds(200);
 static constexpr Duration MissedJobsRetryDelay = std::chrono::milliseconds(500);
 
@@ -37,7 +41,10 @@
       OrderTimes(this->Service, logWarning),
       Load(this->Service, this->Environment.ProcessorTime,
            this->Environment.Longest, logWarning),
-      PassTimes(this->Service, logWarning), LostExecutors(this->Service) {}
+      PassTimes(this->Service, logWarning),
+      LostExecutors(this->Service, [this](const jobs::ExecutorId &Id) {
+        return this->mayBeRegistered(Id);
+      }) {}
 
 void ServiceShard::start() {
   this->ClaimedAt = this->Shared.now();
@@ -309,6 +316,10 @@
   scheduleFor(
       this->Shared.Loop, this->shared_from_this(), this->EarlierLeasesEnd,
       [Unlisted](ServiceShard &Self) { Self.noteUnlistedEmpty(Unlisted); });
+  if (!Unlisted.empty())
+    scheduleFor(
+        this->Shared.Loop, this->shared_from_this(), Now + RegistrationTime,
+        [Unlisted](ServiceShard &Self) { Self.watchUnlisted(Unlisted); });
   this->requestPlan();
 }
 
@@ -426,6 +437,10 @@
   this->Load.update(this->Planner.startableJobs(), Now);
   this->PassTimes.update(this->Planner.openPass(), Now);
   this->checkBacklog();
+  if (Now >= this->NextWaitLog) {
+    this->NextWaitLog = Now + WaitLogInterval;
+    this->Planner.logWaits(Now);
+  }
   this->requestFlush();
   scheduleFor(this->Shared.Loop, this->shared_from_this(),
               this->Planner.nextPlan(Now), [Now](ServiceShard &Self) {
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -165,6 +165,11 @@
   /// Adds the jobs that were kept back in the grace.
   void endGrace();
   void noteUnlistedEmpty(const std::vector<jobs::ExecutorId> &Unlisted);
+  /// Whether the executor is registered, or the last list may be outdated.
+  bool mayBeRegistered(const jobs::ExecutorId &Id) const;
+  /// Checks executors of an earlier planner that have not registered again, as
+  /// one that answers nobody.
+  void watchUnlisted(const std::vector<jobs::ExecutorId> &Unlisted);
   void checkSilentExecutors();
   void scheduleEarlyCheck();
   void checkEarly();
@@ -258,6 +263,7 @@
   /// When the present turn of a planning pass has used its time.
   TimePoint TurnEnd = TimePoint::max();
   TimePoint NextBacklogCheck = TimePoint::min();
+  TimePoint NextWaitLog = TimePoint::min();
   DiscoveryState Discovery = DiscoveryState::NotNeeded;
   bool IsLoaded = false;
   bool IsPlanRequested = false;
--- a/src/libs/dispatch/serviceshardgrace.cpp
+++ b/src/libs/dispatch/serviceshardgrace.cpp
@@ -43,6 +43,12 @@
          this->Environment.ExecutorsKnownThrough() >= Oldest;
 }
 
+bool ServiceShard::mayBeRegistered(const jobs::ExecutorId &Id) const {
+  return this->Planner.isListedExecutor(Id) || this->IsListDropped ||
+         this->Environment.ExecutorsKnownThrough() <
+             this->Shared.now() - MaxKnowledgeAge;
+}
+
 void ServiceShard::reportStartPause() {
   const bool IsPaused = this->canOrder() && !this->canStartTasks();
   if (std::exchange(this->IsStartPaused, IsPaused) == IsPaused)
@@ -94,9 +100,11 @@
     return;
   }
   for (const jobs::ExecutorId &Id : Unlisted)
-    if (!this->Links.contains(Id))
+    if (!this->Links.contains(Id)) {
+      this->Silent.erase(Id);
       this->Planner.noteEmpty(Id, jobs::ExecutorLoss::LeasesExpired,
                               this->Shared.now());
+    }
   this->requestPlan();
 }
 
--- a/src/libs/dispatch/serviceshardlinks.cpp
+++ b/src/libs/dispatch/serviceshardlinks.cpp
@@ -24,6 +24,10 @@
   const auto Late = this->LateLeasesEnds.find(Info.Id);
   if (Late != this->LateLeasesEnds.end())
     Setup.LateLeasesEnd = Late->second;
+  // From now on, the link tells whether it answers.
+  this->Silent.erase(Info.Id);
+  this->SilentAtRequest.erase(Info.Id);
+  this->SilentAtEarlyRequest.erase(Info.Id);
   auto Link = std::make_shared<ExecutorLink>(
       this->Shared, this->Environment.Executors, Setup, this->linkHooks());
   this->Links[Info.Id] = Link;
@@ -107,6 +111,18 @@
   return Hooks;
 }
 
+void ServiceShard::watchUnlisted(
+    const std::vector<jobs::ExecutorId> &Unlisted) {
+  if (this->IsStopped || this->Shared.now() >= this->EarlierLeasesEnd)
+    return;
+  const bool IsChecking = !this->Silent.empty();
+  for (const jobs::ExecutorId &Id : Unlisted)
+    if (!this->Links.contains(Id))
+      this->Silent.insert(Id);
+  if (!IsChecking && !this->Silent.empty())
+    this->checkSilentExecutors();
+}
+
 /// Asks the platform about executors that do not answer.
 void ServiceShard::checkSilentExecutors() {
   this->SilentAtRequest = this->Silent;
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -163,6 +163,7 @@
   bool isRecovering() const;
   /// Whether the executor is listed, or something may still run on it.
   bool isKnownExecutor(const ExecutorId &Id) const;
+  bool isListedExecutor(const ExecutorId &Id) const;
 
   /// Handles an executor's report of its runs.
   void noteReport(const ExecutorId &Id, const ExecutorReport &Report,
@@ -215,6 +216,9 @@
   void plan(TimePoint Now, WallTime WallNow);
   /// The pass that was interrupted; std::nullopt if there is none.
   std::optional<OpenPass> openPass() const;
+  /// Logs for each job with long-running tasks that have not been running for
+  /// seconds what these wait for.
+  void logWaits(TimePoint Now) const;
   /// Returns the orders issued since the last call.
   std::vector<Order> takeOrders();
   /// Number of jobs that a pass looks at.
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -432,6 +432,11 @@
   return this->D->Executors.contains(Id);
 }
 
+bool Planner::isListedExecutor(const ExecutorId &Id) const {
+  const auto Found = this->D->Executors.find(Id);
+  return Found != this->D->Executors.end() && Found->second.IsListed;
+}
+
 uint64_t Planner::lastDiscardableEnd(const ExecutorId &Id) const {
   const auto Found = this->D->Executors.find(Id);
   if (Found == this->D->Executors.end())
--- a/src/libs/simulation/include/whintack/simulation/runchecker.h
+++ b/src/libs/simulation/include/whintack/simulation/runchecker.h
@@ -49,6 +49,7 @@
   /// The step of a task; null if its job was not submitted.
   const jobs::StepSpec *step(const jobs::TaskKey &Task) const;
   bool isDone(const jobs::TaskKey &Task) const;
+  bool isRunning(const jobs::TaskKey &Task) const;
   size_t starts() const { return this->Starts; }
   /// Number of executors that tasks have crashed.
   size_t crashes() const { return this->Crashes; }
--- a/src/libs/simulation/include/whintack/simulation/simulatedplatform.h
+++ b/src/libs/simulation/include/whintack/simulation/simulatedplatform.h
@@ -77,6 +77,10 @@
 
   /// Lets the machine lose power; it comes back after \p DownFor.
   void crash(const jobs::MachineName &Machine, Duration DownFor);
+  /// Empties the machine's executor and takes the machine away: the executor
+  /// drains for \p DrainTime, then its entry is removed, it answers no more,
+  /// and no list names the machine.
+  void takeAway(const jobs::MachineName &Machine, Duration DrainTime);
   /// Ends the process of the machine's executor, so that its connections are
   /// reset and further ones refused; another one starts after \p DownFor.
   void crashExecutor(const jobs::MachineName &Machine, Duration DownFor);
--- a/src/libs/simulation/runchecker.cpp
+++ b/src/libs/simulation/runchecker.cpp
@@ -47,6 +47,11 @@
   return Found != this->Tasks.end() && Found->second.HasCompleted;
 }
 
+bool RunChecker::isRunning(const TaskKey &Task) const {
+  const auto Found = this->Tasks.find(Task);
+  return Found != this->Tasks.end() && !Found->second.Running.empty();
+}
+
 void RunChecker::checkStepOrder(const JobHistory &Job, const TaskKey &Task) {
   for (const size_t Earlier : Job.Spec.Steps[Task.Step.Index].Dependencies)
     for (size_t Index = 0; Index < Job.Spec.Steps[Earlier].Count; ++Index)
--- a/src/libs/simulation/simulatedplatform.cpp
+++ b/src/libs/simulation/simulatedplatform.cpp
@@ -204,6 +204,27 @@
     this->takeDown(Target, MachineState::Down, DownFor, Target.Setup.Pool);
 }
 
+void SimulatedPlatform::takeAway(const jobs::MachineName &Name,
+                                 Duration DrainTime) {
+  Machine &Target = *this->Machines.at(Name);
+  if (!Target.Executor)
+    return;
+  Target.Executor->setDraining();
+  this->registerExecutor(Target);
+  this->Loop.schedule(
+      this->Time.Now() + DrainTime, [this, &Target, Leaving = Target.Executor] {
+        if (Target.Executor != Leaving)
+          return;
+        this->EndedExecutors.insert(Leaving->info().Id);
+        Leaving->terminate();
+        Leaving->resetConnections();
+        this->Store.remove(ExecutorPrefix + Leaving->info().Id.text());
+        Target.Executor.reset();
+        Target.State = MachineState::Down;
+        Target.IsTakenAway = true;
+      });
+}
+
 void SimulatedPlatform::crashExecutor(const jobs::MachineName &Name,
                                       Duration DownFor) {
   const std::shared_ptr<Internal::SimulatedExecutor> Crashed =
@@ -382,6 +403,8 @@
 std::vector<jobs::MachineInfo> SimulatedPlatform::machineList() const {
   std::vector<jobs::MachineInfo> List;
   for (const auto &[Name, Each] : this->Machines) {
+    if (Each->IsTakenAway)
+      continue;
     jobs::MachineInfo Info;
     Info.Name = Name;
     Info.Pool = Each->Setup.Pool;
--- a/src/libs/simulation/simulatedplatform_p.h
+++ b/src/libs/simulation/simulatedplatform_p.h
@@ -26,6 +26,7 @@
 public:
   MachineSetup Setup;
   jobs::MachineState State = jobs::MachineState::Down;
+  bool IsTakenAway = false;
   std::shared_ptr<Internal::SimulatedExecutor> Executor;
   /// The executor that starts again under its id; null if the next one has
   /// another id.
--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -11,7 +11,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-static constexpr Duration MaxLease = seconds(6);
 /// Time-out of a commit, as in the client of the real platform.
 static constexpr Duration CommitTimeout = milliseconds(1500);
 /// When a commit is carried out that is late.
@@ -54,7 +53,12 @@
 SimulatedFleet::SimulatedFleet(uint64_t Seed)
     : Source(seededRandom(Seed)),
       Platform(this->Loop.Time.clock(), this->Loop.Queue, this->Source) {
-  this->Platform.setMaxLease(MaxLease);
+  this->setMaxLease(seconds(6));
+}
+
+void SimulatedFleet::setMaxLease(Duration Length) {
+  this->MaxLease = Length;
+  this->Platform.setMaxLease(Length);
 }
 
 SimulatedFleet::~SimulatedFleet() = default;
@@ -103,7 +107,7 @@
                     Address{"127.0.0.1", 9000},
                     Started.Incarnation,
                     ProcessorShare,
-                    MaxLease};
+                    this->MaxLease};
   Self.RefusesStaleKeys = this->KeyRevocationTime.has_value();
   Self.KeyRevocationTime =
       this->KeyRevocationTime.value_or(Self.KeyRevocationTime);
--- a/tests/auto/dispatch/simulatedfleet.h
+++ b/tests/auto/dispatch/simulatedfleet.h
@@ -43,6 +43,8 @@
                  double ProcessorShare = 1);
   /// Limits the link of a VM that starts from now on, and tells the VM.
   void setLinkRate(const std::string &Name, double BytesPerSecond);
+  /// Sets the maximum lease that executors grant that start from now on.
+  void setMaxLease(Duration Length);
   /// Sets how long the VMs that start from now on go on while the store does
   /// not answer.
   void setStoreOutageGrace(Duration Length) {
@@ -151,6 +153,7 @@
   /// In bytes per second.
   std::map<std::string, double> LinkRates;
   std::map<std::string, std::function<CommitFault()>> CommitFaults;
+  Duration MaxLease = Duration::zero();
   Duration StoreOutageGrace = Duration::zero();
   Duration MachineOrderGrace = Duration::zero();
   uint64_t LastJob = 0;
--- a/tests/auto/dispatch/tst_lostexecutortracker.cpp
+++ b/tests/auto/dispatch/tst_lostexecutortracker.cpp
@@ -133,3 +133,43 @@
   CHECK(Tracker.findLost(Replaced, {First}).empty());
   CHECK(Tracker.findLost(Replaced, {First}).size() == 1);
 }
+
+// Guards against long-running tasks that wait for the end of leases because
+// their executor was taken away together with its machine.
+TEST_CASE("an executor that was taken away with its machine is lost") {
+  bool IsRegistered = false;
+  LostExecutorTracker Tracker(
+      Pool, [&IsRegistered](const ExecutorId &) { return IsRegistered; });
+  Tracker.learnMachines(withOthers(row("m1", MachineState::Up, "x1")),
+                        [](const ExecutorId &) { return true; });
+  const std::vector<LostExecutor> Lost = {
+      {First, ExecutorLoss::MachineLost, "absent"}};
+  const auto IsLostAfter = [&](int Lists) {
+    for (int Read = 1; Read < Lists; ++Read)
+      if (!Tracker.findLost(Others, {First}).empty())
+        return false;
+    return Tracker.findLost(Others, {First}) == Lost;
+  };
+  SECTION("once five lists do not name it") { CHECK(IsLostAfter(5)); }
+  SECTION("but not while it is registered") {
+    IsRegistered = true;
+    for (int Read = 0; Read < 10; ++Read)
+      CHECK(Tracker.findLost(Others, {First}).empty());
+    IsRegistered = false;
+    CHECK(IsLostAfter(5));
+  }
+  SECTION("but not if a list has named its machine") {
+    for (int Read = 0; Read < 4; ++Read)
+      CHECK(Tracker.findLost(Others, {First}).empty());
+    CHECK(
+        Tracker.findLost(withOthers(row("m1", MachineState::Up, None)), {First})
+            .empty());
+    CHECK(IsLostAfter(5));
+  }
+  SECTION("but not if it has answered meanwhile") {
+    for (int Read = 0; Read < 4; ++Read)
+      CHECK(Tracker.findLost(Others, {First}).empty());
+    Tracker.noteAnswer(First);
+    CHECK(IsLostAfter(5));
+  }
+}
--- a/tests/auto/dispatch/tst_serviceshard.cpp
+++ b/tests/auto/dispatch/tst_serviceshard.cpp
@@ -85,6 +85,8 @@
     Machine.Executor = Id;
   }
 
+  void removeMachine(const jobs::ExecutorId &Id) { this->Machines.erase(Id); }
+
   /// Announces a job of TasksPerJob tasks that was accepted \p Age ago.
   void announce(const std::string &Id, Duration Age = Duration::zero()) {
     const WallTime Accepted = this->Loop.Time.clock().WallNow() - Age;
@@ -464,3 +466,39 @@
     CHECK(Source("job-restored") == "lost-process");
   }
 }
+
+// Guards against tasks that wait for the end of leases because an executor of
+// an earlier planner is gone and has never been listed to this one (issue 73).
+TEST_CASE("a planner does not wait for the leases of an unlisted executor that "
+          "is gone") {
+  Fixture Fleet(2);
+  Fleet.setMachine(First, jobs::MachineState::Up);
+  Fleet.setMachine(Second, jobs::MachineState::Up);
+  Fleet.list({Second});
+  Fleet.announce("00000000000000a1");
+  Fleet.Loop.runFor(seconds(2));
+  CHECK(Fleet.starts(Second) == 0);
+  SECTION("its machine was taken away") {
+    Fleet.removeMachine(First);
+    Fleet.Loop.runFor(seconds(3));
+    CHECK(Fleet.starts(Second) > 0);
+  }
+  SECTION("its machine is down") {
+    Fleet.setMachine(First, jobs::MachineState::Down);
+    Fleet.Loop.runFor(seconds(1));
+    CHECK(Fleet.starts(Second) > 0);
+  }
+  SECTION("but it is awaited while its machine is up") {
+    Fleet.Loop.runFor(seconds(5));
+    CHECK(Fleet.starts(Second) == 0);
+    Fleet.Loop.runFor(2 * MaxLease);
+    CHECK(Fleet.starts(Second) > 0);
+  }
+  SECTION("and it is asked once it is listed") {
+    Fleet.Running[First] = {
+        {{{jobs::JobId("00000000000000a1"), 0, 0}, 0}, 1, "", 50, 0}};
+    Fleet.list({First, Second});
+    Fleet.Loop.runFor(seconds(1));
+    CHECK(Fleet.starts(First) + Fleet.starts(Second) == TasksPerJob - 1);
+  }
+}
