Shards: Restore jobs in turns of the event loop

Cause: the next planner decoded all jobs in one call on the event loop, lost its lease of 2 s meanwhile, and so did each one after it.

Change: jobs are restored for 10 ms at a time. The deadline for loading a shard ends once its records have been read: another VM would take as long to decode them.

Test: longpasses, second case, where each job takes 5 ms to decode: the shard is dropped and both jobs wait with the change taken out (3 checks fail).

--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -8,9 +8,9 @@
 /// Minimum time between two planning passes. A pass looks at all executors and
 /// waiting jobs, so reports that arrive together share one.
 static constexpr Duration MinPlanInterval = std::chrono::milliseconds(5);
-/// Time after which a planning pass is interrupted, so that the loop can renew
-/// the lease and answer calls.
-static constexpr Duration PassTurnTime = std::chrono::milliseconds(10);
+/// Time after which a planning pass, or the restoring of jobs, is interrupted,
+/// so that the loop can renew the lease and answer calls.
+static constexpr Duration TurnTime = std::chrono::milliseconds(10);
 static constexpr Duration WaitLogInterval = std::chrono::seconds(1);
 static constexpr Duration DiscoveryTimeout = std::chrono::milliseconds(1000);
 /// Wait of one watch call for notices. While none come, what is known is as old
@@ -76,7 +76,8 @@
 /// Gives the shard up if it is not loaded by the deadline: another VM may be
 /// able to load it.
 void ServiceShard::checkLoaded() {
-  if (this->IsStopped || this->IsLoaded)
+  const bool IsRead = this->LoadDeadline == TimePoint::max();
+  if (this->IsStopped || this->IsLoaded || IsRead)
     return;
   const TimePoint Now = this->Shared.now();
   // While the store cannot be reached, nobody can load the shard.
@@ -180,14 +181,37 @@
   if (this->IsStopped)
     return;
   this->adoptStoredQuotas(Loaded);
-  this->Load.measure(PlannerWork::Load, Loaded.Jobs.size(), [&] {
-    std::unordered_map<std::string, std::string> Progress;
-    for (const store::StoreItem &Item : Loaded.Progress)
-      Progress[Item.Key.substr(keys::progress(this->Service).size())] =
-          Item.Value;
-    for (const store::StoreItem &Item : Loaded.Jobs)
-      this->restore(Item, jobs::JobSource::TakeOver, Progress);
+  auto Found = std::make_shared<StoredState>();
+  Found->Contents = Loaded;
+  for (const store::StoreItem &Item : Found->Contents.Progress)
+    Found->Progress[Item.Key.substr(keys::progress(this->Service).size())] =
+        Item.Value;
+  // Another VM would take as long to decode it.
+  this->LoadDeadline = TimePoint::max();
+  this->restoreJobs(Found);
+}
+
+/// Restores jobs until the turn has used its time, then goes on in the next
+/// one.
+void ServiceShard::restoreJobs(const std::shared_ptr<StoredState> &Found) {
+  if (this->IsStopped)
+    return;
+  const std::vector<store::StoreItem> &Jobs = Found->Contents.Jobs;
+  const TimePoint End = this->Shared.now() + TurnTime;
+  this->Load.measure(PlannerWork::Load, Jobs.size(), [&] {
+    while (Found->Restored < Jobs.size() && this->Shared.now() < End)
+      this->restore(Jobs[Found->Restored++], jobs::JobSource::TakeOver,
+                    Found->Progress);
   });
+  if (Found->Restored < Jobs.size()) {
+    scheduleFor(this->Shared.Loop, this->shared_from_this(), this->Shared.now(),
+                [Found](ServiceShard &Self) { Self.restoreJobs(Found); });
+    return;
+  }
+  this->endLoading(Found->Contents);
+}
+
+void ServiceShard::endLoading(const ShardStore::Contents &Loaded) {
   this->KnownAsOf = Loaded.AsOf;
   this->IsLoaded = true;
   logEvent(LogLevel::Info, "shard-loaded",
@@ -421,7 +445,7 @@
   this->reportStartPause();
   this->checkConfigurationAge();
   const bool WasInterrupted = this->Planner.openPass().has_value();
-  this->TurnEnd = Now + PassTurnTime;
+  this->TurnEnd = Now + TurnTime;
   this->Load.measure(PlannerWork::Pass, this->Planner.startableJobs(),
                      [this, Now] {
                        if (this->canStartTasks())
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -107,7 +107,18 @@
   void discoverExecutors();
   void listMachines(MachineListHandler Handle);
   void handleMachines(const MachineList &Found);
+  /// The records of the service while its jobs are restored.
+  struct StoredState {
+    ShardStore::Contents Contents;
+    /// Progress of jobs, by job id.
+    std::unordered_map<std::string, std::string> Progress;
+    /// Number of jobs that have been restored.
+    size_t Restored = 0;
+  };
+
   void handleContents(const ShardStore::Contents &Loaded);
+  void restoreJobs(const std::shared_ptr<StoredState> &Found);
+  void endLoading(const ShardStore::Contents &Loaded);
   void adoptStoredQuotas(const ShardStore::Contents &Loaded);
   void restore(const store::StoreItem &Item, jobs::JobSource Source,
                const std::unordered_map<std::string, std::string> &Progress);
@@ -255,7 +266,8 @@
   std::function<void()> OnDrained;
   TimePoint EarlierLeasesEnd = TimePoint::min();
   TimePoint ClaimedAt;
-  /// Time by which the shard must be loaded.
+  /// Time by which the records of the shard must have been read;
+  /// TimePoint::max() once they have been.
   TimePoint LoadDeadline = TimePoint::max();
   /// Revision of the store through which all jobs have been read.
   uint64_t KnownAsOf = 0;
--- a/tests/auto/dispatch/simulatedfleet.cpp
+++ b/tests/auto/dispatch/simulatedfleet.cpp
@@ -100,6 +100,8 @@
     Connections.Machines = this->WrapMachines(std::move(Connections.Machines));
   Connections.Advice = this->Advice;
   Connections.Codec = this->Platform.codec();
+  if (this->WrapCodec)
+    Connections.Codec = this->WrapCodec(std::move(Connections.Codec));
   Context Shared{this->clock(), this->Source, this->Loop.Queue,
                  Connections.Store};
   CoreIdentity Self{Vm,
--- a/tests/auto/dispatch/simulatedfleet.h
+++ b/tests/auto/dispatch/simulatedfleet.h
@@ -112,6 +112,7 @@
   std::function<store::AsyncStore(store::AsyncStore)> WrapStore;
   std::function<jobs::ExecutorGateway(jobs::ExecutorGateway)> WrapExecutors;
   std::function<jobs::MachineGateway(jobs::MachineGateway)> WrapMachines;
+  std::function<jobs::PlatformCodec(jobs::PlatformCodec)> WrapCodec;
 
   /// Called with each message that a VM sends to another one.
   std::function<void(const peers::Message &)> OnMessage;
--- a/tests/auto/dispatch/tst_longpasses.cpp
+++ b/tests/auto/dispatch/tst_longpasses.cpp
@@ -1,6 +1,6 @@
-// Guards against a planning pass that keeps the event loop busy for longer than
-// the lease: the planner loses its claim, drops what it has decided, and its
-// successor does the same.
+// Guards against calls that keep the event loop busy for longer than the lease,
+// because there is so much to place or to read: the planner loses its claim,
+// drops what it has decided, and its successor does the same.
 
 #include "logcapture.h"
 #include "simulatedfleet.h"
@@ -31,6 +31,10 @@
     Large.Steps[0].Estimate = milliseconds(500);
     Large.Steps[0].MaxTasksPerExecutor = 100;
     this->Platform.addTemplate("large", Large);
+    jobs::JobSpec Unplaceable = Large;
+    Unplaceable.Steps[0].Count = 1;
+    Unplaceable.Steps[0].RequiredLabel = "none";
+    this->Platform.addTemplate("unplaceable", Unplaceable);
     for (int Number = 0; Number < 42; ++Number) {
       simulation::MachineSetup Machine;
       Machine.Name = jobs::MachineName("q" + std::to_string(Number));
@@ -67,3 +71,46 @@
   CHECK(Fleet.Log.lines("shard-dropped").empty());
   CHECK(Fleet.Platform.runChecker().violations().empty());
 }
+
+TEST_CASE("the jobs of a service take longer to decode than the lease lasts") {
+  constexpr Duration DecodeTime = milliseconds(5);
+  constexpr size_t JobCount = 800;
+  LargePool Fleet;
+  bool IsDecodingSlow = false;
+  Fleet.WrapCodec = [&](jobs::PlatformCodec Direct) {
+    Direct.DecodeJob = [&, Decode = Direct.DecodeJob](const jobs::JobId &Id,
+                                                      const std::string &Body) {
+      if (IsDecodingSlow)
+        Fleet.Loop.Time.advance(DecodeTime);
+      return Decode(Id, Body);
+    };
+    return Direct;
+  };
+  for (const std::string &Name : Fleet.nodeNames()) {
+    Fleet.killNode(Name);
+    Fleet.runFor(seconds(3));
+    Fleet.restartNode(Name);
+    Fleet.runFor(seconds(3));
+  }
+  // They are accepted and need more than the pool has.
+  for (size_t Job = 0; Job < JobCount; ++Job) {
+    Fleet.submit("quotes", "unplaceable");
+    if (Job % 20 == 0)
+      Fleet.runFor(milliseconds(100));
+  }
+  const std::string Before = Fleet.submit("quotes", "lasting");
+  Fleet.runFor(seconds(3));
+  REQUIRE(Fleet.stateOf(Before) == "running");
+  IsDecodingSlow = true;
+  const std::string Planner = Fleet.plannerOf("quotes");
+  Fleet.killNode(Planner);
+  Fleet.runFor(seconds(1));
+  Fleet.restartNode(Planner);
+  Fleet.runFor(seconds(12));
+  const std::string After = Fleet.submit("quotes", "short");
+  Fleet.runFor(seconds(5));
+  CHECK(Fleet.stateOf(After) == "completed");
+  CHECK(Fleet.stateOf(Before) == "running");
+  CHECK(Fleet.Log.lines("shard-dropped").empty());
+  CHECK(Fleet.Platform.runChecker().violations().empty());
+}
