Planner: Store no failed runs of long-running tasks

Cause: the numbers of failed runs are stored with the job, since they count toward the maximum of attempts. Long-running tasks have no maximum, so the state grew beyond 1 MiB, the store rejected it, and ends were no longer acknowledged.

Change: they are not stored for long-running tasks, and those that an earlier version has stored are dropped.

Test: jobs, "the stored state does not grow with failures of long-running tasks": both sections fail with the change taken out.

--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -258,6 +258,9 @@
     if (!Task)
       continue;
     Task->Stored = Stored;
+    // Earlier versions stored all failed runs of these tasks.
+    if (Record.Spec.Steps[Key.Step.Index].IsLongRunning)
+      Task->Stored.FailedRuns.clear();
     if (Stored.IsDone)
       ++Record.step(Key.Step).DoneTasks;
     Record.HasStarted = true;
--- a/src/libs/jobs/plannerevents.cpp
+++ b/src/libs/jobs/plannerevents.cpp
@@ -184,7 +184,10 @@
                                      ExecutorRecord &Executor, TimePoint Now) {
   const StepSpec &Spec = this->stepSpec(Job, End.Task.Step);
   TaskRecord &Task = this->countingTask(End.Task);
-  const bool IsNew = Task.Stored.FailedRuns.insert(End.Run).second;
+  // Nothing limits how often a long-running task fails, and its runs end for as
+  // long as the job lasts, so they are not stored.
+  const bool IsNew =
+      Spec.IsLongRunning || Task.Stored.FailedRuns.insert(End.Run).second;
   if (!IsNew)
     return;
   Task.LastFailedOn = Executor.Info.Id;
--- a/tests/auto/jobs/tst_discardableends.cpp
+++ b/tests/auto/jobs/tst_discardableends.cpp
@@ -46,3 +46,34 @@
   Fixture.store();
   CHECK(Fixture.discardable("wide") == Fixture.LastEnd);
 }
+
+// Guards against a state that the store rejects as too large, so that no end is
+// acknowledged any more: each failed run of a long-running task was part of it.
+TEST_CASE(
+    "the stored state does not grow with failures of long-running tasks") {
+  PlannerFixture Fixture;
+  Fixture.list({executor("e")});
+  AcceptedJob Lasting = job("1", {step(1)}, 2);
+  Lasting.Spec.Steps[0].IsLongRunning = true;
+  SECTION("that it has seen") { Fixture.Planner.addJob(Lasting); }
+  SECTION("that an earlier version has stored") {
+    JobProgress Stored;
+    for (uint64_t Run = 1; Run <= 1000; ++Run)
+      Stored.Tasks[{{JobId("1"), 0, 0}, 0}].FailedRuns.insert(Run);
+    Fixture.Planner.restoreJob(Lasting, Stored, Fixture.Time.now());
+  }
+  std::string Written;
+  for (int Failure = 0; Failure < 100; ++Failure) {
+    const std::vector<StartOrder> Starts = Fixture.starts();
+    REQUIRE(Starts.size() == 1);
+    Fixture.confirm(Starts[0]);
+    Fixture.endRun(Starts[0], RunEnd::Failed);
+    const auto Writes = Fixture.Planner.takeWrites(10);
+    REQUIRE(Writes.size() == 1);
+    Written = encodeProgress(Writes[0].Progress);
+    Fixture.Planner.noteWritten(Writes);
+    CHECK(Fixture.Planner.lastDiscardableEnd(ExecutorId("e")) ==
+          Fixture.LastEnd);
+  }
+  CHECK(Written.size() < 100);
+}
