Planner: Abandon an interrupted pass while starts are paused

What callers would see: an interrupted pass stayed open while the planner might not start tasks, as in an outage of the store.

Change: the pass is dropped, and a new one begins once tasks may start again. A pass that was interrupted in an occurrence that has ended meanwhile begins the next occurrence with its first task, and no longer with the task at which it had stopped.

Tests: interruptedpasses, two cases.

--- a/src/libs/dispatch/serviceshard.cpp
+++ b/src/libs/dispatch/serviceshard.cpp
@@ -435,6 +435,19 @@
               [](ServiceShard &Self) { Self.plan(); });
 }
 
+/// Works on a planning pass for one turn, if tasks may be started.
+void ServiceShard::makePass(TimePoint Now) {
+  if (this->canStartTasks()) {
+    this->TurnEnd = Now + TurnTime;
+    this->Planner.plan(Now, this->Shared.Time.WallNow());
+    return;
+  }
+  // It would be outdated once tasks may start again.
+  this->Planner.abandonPass();
+  if (this->canOrder())
+    this->Planner.repeatStops(Now);
+}
+
 void ServiceShard::plan() {
   this->IsPlanRequested = false;
   const TimePoint Now = this->Shared.now();
@@ -445,14 +458,8 @@
   this->reportStartPause();
   this->checkConfigurationAge();
   const bool WasInterrupted = this->Planner.openPass().has_value();
-  this->TurnEnd = Now + TurnTime;
   this->Load.measure(PlannerWork::Pass, this->Planner.startableJobs(),
-                     [this, Now] {
-                       if (this->canStartTasks())
-                         this->Planner.plan(Now, this->Shared.Time.WallNow());
-                       else if (this->canOrder())
-                         this->Planner.repeatStops(Now);
-                     });
+                     [this, Now] { this->makePass(Now); });
   const std::vector<jobs::Order> Orders = this->Planner.takeOrders();
   this->Load.measure(PlannerWork::Orders, Orders.size(), [&] {
     for (const jobs::Order &Order : Orders)
--- a/src/libs/dispatch/serviceshard.h
+++ b/src/libs/dispatch/serviceshard.h
@@ -148,6 +148,7 @@
   /// Tells the planner whether it may start tasks of tenants with a maximum.
   void checkConfigurationAge();
   void requestPlan();
+  void makePass(TimePoint Now);
   void plan();
   void execute(const jobs::Order &Order);
   void askAdvice(const jobs::AdviceOrder &Request);
--- a/src/libs/jobs/include/whintack/jobs/planner.h
+++ b/src/libs/jobs/include/whintack/jobs/planner.h
@@ -214,6 +214,9 @@
   /// that were not answered. If the pass is interrupted, the next call goes on
   /// with it.
   void plan(TimePoint Now, WallTime WallNow);
+  /// Drops the pass that was interrupted: the next call of plan() begins a new
+  /// one.
+  void abandonPass();
   /// The pass that was interrupted; std::nullopt if there is none.
   std::optional<OpenPass> openPass() const;
   /// Logs for each job with long-running tasks that have not been running for
--- a/src/libs/jobs/plannerpass.cpp
+++ b/src/libs/jobs/plannerpass.cpp
@@ -240,6 +240,8 @@
   this->D->Pass.reset();
 }
 
+void Planner::abandonPass() { this->D->Pass.reset(); }
+
 std::optional<OpenPass> Planner::openPass() const {
   if (!this->D->Pass)
     return std::nullopt;
--- a/src/libs/jobs/plannerplacement.cpp
+++ b/src/libs/jobs/plannerplacement.cpp
@@ -406,7 +406,7 @@
                                PassPosition &Next, TimePoint Now,
                                WallTime WallNow) {
   for (; Next.Occurrence < Job.Occurrences.size();
-       ++Next.Occurrence, Next.Step = 0) {
+       Next = {Next.Occurrence + 1, 0, 0}) {
     const WallTime Due =
         Job.Spec.FirstRun +
         Job.Spec.Interval * static_cast<int64_t>(Next.Occurrence);
--- a/src/libs/jobs/plannerrecords_p.h
+++ b/src/libs/jobs/plannerrecords_p.h
@@ -350,7 +350,7 @@
   /// Jobs that were removed since the pass was interrupted.
   std::unordered_set<const JobRecord *> RemovedJobs;
 
-  /// Takes the next job from the heap.
+  /// Makes a job that was taken from the heap the current one.
   void beginJob(RankedJob &Job) {
     this->Current = &Job;
     this->Next = {};
--- a/tests/auto/jobs/tst_interruptedpasses.cpp
+++ b/tests/auto/jobs/tst_interruptedpasses.cpp
@@ -295,6 +295,42 @@
   CHECK(Next[0].Task.Step.Job == JobId("urgent"));
 }
 
+TEST_CASE("a pass that is abandoned is followed by a new one") {
+  Interrupted Test;
+  Test.Planner.addJob(job("1", {step(3)}));
+  REQUIRE(Test.turn().size() == 1);
+  Test.Planner.abandonPass();
+  CHECK_FALSE(Test.Planner.openPass());
+  AcceptedJob Urgent = job("2", {step(1)});
+  Urgent.Policy.Priority = -1;
+  Test.Planner.addJob(Urgent);
+  const std::vector<StartOrder> First = Test.turn();
+  REQUIRE(First.size() == 1);
+  CHECK(First[0].Task.Step.Job == JobId("2"));
+  CHECK(Test.pass().size() == 2);
+}
+
+TEST_CASE("an interrupted pass begins each occurrence with its first task") {
+  Interrupted Test;
+  AcceptedJob Periodic = job("1", {step(3)});
+  Periodic.Spec.Interval = Duration::zero();
+  Periodic.Spec.Repetitions = 2;
+  Test.Planner.addJob(Periodic);
+  Test.confirm(Test.turn());
+  // The first occurrence is done before the pass goes on.
+  std::vector<EndReport> Ends;
+  for (size_t Index = 0; Index < 3; ++Index)
+    Ends.push_back(
+        {Index + 1, {{JobId("1"), 0, 0}, Index}, 1, RunEnd::Done, ""});
+  ExecutorReport Report;
+  Report.At = 5000;
+  Report.Ended = Ends;
+  Test.Planner.noteReport(Test.Running[0].Executor, Report, Test.Time.now());
+  const std::vector<StartOrder> Rest = Test.pass();
+  REQUIRE(Rest.size() == 3);
+  CHECK(Rest[0].Task == TaskKey{{JobId("1"), 1, 0}, 0});
+}
+
 TEST_CASE("a job of which an earlier planner may have started tasks waits if "
           "the recovery begins in a pass") {
   Interrupted Test;
