--- a/src/libs/dispatch/shardid.cpp
+++ b/src/libs/dispatch/shardid.cpp
@@ -11,7 +11,7 @@
 ShardId ShardId::fleet() { return ShardId(FleetText); }
 
 ShardId ShardId::of(const ServiceName &Service) {
-  const std::string Name = Service.text();
+  const std::string &Name = Service.text();
   const bool NeedsEscape = Name == FleetText || Name.starts_with(EscapePrefix);
   return ShardId(NeedsEscape ? EscapePrefix + Name : Name);
 }
--- a/tests/auto/dispatch/tst_servicenames.cpp
+++ b/tests/auto/dispatch/tst_servicenames.cpp
@@ -120,7 +120,7 @@
   }
   Fleet.runFor(seconds(15));
   Fleet.checkCompleted();
-  for (const std::string &Event : {"job-taken", "job-restored"})
+  for (const char *Event : {"job-taken", "job-restored"})
     for (const std::string &Line : Log.lines(Event))
       CHECK(LogCapture::field(Line, "job").find('/') == std::string::npos);
 }
